--- /dev/null
+++ b/modules/core/ErrorKind.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <string_view>
+
+namespace figchute {
+
+/** The closed list of error kinds. Each kind has one row in the table behind errorTraits(). */
+enum class ErrorKind
+{
+  badRequest,
+  bodyTooLarge,
+  headTooLarge,
+  slowSender,
+  unauthenticated,
+  forbidden,
+  notFound,
+  unknownModel,
+  unknownService,
+  budgetExhausted,
+  rateLimited,
+  concurrencyLimited,
+  overloaded,
+  deadlineUnmeetable,
+  noEndpoint,
+  noQuorum,
+  quarantined,
+  keyRequired,
+  keyExpired,
+  keyConflict,
+  inProgress,
+  outcomeUnknown,
+  endpointFailed,
+  endpointTimeout,
+  answerMismatch,
+  versionConflict,
+  documentInvalid,
+  shuttingDown,
+  storageCorrupt,
+  storageFailed,
+  codecError,
+  timeout,
+  internal,
+};
+
+/** Number of error kinds. */
+constexpr std::size_t kErrorKindCount = static_cast<std::size_t>(ErrorKind::internal) + 1;
+
+/** Tells a caller whether the refused or failed request ran at an endpoint. */
+enum class Ran
+{
+  no,
+  yes,
+  unknown,
+};
+
+/** Tells a caller whether a retry makes sense, and how. */
+enum class RetryAdvice
+{
+  never,
+  sameKeyLater,
+  later,
+  elsewhere,
+};
+
+/** One row of the error table. */
+struct ErrorTraits
+{
+  ErrorKind kind;
+  std::string_view name;
+  int httpStatus;
+  Ran ran;
+  RetryAdvice retry;
+  std::chrono::milliseconds retryAfter;
+};
+
+/** Finds the table row of an error kind.
+    @param kind  any listed kind
+    @returns its row; the reference stays valid for the life of the program
+    Thread safety: safe from any thread. */
+const ErrorTraits& errorTraits(ErrorKind kind);
+
+/** Finds a kind by its name in the table.
+    @param name  a name such as "bad_request"
+    @returns the row, or nullptr when no kind has that name
+    Thread safety: safe from any thread. */
+const ErrorTraits* findErrorTraits(std::string_view name);
+
+/** Returns the text used in answers: "no", "yes" or "unknown". Safe from any thread. */
+std::string_view toString(Ran ran);
+
+/** Returns the text used in answers: "never", "same_key_later", "later" or "elsewhere". Safe from
+    any thread. */
+std::string_view toString(RetryAdvice advice);
+
+} // namespace figchute
--- /dev/null
+++ b/modules/core/Invariant.cpp
@@ -0,0 +1,40 @@
+#include "core/Invariant.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace figchute {
+namespace {
+
+void abortOnBrokenInvariant(std::string_view message)
+{
+  std::fprintf(
+    stderr, "invariant broken: %.*s\n", static_cast<int>(message.size()), message.data());
+  std::abort();
+}
+
+InvariantHandler& currentHandler()
+{
+  static InvariantHandler handler = &abortOnBrokenInvariant;
+  return handler;
+}
+
+} // namespace
+
+InvariantHandler setInvariantHandler(InvariantHandler handler)
+{
+  const auto previous = currentHandler();
+  currentHandler() = handler;
+  return previous;
+}
+
+namespace detail {
+
+void reportBrokenInvariant(std::string_view message)
+{
+  currentHandler()(message);
+  std::abort();
+}
+
+} // namespace detail
+} // namespace figchute
--- /dev/null
+++ b/modules/core/Metrics.cpp
@@ -0,0 +1,99 @@
+#include "core/Metrics.h"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+
+namespace figchute {
+namespace {
+
+namespace bh = boost::histogram;
+
+using LatencyAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using Histogram = decltype(bh::make_histogram(std::declval<LatencyAxis>()));
+
+/** 260 bins over nine decades give a bin width of 8.3%, so the bin centre is within 5%. */
+constexpr unsigned kLatencyBins = 260;
+constexpr double kSmallestMicros = 1.0;
+constexpr double kLargestMicros = 1e9;
+
+Histogram makeLatencyHistogram()
+{
+  return bh::make_histogram(LatencyAxis(kLatencyBins, kSmallestMicros, kLargestMicros));
+}
+
+Duration quantile(const Histogram& histogram, double total, double fraction)
+{
+  double seen = 0;
+  for (auto&& bin : bh::indexed(histogram, bh::coverage::all)) {
+    seen += static_cast<double>(*bin);
+    if (seen >= total * fraction) {
+      const double centre = std::clamp(bin.bin().center(), kSmallestMicros, kLargestMicros);
+      return Duration(static_cast<std::int64_t>(centre));
+    }
+  }
+  return Duration(0);
+}
+
+LatencySummary summarize(const Histogram& histogram)
+{
+  const auto total = static_cast<double>(bh::algorithm::sum(histogram));
+  LatencySummary summary;
+  summary.count = static_cast<std::uint64_t>(total);
+  summary.median = quantile(histogram, total, 0.5);
+  summary.p95 = quantile(histogram, total, 0.95);
+  summary.p99 = quantile(histogram, total, 0.99);
+  return summary;
+}
+
+} // namespace
+
+struct Metrics::Store
+{
+  std::map<std::string, std::uint64_t, std::less<>> counters;
+  std::map<std::string, Histogram, std::less<>> latencies;
+};
+
+Metrics::Metrics()
+  : store_(std::make_unique<Store>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::count(std::string_view name, std::uint64_t amount)
+{
+  const std::lock_guard lock(mutex_);
+  auto found = store_->counters.find(name);
+  if (found == store_->counters.end()) {
+    found = store_->counters.emplace(std::string(name), 0).first;
+  }
+  found->second += amount;
+}
+
+void Metrics::record(std::string_view name, Duration latency)
+{
+  const std::lock_guard lock(mutex_);
+  auto found = store_->latencies.find(name);
+  if (found == store_->latencies.end()) {
+    found = store_->latencies.emplace(std::string(name), makeLatencyHistogram()).first;
+  }
+  found->second(static_cast<double>(latency.count()));
+}
+
+std::map<std::string, std::uint64_t> Metrics::counters() const
+{
+  const std::lock_guard lock(mutex_);
+  return { store_->counters.begin(), store_->counters.end() };
+}
+
+std::map<std::string, LatencySummary> Metrics::latencies() const
+{
+  const std::lock_guard lock(mutex_);
+  std::map<std::string, LatencySummary> result;
+  for (const auto& [name, histogram] : store_->latencies) {
+    result.emplace(name, summarize(histogram));
+  }
+  return result;
+}
+
+} // namespace figchute
--- /dev/null
+++ b/modules/core/core.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/** Basic types that every other module uses: identifiers, time, tokens, errors, random numbers,
+    metrics and run-time invariants. The module does no I/O and reads no clock. */
+
+#include "core/Error.h"
+#include "core/Fingerprint.h"
+#include "core/Invariant.h"
+#include "core/Metrics.h"
+#include "core/Random.h"
+#include "core/Types.h"
