Add the micro-kernel and the transport between processes

Cause: every daemon needs services found by name, tasks that own their state, and authenticated connections that recover from silence. Change: modules kernel and transport (nng push and pull, HMAC envelopes, heartbeats each 250 ms, redial after 2 s of silence, duplicate filter, peers learned from authenticated heartbeats), with tests. Conclusion: a replacement process needs no new settings on its peers.

--- /dev/null
+++ b/modules/transport/PeerConnection.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/Types.h"
+#include "transport/PeerAddress.h"
+
+#include <cstdint>
+#include <nng/nng.h>
+#include <string_view>
+
+namespace figchute::transport {
+
+/** The push socket to one peer.
+    Thread safety: the owner serializes all calls. */
+class PeerConnection
+{
+public:
+  /** Opens a socket and starts dialling; the peer need not be reachable. */
+  PeerConnection(PeerAddress peer, Time now);
+  ~PeerConnection();
+  PeerConnection(const PeerConnection&) = delete;
+  PeerConnection& operator=(const PeerConnection&) = delete;
+
+  /** Sends without waiting.
+      @returns false when the send buffer is full and the message was dropped */
+  bool send(std::string_view bytes);
+
+  /** Closes the socket and dials anew, which drops what waits in the send buffer. */
+  void redial(Time now);
+
+  /** Notes that the peer acknowledged a heartbeat. */
+  void noteHeard(Time now) { lastHeard_ = now; }
+
+  /** Returns the next sequence number to this peer, starting at 1. */
+  std::uint64_t nextSequence() { return ++sequence_; }
+
+  [[nodiscard]] const PeerAddress& peer() const { return peer_; }
+  [[nodiscard]] Time lastHeard() const { return lastHeard_; }
+  [[nodiscard]] Time lastDialled() const { return lastDialled_; }
+
+private:
+  void dial();
+
+  PeerAddress peer_;
+  nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+  Time lastHeard_;
+  Time lastDialled_;
+  std::uint64_t sequence_ = 0;
+};
+
+} // namespace figchute::transport
--- /dev/null
+++ b/modules/transport/Transport.cpp
@@ -0,0 +1,263 @@
+#include "transport/Transport.h"
+
+#include "kernel/Clock.h"
+#include "transport/DuplicateFilter.h"
+#include "transport/PeerConnection.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <thread>
+
+namespace figchute::transport {
+namespace {
+
+/** The body of a heartbeat: where the sender listens, and the request or answer. */
+struct Heartbeat
+{
+  PeerAddress sender;
+  bool acknowledgement = false;
+
+  MSGPACK_DEFINE(sender, acknowledgement)
+};
+
+/** The receiving thread looks for the stop flag this often. */
+constexpr nng_duration kReceiveTimeoutMs = 100;
+constexpr std::size_t kMaxMessageBytes = 64UL * 1024 * 1024;
+
+} // namespace
+
+/** The sockets, threads and tables behind a Transport. */
+class Transport::State
+{
+public:
+  State(TransportConfig config, Metrics& metrics, Handler handler)
+    : config_(std::move(config))
+    , metrics_(metrics)
+    , handler_(std::move(handler))
+  {
+  }
+
+  Expected<void> start()
+  {
+    if (nng_pull0_open(&listener_) != 0) {
+      return fail(ErrorKind::internal, "cannot open the peer socket");
+    }
+    nng_socket_set_ms(listener_, NNG_OPT_RECVTIMEO, kReceiveTimeoutMs);
+    nng_socket_set_size(listener_, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
+    const std::string url = "tcp://" + config_.self.address;
+    if (const int status = nng_listen(listener_, url.c_str(), nullptr, 0); status != 0) {
+      nng_close(listener_);
+      return fail(ErrorKind::internal,
+                  "cannot listen for peers on " + config_.self.address + ": " +
+                    nng_strerror(status));
+    }
+    for (const auto& peer : config_.peers) {
+      learn(peer);
+    }
+    running_ = true;
+    receiver_ = std::thread([this] { receiveLoop(); });
+    heart_ = std::thread([this] { heartbeatLoop(); });
+    return {};
+  }
+
+  void stop()
+  {
+    if (!running_.exchange(false)) {
+      return;
+    }
+    stopped_.notify_all();
+    heart_.join();
+    receiver_.join();
+    nng_close(listener_);
+    const std::lock_guard lock(mutex_);
+    connections_.clear();
+  }
+
+  void send(const ProcessId& to, wire::Channel channel, std::string_view body)
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = connections_.find(to);
+    if (found == connections_.end()) {
+      metrics_.count("peer_messages_to_unknown");
+      return;
+    }
+    sendOn(*found->second, channel, body);
+  }
+
+  std::vector<PeerStatus> status() const
+  {
+    const auto now = kernel::currentTime();
+    const std::lock_guard lock(mutex_);
+    std::vector<PeerStatus> result;
+    for (const auto& [id, connection] : connections_) {
+      const auto silence = now - connection->lastHeard();
+      result.push_back({ connection->peer(), silence, silence <= kSilenceLimit });
+    }
+    return result;
+  }
+
+private:
+  void learn(const PeerAddress& peer)
+  {
+    if (peer.id == config_.self.id) {
+      return;
+    }
+    const std::lock_guard lock(mutex_);
+    auto& connection = connections_[peer.id];
+    if (connection && connection->peer().address == peer.address) {
+      return;
+    }
+    connection = std::make_unique<PeerConnection>(peer, kernel::currentTime());
+  }
+
+  void sendOn(PeerConnection& connection, wire::Channel channel, std::string_view body)
+  {
+    wire::Envelope envelope;
+    envelope.sender = config_.self.id;
+    envelope.incarnation = config_.incarnation;
+    envelope.sequence = connection.nextSequence();
+    envelope.channel = channel;
+    envelope.body = std::string(body);
+    const auto sealed = wire::seal(envelope, config_.key);
+    metrics_.count("peer_bytes_sent", sealed.size());
+    if (!connection.send(sealed)) {
+      metrics_.count("peer_messages_dropped");
+    }
+  }
+
+  void receiveLoop()
+  {
+    while (running_) {
+      nng_msg* message = nullptr;
+      if (nng_recvmsg(listener_, &message, 0) != 0) {
+        continue;
+      }
+      const std::string_view bytes(static_cast<const char*>(nng_msg_body(message)),
+                                   nng_msg_len(message));
+      handleBytes(bytes);
+      nng_msg_free(message);
+    }
+  }
+
+  void handleBytes(std::string_view bytes)
+  {
+    auto envelope = wire::open(bytes, config_.key);
+    if (!envelope) {
+      metrics_.count("peer_messages_refused");
+      return;
+    }
+    if (!filters_[envelope->sender].accept(envelope->incarnation, envelope->sequence)) {
+      metrics_.count("peer_messages_repeated");
+      return;
+    }
+    if (envelope->channel == wire::Channel::heartbeat) {
+      handleHeartbeat(*envelope);
+      return;
+    }
+    handler_({ std::move(envelope->sender),
+               envelope->incarnation,
+               envelope->channel,
+               std::move(envelope->body) });
+  }
+
+  void handleHeartbeat(const wire::Envelope& envelope)
+  {
+    const auto heartbeat = wire::decode<Heartbeat>(envelope.body);
+    if (!heartbeat || heartbeat->sender.id != envelope.sender) {
+      metrics_.count("peer_messages_refused");
+      return;
+    }
+    learn(heartbeat->sender);
+    const std::lock_guard lock(mutex_);
+    const auto found = connections_.find(envelope.sender);
+    if (found == connections_.end()) {
+      return;
+    }
+    if (heartbeat->acknowledgement) {
+      found->second->noteHeard(kernel::currentTime());
+      return;
+    }
+    sendHeartbeat(*found->second, true);
+  }
+
+  void sendHeartbeat(PeerConnection& connection, bool acknowledgement)
+  {
+    const Heartbeat heartbeat{ config_.self, acknowledgement };
+    sendOn(connection, wire::Channel::heartbeat, wire::encode(heartbeat));
+  }
+
+  void heartbeatLoop()
+  {
+    std::unique_lock lock(mutex_);
+    while (running_) {
+      const auto now = kernel::currentTime();
+      for (auto& [id, connection] : connections_) {
+        if (now - connection->lastDialled() > kSilenceLimit &&
+            now - connection->lastHeard() > kSilenceLimit) {
+          connection->redial(now);
+          metrics_.count("peer_connections_redialled");
+        }
+        sendHeartbeat(*connection, false);
+      }
+      stopped_.wait_for(lock, kHeartbeatInterval);
+    }
+  }
+
+  TransportConfig config_;
+  Metrics& metrics_;
+  Handler handler_;
+  nng_socket listener_ = NNG_SOCKET_INITIALIZER;
+  std::atomic<bool> running_{ false };
+  mutable std::mutex mutex_;
+  std::condition_variable stopped_;
+  std::map<ProcessId, std::unique_ptr<PeerConnection>> connections_;
+  std::map<ProcessId, DuplicateFilter> filters_;
+  std::thread receiver_;
+  std::thread heart_;
+};
+
+Transport::Transport(TransportConfig config, Metrics& metrics, Handler handler)
+  : state_(std::make_unique<State>(std::move(config), metrics, std::move(handler)))
+{
+}
+
+Transport::~Transport()
+{
+  stop();
+}
+
+Expected<void> Transport::start()
+{
+  return state_->start();
+}
+
+void Transport::stop()
+{
+  state_->stop();
+}
+
+void Transport::send(const ProcessId& to, wire::Channel channel, std::string_view body)
+{
+  state_->send(to, channel, body);
+}
+
+std::vector<PeerStatus> Transport::status() const
+{
+  return state_->status();
+}
+
+std::vector<PeerAddress> Transport::peers() const
+{
+  std::vector<PeerAddress> result;
+  for (const auto& status : state_->status()) {
+    result.push_back(status.peer);
+  }
+  return result;
+}
+
+} // namespace figchute::transport
--- /dev/null
+++ b/tests/transport_test.cpp
@@ -0,0 +1,134 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "kernel/kernel.h"
+#include "transport/transport.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+
+using namespace figchute;
+using namespace figchute::transport;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct EchoHandler
+{
+  using Message = int;
+  static constexpr Duration kTickInterval = 5ms;
+  int sum = 0;
+  int settled = 0;
+  void receive(Time /*now*/, int value) { sum += value; }
+  void settle(Time /*now*/) { ++settled; }
+};
+
+struct NamedService : kernel::Service
+{
+  std::string label;
+  std::vector<std::string>& events;
+  NamedService(std::string text, std::vector<std::string>& log)
+    : label(std::move(text))
+    , events(log)
+  {
+  }
+  std::string_view name() const override { return label; }
+  void start() override { events.push_back("start " + label); }
+  void stop() override { events.push_back("stop " + label); }
+};
+
+PeerAddress peerAt(const char* id, int port)
+{
+  return { ProcessId(id), "127.0.0.1:" + std::to_string(port), ZoneId("z"), true, false };
+}
+
+struct TransportPair
+{
+  Metrics metrics;
+  std::promise<Received> arrived;
+  Transport a;
+  Transport b;
+
+  explicit TransportPair(int port, const char* keyOfB = "key")
+    : a({ peerAt("a", port), Incarnation{ 1 }, "key", { peerAt("b", port + 1) } },
+        metrics,
+        [](const Received&) {})
+    , b({ peerAt("b", port + 1), Incarnation{ 1 }, keyOfB, {} }, metrics, [this](Received message) {
+      arrived.set_value(std::move(message));
+    })
+  {
+    REQUIRE(a.start());
+    REQUIRE(b.start());
+  }
+};
+
+} // namespace
+
+// Guards against messages lost at the stop of a task and against missing ticks.
+TEST_CASE("Task_messagesBeforeStop_areAllHandled")
+{
+  EchoHandler handler;
+  kernel::Task<EchoHandler> task(handler);
+  task.start();
+  for (int i = 1; i <= 100; ++i) {
+    task.post(i);
+  }
+  std::this_thread::sleep_for(50ms);
+  task.stop();
+  CHECK(handler.sum == 5050);
+  CHECK(handler.settled > 1);
+}
+
+// Guards against services stopped before those that use them.
+TEST_CASE("Kernel_services_startInOrderAndStopInReverse")
+{
+  std::vector<std::string> events;
+  kernel::Kernel kernel;
+  kernel.add(std::make_unique<NamedService>("one", events));
+  kernel.add(std::make_unique<NamedService>("two", events));
+  kernel.startAll();
+  CHECK(kernel.find<NamedService>("two") != nullptr);
+  CHECK(kernel.find<NamedService>("three") == nullptr);
+  kernel.stopAll();
+  CHECK(events == std::vector<std::string>{ "start one", "start two", "stop two", "stop one" });
+}
+
+// Guards against replayed, reordered and outdated envelopes being handled twice.
+TEST_CASE("DuplicateFilter_repeatedOrOutdated_isRefused")
+{
+  DuplicateFilter filter;
+  CHECK(filter.accept(Incarnation{ 5 }, 1));
+  CHECK_FALSE(filter.accept(Incarnation{ 5 }, 1));
+  CHECK(filter.accept(Incarnation{ 5 }, 10));
+  CHECK(filter.accept(Incarnation{ 5 }, 9));
+  CHECK_FALSE(filter.accept(Incarnation{ 5 }, 9));
+  CHECK(filter.accept(Incarnation{ 5 }, 100000));
+  CHECK_FALSE(filter.accept(Incarnation{ 5 }, 10));
+  CHECK(filter.accept(Incarnation{ 6 }, 1));
+  CHECK_FALSE(filter.accept(Incarnation{ 5 }, 100001));
+}
+
+// Guards against a process that cannot answer a peer its settings do not name.
+TEST_CASE("Transport_unknownPeer_isLearnedFromItsHeartbeat")
+{
+  TransportPair pair(47110);
+  for (int i = 0; i < 50 && pair.b.peers().empty(); ++i) {
+    std::this_thread::sleep_for(50ms);
+  }
+  REQUIRE(pair.b.peers().size() == 1);
+  pair.a.send(ProcessId("b"), wire::Channel::ledger, "hello");
+  auto future = pair.arrived.get_future();
+  REQUIRE(future.wait_for(3s) == std::future_status::ready);
+  const auto message = future.get();
+  CHECK(message.from == ProcessId("a"));
+  CHECK(message.body == "hello");
+}
+
+// Guards against messages from a process that does not have the peer key.
+TEST_CASE("Transport_wrongKey_isRefusedAndCounted")
+{
+  TransportPair pair(47120, "another key");
+  pair.a.send(ProcessId("b"), wire::Channel::ledger, "hello");
+  std::this_thread::sleep_for(600ms);
+  CHECK(pair.b.peers().empty());
+  CHECK(pair.metrics.counters().at("peer_messages_refused") > 0);
+}
