transport: report the incarnation of each peer; add the routing channel

Cause: the ledger names holders by process and incarnation, and routing messages need a channel of their own. Change: PeerStatus carries the last incarnation heard; Channel::routing. Conclusion: no change of the envelope format.

--- a/modules/transport/PeerConnection.h
+++ b/modules/transport/PeerConnection.h
@@ -27,13 +27,18 @@
   /** Closes the socket and dials anew, which drops what waits in the send buffer. */
   void redial(Time now);
 
-  /** Notes that the peer acknowledged a heartbeat. */
-  void noteHeard(Time now) { lastHeard_ = now; }
+  /** Notes that an incarnation of the peer acknowledged a heartbeat. */
+  void noteHeard(Incarnation incarnation, Time now)
+  {
+    incarnation_ = incarnation;
+    lastHeard_ = now;
+  }
 
   /** Returns the next sequence number to this peer, starting at 1. */
   std::uint64_t nextSequence() { return ++sequence_; }
 
   [[nodiscard]] const PeerAddress& peer() const { return peer_; }
+  [[nodiscard]] Incarnation incarnation() const { return incarnation_; }
   [[nodiscard]] Time lastHeard() const { return lastHeard_; }
   [[nodiscard]] Time lastDialled() const { return lastDialled_; }
 
@@ -42,6 +47,7 @@
 
   PeerAddress peer_;
   nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+  Incarnation incarnation_;
   Time lastHeard_;
   Time lastDialled_;
   std::uint64_t sequence_ = 0;
--- a/modules/transport/Transport.cpp
+++ b/modules/transport/Transport.cpp
@@ -96,7 +96,8 @@
     std::vector<PeerStatus> result;
     for (const auto& [id, connection] : connections_) {
       const auto silence = now - connection->lastHeard();
-      result.push_back({ connection->peer(), silence, silence <= kSilenceLimit });
+      result.push_back(
+        { connection->peer(), connection->incarnation(), silence, silence <= kSilenceLimit });
     }
     return result;
   }
@@ -179,7 +180,7 @@
       return;
     }
     if (heartbeat->acknowledgement) {
-      found->second->noteHeard(kernel::currentTime());
+      found->second->noteHeard(envelope.incarnation, kernel::currentTime());
       return;
     }
     sendHeartbeat(*found->second, true);
--- a/modules/transport/Transport.h
+++ b/modules/transport/Transport.h
@@ -27,6 +27,8 @@
 struct PeerStatus
 {
   PeerAddress peer;
+  /** The incarnation that was last heard; 0 before the first message. */
+  Incarnation incarnation;
   Duration silence{ 0 };
   bool alive = false;
 };
--- a/modules/wire/Envelope.h
+++ b/modules/wire/Envelope.h
@@ -20,6 +20,7 @@
   replication = 1,
   ledger = 2,
   membership = 3,
+  routing = 4,
 };
 
 } // namespace figchute::wire
