Add the public headers of the replication module

Cause: the services around the log and the ledger need the types of the replicated log before its implementation is complete. There is no implementation yet.

--- /dev/null
+++ b/modules/replication/FileDisk.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "replication/Disk.h"
+
+#include <map>
+
+namespace figchute::replication {
+
+/** A Disk on a folder of the file system. Files stay open between appends.
+    Thread safety: use one instance from one thread at a time. */
+class FileDisk
+{
+public:
+  /** Opens a folder and creates it when it does not exist.
+      @param folder  its path; the parent folder must exist
+      @returns the disk, or storage_failed */
+  static Expected<FileDisk> open(std::string folder);
+
+  FileDisk(FileDisk&& other) noexcept;
+  FileDisk& operator=(FileDisk&& other) noexcept;
+  FileDisk(const FileDisk&) = delete;
+  FileDisk& operator=(const FileDisk&) = delete;
+  ~FileDisk();
+
+  /** Returns the names of the files in the folder, sorted. */
+  Expected<std::vector<std::string>> list();
+
+  /** Returns the whole content of a file. */
+  Expected<std::string> read(std::string_view name);
+
+  /** Appends to a file and creates it when it does not exist. */
+  Expected<void> append(std::string_view name, std::string_view bytes);
+
+  /** Cuts a file to @p size bytes. */
+  Expected<void> truncate(std::string_view name, std::uint64_t size);
+
+  /** Waits until the content of a file is on disk (fdatasync). */
+  Expected<void> sync(std::string_view name);
+
+  /** Renames a file; it replaces a file of the new name. */
+  Expected<void> rename(std::string_view from, std::string_view to);
+
+  /** Removes a file. */
+  Expected<void> remove(std::string_view name);
+
+  /** Waits until created, renamed and removed names are on disk (fsync of the folder). */
+  Expected<void> syncFolder();
+
+private:
+  FileDisk(std::string folder, int folderDescriptor);
+  Expected<int> descriptorOf(std::string_view name);
+  void closeFile(std::string_view name);
+  void closeAll();
+
+  std::string folder_;
+  int folderDescriptor_ = -1;
+  std::map<std::string, int, std::less<>> files_;
+};
+
+} // namespace figchute::replication
