--- /dev/null
+++ b/modules/ledger/Wallet.h
@@ -0,0 +1,245 @@
+#pragma once
+
+#include "ledger/Message.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace figchute::ledger {
+
+/** Identity and constants of a wallet. */
+struct WalletSettings
+{
+  HolderId self;
+  ZoneId zone;
+  /** True when the process writes takeJournal() to a disk and reports journalSynced(). */
+  bool hasJournal = false;
+  /** How long a request waits for a grant before it is refused. */
+  Duration grantWait{ 400'000 };
+  /** Interval of settle batches. */
+  Duration settleInterval{ 1'000'000 };
+  /** A waiting request asks again after this time when control had too little. */
+  Duration grantRetry{ 30'000 };
+  /** Demand is averaged over this time. */
+  Duration demandWindow{ 2'000'000 };
+  /** A grant is sized for the demand of this time. */
+  Duration grantHorizon{ 3'000'000 };
+  /** Unused tokens are returned when an account made no reservation for this time. */
+  Duration idleReturn{ 5'000'000 };
+  /** Control counts as out of reach when a proposal is unanswered for this time. */
+  Duration controlTimeout{ 120'000 };
+  /** Start of the range of proposal ids of this wallet. */
+  std::uint64_t proposalIdBase = 0;
+};
+
+/** Another process as the membership knows it. */
+struct Peer
+{
+  HolderId id;
+  ZoneId zone;
+  bool entry = false;
+  bool control = false;
+  bool live = false;
+};
+
+/** The idempotency key of a request within its caller. */
+struct RequestKey
+{
+  CallerId caller;
+  std::string key;
+};
+
+/** How a reservation stands. */
+enum class ReserveStatus : std::uint8_t
+{
+  admitted,
+  waiting,
+  refused,
+};
+
+/** The answer to Wallet::reserve and, for a waiting request, one of Wallet::takeDecisions. */
+struct Decision
+{
+  RequestId request;
+  ReserveStatus status = ReserveStatus::refused;
+  /** Set when refused; the request did not run. */
+  std::optional<Error> error;
+};
+
+/** A journal record: a new incarnation. */
+struct JournalStart
+{
+  HolderId holder;
+
+  MSGPACK_DEFINE(holder)
+};
+
+/** A journal record: the totals of one account, which replace earlier ones. */
+struct JournalAccount
+{
+  AccountTotals totals;
+
+  MSGPACK_DEFINE(totals)
+};
+
+/** A journal record: a keyed charge that is not settled yet. */
+struct JournalKeyed
+{
+  KeyedCharge charge;
+
+  MSGPACK_DEFINE(charge)
+};
+
+/** A journal record: keyed charges up to a sequence are settled. */
+struct JournalSettled
+{
+  std::uint64_t keyedThrough = 0;
+
+  MSGPACK_DEFINE(keyedThrough)
+};
+
+/** A journal record: an account is closed, its totals no longer count. */
+struct JournalClosed
+{
+  BudgetId budget;
+
+  MSGPACK_DEFINE(budget)
+};
+
+/** A journal record: an incarnation is completely retired, its records no longer count. */
+struct JournalRetired
+{
+  HolderId holder;
+
+  MSGPACK_DEFINE(holder)
+};
+
+/** A record of the journal. Records other than JournalStart and JournalRetired belong to the
+    incarnation of the last JournalStart before them. */
+using JournalRecord = std::variant<JournalStart,
+                                   JournalAccount,
+                                   JournalKeyed,
+                                   JournalSettled,
+                                   JournalClosed,
+                                   JournalRetired>;
+
+/** One account of a wallet, for dumps. */
+struct AccountView
+{
+  BudgetId budget;
+  Tokens granted;
+  Tokens transferredIn;
+  Tokens transferredOut;
+  Tokens spent;
+  Tokens returned;
+  Tokens reserved;
+  Tokens available;
+};
+
+/** The grants of one process incarnation. Requests are admitted against them without a message as
+    long as they suffice.
+    Thread safety: use one instance from one thread only. */
+class Wallet
+{
+public:
+  explicit Wallet(WalletSettings settings);
+  ~Wallet();
+  Wallet(const Wallet&) = delete;
+  Wallet& operator=(const Wallet&) = delete;
+
+  /** Replays the journal of earlier incarnations; call it once, before anything else. Their records
+      are reported to control, which retires them.
+      @param records  everything in the journal, oldest first */
+  void recover(Time now, std::span<const JournalRecord> records);
+
+  /** Replaces the list of other processes. Witnesses, transfer partners and control VMs are taken
+      from it. */
+  void setPeers(Time now, std::span<const Peer> peers);
+
+  /** Reserves the upper bound of a request against all its budgets at once.
+      @param request  unique to this wallet while the reservation lasts
+      @param key      set for a request with an idempotency key
+      @param budgets  the budgets, without duplicates; empty for a request that costs nothing
+      @param bound    the upper bound of the bill, not negative
+      @returns admitted; waiting, with the decision following in takeDecisions() within grantWait;
+     or refused with shutting_down (draining), no_quorum (no live witness) or bad_request (repeated
+      request id) */
+  Decision reserve(Time now,
+                   const RequestId& request,
+                   const std::optional<RequestKey>& key,
+                   std::span<const BudgetId> budgets,
+                   Tokens bound);
+
+  /** Returns the decisions on waiting requests and forgets them. */
+  std::vector<Decision> takeDecisions();
+
+  /** Lowers the reservation of an admitted request; a higher or unknown one changes nothing. */
+  void tighten(Time now, const RequestId& request, Tokens newBound);
+
+  /** Bills an admitted request and frees the rest of its reservation. A bill above the reservation
+     is a broken invariant.
+      @returns not_found when the request has no reservation */
+  Expected<void> charge(Time now, const RequestId& request, Tokens actual);
+
+  /** Tells whether the charge of a request is recorded, so that the last byte of its answer may be
+      sent. False for a request that was not charged.*/
+  [[nodiscard]] bool chargeRecorded(const RequestId& request) const;
+
+  /** Returns the requests whose charge became recorded and forgets them; chargeRecorded() is false
+      for them from then on. */
+  std::vector<RequestId> takeRecorded();
+
+  /** Frees the reservation of a request that did not run, or cancels its wait. */
+  void release(Time now, const RequestId& request);
+
+  /** Handles a message; those that are not for a wallet are ignored. */
+  void receive(Time now, const ProcessId& from, const Message& message);
+
+  /** Advances time: refusals after grantWait, settle batches, resends, returns of idle grants. Call
+     it about every 10 ms. */
+  void tick(Time now);
+
+  /** Stops admission and returns everything that is not reserved, now and as reservations end. */
+  void drain(Time now);
+
+  /** Tells whether a draining wallet holds nothing and control has confirmed everything. */
+  [[nodiscard]] bool drained() const;
+
+  /** Tells whether control has retired this incarnation. It can admit nothing any more; the process
+      must restart. */
+  [[nodiscard]] bool retired() const;
+
+  /** Tells whether control has confirmed the registration and a witness is usable. */
+  [[nodiscard]] bool ready() const;
+
+  /** Tells whether control answered the recent proposals. */
+  [[nodiscard]] bool controlReachable(Time now) const;
+
+  /** Returns the messages to send and forgets them. */
+  std::vector<Outgoing> takeOutgoing();
+
+  /** Returns the journal records to append, in order, and forgets them. Empty without a journal. */
+  std::vector<JournalRecord> takeJournal();
+
+  /** Reports that the first @p count records ever returned by takeJournal() are synced. */
+  void journalSynced(Time now, std::uint64_t count);
+
+  /** Returns records that replace the whole journal, to bound its length. */
+  [[nodiscard]] std::vector<JournalRecord> compactJournal() const;
+
+  /** Returns one account, or nothing when the wallet does not serve the budget. */
+  [[nodiscard]] std::optional<AccountView> account(const BudgetId& budget) const;
+
+  /** Returns all accounts by name. */
+  [[nodiscard]] std::vector<AccountView> accounts() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace figchute::ledger
