--- /dev/null
+++ b/tools/figchute-measure/LedgerExperiments.cpp
@@ -0,0 +1,7 @@
+#include "LedgerExperiments.h"
+
+namespace figchute::measure {
+
+void runLedgerExperiments(RowWriter& /*rows*/) {}
+
+} // namespace figchute::measure
--- /dev/null
+++ b/tools/figchute-measure/main.cpp
@@ -0,0 +1,32 @@
+/** figchute-measure: experiments in virtual time over the real decision modules. */
+
+#include "LedgerExperiments.h"
+#include "RowWriter.h"
+
+#include <iostream>
+#include <popt.h>
+#include <string>
+
+int main(int argc, const char** argv)
+{
+  char* only = nullptr;
+  const poptOption options[] = {
+    { "only", 0, POPT_ARG_STRING, static_cast<void*>(&only), 0, "run one part", "ledger|routing" },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
+  poptContext context = poptGetContext("figchute-measure", argc, argv, options, 0);
+  const int status = poptGetNextOpt(context);
+  const std::string part = only == nullptr ? "" : only;
+  const bool usable = status == -1 && poptPeekArg(context) == nullptr &&
+                      (part.empty() || part == "ledger" || part == "routing");
+  poptFreeContext(context);
+  if (!usable) {
+    std::cerr << "usage: figchute-measure [--only ledger|routing]\n";
+    return 1;
+  }
+  figchute::measure::RowWriter rows(std::cout);
+  if (part != "routing") {
+    figchute::measure::runLedgerExperiments(rows);
+  }
+  return 0;
+}
