gateway: add the public headers

Cause: the entry daemon needs the HTTP module's types before its sources are complete. Conclusion: the daemon can be written against these declarations.

--- /dev/null
+++ b/modules/gateway/WholeAnswer.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/Error.h"
+#include "gateway/ChatChunk.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace figchute::gateway {
+
+/** Assembles the chunks of one answer into the shape that is not streamed.
+    Thread safety: use one instance from one thread at a time. */
+class WholeAnswer
+{
+public:
+  /** Creates an empty answer.
+      @param maxBytes  the largest size of the text */
+  explicit WholeAnswer(std::size_t maxBytes = 8U * 1024 * 1024);
+
+  /** Adds the next chunk.
+      @returns nothing, or `endpoint_failed` when the text outgrows the bound */
+  Expected<void> add(const ChatChunk& chunk);
+
+  /** Tells whether a chunk with a finish reason was added. */
+  [[nodiscard]] bool isComplete() const { return finishReason_.has_value(); }
+
+  [[nodiscard]] const std::string& text() const { return text_; }
+  [[nodiscard]] const std::optional<ChatUsage>& usage() const { return usage_; }
+
+  /** Builds the `chat.completion` object.
+      @returns JSON text */
+  [[nodiscard]] std::string toJson() const;
+
+private:
+  std::size_t maxBytes_;
+  std::string id_;
+  std::string model_;
+  std::int64_t created_ = 0;
+  std::string text_;
+  std::optional<std::string> finishReason_;
+  std::optional<ChatUsage> usage_;
+};
+
+} // namespace figchute::gateway
