Add a UTF-8 check to core

The adapters for INI and JSON both need to refuse bytes that are not UTF-8, because the cxxtools codec decodes them to arbitrary characters.

--- /dev/null
+++ b/modules/core/Utf8.cpp
@@ -0,0 +1,66 @@
+#include "core/Utf8.h"
+
+#include <cstdint>
+
+namespace figchute {
+namespace {
+
+constexpr std::uint32_t kLastCodePoint = 0x10FFFF;
+
+// Returns the length of the sequence that a lead byte starts; 0 when no sequence starts with it.
+std::size_t sequenceLength(std::uint8_t lead)
+{
+  if (lead < 0x80) {
+    return 1;
+  }
+  if (lead >= 0xC2 && lead < 0xE0) {
+    return 2;
+  }
+  if (lead >= 0xE0 && lead < 0xF0) {
+    return 3;
+  }
+  return lead >= 0xF0 && lead < 0xF5 ? 4 : 0;
+}
+
+bool isAllowed(std::uint32_t codePoint, std::size_t length)
+{
+  if (length == 3) {
+    return codePoint >= 0x800 && (codePoint < 0xD800 || codePoint > 0xDFFF);
+  }
+  return length != 4 || (codePoint >= 0x10000 && codePoint <= kLastCodePoint);
+}
+
+bool isValidSequence(std::string_view sequence)
+{
+  const auto length = sequence.size();
+  if (length == 1) {
+    return true;
+  }
+  auto codePoint =
+    static_cast<std::uint32_t>(static_cast<std::uint8_t>(sequence[0])) & (0x7FU >> length);
+  for (std::size_t i = 1; i < length; ++i) {
+    const auto byte = static_cast<std::uint8_t>(sequence[i]);
+    if ((byte & 0xC0U) != 0x80U) {
+      return false;
+    }
+    codePoint = (codePoint << 6U) | (byte & 0x3FU);
+  }
+  return isAllowed(codePoint, length);
+}
+
+} // namespace
+
+std::size_t findInvalidUtf8(std::string_view text)
+{
+  std::size_t at = 0;
+  while (at < text.size()) {
+    const auto length = sequenceLength(static_cast<std::uint8_t>(text[at]));
+    if (length == 0 || at + length > text.size() || !isValidSequence(text.substr(at, length))) {
+      return at;
+    }
+    at += length;
+  }
+  return std::string_view::npos;
+}
+
+} // namespace figchute
