--- /dev/null
+++ b/modules/json/Value.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace figchute::json {
+
+/** The kinds of JSON value; a number without fraction and exponent that fits 64 bits is an integer.
+ */
+enum class Kind
+{
+  null,
+  boolean,
+  integer,
+  real,
+  string,
+  array,
+  object,
+};
+
+struct Member;
+
+/** One JSON value with everything below it. Objects keep the order of their members.
+    Thread safety: const methods are safe from several threads; others need one thread at a time. */
+class Value
+{
+public:
+  using Array = std::vector<Value>;
+  using Object = std::vector<Member>;
+
+  /** Creates null. */
+  Value();
+  Value(const Value& other);
+  Value(Value&& other) noexcept;
+  Value& operator=(const Value& other);
+  Value& operator=(Value&& other) noexcept;
+  ~Value();
+
+  /** Creates a boolean. */
+  Value(bool flag);
+  /** Creates a string. Bytes that are not UTF-8 are replaced when the value is written. */
+  Value(std::string text);
+  Value(std::string_view text);
+  Value(const char* text);
+  /** Creates a real number; a number that is not finite is written as null. */
+  Value(double number);
+  /** Creates an array. */
+  Value(Array elements);
+  /** Creates an object with the members in their order; names must be distinct. */
+  Value(Object members);
+
+  /** Creates an integer from any integer type.
+      Precondition: the number fits a signed 64-bit integer. */
+  template<typename Integer,
+           std::enable_if_t<std::is_integral_v<Integer> && !std::is_same_v<Integer, bool>, int> = 0>
+  Value(Integer number)
+    : data_(static_cast<std::int64_t>(number))
+  {
+  }
+
+  /** Creates an object from a list of members: `Value::object({ { "id", 3 }, { "ok", true } })`. */
+  static Value object(std::initializer_list<Member> members = {});
+  /** Creates an array from a list of values. */
+  static Value array(std::initializer_list<Value> elements = {});
+
+  /** Returns the kind of this value. */
+  [[nodiscard]] Kind kind() const;
+  /** Returns whether this value is null. */
+  [[nodiscard]] bool isNull() const { return kind() == Kind::null; }
+
+  /** Returns the boolean, or nothing when this is another kind. */
+  [[nodiscard]] std::optional<bool> asBool() const;
+  /** Returns the integer; also that of a real with an integral value within 2^53. Nothing when this
+      is another kind or number. */
+  [[nodiscard]] std::optional<std::int64_t> asInteger() const;
+  /** Returns the number, integer or real, or nothing when this is another kind. */
+  [[nodiscard]] std::optional<double> asNumber() const;
+  /** Returns the string, or nullptr when this is another kind. The pointer lives as long as this
+      value is unchanged; the same holds for the accessors below. */
+  [[nodiscard]] const std::string* asString() const;
+  /** Returns the elements, or nullptr when this is no array. */
+  [[nodiscard]] const Array* asArray() const;
+  [[nodiscard]] Array* asArray();
+  /** Returns the members, or nullptr when this is no object. */
+  [[nodiscard]] const Object* asObject() const;
+  [[nodiscard]] Object* asObject();
+
+  /** Returns the value of a member, or nullptr when this is no object or has no such member. */
+  [[nodiscard]] const Value* find(std::string_view name) const;
+  [[nodiscard]] Value* find(std::string_view name);
+
+  /** Sets a member: replaces the value of that name or adds it at the end. A value of another kind
+      becomes an object first.
+      @returns this value, for chained calls */
+  Value& set(std::string name, Value value);
+  /** Removes a member if this is an object that has it.
+      @returns whether it was there */
+  bool remove(std::string_view name);
+  /** Adds an element at the end. A value of another kind becomes an array first.
+      @returns this value, for chained calls */
+  Value& push(Value element);
+
+  /** Compares kind and content; members compare in order. */
+  friend bool operator==(const Value& a, const Value& b) { return a.equals(b); }
+  friend bool operator!=(const Value& a, const Value& b) { return !a.equals(b); }
+
+private:
+  [[nodiscard]] bool equals(const Value& other) const;
+
+  std::variant<std::monostate, bool, std::int64_t, double, std::string, Array, Object> data_;
+};
+
+/** One named value of an object. */
+struct Member
+{
+  std::string name;
+  Value value;
+};
+
+} // namespace figchute::json
