--- /dev/null
+++ b/modules/document/Parser.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/core.h"
+#include "document/Document.h"
+#include "ini/Fault.h"
+
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace figchute::document {
+
+using ini::Fault;
+using ini::Faults;
+
+/** Largest amount of tokens in a document. A thousand teams with this amount in each of a thousand
+    budgets stay below 2^63 in sum. */
+constexpr Tokens kMaxTokens{ 1'000'000'000'000 };
+
+/** Reads and validates a team document: names, ranges, references, unknown sections and keys,
+    repeated sections and keys, and caller keys that occur twice.
+    @param text  the whole INI text, UTF-8
+    @returns the document, or every fault with section, key, value found, values allowed and line,
+             in line order
+    Thread safety: safe from any thread. */
+tl::expected<Document, Faults> parse(std::string_view text);
+
+/** Reads and validates the document of a given team.
+    @param team  the team whose document this must be
+    @param text  the whole INI text, UTF-8
+    @returns the document, or `document_invalid` whose detail has one line for each fault
+    Thread safety: safe from any thread. */
+Expected<Document> parseFor(const TeamId& team, std::string_view text);
+
+/** Tells whether a text may be used as a name: 1 to 64 letters, digits, `-`, `_` and `.`, not
+    beginning with `.`. Thread safety: safe from any thread. */
+bool isName(std::string_view text);
+
+} // namespace figchute::document
