--- /dev/null
+++ b/modules/control/ControlCore.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "core/core.h"
+#include "ledger/ledger.h"
+#include "replication/replication.h"
+#include "wire/wire.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace figchute::control {
+
+/** A command as the log stores it: the leader's time makes every replica apply it alike. */
+struct TimedCommand
+{
+  Time time;
+  std::string command;
+
+  MSGPACK_DEFINE(time, command)
+};
+
+/** A message to another process. */
+struct Outgoing
+{
+  ProcessId to;
+  wire::Channel channel = wire::Channel::replication;
+  std::string body;
+};
+
+/** What operators see of a control VM. */
+struct ControlDump
+{
+  replication::LogState log;
+  std::uint64_t revision = 0;
+  std::size_t pendingProposals = 0;
+  std::size_t claims = 0;
+  std::size_t keyedBills = 0;
+};
+
+/** Connects a LogNode, its storage and the ControlState of one control VM.
+    Thread safety: use one instance from one thread only. */
+class ControlCore
+{
+public:
+  using Storage = replication::LogStorage<replication::FileDisk>;
+
+  /** A snapshot is taken after this many applied entries. */
+  static constexpr std::uint64_t kSnapshotInterval = 4096;
+
+  /** Creates the core of a recovered node.
+      @param storage    recovered storage of the same data folder; outlives the core
+      @param config     the settings of the log
+      @param recovered  what the storage returned
+      @param now        the time of the start
+      @returns storage_corrupt when the snapshot cannot be decoded */
+  static Expected<ControlCore> create(Storage& storage,
+                                      replication::LogConfig config,
+                                      replication::RecoveredState recovered,
+                                      Time now);
+
+  /** Handles a message of the replication or the ledger channel; others are ignored. */
+  void receive(Time now,
+               const ProcessId& from,
+               Incarnation incarnation,
+               wire::Channel channel,
+               std::string_view body);
+
+  /** Advances time, makes everything durable that needs it, applies what is committed and prepares
+      messages.
+      @returns storage_failed when the data folder cannot be written; the process must then stop,
+      because it is not known what reached the disk */
+  Expected<void> settle(Time now);
+
+  /** Returns the messages to send and forgets them. */
+  std::vector<Outgoing> takeOutgoing() { return std::exchange(outgoing_, {}); }
+
+  /** Returns the applied state. */
+  [[nodiscard]] const ledger::ControlState& state() const { return state_; }
+
+  /** Tells whether this node is the leader with a majority in reach. */
+  [[nodiscard]] bool isLeader(Time now) const { return node_.isLeader(now); }
+
+  /** Returns the members of the log as the replicated log knows them. */
+  [[nodiscard]] const replication::Membership& members() const { return node_.members(); }
+
+  /** Returns the state for operators. */
+  [[nodiscard]] ControlDump dump() const;
+
+private:
+  /** Who waits for the result of an entry. */
+  struct Waiter
+  {
+    ProcessId from;
+    std::uint64_t proposalId = 0;
+    replication::Term term = 0;
+  };
+
+  ControlCore(Storage& storage, replication::LogNode node);
+
+  void handle(Time now, const ProcessId& from, const ledger::Propose& propose);
+  void handle(Time now, const ProcessId& from, const ledger::DocumentPoll& poll);
+  void handle(Time now, const ProcessId& from, const ledger::WitnessReport& report);
+  template<typename Other>
+  void handle(Time /*now*/, const ProcessId& /*from*/, const Other& /*message*/)
+  {
+  }
+
+  [[nodiscard]] bool alreadyWaiting(const ProcessId& from, std::uint64_t proposalId) const;
+  Expected<replication::LogIndex> append(Time now, std::string command);
+  void proposeMember(Time now, const ledger::Command& command);
+  void redirect(const ProcessId& to, std::uint64_t proposalId);
+  void reply(const ProcessId& to, ledger::ProposeReply reply);
+  void sendLedger(const ProcessId& to, const ledger::Message& message);
+  Expected<void> handleReady(Time now, replication::Ready ready);
+  void applyEntry(Time now, const replication::Entry& entry);
+  void compactWhenDue();
+  void sendReportRequests(Time now);
+  void promoteLearners(Time now);
+
+  Storage* storage_;
+  replication::LogNode node_;
+  ledger::ControlState state_;
+  std::map<replication::LogIndex, Waiter> waiters_;
+  std::vector<Outgoing> outgoing_;
+  replication::LogIndex applied_ = 0;
+  Time lastStamp_;
+  Time nextReportRequest_;
+  Time nextPromotion_;
+};
+
+} // namespace figchute::control
--- /dev/null
+++ b/modules/control/ControlService.cpp
@@ -0,0 +1,135 @@
+#include "control/ControlService.h"
+
+#include <fmt/format.h>
+#include <optional>
+#include <random>
+
+namespace figchute::control {
+namespace {
+
+/** Makes an id for a new data folder; two folders never share one. */
+std::string makeDiskId()
+{
+  std::random_device device;
+  return fmt::format("{:08x}{:08x}", device(), device());
+}
+
+std::vector<replication::MemberId> memberIds(const std::vector<ProcessId>& processes)
+{
+  std::vector<replication::MemberId> members;
+  members.reserve(processes.size());
+  for (const auto& process : processes) {
+    members.push_back({ process, "" });
+  }
+  return members;
+}
+
+} // namespace
+
+/** Owns the data folder and the core on the thread of the task. */
+class ControlService::Handler
+{
+public:
+  using Message = ControlService::Message;
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(5);
+
+  Handler(replication::FileDisk disk, Sender send, FailureHandler failed)
+    : disk_(std::move(disk))
+    , storage_(disk_)
+    , send_(std::move(send))
+    , failed_(std::move(failed))
+  {
+  }
+
+  Expected<void> recover(const ControlSettings& settings)
+  {
+    auto recovered = storage_.recover(makeDiskId());
+    if (!recovered) {
+      return tl::unexpected(recovered.error());
+    }
+    replication::LogConfig config;
+    config.self = settings.self;
+    config.initialMembers = memberIds(settings.initialMembers);
+    config.seed = settings.seed;
+    auto core = ControlCore::create(
+      storage_, std::move(config), std::move(*recovered), kernel::currentTime());
+    if (!core) {
+      return tl::unexpected(core.error());
+    }
+    core_.emplace(std::move(*core));
+    return {};
+  }
+
+  void receive(Time now, Message message)
+  {
+    if (auto* received = std::get_if<transport::Received>(&message)) {
+      core_->receive(
+        now, received->from, received->incarnation, received->channel, received->body);
+      return;
+    }
+    std::get<ControlQuery>(message).look(now, *core_);
+  }
+
+  void settle(Time now)
+  {
+    if (stopped_) {
+      return;
+    }
+    if (const auto settled = core_->settle(now); !settled) {
+      stopped_ = true;
+      failed_(settled.error());
+      return;
+    }
+    for (auto& message : core_->takeOutgoing()) {
+      send_(std::move(message));
+    }
+  }
+
+private:
+  replication::FileDisk disk_;
+  ControlCore::Storage storage_;
+  std::optional<ControlCore> core_;
+  Sender send_;
+  FailureHandler failed_;
+  bool stopped_ = false;
+};
+
+Expected<std::unique_ptr<ControlService>> ControlService::create(ControlSettings settings,
+                                                                 Sender send,
+                                                                 FailureHandler failed)
+{
+  auto disk = replication::FileDisk::open(settings.dataFolder);
+  if (!disk) {
+    return tl::unexpected(disk.error());
+  }
+  auto handler = std::make_unique<Handler>(std::move(*disk), std::move(send), std::move(failed));
+  if (auto recovered = handler->recover(settings); !recovered) {
+    return tl::unexpected(recovered.error());
+  }
+  return std::unique_ptr<ControlService>(new ControlService(std::move(handler)));
+}
+
+ControlService::ControlService(std::unique_ptr<Handler> handler)
+  : handler_(std::move(handler))
+  , task_(std::make_unique<kernel::Task<Handler>>(*handler_))
+{
+}
+
+ControlService::~ControlService() = default;
+
+void ControlService::start()
+{
+  task_->start();
+}
+
+void ControlService::stop()
+{
+  task_->stop();
+}
+
+void ControlService::post(Message message)
+{
+  task_->post(std::move(message));
+}
+
+} // namespace figchute::control
--- /dev/null
+++ b/modules/entry/RecordedAnswer.cpp
@@ -0,0 +1,35 @@
+#include "entry/RecordedAnswer.h"
+
+#include "ledger/ledger.h"
+
+namespace figchute::entry {
+namespace {
+
+constexpr std::string_view kDefaultType = "application/octet-stream";
+constexpr std::string_view kTruncated = "; truncated=true";
+
+} // namespace
+
+std::string RecordedAnswer::encode(const PlainExchange& exchange)
+{
+  std::string type(kDefaultType);
+  if (!exchange.headers().empty()) {
+    type = exchange.headers().front().value;
+  }
+  const auto room = ledger::kMaxOutcomeBody - type.size() - kTruncated.size() - 1;
+  if (exchange.body().size() > room) {
+    type += kTruncated;
+  }
+  return type + "\n" + exchange.body().substr(0, room);
+}
+
+RecordedAnswer RecordedAnswer::decode(std::string_view recorded)
+{
+  const auto end = recorded.find('\n');
+  if (end == std::string_view::npos) {
+    return { std::string(kDefaultType), std::string(recorded) };
+  }
+  return { std::string(recorded.substr(0, end)), std::string(recorded.substr(end + 1)) };
+}
+
+} // namespace figchute::entry
