--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -1,5 +1,7 @@
 #include "control/ControlCore.h"
 
+#include "control/Reports.h"
+
 #include <algorithm>
 
 namespace figchute::control {
@@ -63,6 +65,13 @@
     }
     return;
   }
+  if (channel == wire::Channel::report) {
+    const auto message = wire::decode<ReportMessage>(body);
+    if (message && std::holds_alternative<ReportRequest>(*message)) {
+      answerReport(now, from, std::get<ReportRequest>(*message));
+    }
+    return;
+  }
   if (channel != wire::Channel::ledger) {
     return;
   }
@@ -91,8 +100,9 @@
   waiters_[*index] = { from, propose.proposalId, node_.term() };
 }
 
-void ControlCore::handle(Time /*now*/, const ProcessId& from, const ledger::DocumentPoll& poll)
+void ControlCore::handle(Time now, const ProcessId& from, const ledger::DocumentPoll& poll)
 {
+  polls_[from] = { poll.revision, now };
   const auto push = state_.documentsSince(poll);
   if (push.revision > poll.revision || push.quarantineRevision > poll.quarantineRevision) {
     sendLedger(from, push);
@@ -108,6 +118,20 @@
   }
 }
 
+void ControlCore::answerReport(Time now, const ProcessId& from, const ReportRequest& request)
+{
+  ReportReply reply;
+  reply.id = request.id;
+  reply.leaderHint = node_.leaderHint().value_or(ProcessId());
+  reply.answered = node_.isLeader(now);
+  if (reply.answered) {
+    const auto report = makeReport(now, *this, request.kind, request.argument);
+    reply.found = report.has_value();
+    reply.json = report ? json::dump(*report) : std::string();
+  }
+  outgoing_.push_back({ from, wire::Channel::report, wire::encode(ReportMessage(reply)) });
+}
+
 bool ControlCore::alreadyWaiting(const ProcessId& from, std::uint64_t proposalId) const
 {
   return std::any_of(waiters_.begin(), waiters_.end(), [&](const auto& entry) {
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/Report.h"
 #include "core/core.h"
 #include "ledger/ledger.h"
 #include "replication/replication.h"
@@ -42,6 +43,13 @@
   std::size_t keyedBills = 0;
 };
 
+/** The last document poll of a process: the revision that it has in force. */
+struct LastPoll
+{
+  std::uint64_t revision = 0;
+  Time time;
+};
+
 /** Connects a LogNode, its storage and the ControlState of one control VM.
     Thread safety: use one instance from one thread only. */
 class ControlCore
@@ -63,7 +71,7 @@
                                       replication::RecoveredState recovered,
                                       Time now);
 
-  /** Handles a message of the replication or the ledger channel; others are ignored. */
+  /** Handles a message of the replication, ledger or report channel; others are ignored. */
   void receive(Time now,
                const ProcessId& from,
                Incarnation incarnation,
@@ -88,6 +96,9 @@
   /** Returns the members of the log as the replicated log knows them. */
   [[nodiscard]] const replication::Membership& members() const { return node_.members(); }
 
+  /** Returns the last poll of each process that polled this node. */
+  [[nodiscard]] const std::map<ProcessId, LastPoll>& polls() const { return polls_; }
+
   /** Returns the state for operators. */
   [[nodiscard]] ControlDump dump() const;
 
@@ -110,6 +121,7 @@
   {
   }
 
+  void answerReport(Time now, const ProcessId& from, const ReportRequest& request);
   [[nodiscard]] bool alreadyWaiting(const ProcessId& from, std::uint64_t proposalId) const;
   Expected<replication::LogIndex> append(Time now, std::string command);
   void proposeMember(Time now, const ledger::Command& command);
@@ -126,6 +138,7 @@
   replication::LogNode node_;
   ledger::ControlState state_;
   std::map<replication::LogIndex, Waiter> waiters_;
+  std::map<ProcessId, LastPoll> polls_;
   std::vector<Outgoing> outgoing_;
   replication::LogIndex applied_ = 0;
   Time lastStamp_;
--- a/modules/control/control.h
+++ b/modules/control/control.h
@@ -5,3 +5,5 @@
 
 #include "control/ControlCore.h"
 #include "control/ControlService.h"
+#include "control/Report.h"
+#include "control/Reports.h"
--- a/modules/entry/ChatExchange.cpp
+++ b/modules/entry/ChatExchange.cpp
@@ -73,6 +73,7 @@
     if (earlierTokens_ + countedTokens_ >= maxTokens_) {
       finish("length");
       step.complete = true;
+      step.cut = true;
       return {};
     }
     countedTokens_ += Tokens{ 1 };
--- a/modules/entry/ChatExchange.h
+++ b/modules/entry/ChatExchange.h
@@ -21,6 +21,8 @@
   /** True when nothing more is needed from the engine: its stream has ended, or the answer has
       reached its bound. The last events are held back. */
   bool complete = false;
+  /** True when the answer was cut at its bound and the engine still generates. */
+  bool cut = false;
 };
 
 /** The answer to one chat request while it passes from the engine to the caller.
--- a/modules/entry/CoordinatorLedger.cpp
+++ b/modules/entry/CoordinatorLedger.cpp
@@ -109,7 +109,7 @@
 void Coordinator::bill(Time now, Request& request, Tokens amount)
 {
   request.phase = Phase::recording;
-  request.waitDeadline = now + kChargeWait;
+  request.waitDeadline = now + (request.outcomePending ? kOutcomeWait : kChargeWait);
   if (request.isBilled()) {
     const auto charged =
       parts_.wallet.charge(now, request.input.id, std::min(amount, request.bound));
@@ -190,15 +190,16 @@
     auto& request = *find(id);
     if (request.phase == Phase::claiming) {
       refuse(now, request, Error{ ErrorKind::noQuorum, "no majority of control is in reach" });
+    } else if (request.outcomePending) {
+      request.outcomePending = false;
+      request.waitDeadline = now + kChargeWait;
+      answerWhenRecorded(now, request);
     } else if (request.chargePending) {
       // The charge stays recorded at this VM; the caller must not take the answer for complete.
       request.sink->fail(Error{ ErrorKind::outcomeUnknown, "the charge could not be recorded" },
                          std::nullopt,
                          id);
       erase(id);
-    } else {
-      request.outcomePending = false;
-      answerWhenRecorded(now, request);
     }
   }
 }
--- a/modules/entry/CoordinatorRun.cpp
+++ b/modules/entry/CoordinatorRun.cpp
@@ -262,8 +262,10 @@
     }
     request.sink->write(std::move(step.events));
   }
-  if (step.complete) {
+  if (step.cut) {
     cancelAttempt(request);
+  }
+  if (step.complete) {
     completeChat(now, request);
   }
 }
@@ -363,9 +365,6 @@
     recordOutcome(now, request, ledger::OutcomeKind::done);
   }
   bill(now, request, request.bound);
-  if (auto* waiting = find(request.input.id); waiting != nullptr && waiting->outcomePending) {
-    waiting->waitDeadline = now + kOutcomeWait;
-  }
 }
 
 } // namespace figchute::entry
--- /dev/null
+++ b/modules/entry/EntryHandler.cpp
@@ -0,0 +1,366 @@
+#include "entry/EntryHandler.h"
+
+#include <algorithm>
+
+namespace figchute::entry {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kPeerRefreshInterval = 250ms;
+constexpr Duration kDocumentPollInterval = 500ms;
+/** An operator's command waits this long; the same change id can be sent again later. */
+constexpr Duration kCommandWait = 5s;
+/** Proposal ids of the wallet start here, so that they never equal those of the requests. */
+constexpr std::uint64_t kWalletProposals = 1ULL << 62U;
+
+ledger::WalletSettings walletSettings(const EntrySettings& settings)
+{
+  ledger::WalletSettings result;
+  result.self = { settings.self.id, settings.incarnation };
+  result.zone = settings.self.zone;
+  result.hasJournal = settings.dataFolder.has_value();
+  result.proposalIdBase = kWalletProposals;
+  return result;
+}
+
+std::vector<membership::KnownPeer> knownEntries(const EntrySettings& settings)
+{
+  std::vector<membership::KnownPeer> known;
+  for (const auto& peer : settings.peers) {
+    if (peer.entry) {
+      known.push_back({ peer.id, peer.zone });
+    }
+  }
+  return known;
+}
+
+} // namespace
+
+EntryHandler::EntryHandler(EntrySettings settings, EntryService::Environment environment)
+  : settings_(std::move(settings))
+  , environment_(std::move(environment))
+  , self_{ settings_.self.id, settings_.incarnation }
+  , wallet_(walletSettings(settings_))
+  , witness_(self_)
+  // Proposal ids of an earlier incarnation may still be answered.
+  , proposer_(settings_.incarnation.number << 16U >> 2U)
+  , router_({ settings_.self.id, settings_.self.zone, settings_.seed })
+  , membership_({ settings_.self.id, settings_.self.zone, settings_.incarnation, settings_.seed },
+                knownEntries(settings_))
+  , coordinator_({ self_,
+                   wallet_,
+                   proposer_,
+                   router_,
+                   { [this](gateway::UpstreamCall call, std::uint32_t attempt) {
+                      startCall(std::move(call), attempt);
+                    },
+                     [this](const RequestId& id) { environment_.cancelCall(id); } },
+                   *environment_.metrics })
+{
+}
+
+Expected<void> EntryHandler::recover(EntryDisk::SyncedHandler synced)
+{
+  if (!settings_.dataFolder) {
+    return {};
+  }
+  auto disk = EntryDisk::open(*settings_.dataFolder, std::move(synced), environment_.failed);
+  if (!disk) {
+    return tl::unexpected(disk.error());
+  }
+  disk_ = std::move(*disk);
+  const auto records = disk_->readJournal();
+  if (!records) {
+    return tl::unexpected(records.error());
+  }
+  wallet_.recover(kernel::currentTime(), *records);
+  if (auto replaced = disk_->replaceJournal(wallet_.compactJournal()); !replaced) {
+    return replaced;
+  }
+  const auto saved = disk_->readDocuments();
+  if (!saved) {
+    return tl::unexpected(saved.error());
+  }
+  if (!saved->empty() && documents_.decode(*saved)) {
+    publishDocuments();
+  }
+  return {};
+}
+
+void EntryHandler::startDisk()
+{
+  if (disk_) {
+    disk_->start();
+  }
+}
+
+void EntryHandler::stopDisk()
+{
+  if (disk_) {
+    disk_->stop();
+  }
+}
+
+void EntryHandler::receive(Time now, Message message)
+{
+  std::visit([&](auto& typed) { handle(now, typed); }, message);
+}
+
+void EntryHandler::settle(Time now)
+{
+  refreshPeers(now);
+  pollDocuments(now);
+  expireCommands(now);
+  proposer_.tick(now);
+  reports_.tick(now);
+  wallet_.tick(now);
+  router_.tick(now);
+  coordinator_.settle(now);
+  if (settings_.self.entry) {
+    membership_.tick(now);
+  }
+  writeJournal();
+  sendAll();
+  drained_ = draining_ && wallet_.drained();
+}
+
+void EntryHandler::handle(Time now, CallerArrived& message)
+{
+  if (draining_) {
+    message.sink->fail(Error{ ErrorKind::shuttingDown, "this VM is stopping" },
+                       std::nullopt,
+                       message.request.id);
+    return;
+  }
+  coordinator_.arrive(now, std::move(message.request), std::move(message.sink));
+}
+
+void EntryHandler::handle(Time now, CallerGone& message)
+{
+  coordinator_.disconnected(now, message.request);
+}
+
+void EntryHandler::handle(Time now, UpstreamArrived& message)
+{
+  coordinator_.takeUpstream(now, message.request, message.attempt, std::move(message.event));
+}
+
+void EntryHandler::handle(Time now, transport::Received& message)
+{
+  switch (message.channel) {
+    case wire::Channel::ledger:
+      handleLedger(now, message);
+      return;
+    case wire::Channel::routing:
+      if (const auto decoded = wire::decode<routing::Message>(message.body)) {
+        router_.receive(now, message.from, *decoded);
+      }
+      return;
+    case wire::Channel::membership:
+      if (const auto decoded = wire::decode<membership::Message>(message.body)) {
+        membership_.receive(now, message.from, *decoded);
+      }
+      return;
+    case wire::Channel::report: {
+      const auto decoded = wire::decode<control::ReportMessage>(message.body);
+      if (decoded && std::holds_alternative<control::ReportReply>(*decoded)) {
+        reports_.receive(now, std::get<control::ReportReply>(*decoded));
+      }
+      return;
+    }
+    case wire::Channel::heartbeat:
+    case wire::Channel::replication:
+      return;
+  }
+}
+
+void EntryHandler::handleLedger(Time now, const transport::Received& message)
+{
+  const auto decoded = wire::decode<ledger::Message>(message.body);
+  if (!decoded) {
+    environment_.metrics->count("peer_messages_malformed");
+    return;
+  }
+  if (const auto* push = std::get_if<ledger::DocumentPush>(&*decoded)) {
+    takeDocuments(now, *push);
+    return;
+  }
+  if (const auto* answer = std::get_if<ledger::ProposeReply>(&*decoded)) {
+    if (const auto reply = proposer_.receive(now, message.from, *answer)) {
+      const auto command = commands_.find(reply->proposalId);
+      if (command != commands_.end()) {
+        const auto done = std::move(command->second.done);
+        commands_.erase(command);
+        done(reply->result);
+      } else {
+        coordinator_.takeReply(now, *reply);
+      }
+    }
+  }
+  wallet_.receive(now, message.from, *decoded);
+  witness_.receive(now, message.from, *decoded);
+}
+
+void EntryHandler::handle(Time now, EndpointAnnounced& message)
+{
+  router_.announce(now, std::move(message.announcement));
+}
+
+void EntryHandler::handle(Time now, OperatorCommand& message)
+{
+  const auto id = proposer_.propose(now, message.command);
+  commands_[id] = { std::move(message.done), now + kCommandWait };
+}
+
+void EntryHandler::handle(Time now, OperatorReport& message)
+{
+  reports_.ask(now, message.kind, std::move(message.argument), std::move(message.done));
+}
+
+void EntryHandler::handle(Time now, EntryQuery& message)
+{
+  message.look(dump(now));
+}
+
+void EntryHandler::handle(Time now, JournalSynced& message)
+{
+  wallet_.journalSynced(now, message.total);
+}
+
+void EntryHandler::handle(Time now, BeginShutdown& /*message*/)
+{
+  draining_ = true;
+  wallet_.drain(now);
+}
+
+void EntryHandler::takeDocuments(Time /*now*/, const ledger::DocumentPush& push)
+{
+  const bool changed = documents_.take(push);
+  coordinator_.setQuarantine(documents_.quarantine());
+  if (!changed) {
+    return;
+  }
+  publishDocuments();
+  environment_.metrics->count("documents_taken");
+  if (disk_) {
+    disk_->post(SaveDocuments{ documents_.encode() });
+  }
+}
+
+void EntryHandler::publishDocuments()
+{
+  const auto documents = documents_.documents();
+  coordinator_.setDirectory(
+    std::make_shared<const Directory>(Directory::build(documents, *environment_.metrics)));
+}
+
+void EntryHandler::refreshPeers(Time now)
+{
+  if (now < nextRefresh_) {
+    return;
+  }
+  nextRefresh_ = now + kPeerRefreshInterval;
+  std::vector<ledger::Peer> peers;
+  std::vector<ProcessId> live;
+  std::vector<ProcessId> all;
+  const auto add = [&](const transport::PeerAddress& peer, Incarnation incarnation, bool alive) {
+    peers.push_back({ { peer.id, incarnation }, peer.zone, peer.entry, peer.control, alive });
+    if (peer.control) {
+      all.push_back(peer.id);
+      if (alive) {
+        live.push_back(peer.id);
+      }
+    }
+  };
+  add(settings_.self, settings_.incarnation, true);
+  for (const auto& status : environment_.peers()) {
+    add(status.peer, status.incarnation, status.alive);
+  }
+  controls_ = live.empty() ? all : live;
+  proposer_.setControls(controls_);
+  reports_.setControls(controls_);
+  if (settings_.self.entry) {
+    wallet_.setPeers(now, peers);
+    router_.setPeers(membership_.peers());
+  }
+}
+
+void EntryHandler::pollDocuments(Time now)
+{
+  if (now < nextPoll_ || controls_.empty()) {
+    return;
+  }
+  nextPoll_ = now + kDocumentPollInterval;
+  const auto& target = controls_[nextControl_++ % controls_.size()];
+  environment_.send(
+    { target, wire::Channel::ledger, wire::encode(ledger::Message(documents_.poll())) });
+}
+
+void EntryHandler::expireCommands(Time now)
+{
+  for (auto it = commands_.begin(); it != commands_.end();) {
+    if (now < it->second.deadline) {
+      ++it;
+      continue;
+    }
+    const auto done = std::move(it->second.done);
+    proposer_.abandon(it->first);
+    it = commands_.erase(it);
+    done(fail(ErrorKind::timeout, "control did not answer; send the same change id again"));
+  }
+}
+
+void EntryHandler::writeJournal()
+{
+  auto records = wallet_.takeJournal();
+  if (records.empty() || !disk_) {
+    return;
+  }
+  journalled_ += records.size();
+  disk_->post(AppendJournal{ std::move(records), journalled_ });
+}
+
+template<typename Outgoing>
+void EntryHandler::sendOn(wire::Channel channel, const std::vector<Outgoing>& messages)
+{
+  for (const auto& [to, message] : messages) {
+    environment_.send({ to, channel, wire::encode(message) });
+  }
+}
+
+void EntryHandler::sendAll()
+{
+  sendOn(wire::Channel::ledger, proposer_.takeOutgoing());
+  sendOn(wire::Channel::ledger, wallet_.takeOutgoing());
+  sendOn(wire::Channel::ledger, witness_.takeOutgoing());
+  sendOn(wire::Channel::routing, router_.takeOutgoing());
+  sendOn(wire::Channel::membership, membership_.takeOutgoing());
+  sendOn(wire::Channel::report, reports_.takeOutgoing());
+}
+
+void EntryHandler::startCall(gateway::UpstreamCall call, std::uint32_t attempt)
+{
+  const RequestId request = call.request;
+  environment_.startCall(std::move(call),
+                         [this, request, attempt](gateway::UpstreamEvent event) {
+                           poster_(UpstreamArrived{ request, attempt, std::move(event) });
+                         });
+}
+
+EntryDump EntryHandler::dump(Time now) const
+{
+  EntryDump dump;
+  dump.revision = documents_.revision();
+  dump.requests = coordinator_.inProgress();
+  dump.walletReady = wallet_.ready();
+  dump.controlReachable = wallet_.controlReachable(now);
+  dump.accounts = wallet_.accounts();
+  dump.witnessLines = witness_.size();
+  dump.members = membership_.members();
+  dump.router = router_.dump(now);
+  dump.quarantine = documents_.quarantine();
+  return dump;
+}
+
+} // namespace figchute::entry
--- /dev/null
+++ b/modules/entry/EntryService.cpp
@@ -0,0 +1,60 @@
+#include "entry/EntryService.h"
+
+#include "entry/EntryHandler.h"
+
+namespace figchute::entry {
+
+/** Gives the task a handler type that is private to this file. */
+class EntryService::Handler : public EntryHandler
+{
+public:
+  using EntryHandler::EntryHandler;
+};
+
+Expected<std::unique_ptr<EntryService>> EntryService::create(EntrySettings settings,
+                                                             Environment environment)
+{
+  auto handler = std::make_unique<Handler>(std::move(settings), std::move(environment));
+  // The disk reports back through the service, which does not exist yet.
+  std::unique_ptr<EntryService> service(new EntryService(std::move(handler)));
+  auto& owner = *service;
+  const auto recovered =
+    owner.handler_->recover([&owner](std::uint64_t total) { owner.post(JournalSynced{ total }); });
+  if (!recovered) {
+    return tl::unexpected(recovered.error());
+  }
+  owner.handler_->connect([&owner](Message message) { owner.post(std::move(message)); });
+  return service;
+}
+
+EntryService::EntryService(std::unique_ptr<Handler> handler)
+  : handler_(std::move(handler))
+  , task_(std::make_unique<kernel::Task<Handler>>(*handler_))
+{
+}
+
+EntryService::~EntryService() = default;
+
+void EntryService::start()
+{
+  handler_->startDisk();
+  task_->start();
+}
+
+void EntryService::stop()
+{
+  task_->stop();
+  handler_->stopDisk();
+}
+
+void EntryService::post(Message message)
+{
+  task_->post(std::move(message));
+}
+
+bool EntryService::isDrained() const
+{
+  return handler_->isDrained();
+}
+
+} // namespace figchute::entry
--- /dev/null
+++ b/modules/entry/ReportClient.cpp
@@ -0,0 +1,70 @@
+#include "entry/ReportClient.h"
+
+namespace figchute::entry {
+
+void ReportClient::ask(Time now, control::ReportKind kind, std::string argument, Done done)
+{
+  const auto id = ++lastId_;
+  auto& pending = pending_[id];
+  pending.request = { id, kind, std::move(argument) };
+  pending.done = std::move(done);
+  pending.askedAt = now;
+  send(now, pending, nextControl());
+}
+
+void ReportClient::receive(Time now, const control::ReportReply& reply)
+{
+  const auto found = pending_.find(reply.id);
+  if (found == pending_.end()) {
+    return;
+  }
+  if (!reply.answered) {
+    if (!reply.leaderHint.empty()) {
+      send(now, found->second, reply.leaderHint);
+    }
+    return;
+  }
+  const auto done = std::move(found->second.done);
+  const auto argument = std::move(found->second.request.argument);
+  pending_.erase(found);
+  if (reply.found) {
+    done(reply.json);
+  } else {
+    done(fail(ErrorKind::notFound, "team \"" + argument + "\" has no document"));
+  }
+}
+
+void ReportClient::tick(Time now)
+{
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    auto& pending = it->second;
+    if (now - pending.askedAt >= kGiveUpAfter) {
+      const auto done = std::move(pending.done);
+      it = pending_.erase(it);
+      done(fail(ErrorKind::noQuorum, "no leader of the control VMs answered"));
+      continue;
+    }
+    if (now - pending.sentAt >= kResendAfter) {
+      send(now, pending, nextControl());
+    }
+    ++it;
+  }
+}
+
+void ReportClient::send(Time now, Pending& pending, ProcessId to)
+{
+  pending.sentAt = now;
+  if (!to.empty()) {
+    outgoing_.push_back({ std::move(to), pending.request });
+  }
+}
+
+ProcessId ReportClient::nextControl()
+{
+  if (controls_.empty()) {
+    return {};
+  }
+  return controls_[next_++ % controls_.size()];
+}
+
+} // namespace figchute::entry
--- a/modules/gateway/CallerRequest.h
+++ b/modules/gateway/CallerRequest.h
@@ -20,6 +20,8 @@
   std::string idempotencyKey;
   /** The value of the caller's own `X-Request-Id`, empty when absent. */
   std::string callerRequestId;
+  /** The value of `X-Figchute-Rank`, empty when absent. */
+  std::string rank;
   /** The value of `Content-Type`, empty when absent. */
   std::string contentType;
   std::string body;
--- a/modules/wire/Envelope.h
+++ b/modules/wire/Envelope.h
@@ -21,6 +21,7 @@
   ledger = 2,
   membership = 3,
   routing = 4,
+  report = 5,
 };
 
 } // namespace figchute::wire
