--- a/modules/replication/LogNode.h
+++ b/modules/replication/LogNode.h
@@ -199,42 +199,49 @@
     std::string diskId;
     LogIndex matched = 0;
     LogIndex next = 1;
-    /** One message at a time until the member's log is found to match. */
+    /** No entries are sent until the member's log is found to match before @ref next. */
     bool probing = true;
+    /** A probe or a snapshot chunk is on the way. */
     bool paused = false;
     std::vector<LogIndex> inFlight;
     Time heardAt;
     LogIndex snapshotIndex = 0;
     std::uint64_t snapshotOffset = 0;
+    Time chunkSentAt;
   };
 
-  void handle(Time now, const ProcessId& from, const VoteRequest& request);
-  void handle(Time now, const ProcessId& from, const VoteReply& reply);
-  void handle(Time now, const ProcessId& from, const AppendRequest& request);
-  void handle(Time now, const ProcessId& from, const AppendReply& reply);
-  void handle(Time now, const ProcessId& from, const SnapshotChunk& chunk);
-  void handle(Time now, const ProcessId& from, const SnapshotReply& reply);
-
-  void becomeFollower(Time now, Term term, std::optional<ProcessId> leader);
-  void startElection(Time now, bool preVote);
-  void countVotes(Time now);
-  void becomeLeader(Time now);
-  void resetElectionDeadline(Time now);
-  bool acceptLeader(Time now, const ProcessId& from, Term term, const std::string& targetDiskId);
-  bool refuseAppend(const ProcessId& from, const AppendRequest& request);
-  void appendFromLeader(const std::vector<Entry>& entries);
-  void installSnapshot(const SnapshotMeta& meta);
-
-  Progress* progressOf(const ProcessId& from, const std::string& diskId, Time sentAt);
+  void handle(const ProcessId& from, const VoteRequest& request);
+  void handle(const ProcessId& from, const VoteReply& reply);
+  void handle(const ProcessId& from, const AppendRequest& request);
+  void handle(const ProcessId& from, const AppendReply& reply);
+  void handle(const ProcessId& from, const SnapshotChunk& chunk);
+  void handle(const ProcessId& from, const SnapshotReply& reply);
+
+  void becomeFollower(Term term, std::optional<ProcessId> leader);
+  void startElection(bool preVote);
+  void countVotes();
+  void becomeLeader();
+  void stepDownWhenRemoved();
+  void resetElectionDeadline();
+  [[nodiscard]] bool isUpToDate(const VoteRequest& request) const;
+  [[nodiscard]] Membership boundMembers() const;
+
+  bool acceptLeader(const ProcessId& from, Term term, const std::string& targetDiskId, Time sentAt);
+  void followLog(const std::vector<Entry>& entries);
+  void installSnapshot();
+  void replyMatched(const ProcessId& to, LogIndex matched, Time sentAt);
+
+  Progress* progressOf(const ProcessId& from, const std::string& diskId, Term term, Time sentAt);
   void syncProgressWithMembers();
-  void sendAppends(Time now, const ProcessId& to, bool heartbeat);
-  void sendAppend(Time now, const ProcessId& to, Progress& progress);
-  void sendSnapshotChunk(Time now, const ProcessId& to, Progress& progress);
-  void broadcast(Time now, bool heartbeat);
-  void advanceCommit(Time now);
+  void sendPending(const ProcessId& to, Progress& progress);
+  void sendHeartbeat(const ProcessId& to, Progress& progress);
+  void sendAppend(const ProcessId& to, Progress& progress, bool withEntries);
+  void sendSnapshotChunk(const ProcessId& to, Progress& progress);
+  void broadcastHeartbeat();
+  void advanceCommit();
   void send(const ProcessId& to, Message message);
 
-  LogIndex appendOwn(Time now, EntryKind kind, std::string payload);
+  LogIndex appendOwn(EntryKind kind, std::string payload);
   void truncateFrom(LogIndex index);
   void recordMembership(const Entry& entry);
   Expected<Membership> changedMembers(const MembershipChange& change) const;
@@ -243,8 +250,11 @@
   [[nodiscard]] bool isSelf(const MemberId& id) const;
   [[nodiscard]] bool isVoter() const;
   [[nodiscard]] bool isForeignDisk(const ProcessId& from, const std::string& diskId) const;
+  [[nodiscard]] std::string diskIdOf(const ProcessId& process) const;
   [[nodiscard]] Term termAt(LogIndex index) const;
+  [[nodiscard]] bool hasEntry(LogIndex index, Term term) const;
   [[nodiscard]] LogIndex conflictStart(LogIndex index) const;
+  [[nodiscard]] LogIndex lastOfTerm(Term term) const;
   [[nodiscard]] const Entry& entryAt(LogIndex index) const { return entries_[index - base_ - 1]; }
   [[nodiscard]] Term lastTerm() const { return termAt(lastIndex()); }
   [[nodiscard]] Time quorumHeardAt(Time now) const;
@@ -275,6 +285,8 @@
   bool restoreReady_ = false;
   std::vector<Outgoing> outgoing_;
 
+  /** The time of the last call. */
+  Time now_;
   Time electionDeadline_;
   Time leaderHeardAt_;
   Time heartbeatAt_;
--- a/modules/replication/LogStorage.h
+++ b/modules/replication/LogStorage.h
@@ -6,6 +6,7 @@
 #include "replication/LogNode.h"
 #include "replication/StorageFormat.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -55,26 +56,28 @@
   Expected<void> save(const Ready& ready);
 
 private:
-  Expected<void> saveParts(const Ready& ready);
-  Expected<void> readSnapshot(const std::vector<std::string>& names, RecoveredState& state);
-  Expected<void> readSegment(std::uint64_t number, bool last, RecoveredState& state);
+  struct Segment
+  {
+    std::uint64_t number = 0;
+    /** The largest index ever written to the segment. */
+    LogIndex maxIndex = 0;
+    std::uint64_t bytes = 0;
+  };
+
   Expected<void> readIdentity(const std::vector<std::string>& names,
                               std::string_view newDiskId,
                               RecoveredState& state);
+  Expected<void> readSnapshot(const std::vector<std::string>& names, RecoveredState& state);
+  Expected<void> readSegments(const std::vector<std::string>& names, RecoveredState& state);
+  Expected<void> readSegment(std::uint64_t number, bool last, RecoveredState& state);
+  Expected<void> cutTail(const std::string& name, std::uint64_t offset);
   Expected<void> writeWhole(std::string_view name, std::string_view bytes);
+  Expected<void> saveParts(const Ready& ready);
   Expected<void> saveSnapshot(const Snapshot& snapshot);
   Expected<void> removeCovered(LogIndex snapshotIndex);
   Expected<void> startSegment();
   Expected<void> appendBatch(const detail::Batch& batch);
 
-  struct Segment
-  {
-    std::uint64_t number = 0;
-    /** The largest index ever written to the segment. */
-    LogIndex maxIndex = 0;
-    std::uint64_t bytes = 0;
-  };
-
   D& disk_;
   StorageConfig config_;
   std::vector<Segment> segments_;
@@ -83,4 +86,266 @@
   bool failed_ = false;
 };
 
+template<Disk D>
+Expected<RecoveredState> LogStorage<D>::recover(std::string_view newDiskId)
+{
+  RecoveredState state;
+  const auto names = disk_.list();
+  if (!names) {
+    return tl::unexpected(names.error());
+  }
+  for (const auto& name : *names) {
+    if (name.ends_with(detail::kTemporarySuffix)) {
+      if (auto removed = disk_.remove(name); !removed) {
+        return tl::unexpected(removed.error());
+      }
+    }
+  }
+  auto read = readIdentity(*names, newDiskId, state)
+                .and_then([&] { return readSnapshot(*names, state); })
+                .and_then([&] { return readSegments(*names, state); })
+                .and_then([&] { return detail::joinSnapshot(state); });
+  if (!read) {
+    return tl::unexpected(read.error());
+  }
+  hardState_ = state.hardState;
+  // A new segment keeps the file that was cut or read as it is.
+  if (auto started = startSegment(); !started) {
+    return tl::unexpected(started.error());
+  }
+  return state;
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::readIdentity(const std::vector<std::string>& names,
+                                           std::string_view newDiskId,
+                                           RecoveredState& state)
+{
+  const auto present = [&](std::string_view prefix) {
+    return std::any_of(names.begin(), names.end(), [&](const std::string& name) {
+      return detail::fileNumber(prefix, name).has_value();
+    });
+  };
+  auto identity = disk_.read(detail::kIdentityName);
+  if (identity) {
+    const auto payload = detail::recordAt(*identity, 0);
+    if (!payload) {
+      return fail(ErrorKind::storageCorrupt, "file identity, offset 0: bad record");
+    }
+    state.diskId = std::string(*payload);
+    return {};
+  }
+  if (identity.error().kind != ErrorKind::notFound) {
+    return tl::unexpected(identity.error());
+  }
+  if (present(detail::kSegmentPrefix) || present(detail::kSnapshotPrefix)) {
+    return fail(ErrorKind::storageCorrupt, "file identity is missing beside a log");
+  }
+  state.diskId = std::string(newDiskId);
+  return writeWhole(detail::kIdentityName, detail::encodeRecord(newDiskId));
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::readSnapshot(const std::vector<std::string>& names,
+                                           RecoveredState& state)
+{
+  for (const auto& name : names) {
+    if (const auto number = detail::fileNumber(detail::kSnapshotPrefix, name)) {
+      snapshots_.push_back(*number);
+    }
+  }
+  if (snapshots_.empty()) {
+    return {};
+  }
+  std::sort(snapshots_.begin(), snapshots_.end());
+  const std::string name = detail::fileName(detail::kSnapshotPrefix, snapshots_.back());
+  const auto file = disk_.read(name);
+  if (!file) {
+    return tl::unexpected(file.error());
+  }
+  const auto payload = detail::recordAt(*file, 0);
+  auto snapshot = payload ? wire::decode<Snapshot>(*payload)
+                          : Expected<Snapshot>(fail(ErrorKind::storageCorrupt, "bad record"));
+  if (!snapshot) {
+    return fail(ErrorKind::storageCorrupt, "file " + name + ", offset 0: bad record");
+  }
+  state.snapshot = std::move(*snapshot);
+  return {};
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::readSegments(const std::vector<std::string>& names,
+                                           RecoveredState& state)
+{
+  std::vector<std::uint64_t> numbers;
+  for (const auto& name : names) {
+    if (const auto number = detail::fileNumber(detail::kSegmentPrefix, name)) {
+      numbers.push_back(*number);
+    }
+  }
+  std::sort(numbers.begin(), numbers.end());
+  for (std::size_t i = 0; i < numbers.size(); ++i) {
+    if (i > 0 && numbers[i] != numbers[i - 1] + 1) {
+      return fail(ErrorKind::storageCorrupt,
+                  "file " + detail::fileName(detail::kSegmentPrefix, numbers[i - 1] + 1) +
+                    ", offset 0: the segment is missing");
+    }
+    auto read = readSegment(numbers[i], i + 1 == numbers.size(), state);
+    if (!read) {
+      return read;
+    }
+  }
+  return {};
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::readSegment(std::uint64_t number, bool last, RecoveredState& state)
+{
+  const std::string name = detail::fileName(detail::kSegmentPrefix, number);
+  const auto file = disk_.read(name);
+  if (!file) {
+    return tl::unexpected(file.error());
+  }
+  segments_.push_back(Segment{ number, 0, file->size() });
+  std::uint64_t offset = 0;
+  while (offset < file->size()) {
+    const auto payload = detail::recordAt(*file, offset);
+    if (!payload) {
+      const bool torn = last && !detail::findRecord(*file, offset + 1);
+      if (torn) {
+        return cutTail(name, offset);
+      }
+      return fail(ErrorKind::storageCorrupt,
+                  "file " + name + ", offset " + std::to_string(offset) + ": bad record");
+    }
+    auto batch = wire::decode<detail::Batch>(*payload);
+    auto replayed = Expected<void>();
+    if (batch) {
+      for (const auto& entry : batch->entries) {
+        segments_.back().maxIndex = std::max(segments_.back().maxIndex, entry.index);
+      }
+      replayed = detail::replay(std::move(*batch), state);
+    } else {
+      replayed = tl::unexpected(batch.error());
+    }
+    if (!replayed) {
+      return fail(ErrorKind::storageCorrupt,
+                  "file " + name + ", offset " + std::to_string(offset) + ": " +
+                    replayed.error().detail);
+    }
+    offset += detail::recordBytes(payload->size());
+  }
+  return {};
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::cutTail(const std::string& name, std::uint64_t offset)
+{
+  segments_.back().bytes = offset;
+  return disk_.truncate(name, offset).and_then([&] { return disk_.sync(name); });
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::save(const Ready& ready)
+{
+  if (failed_) {
+    return fail(ErrorKind::storageFailed, "an earlier write to the data folder failed");
+  }
+  auto saved = saveParts(ready);
+  failed_ = !saved.has_value();
+  return saved;
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::saveParts(const Ready& ready)
+{
+  detail::Batch batch;
+  if (ready.hardState) {
+    batch.hasHardState = true;
+    batch.hardState = *ready.hardState;
+    hardState_ = *ready.hardState;
+  }
+  if (ready.snapshot) {
+    if (auto saved = saveSnapshot(*ready.snapshot); !saved) {
+      return saved;
+    }
+    batch.resetIndex = ready.restoreState ? ready.snapshot->meta.index : 0;
+  }
+  batch.entries = ready.entries;
+  if (batch.hasHardState || batch.resetIndex > 0 || !batch.entries.empty()) {
+    if (auto appended = appendBatch(batch); !appended) {
+      return appended;
+    }
+  }
+  if (ready.snapshot) {
+    return startSegment().and_then([&] { return removeCovered(ready.snapshot->meta.index); });
+  }
+  return segments_.back().bytes >= config_.segmentBytes ? startSegment() : Expected<void>();
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::appendBatch(const detail::Batch& batch)
+{
+  Segment& segment = segments_.back();
+  for (const auto& entry : batch.entries) {
+    segment.maxIndex = std::max(segment.maxIndex, entry.index);
+  }
+  const std::string record = detail::encodeRecord(wire::encode(batch));
+  const std::string name = detail::fileName(detail::kSegmentPrefix, segment.number);
+  segment.bytes += record.size();
+  return disk_.append(name, record).and_then([&] { return disk_.sync(name); });
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::startSegment()
+{
+  segments_.push_back(Segment{ segments_.empty() ? 1 : segments_.back().number + 1, 0, 0 });
+  detail::Batch first;
+  first.hasHardState = true;
+  first.hardState = hardState_;
+  return appendBatch(first).and_then([&] { return disk_.syncFolder(); });
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::saveSnapshot(const Snapshot& snapshot)
+{
+  const std::uint64_t number = snapshot.meta.index;
+  auto written = writeWhole(detail::fileName(detail::kSnapshotPrefix, number),
+                            detail::encodeRecord(wire::encode(snapshot)));
+  if (written && (snapshots_.empty() || snapshots_.back() != number)) {
+    snapshots_.push_back(number);
+  }
+  return written;
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::writeWhole(std::string_view name, std::string_view bytes)
+{
+  const std::string temporary = std::string(name) + std::string(detail::kTemporarySuffix);
+  return disk_.append(temporary, bytes)
+    .and_then([&] { return disk_.sync(temporary); })
+    .and_then([&] { return disk_.rename(temporary, name); })
+    .and_then([&] { return disk_.syncFolder(); });
+}
+
+template<Disk D>
+Expected<void> LogStorage<D>::removeCovered(LogIndex snapshotIndex)
+{
+  while (segments_.size() > 1 && segments_.front().maxIndex <= snapshotIndex) {
+    auto removed = disk_.remove(detail::fileName(detail::kSegmentPrefix, segments_.front().number));
+    if (!removed) {
+      return removed;
+    }
+    segments_.erase(segments_.begin());
+  }
+  while (snapshots_.size() > 1) {
+    auto removed = disk_.remove(detail::fileName(detail::kSnapshotPrefix, snapshots_.front()));
+    if (!removed) {
+      return removed;
+    }
+    snapshots_.erase(snapshots_.begin());
+  }
+  return disk_.syncFolder();
+}
+
 } // namespace figchute::replication
--- a/modules/replication/MemoryDisk.h
+++ b/modules/replication/MemoryDisk.h
@@ -46,6 +46,10 @@
   /** Makes sync() do nothing, so that a test can show that a missing sync is found. */
   void setIgnoreSync(bool ignore) { ignoreSync_ = ignore; }
 
+  /** Makes every operation after the next @p count changing ones fail, as when the process ends in
+      the middle of its work. crash() ends this. */
+  void failAfter(std::uint64_t count) { remaining_ = count; }
+
   /** Changes one byte of a file in place, as a failing medium does.
       Precondition: the file has more than @p offset bytes. */
   void corrupt(std::string_view name, std::uint64_t offset);
@@ -62,6 +66,7 @@
   using FileId = std::uint64_t;
   using Names = std::map<std::string, FileId, std::less<>>;
 
+  Expected<void> countOperation();
   Expected<File*> find(std::string_view name);
 
   std::map<FileId, File> files_;
@@ -70,6 +75,7 @@
   FileId nextFile_ = 1;
   std::uint64_t syncs_ = 0;
   bool ignoreSync_ = false;
+  std::optional<std::uint64_t> remaining_;
 };
 
 static_assert(Disk<MemoryDisk>);
--- /dev/null
+++ b/modules/replication/StorageFormat.cpp
@@ -0,0 +1,160 @@
+#include "replication/StorageFormat.h"
+
+#include <array>
+#include <boost/crc.hpp>
+#include <charconv>
+#include <cstring>
+#include <fmt/format.h>
+
+namespace figchute::replication::detail {
+namespace {
+
+constexpr std::size_t kHeaderBytes = 8;
+/** Begins every payload, so that a search for a valid record computes few checksums. */
+constexpr std::string_view kRecordMark = "FGR1";
+
+void putNumber(std::string& bytes, std::uint32_t number)
+{
+  for (unsigned shift = 0; shift < 32; shift += 8) {
+    bytes.push_back(static_cast<char>((number >> shift) & 0xFFU));
+  }
+}
+
+std::uint32_t numberAt(std::string_view bytes, std::uint64_t offset)
+{
+  std::uint32_t number = 0;
+  for (unsigned i = 0; i < 4; ++i) {
+    number |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[offset + i])) << (8U * i);
+  }
+  return number;
+}
+
+/** The length is part of the checksum, so that a damaged length is found without its payload. */
+std::uint32_t checksumOf(std::string_view length, std::string_view payload)
+{
+  boost::crc_32_type crc;
+  crc.process_bytes(length.data(), length.size());
+  crc.process_bytes(payload.data(), payload.size());
+  return crc.checksum();
+}
+
+} // namespace
+
+std::uint64_t recordBytes(std::uint64_t payloadBytes)
+{
+  return kHeaderBytes + kRecordMark.size() + payloadBytes;
+}
+
+std::string encodeRecord(std::string_view payload)
+{
+  std::string marked(kRecordMark);
+  marked += payload;
+  std::string record;
+  record.reserve(kHeaderBytes + marked.size());
+  putNumber(record, static_cast<std::uint32_t>(marked.size()));
+  putNumber(record, checksumOf(record, marked));
+  record += marked;
+  return record;
+}
+
+std::optional<std::string_view> recordAt(std::string_view file, std::uint64_t offset)
+{
+  if (file.size() < offset + recordBytes(0)) {
+    return std::nullopt;
+  }
+  const std::string_view rest = file.substr(offset);
+  const std::uint64_t length = numberAt(rest, 0);
+  const std::string_view marked = rest.substr(kHeaderBytes);
+  if (!marked.starts_with(kRecordMark) || length < kRecordMark.size() || length > marked.size()) {
+    return std::nullopt;
+  }
+  const std::string_view whole = marked.substr(0, length);
+  if (checksumOf(rest.substr(0, 4), whole) != numberAt(rest, 4)) {
+    return std::nullopt;
+  }
+  return whole.substr(kRecordMark.size());
+}
+
+std::optional<std::uint64_t> findRecord(std::string_view file, std::uint64_t offset)
+{
+  for (std::uint64_t from = offset + kHeaderBytes;;) {
+    const auto mark = file.find(kRecordMark, from);
+    if (mark == std::string_view::npos) {
+      return std::nullopt;
+    }
+    if (recordAt(file, mark - kHeaderBytes)) {
+      return mark - kHeaderBytes;
+    }
+    from = mark + 1;
+  }
+}
+
+std::string fileName(std::string_view prefix, std::uint64_t number)
+{
+  return fmt::format("{}{:020}", prefix, number);
+}
+
+std::optional<std::uint64_t> fileNumber(std::string_view prefix, std::string_view name)
+{
+  if (!name.starts_with(prefix)) {
+    return std::nullopt;
+  }
+  const std::string_view digits = name.substr(prefix.size());
+  std::uint64_t number = 0;
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  if (parsed.ec != std::errc() || fileName(prefix, number) != name) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+Expected<void> replay(Batch batch, RecoveredState& state)
+{
+  if (batch.hasHardState) {
+    state.hardState = std::move(batch.hardState);
+  }
+  if (batch.resetIndex > 0) {
+    state.entries.clear();
+  }
+  for (auto& entry : batch.entries) {
+    auto& entries = state.entries;
+    if (!entries.empty() && entry.index <= entries.back().index) {
+      const LogIndex kept =
+        entry.index > entries.front().index ? entry.index - entries.front().index : 0;
+      entries.resize(kept);
+    }
+    if (!entries.empty() && entry.index != entries.back().index + 1) {
+      return fail(ErrorKind::storageCorrupt,
+                  fmt::format("entry {} follows entry {}", entry.index, entries.back().index));
+    }
+    entries.push_back(std::move(entry));
+  }
+  return {};
+}
+
+Expected<void> joinSnapshot(RecoveredState& state)
+{
+  auto& entries = state.entries;
+  const auto& meta = state.snapshot.meta;
+  if (entries.empty()) {
+    return {};
+  }
+  const LogIndex first = entries.front().index;
+  if (first > meta.index + 1) {
+    return fail(ErrorKind::storageCorrupt,
+                fmt::format("entries {} to {} are missing", meta.index + 1, first - 1));
+  }
+  if (first == meta.index + 1) {
+    return {};
+  }
+  const std::uint64_t position = meta.index - first;
+  // A snapshot of the leader was stored, but the process ended before it cleared the log.
+  if (position >= entries.size() || entries[position].term != meta.term) {
+    entries.clear();
+    return {};
+  }
+  entries.erase(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(position) + 1);
+  return {};
+}
+
+} // namespace figchute::replication::detail
--- a/modules/replication/StorageFormat.h
+++ b/modules/replication/StorageFormat.h
@@ -29,9 +29,9 @@
 /** Encodes one record: length, CRC-32 of length and payload, payload. */
 std::string encodeRecord(std::string_view payload);
 
-/** Returns the payload of the record at an offset; empty when there is no valid record. The view
-    points into @p file. */
-std::string_view recordAt(std::string_view file, std::uint64_t offset);
+/** Returns the payload of the record at an offset, or nothing when there is no valid record. The
+    view points into @p file. */
+std::optional<std::string_view> recordAt(std::string_view file, std::uint64_t offset);
 
 /** Returns the bytes of a record with a payload of @p payloadBytes. */
 std::uint64_t recordBytes(std::uint64_t payloadBytes);
