Add the routing and membership cores

Cause: the daemon needs decisions about queueing, endpoint choice, limits, retries and membership behind the interfaces of the earlier commit.

--- a/modules/membership/Membership.h
+++ b/modules/membership/Membership.h
@@ -118,26 +118,32 @@
     Time differsSince;
   };
 
+  void start(Time now);
   bool apply(Time now, const MemberUpdate& update);
-  void refute();
-  void setState(Time now, Member& member, MemberState state);
-  void handle(Time now, Member& sender, const Heartbeat& heartbeat);
-  void handle(Time now, Member& sender, const FullView& view);
+  void replace(Time now, Member& member, const MemberUpdate& update);
+  void refute(Time now, const MemberUpdate& update);
+  void handle(Time now, const ProcessId& from, const Heartbeat& heartbeat);
+  void handle(Time now, const ProcessId& from, const FullView& view);
+  void compareViews(Time now, Member& sender, std::uint32_t view);
   void checkSilence(Time now);
   void sendHeartbeats(Time now);
   void probe(Time now);
   void refreshLinks(Time now);
-  [[nodiscard]] Heartbeat makeHeartbeat(bool withUpdates);
-  [[nodiscard]] std::uint32_t viewFingerprint() const;
+  [[nodiscard]] Heartbeat makeHeartbeat() const;
   [[nodiscard]] std::vector<ProcessId> neighbours() const;
   [[nodiscard]] std::vector<ProcessId> otherRelays() const;
   [[nodiscard]] std::vector<MemberUpdate> statements() const;
+  [[nodiscard]] Member& self() { return members_.at(options_.self); }
 
   MembershipOptions options_;
   Random random_;
   std::map<ProcessId, Member> members_;
   std::vector<ProcessId> links_;
   std::vector<Outgoing> outgoing_;
+  /** Combined fingerprint of all statements, kept up to date by replace(). */
+  std::uint64_t view_ = 0;
+  /** The view that links_ follow from. */
+  std::uint64_t linksView_ = 0;
   Time nextHeartbeat_;
   Time nextProbe_;
   bool started_ = false;
--- a/modules/membership/Messages.h
+++ b/modules/membership/Messages.h
@@ -40,13 +40,14 @@
 /** Sent to each target once per interval. */
 struct Heartbeat
 {
-  Incarnation incarnation;
-  std::uint32_t version = 0;
+  /** The sender's statement about itself. */
+  MemberUpdate self;
   /** Fingerprint of the sender's view; a receiver with another view asks for all of it. */
   std::uint32_t view = 0;
+  /** Statements that the sender learned of late. */
   std::vector<MemberUpdate> updates;
 
-  MSGPACK_DEFINE(incarnation, version, view, updates)
+  MSGPACK_DEFINE(self, view, updates)
 };
 
 /** The sender's whole view, sent when the views of two VMs differ for more than an interval. */
--- a/modules/routing/Messages.h
+++ b/modules/routing/Messages.h
@@ -47,18 +47,22 @@
                  announced)
 };
 
-/** The part of an announcement that changes every second. Endpoints are named by the low 32 bits of
-    the fingerprint of their id, which keeps an entry below 20 bytes. A collision is harmless: the
-    receiver ignores a handle that names two endpoints. */
+/** One step of LoadReport::age. */
+constexpr Duration kAgeStep = std::chrono::milliseconds(50);
+
+/** The part of an announcement that changes every second, in 7 bytes as a rule: 610 endpoints are
+    refreshed to every VM within the 4 KB/s of section 1. An endpoint is named by the low 16 bits of
+    the fingerprint of its id. A sender that knows two endpoints of one handle sends whole
+    announcements for them. */
 struct LoadReport
 {
-  std::uint32_t endpoint = 0;
+  std::uint16_t handle = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
-  /** Age of the announcement in ms when the report was sent. */
-  std::uint32_t ageMs = 0;
+  /** Age of the announcement when the report was sent, in steps of kAgeStep. */
+  std::uint8_t age = 0;
 
-  MSGPACK_DEFINE(endpoint, running, waiting, ageMs)
+  MSGPACK_DEFINE(handle, running, waiting, age)
 };
 
 /** Changes of the registry since the last message to the same VM. */
@@ -80,16 +84,19 @@
   MSGPACK_DEFINE(all)
 };
 
-/** Tokens served for a workspace since the last message on the same link. */
+/** Tokens served for a workspace in one rank since the last message on the same link; negative when
+    an answer turned out shorter than charged at its dispatch. */
 struct ServedTokens
 {
   WorkspaceId workspace;
-  Tokens tokens;
+  Rank rank = Rank::prompt;
+  std::int64_t tokens = 0;
 
-  MSGPACK_DEFINE(workspace, tokens)
+  MSGPACK_DEFINE(workspace, rank, tokens)
 };
 
-/** Requests that arrived under one rate limit since the last message on the same link. */
+/** Requests that arrived under one rate limit since the last message on the same link. A limit is
+    named by the low 32 bits of the fingerprint of its workspace or caller. */
 struct ObservedDemand
 {
   std::uint32_t limit = 0;
--- a/modules/routing/Policy.h
+++ b/modules/routing/Policy.h
@@ -36,7 +36,7 @@
   double weight = 1;
   /** Requests per second over the whole fleet; 0 for no limit. */
   double requestsPerSecond = 0;
-  /** Requests in progress at this VM; 0 for no limit. */
+  /** Requests in progress over the whole fleet; 0 for no limit. */
   std::uint32_t maxConcurrency = 0;
 };
 
--- /dev/null
+++ b/modules/routing/RouterCore.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "routing/ConcurrencyLimit.h"
+#include "routing/EndpointChooser.h"
+#include "routing/EndpointRegistry.h"
+#include "routing/FairShareTotals.h"
+#include "routing/OutlierDetector.h"
+#include "routing/PreemptionPolicy.h"
+#include "routing/RankQueue.h"
+#include "routing/RateLimiter.h"
+#include "routing/RetryPolicy.h"
+#include "routing/Router.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace figchute::routing {
+
+/** The state behind Router: the requests in progress and the parts that decide about them. */
+class Router::Core
+{
+public:
+  explicit Core(RouterOptions options);
+
+  void setPolicy(Policy policy);
+  void setPeers(Peers peers);
+  tl::expected<Accepted, Refusal> submit(Time now, Work work);
+  void tick(Time now);
+  std::vector<Action> takeDispatches();
+  void firstToken(Time now, const RequestId& id);
+  void progress(Time now, const RequestId& id, Tokens tokens);
+  void finished(Time now, const RequestId& id, Outcome outcome);
+  void cancelled(Time now, const RequestId& id);
+  Expected<Dispatch> retry(Time now, const RequestId& id, AttemptFailure failure);
+  void announce(Time now, Announcement announcement);
+  void receive(Time now, const ProcessId& from, const Message& message);
+  std::vector<Outgoing> takeOutgoing();
+  [[nodiscard]] const std::array<RankCounters, kRankCount>& counters() const { return counters_; }
+  [[nodiscard]] std::optional<EndpointId> endpointOf(const RequestId& id) const;
+  [[nodiscard]] std::size_t inProgress() const { return jobs_.size(); }
+  [[nodiscard]] RouterDump dump(Time now) const;
+
+private:
+  enum class JobState : std::uint8_t
+  {
+    queued,
+    running,
+    cancelling,
+  };
+
+  /** One request in progress. */
+  struct Job
+  {
+    Work work;
+    QueuedWork item;
+    JobState state = JobState::queued;
+    /** Place and generation of the endpoint of the current attempt. */
+    std::uint32_t place = 0;
+    std::uint64_t generation = 0;
+    EndpointId endpoint;
+    std::uint32_t attempts = 0;
+    std::uint32_t failedAttempts = 0;
+    std::uint32_t preemptions = 0;
+    /** Whether an attempt was sent that is not known to have been refused. */
+    bool mayHaveRun = false;
+    bool hasFirstToken = false;
+    /** Whether the current attempt has its first token. */
+    bool streams = false;
+    /** Whether batch work was cancelled for this request at its endpoint. */
+    bool helped = false;
+    std::vector<EndpointId> tried;
+    Tokens generated;
+    double charged = 0;
+    Time dispatchedAt;
+  };
+
+  /** What the router adds to the registry for one endpoint. */
+  struct EndpointState
+  {
+    std::uint64_t generation = 0;
+    LoadEstimate load;
+    ConcurrencyLimit limit{ 1 };
+    std::vector<Job*> running;
+  };
+
+  /** The queue of one model and what its requests taught. */
+  struct ModelLine
+  {
+    RankQueue queue;
+    /** Smoothed time from dispatch to first token by rank, in microseconds. */
+    std::array<double, kRankCount> firstTokenMicros{};
+    /** Smoothed part of the allowed tokens that answers use, by rank. */
+    std::array<double, kRankCount> usedPart{ 0.5, 0.5, 0.5 };
+  };
+
+  tl::expected<Accepted, Refusal> submitModel(Time now, Work work);
+  tl::expected<Accepted, Refusal> submitPlain(Time now, Work work);
+  QueuedWork makeItem(Time now, const Work& work);
+  void refuseOverdue(Time now);
+  void helpWaitingUrgent(Time now);
+  void evaluateOutliers(Time now);
+  void exchangeUsage(Time now);
+  void dispatchModel(Time now, const ModelName& model);
+  bool dispatchNext(Time now, const ModelName& model, ModelLine& line);
+  std::optional<std::uint32_t> findPlace(Time now, const Job& job, Rank limitRank);
+  std::optional<std::uint32_t> findAnyPlace(Time now, const Job& job);
+  std::optional<std::uint32_t> preempt(Time now, const ModelName& model, const ModelLine& line);
+  bool cancelCheapest(Time now, std::span<Job* const> jobs, std::uint32_t& place);
+  Dispatch start(Time now, Job& job, std::uint32_t place);
+  void detach(Time now, Job& job);
+  void close(Time now, Job& job);
+  void correctCharge(Time now, Job& job);
+  EndpointState& stateAt(std::uint32_t place);
+  Job& find(const RequestId& id);
+  ModelLine& lineOf(const ModelName& model);
+  RankCounters& countersOf(const Job& job);
+  std::span<const std::uint32_t> placesFor(const Work& work) const;
+  bool usable(Time now, std::uint32_t place, const Job& job) const;
+  [[nodiscard]] EndpointView viewOf(Time now, std::uint32_t place) const;
+  [[nodiscard]] std::vector<WorkspaceView> workspaceViews(Time now) const;
+
+  RouterOptions options_;
+  Policy policy_;
+  Peers peers_;
+  EndpointRegistry registry_;
+  EndpointChooser chooser_;
+  OutlierDetector outliers_;
+  RetryPolicy retries_;
+  RateLimiter modelLimiter_{ WorkKind::model };
+  RateLimiter plainLimiter_{ WorkKind::plain };
+  FairShareTotals totals_;
+  std::map<ModelName, ModelLine> lines_;
+  std::vector<EndpointState> states_;
+  std::unordered_map<RequestId, Job> jobs_;
+  /** Urgent requests that were dispatched and have no first token yet. */
+  std::map<RequestId, Job*> awaitingUrgent_;
+  std::vector<Action> actions_;
+  std::vector<Outgoing> outgoing_;
+  std::array<RankCounters, kRankCount> counters_;
+  std::uint64_t plainSubmitted_ = 0;
+  std::uint64_t plainRefused_ = 0;
+  Time nextEvaluation_;
+  Time nextExchange_;
+};
+
+} // namespace figchute::routing
