--- /dev/null
+++ b/apps/figchuted/Process.cpp
@@ -0,0 +1,281 @@
+#include "Process.h"
+
+#include "Log.h"
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+namespace figchuted {
+namespace {
+
+using namespace figchute;
+using namespace std::chrono_literals;
+
+/** Longest wait for the return of grants at a stop. */
+constexpr auto kDrainLimit = 3s;
+constexpr auto kDrainPoll = 20ms;
+constexpr int kFailureStatus = 3;
+
+/** Ends the process after an error that leaves its durable state unknown. */
+void endProcess(const Error& error)
+{
+  writeLog(
+    { LogSeverity::error,
+      "process_failed",
+      { { "error", std::string(errorTraits(error.kind).name) }, { "detail", error.detail } } });
+  ::_exit(kFailureStatus);
+}
+
+/** Returns an incarnation above those of earlier starts: the wall clock, or one more than the last
+    incarnation in the data folder when the clock has been set back. */
+Incarnation nextIncarnation(const std::optional<std::string>& dataFolder)
+{
+  auto number = static_cast<std::uint64_t>(kernel::currentTime().micros);
+  if (!dataFolder) {
+    return { number };
+  }
+  const auto path = *dataFolder + "/incarnation";
+  std::uint64_t last = 0;
+  if (std::ifstream file(path); file >> last && last >= number) {
+    number = last + 1;
+  }
+  std::ofstream(path) << number << '\n';
+  return { number };
+}
+
+std::uint64_t seedOf(const ProcessId& process, Incarnation incarnation)
+{
+  return fingerprintOf(process.value, incarnation.number);
+}
+
+} // namespace
+
+Process::Process(settings::Settings settings)
+  : settings_(std::move(settings))
+{
+}
+
+Process::~Process() = default;
+
+Expected<std::unique_ptr<Process>> Process::create(settings::Settings settings)
+{
+  if (settings.dataDir) {
+    std::error_code error;
+    std::filesystem::create_directories(*settings.dataDir, error);
+    if (error) {
+      return fail(ErrorKind::storageFailed,
+                  "cannot create " + *settings.dataDir + ": " + error.message());
+    }
+  }
+  std::unique_ptr<Process> process(new Process(std::move(settings)));
+  process->incarnation_ = nextIncarnation(process->settings_.dataDir);
+  transport::TransportConfig config;
+  config.self = process->selfAddress();
+  config.incarnation = process->incarnation_;
+  config.key = process->settings_.keys.peer;
+  config.peers = process->peerAddresses();
+  auto& owner = *process;
+  process->transport_ = std::make_unique<transport::Transport>(
+    std::move(config), process->metrics_, [&owner](transport::Received message) {
+      owner.deliver(std::move(message));
+    });
+  process->upstream_ = std::make_unique<gateway::UpstreamPool>();
+  if (process->settings_.roles.control) {
+    if (auto created = process->createControl(); !created) {
+      return tl::unexpected(created.error());
+    }
+  }
+  if (auto created = process->createEntry(); !created) {
+    return tl::unexpected(created.error());
+  }
+  process->backend_ = std::make_unique<FleetBackend>(BackendParts{ process->settings_,
+                                                                   process->metrics_,
+                                                                   *process->entry_,
+                                                                   process->control_,
+                                                                   *process->transport_ });
+  process->admin_ =
+    std::make_unique<admin::AdminServer>(process->adminOptions(), *process->backend_);
+  return process;
+}
+
+Expected<void> Process::createControl()
+{
+  control::ControlSettings config;
+  config.self = settings_.id;
+  config.dataFolder = *settings_.dataDir + "/control";
+  config.seed = seedOf(settings_.id, incarnation_);
+  config.initialMembers.push_back(settings_.id);
+  for (const auto& peer : settings_.peers) {
+    if (peer.roles.control) {
+      config.initialMembers.push_back(peer.id);
+    }
+  }
+  auto service = control::ControlService::create(
+    std::move(config), [this](control::Outgoing message) { send(std::move(message)); }, endProcess);
+  if (!service) {
+    return tl::unexpected(service.error());
+  }
+  control_ = &kernel_.add(std::move(*service));
+  return {};
+}
+
+Expected<void> Process::createEntry()
+{
+  entry::EntrySettings config;
+  config.self = selfAddress();
+  config.incarnation = incarnation_;
+  config.peers = peerAddresses();
+  config.seed = seedOf(settings_.id, incarnation_);
+  if (settings_.dataDir && settings_.roles.entry) {
+    config.dataFolder = *settings_.dataDir + "/entry";
+  }
+  entry::EntryService::Environment environment;
+  environment.send = [this](control::Outgoing message) { send(std::move(message)); };
+  environment.peers = [this] { return transport_->status(); };
+  environment.startCall = [this](gateway::UpstreamCall call, gateway::UpstreamCallback callback) {
+    upstream_->start(std::move(call), std::move(callback));
+  };
+  environment.cancelCall = [this](const RequestId& id) { upstream_->cancel(id); };
+  environment.failed = endProcess;
+  environment.metrics = &metrics_;
+  environment.log = writeLog;
+  auto service = entry::EntryService::create(std::move(config), std::move(environment));
+  if (!service) {
+    return tl::unexpected(service.error());
+  }
+  entry_ = &kernel_.add(std::move(*service));
+  return {};
+}
+
+Expected<void> Process::start()
+{
+  kernel_.startAll();
+  if (auto started = transport_->start(); !started) {
+    return started;
+  }
+  if (auto started = admin_->start(); !started) {
+    return started;
+  }
+  if (settings_.roles.entry) {
+    if (auto started = startCallers(); !started) {
+      return started;
+    }
+  }
+  writeLog({ LogSeverity::info,
+             "process_started",
+             { { "roles", settings::toString(settings_.roles) },
+               { "incarnation", std::to_string(incarnation_.number) } } });
+  return {};
+}
+
+Expected<void> Process::startCallers()
+{
+  gateway::ServerSettings config;
+  config.address = settings_.listen.callers->ip;
+  config.port = settings_.listen.callers->port;
+  config.requestIdPrefix = settings_.id.value + "-" + std::to_string(incarnation_.number);
+  config.limits.maxHeadBytes = settings_.limits.maxHeadBytes;
+  config.limits.maxBodyBytes = settings_.limits.maxBodyBytes;
+  config.limits.senderTimeout = settings_.limits.senderTimeout;
+  config.limits.maxStreams = settings_.limits.maxStreams;
+  auto server = gateway::CallerServer::listen(std::move(config), *this);
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  callers_ = std::move(*server);
+  return {};
+}
+
+void Process::stop()
+{
+  writeLog({ LogSeverity::info, "process_stopping", {} });
+  if (callers_) {
+    callers_->beginStop();
+    const bool idle = callers_->waitUntilIdle(settings_.limits.shutdown);
+    entry_->post(entry::BeginShutdown{});
+    const auto limit = std::chrono::steady_clock::now() + kDrainLimit;
+    while (!entry_->isDrained() && std::chrono::steady_clock::now() < limit) {
+      std::this_thread::sleep_for(kDrainPoll);
+    }
+    writeLog({ LogSeverity::info,
+               "process_drained",
+               { { "streams_finished", idle ? "yes" : "no" },
+                 { "grants_returned", entry_->isDrained() ? "yes" : "no" } } });
+  }
+  admin_->stop();
+  callers_.reset();
+  upstream_.reset();
+  transport_->stop();
+  kernel_.stopAll();
+  writeLog({ LogSeverity::info, "process_stopped", {} });
+}
+
+void Process::send(control::Outgoing message)
+{
+  if (message.to == settings_.id) {
+    deliver({ message.to, incarnation_, message.channel, std::move(message.body) });
+    return;
+  }
+  transport_->send(message.to, message.channel, message.body);
+}
+
+void Process::deliver(transport::Received message)
+{
+  const bool forControl = message.channel == wire::Channel::replication ||
+                          message.channel == wire::Channel::ledger ||
+                          message.channel == wire::Channel::report;
+  const bool forEntry = message.channel != wire::Channel::replication;
+  if (control_ != nullptr && forControl) {
+    control_->post(message);
+  }
+  if (entry_ != nullptr && forEntry) {
+    entry_->post(std::move(message));
+  }
+}
+
+void Process::handle(gateway::CallerRequest request, std::shared_ptr<gateway::ResponseSink> sink)
+{
+  entry_->post(entry::CallerArrived{ std::move(request), std::move(sink) });
+}
+
+void Process::disconnected(const RequestId& request)
+{
+  entry_->post(entry::CallerGone{ request });
+}
+
+transport::PeerAddress Process::selfAddress() const
+{
+  return { settings_.id,
+           settings::toString(settings_.listen.peers),
+           settings_.zone,
+           settings_.roles.entry,
+           settings_.roles.control };
+}
+
+std::vector<transport::PeerAddress> Process::peerAddresses() const
+{
+  std::vector<transport::PeerAddress> result;
+  for (const auto& peer : settings_.peers) {
+    result.push_back({ peer.id,
+                       settings::toString(peer.address),
+                       peer.zone,
+                       peer.roles.entry,
+                       peer.roles.control });
+  }
+  return result;
+}
+
+admin::AdminOptions Process::adminOptions() const
+{
+  admin::AdminOptions options;
+  options.ip = settings_.listen.admin.ip;
+  options.port = settings_.listen.admin.port;
+  options.operatorKey = settings_.keys.operators;
+  options.endpointKey = settings_.keys.endpoint;
+  options.senderTimeout = settings_.limits.senderTimeout;
+  return options;
+}
+
+} // namespace figchuted
--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -273,8 +273,7 @@
     if (!member.voter) {
       using replication::MembershipChangeKind;
       // Refused until the learner has caught up; tried again at the next interval.
-      static_cast<void>(
-        node_.proposeMembership(now, { MembershipChangeKind::promote, member.id }));
+      static_cast<void>(node_.proposeMembership(now, { MembershipChangeKind::promote, member.id }));
       return;
     }
   }
--- a/modules/control/ControlService.cpp
+++ b/modules/control/ControlService.cpp
@@ -63,8 +63,7 @@
   void receive(Time now, Message message)
   {
     if (auto* received = std::get_if<transport::Received>(&message)) {
-      core_->receive(
-        now, received->from, received->incarnation, received->channel, received->body);
+      core_->receive(now, received->from, received->incarnation, received->channel, received->body);
       return;
     }
     std::get<ControlQuery>(message).look(now, *core_);
--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -6,6 +6,7 @@
 #include "core/Error.h"
 #include "core/Fingerprint.h"
 #include "core/Invariant.h"
+#include "core/LogEvent.h"
 #include "core/Metrics.h"
 #include "core/Random.h"
 #include "core/Types.h"
--- a/modules/entry/Coordinator.cpp
+++ b/modules/entry/Coordinator.cpp
@@ -159,9 +159,8 @@
     }
   }
   request.bound = service->cost;
-  request.content =
-    fingerprintOf(request.input.body,
-                  fingerprintOf(request.input.method + " " + name.value + plain->target));
+  request.content = fingerprintOf(
+    request.input.body, fingerprintOf(request.input.method + " " + name.value + plain->target));
   request.plain = std::move(plain);
   return {};
 }
@@ -245,6 +244,20 @@
   }
   sink.finish();
   parts_.metrics.count("answers");
+  logEnd(request, "answered", "none");
+}
+
+void Coordinator::logEnd(const Request& request,
+                         std::string_view event,
+                         std::string_view kind) const
+{
+  parts_.log({ LogSeverity::info,
+               event,
+               { { "request", request.input.id.value },
+                 { "workspace", request.caller.workspace.value },
+                 { "rank", std::string(toString(request.caller.rank)) },
+                 { "endpoint", request.endpoint.value },
+                 { "error", std::string(kind) } } });
 }
 
 void Coordinator::refuse(Time now,
@@ -264,6 +277,7 @@
   }
   releaseClaim(now, request);
   parts_.metrics.count("refused_" + std::string(errorTraits(final.kind).name));
+  logEnd(request, "refused", errorTraits(final.kind).name);
   request.sink->fail(final, delay, request.input.id);
   erase(request.input.id);
 }
--- a/modules/entry/Coordinator.h
+++ b/modules/entry/Coordinator.h
@@ -36,13 +36,14 @@
   routing::Router& router;
   UpstreamPort upstream;
   Metrics& metrics;
+  LogSink log;
 };
 
 /** Takes each request of a caller from its arrival to its last byte.
 
     Order for a model request: check, reserve tokens, queue, run, charge, send the last events once
-    the charge is recorded. For a non-repeatable plain call: check, reserve its cost, claim the key in
-    the log, queue, run once, record charge and outcome, answer.
+    the charge is recorded. For a non-repeatable plain call: check, reserve its cost, claim the key
+   in the log, queue, run once, record charge and outcome, answer.
 
     Thread safety: use one instance from one thread only. */
 class Coordinator
@@ -130,6 +131,7 @@
   void completePlain(Time now, Request& request);
 
   // End (Coordinator.cpp).
+  void logEnd(const Request& request, std::string_view event, std::string_view kind) const;
   void sendAnswer(Request& request);
   void refuse(Time now, Request& request, const Error& error, std::optional<Duration> delay = {});
   void erase(const RequestId& id);
--- a/modules/entry/CoordinatorLedger.cpp
+++ b/modules/entry/CoordinatorLedger.cpp
@@ -18,8 +18,7 @@
   }
   request.phase = Phase::reserving;
   decide(now,
-         parts_.wallet.reserve(
-           now, request.input.id, key, request.caller.budgets, request.bound));
+         parts_.wallet.reserve(now, request.input.id, key, request.caller.budgets, request.bound));
 }
 
 void Coordinator::decide(Time now, const ledger::Decision& decision)
@@ -151,8 +150,7 @@
   outcome.caller = request.caller.caller;
   outcome.key = request.input.idempotencyKey;
   outcome.request = request.input.id;
-  outcome.kind =
-    request.mayHaveRun ? ledger::OutcomeKind::unknown : ledger::OutcomeKind::notRun;
+  outcome.kind = request.mayHaveRun ? ledger::OutcomeKind::unknown : ledger::OutcomeKind::notRun;
   parts_.proposer.propose(now, outcome);
 }
 
@@ -196,9 +194,8 @@
       answerWhenRecorded(now, request);
     } else if (request.chargePending) {
       // The charge stays recorded at this VM; the caller must not take the answer for complete.
-      request.sink->fail(Error{ ErrorKind::outcomeUnknown, "the charge could not be recorded" },
-                         std::nullopt,
-                         id);
+      request.sink->fail(
+        Error{ ErrorKind::outcomeUnknown, "the charge could not be recorded" }, std::nullopt, id);
       erase(id);
     }
   }
--- a/modules/entry/CoordinatorRun.cpp
+++ b/modules/entry/CoordinatorRun.cpp
@@ -173,11 +173,12 @@
   const bool retryable = request.chat || request.plain->repeatable;
   if (isRefusedByLoad(head.status) && retryable) {
     cancelAttempt(request);
-    failAttempt(now,
-                request,
-                Error{ ErrorKind::overloaded,
-                       fmt::format("endpoint {} answered {}", request.endpoint.value, head.status) },
-                routing::AttemptFailure::notRun);
+    failAttempt(
+      now,
+      request,
+      Error{ ErrorKind::overloaded,
+             fmt::format("endpoint {} answered {}", request.endpoint.value, head.status) },
+      routing::AttemptFailure::notRun);
     return;
   }
   request.mayHaveRun = true;
@@ -315,8 +316,7 @@
   crashes_.count(now, request.content);
   parts_.metrics.count("endpoint_crashes_seen");
   parts_.proposer.propose(
-    now,
-    ledger::CrashReport{ parts_.self, request.input.id, request.endpoint, request.content });
+    now, ledger::CrashReport{ parts_.self, request.input.id, request.endpoint, request.content });
 }
 
 void Coordinator::failAttempt(Time now,
--- a/modules/entry/Directory.h
+++ b/modules/entry/Directory.h
@@ -35,7 +35,8 @@
       @param metrics    counts skipped documents */
   static Directory build(std::span<const ledger::TeamDocument> documents, Metrics& metrics);
 
-  /** Returns the caller with that key, or nullptr. The pointer is valid as long as the directory. */
+  /** Returns the caller with that key, or nullptr. The pointer is valid as long as the directory.
+   */
   [[nodiscard]] const CallerEntry* findCaller(std::string_view key) const;
 
   /** Returns the model of a team, or nullptr. */
--- a/modules/entry/EntryHandler.cpp
+++ b/modules/entry/EntryHandler.cpp
@@ -56,7 +56,8 @@
                       startCall(std::move(call), attempt);
                     },
                      [this](const RequestId& id) { environment_.cancelCall(id); } },
-                   *environment_.metrics })
+                   *environment_.metrics,
+                   environment_.log })
 {
 }
 
@@ -128,9 +129,8 @@
 void EntryHandler::handle(Time now, CallerArrived& message)
 {
   if (draining_) {
-    message.sink->fail(Error{ ErrorKind::shuttingDown, "this VM is stopping" },
-                       std::nullopt,
-                       message.request.id);
+    message.sink->fail(
+      Error{ ErrorKind::shuttingDown, "this VM is stopping" }, std::nullopt, message.request.id);
     return;
   }
   coordinator_.arrive(now, std::move(message.request), std::move(message.sink));
@@ -173,6 +173,7 @@
     case wire::Channel::replication:
       return;
   }
+  environment_.metrics->count("peer_messages_malformed");
 }
 
 void EntryHandler::handleLedger(Time now, const transport::Received& message)
@@ -243,6 +244,9 @@
   }
   publishDocuments();
   environment_.metrics->count("documents_taken");
+  environment_.log({ LogSeverity::info,
+                     "documents_in_force",
+                     { { "revision", std::to_string(documents_.revision()) } } });
   if (disk_) {
     disk_->post(SaveDocuments{ documents_.encode() });
   }
@@ -342,10 +346,9 @@
 void EntryHandler::startCall(gateway::UpstreamCall call, std::uint32_t attempt)
 {
   const RequestId request = call.request;
-  environment_.startCall(std::move(call),
-                         [this, request, attempt](gateway::UpstreamEvent event) {
-                           poster_(UpstreamArrived{ request, attempt, std::move(event) });
-                         });
+  environment_.startCall(std::move(call), [this, request, attempt](gateway::UpstreamEvent event) {
+    poster_(UpstreamArrived{ request, attempt, std::move(event) });
+  });
 }
 
 EntryDump EntryHandler::dump(Time now) const
--- a/modules/entry/EntryHandler.h
+++ b/modules/entry/EntryHandler.h
@@ -14,8 +14,8 @@
 namespace figchute::entry {
 
 /** Connects the decision cores of an entry VM and hands each message to the core it is for.
-    Thread safety: receive() and settle() are called from the task's thread; the other methods before
-    the task starts or after it has stopped, but for isDrained(). */
+    Thread safety: receive() and settle() are called from the task's thread; the other methods
+   before the task starts or after it has stopped, but for isDrained(). */
 class EntryHandler
 {
 public:
--- a/modules/entry/EntryService.h
+++ b/modules/entry/EntryService.h
@@ -130,6 +130,7 @@
     /** Is told of an error after which the process must end. */
     std::function<void(const Error&)> failed;
     Metrics* metrics = nullptr;
+    LogSink log;
   };
 
   /** The name under which the kernel finds the service. */
--- a/modules/kernel/Task.h
+++ b/modules/kernel/Task.h
@@ -28,8 +28,9 @@
 };
 
 /** A thread with a mailbox that owns the state of its handler.
-    Thread safety: post() is safe from any thread; start() and stop() are called from one thread. */
-template<TaskHandler H>
+    Thread safety: post() is safe from any thread; start() and stop() are called from one thread.
+    @tparam H  a TaskHandler; it may be incomplete where Task<H> is only named */
+template<typename H>
 class Task
 {
 public:
@@ -41,6 +42,7 @@
   explicit Task(H& handler)
     : handler_(handler)
   {
+    static_assert(TaskHandler<H>);
   }
 
   ~Task() { stop(); }
