--- /dev/null
+++ b/tools/figchute-measure/FifoRandomRouter.cpp
@@ -0,0 +1,83 @@
+#include "FifoRandomRouter.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace figchute::measure {
+namespace {
+
+constexpr std::uint32_t kMostAttempts = 3;
+
+} // namespace
+
+Expected<routing::Dispatch> FifoRandomRouter::start(Job& job)
+{
+  std::vector<std::uint32_t> open;
+  for (const auto place : registry_.serving(job.work.model)) {
+    if (!registry_.at(place).latest.leaving) {
+      open.push_back(place);
+    }
+  }
+  if (open.empty() || job.attempts >= kMostAttempts) {
+    return fail(ErrorKind::noEndpoint, "no endpoint or attempt left");
+  }
+  const auto& endpoint = registry_.at(open[random_.below(open.size())]).latest;
+  routing::Dispatch dispatch;
+  dispatch.id = job.work.id;
+  dispatch.endpoint = endpoint.id;
+  dispatch.rank = job.work.rank;
+  dispatch.attempt = ++job.attempts;
+  dispatch.resumeAfter = job.generated;
+  return dispatch;
+}
+
+tl::expected<routing::Accepted, routing::Refusal> FifoRandomRouter::submit(Time /*now*/,
+                                                                           routing::Work work)
+{
+  const RequestId id = work.id;
+  auto& job = jobs_[id];
+  job.work = std::move(work);
+  auto dispatch = start(job);
+  if (!dispatch) {
+    jobs_.erase(id);
+    routing::Refusal refusal;
+    refusal.kind = dispatch.error().kind;
+    return tl::unexpected<routing::Refusal>(refusal);
+  }
+  actions_.emplace_back(*dispatch);
+  return routing::Accepted{};
+}
+
+void FifoRandomRouter::progress(Time /*now*/, const RequestId& id, Tokens tokens)
+{
+  auto& job = jobs_.at(id);
+  job.generated = std::max(job.generated, tokens);
+}
+
+Expected<routing::Dispatch> FifoRandomRouter::retry(Time /*now*/,
+                                                    const RequestId& id,
+                                                    routing::AttemptFailure /*failure*/)
+{
+  auto dispatch = start(jobs_.at(id));
+  if (!dispatch) {
+    jobs_.erase(id);
+  }
+  return dispatch;
+}
+
+void FifoRandomRouter::announce(Time now, routing::Announcement announcement)
+{
+  registry_.announce(now, std::move(announcement));
+}
+
+void FifoRandomRouter::receive(Time now, const ProcessId& from, const routing::Message& message)
+{
+  if (const auto* delta = std::get_if<routing::RegistryDelta>(&message)) {
+    registry_.receive(now, from, *delta);
+  } else if (const auto* request = std::get_if<routing::RegistryRequest>(&message)) {
+    registry_.receive(now, from, *request);
+  }
+}
+
+} // namespace figchute::measure
--- /dev/null
+++ b/tools/figchute-measure/FifoRandomRouter.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/Random.h"
+#include "routing/EndpointRegistry.h"
+#include "routing/Router.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace figchute::measure {
+
+/** The baseline `fifo_random`: sends each request at once to a random live endpoint, which serves
+   its line in order of arrival. It has the calls of routing::Router that the experiments use, and
+   the same registry; it knows no ranks, shares, limits or early refusals. Thread safety: use one
+   instance from one thread only. */
+class FifoRandomRouter
+{
+public:
+  explicit FifoRandomRouter(routing::RouterOptions options)
+    : random_(options.seed)
+  {
+  }
+
+  void setPolicy(const routing::Policy& /*policy*/) {}
+  void setPeers(routing::Peers peers) { registry_.setPeers(std::move(peers)); }
+  tl::expected<routing::Accepted, routing::Refusal> submit(Time now, routing::Work work);
+  void tick(Time now) { registry_.tick(now); }
+  std::vector<routing::Action> takeDispatches() { return std::exchange(actions_, {}); }
+  void firstToken(Time /*now*/, const RequestId& /*id*/) {}
+  void progress(Time now, const RequestId& id, Tokens tokens);
+  void finished(Time /*now*/, const RequestId& id, routing::Outcome /*outcome*/)
+  {
+    jobs_.erase(id);
+  }
+  void cancelled(Time /*now*/, const RequestId& /*id*/) {}
+  Expected<routing::Dispatch> retry(Time now, const RequestId& id, routing::AttemptFailure failure);
+  void announce(Time now, routing::Announcement announcement);
+  void receive(Time now, const ProcessId& from, const routing::Message& message);
+  std::vector<routing::Outgoing> takeOutgoing() { return registry_.takeOutgoing(); }
+
+private:
+  struct Job
+  {
+    routing::Work work;
+    std::uint32_t attempts = 0;
+    Tokens generated;
+  };
+
+  Expected<routing::Dispatch> start(Job& job);
+
+  Random random_;
+  routing::EndpointRegistry registry_;
+  std::map<RequestId, Job> jobs_;
+  std::vector<routing::Action> actions_;
+};
+
+} // namespace figchute::measure
--- a/tools/figchute-measure/main.cpp
+++ b/tools/figchute-measure/main.cpp
@@ -1,6 +1,7 @@
 /** figchute-measure: experiments in virtual time over the real decision modules. */
 
 #include "LedgerExperiments.h"
+#include "RoutingExperiments.h"
 #include "RowWriter.h"
 
 #include <iostream>
@@ -28,5 +29,8 @@
   if (part != "routing") {
     figchute::measure::runLedgerExperiments(rows);
   }
+  if (part != "ledger") {
+    figchute::measure::runRoutingExperiments(rows);
+  }
   return 0;
 }
