gateway: add the callers' server, the upstream pool and the chat formats

Cause: the entry daemon needs HTTP towards callers and endpoints. Change: CallerServer on Boost.Beast, UpstreamPool on cxxtools::http::Client, ChatRequest, ChatChunk, WholeAnswer.

--- /dev/null
+++ b/modules/gateway/AnswerSink.cpp
@@ -0,0 +1,79 @@
+#include "gateway/AnswerSink.h"
+
+#include "gateway/ServerConnection.h"
+
+#include <utility>
+
+namespace figchute::gateway::detail {
+
+AnswerSink::AnswerSink(std::shared_ptr<ServerConnection> connection, std::uint64_t sequence)
+  : connection_(std::move(connection))
+  , sequence_(sequence)
+{
+}
+
+AnswerSink::~AnswerSink()
+{
+  if (!ended_) {
+    connection_->post([sequence = sequence_](ServerConnection& connection) {
+      connection.fail(
+        sequence, { ErrorKind::internal, "the request was dropped without an answer" }, {}, {});
+    });
+  }
+}
+
+void AnswerSink::begin(int status, Headers headers, bool streaming)
+{
+  streaming_ = streaming;
+  connection_->post(
+    [sequence = sequence_, status, headers = std::move(headers), streaming](
+      ServerConnection& connection) { connection.begin(sequence, status, headers, streaming); });
+}
+
+bool AnswerSink::write(std::string bytes)
+{
+  if (!isOpen()) {
+    return false;
+  }
+  if (streaming_ && connection_->pendingBytes() > connection_->limits().maxPendingBytes) {
+    connection_->post(
+      [sequence = sequence_](ServerConnection& connection) { connection.abortAnswer(sequence); });
+    return false;
+  }
+  connection_->addPosted(bytes.size());
+  connection_->post(
+    [sequence = sequence_, bytes = std::move(bytes)](ServerConnection& connection) mutable {
+      connection.write(sequence, std::move(bytes));
+    });
+  return true;
+}
+
+void AnswerSink::finish()
+{
+  ended_ = true;
+  connection_->post(
+    [sequence = sequence_](ServerConnection& connection) { connection.finish(sequence); });
+}
+
+void AnswerSink::fail(const Error& error,
+                      std::optional<Duration> retryDelay,
+                      const RequestId& request)
+{
+  ended_ = true;
+  connection_->post(
+    [sequence = sequence_, error, retryDelay, request](ServerConnection& connection) {
+      connection.fail(sequence, error, retryDelay, request);
+    });
+}
+
+bool AnswerSink::isOpen() const
+{
+  return !ended_ && connection_->isRunning(sequence_);
+}
+
+std::size_t AnswerSink::pendingBytes() const
+{
+  return connection_->pendingBytes();
+}
+
+} // namespace figchute::gateway::detail
--- /dev/null
+++ b/modules/gateway/AnswerSink.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gateway/ResponseSink.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace figchute::gateway::detail {
+
+class ServerConnection;
+
+/** The ResponseSink of one request on a ServerConnection. */
+class AnswerSink : public ResponseSink
+{
+public:
+  AnswerSink(std::shared_ptr<ServerConnection> connection, std::uint64_t sequence);
+  ~AnswerSink() override;
+
+  void begin(int status, Headers headers, bool streaming) override;
+  bool write(std::string bytes) override;
+  void finish() override;
+  void fail(const Error& error,
+            std::optional<Duration> retryDelay,
+            const RequestId& request) override;
+  [[nodiscard]] bool isOpen() const override;
+  [[nodiscard]] std::size_t pendingBytes() const override;
+
+private:
+  std::shared_ptr<ServerConnection> connection_;
+  std::uint64_t sequence_;
+  std::atomic<bool> streaming_{ false };
+  std::atomic<bool> ended_{ false };
+};
+
+} // namespace figchute::gateway::detail
--- /dev/null
+++ b/modules/gateway/ChatChunk.cpp
@@ -0,0 +1,140 @@
+#include "gateway/ChatChunk.h"
+
+#include "gateway/JsonText.h"
+#include "json/json.h"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace figchute::gateway {
+namespace {
+
+auto bad(std::string_view detail)
+{
+  return fail(ErrorKind::endpointFailed, fmt::format("an event of the answer {}", detail));
+}
+
+std::string textOf(const json::Value* value)
+{
+  const auto* text = value == nullptr ? nullptr : value->asString();
+  return text == nullptr ? "" : *text;
+}
+
+bool isGiven(const json::Value* value)
+{
+  return value != nullptr && !value->isNull();
+}
+
+Expected<std::optional<ChatUsage>> usageOf(const json::Value* value)
+{
+  if (!isGiven(value)) {
+    return std::nullopt;
+  }
+  const auto count = [&](std::string_view name) {
+    const auto* number = value->find(name);
+    return number == nullptr ? std::optional<std::int64_t>() : number->asInteger();
+  };
+  const auto prompt = count("prompt_tokens");
+  const auto completion = count("completion_tokens").value_or(0);
+  if (!prompt || *prompt < 0 || completion < 0) {
+    return bad("has a bad usage");
+  }
+  return ChatUsage{ Tokens{ *prompt }, Tokens{ completion } };
+}
+
+Expected<void> readChoice(const json::Value& choice, ChatChunk& chunk)
+{
+  const auto* index = choice.find("index");
+  if (index != nullptr && index->asInteger() != 0) {
+    return bad("has a choice other than the first");
+  }
+  const auto* delta = choice.find("delta");
+  const auto* content = delta == nullptr ? nullptr : delta->find("content");
+  if (isGiven(content) && content->asString() == nullptr) {
+    return bad("has a delta that is not text");
+  }
+  chunk.text += textOf(content);
+  if (const auto* reason = choice.find("finish_reason"); isGiven(reason)) {
+    chunk.finishReason = textOf(reason);
+  }
+  return {};
+}
+
+} // namespace
+
+Expected<ChatChunk> ChatChunk::parse(std::string_view data)
+{
+  const auto root = json::parse(data);
+  if (!root || root->asObject() == nullptr) {
+    return bad("is not a JSON object");
+  }
+  if (const auto* error = root->find("error"); isGiven(error)) {
+    return bad("is an error: " + textOf(error->find("message")));
+  }
+  ChatChunk chunk;
+  chunk.id = textOf(root->find("id"));
+  chunk.model = textOf(root->find("model"));
+  if (const auto* created = root->find("created")) {
+    chunk.created = created->asInteger().value_or(0);
+  }
+  auto usage = usageOf(root->find("usage"));
+  if (!usage) {
+    return tl::unexpected(usage.error());
+  }
+  chunk.usage = *usage;
+  const auto* choices = root->find("choices");
+  const auto* list = choices == nullptr ? nullptr : choices->asArray();
+  if (list == nullptr) {
+    return bad("has no choices");
+  }
+  for (const auto& choice : *list) {
+    if (auto step = readChoice(choice, chunk); !step) {
+      return tl::unexpected(step.error());
+    }
+  }
+  return chunk;
+}
+
+std::string ChatChunk::toEvent(bool first) const
+{
+  std::string event = R"(data: {"id":)";
+  event.reserve(text.size() + 256);
+  appendJsonString(event, id);
+  event += fmt::format(R"(,"object":"chat.completion.chunk","created":{},"model":)", created);
+  appendJsonString(event, model);
+  event += R"(,"choices":[)";
+  if (first || !text.empty() || finishReason) {
+    event += R"({"index":0,"delta":{)";
+    event += first ? R"("role":"assistant","content":)" : "";
+    if (!first && !text.empty()) {
+      event += R"("content":)";
+    }
+    if (first || !text.empty()) {
+      appendJsonString(event, text);
+    }
+    event += R"(},"finish_reason":)";
+    if (finishReason) {
+      appendJsonString(event, *finishReason);
+    } else {
+      event += "null";
+    }
+    event += '}';
+  }
+  event += ']';
+  if (usage) {
+    event +=
+      fmt::format(R"(,"usage":{{"prompt_tokens":{},"completion_tokens":{},"total_tokens":{}}})",
+                  usage->prompt.count,
+                  usage->completion.count,
+                  usage->prompt.count + usage->completion.count);
+  }
+  event += "}\n\n";
+  return event;
+}
+
+std::string streamEndEvent()
+{
+  return fmt::format("data: {}\n\n", kStreamEnd);
+}
+
+} // namespace figchute::gateway
--- a/tools/figchute-standin/Standin.h
+++ b/tools/figchute-standin/Standin.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace figchute::standin {
@@ -67,7 +68,11 @@
     std::string method;
     std::string target;
     std::string body;
-    auto operator<=>(const RunKey&) const = default;
+
+    bool operator<(const RunKey& other) const
+    {
+      return std::tie(method, target, body) < std::tie(other.method, other.target, other.body);
+    }
   };
 
   void accept();
