--- a/modules/document/Parser.h
+++ b/modules/document/Parser.h
@@ -12,9 +12,9 @@
 using ini::Fault;
 using ini::Faults;
 
-/** Largest amount of tokens in a document. A thousand teams with this amount in each of a thousand
-    budgets stay below 2^63 in sum. */
-constexpr Tokens kMaxTokens{ 1'000'000'000'000 };
+/** Largest amount of tokens in one budget. The 960,000 budgets of the design size sum to less than
+    2^63 even if each has this amount. */
+constexpr Tokens kMaxTokens{ 9'000'000'000'000 };
 
 /** Reads and validates a team document: names, ranges, references, unknown sections and keys,
     repeated sections and keys, and caller keys that occur twice.
--- a/modules/ini/ini.h
+++ b/modules/ini/ini.h
@@ -5,3 +5,4 @@
 
 #include "ini/Fault.h"
 #include "ini/IniFile.h"
+#include "ini/SectionReader.h"
