gateway: pass the header X-Figchute-Rank to the handler

Cause: a caller's document rank is only its default; a request needs a way to name its rank. Change: CallerRequest::rank.

--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -207,6 +207,7 @@
   request_.target = std::string(head.target());
   request_.authorization = valueOf("Authorization");
   request_.idempotencyKey = valueOf("Idempotency-Key");
+  request_.rank = valueOf("X-Figchute-Rank");
   request_.callerRequestId = valueOf("X-Request-Id");
   request_.contentType = valueOf("Content-Type");
   keepAlive_ = head.keep_alive();
