Add the fleet harness for process tests and the demo

Cause: process tests and the demo start the same daemons and stand-ins. Conclusion: everything that is started is stopped by process id.

--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,326 @@
+"""Starts real daemons and stand-in endpoints on loopback for process tests and the demo.
+
+Everything that is started is stopped by process id when the fleet is closed; nothing outlives it.
+"""
+
+import http.client
+import json
+import os
+import shutil
+import signal
+import subprocess
+import tempfile
+import time
+
+OPERATOR_KEY = "operator-key-for-tests"
+ENDPOINT_KEY = "endpoint-key-for-tests"
+PEER_KEY = "peer-key-for-tests"
+START_LIMIT_S = 15
+
+DOCUMENT = """[team]
+name = hive
+deployment = test
+
+[rank.urgent]
+target_ms = 2000
+worth = 10
+
+[rank.prompt]
+target_ms = 4000
+worth = 3
+
+[rank.batch]
+target_ms = 60000
+worth = 1
+
+[model.swarm]
+min_bytes_per_token = 1
+max_output_tokens = 512
+
+[service.dispatch]
+kind = plain
+repeatable = /stock,/prices
+cost = 0
+
+[workspace.north]
+bought = {bought}
+
+[workspace.south]
+bought = {bought}
+
+[caller.keeper]
+workspace = north
+key = key-keeper-0001
+rank = urgent
+
+[caller.report]
+workspace = south
+key = key-report-0001
+rank = batch
+"""
+
+
+def document(bought=1_000_000):
+    return DOCUMENT.format(bought=bought)
+
+
+class Answer:
+    """One HTTP answer, read whole."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = {name.lower(): value for name, value in headers}
+        self.body = body
+
+    def json(self):
+        return json.loads(self.body)
+
+    def error(self):
+        return self.headers.get("x-figchute-error", "")
+
+
+def request(port, method, path, body=None, headers=None, timeout=15):
+    """Sends one HTTP request on a connection of its own."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return Answer(response.status, response.getheaders(), response.read().decode())
+    finally:
+        connection.close()
+
+
+def events_of(text):
+    """Returns the data of the server-sent events in a stream."""
+    return [line[6:] for line in text.splitlines() if line.startswith("data: ")]
+
+
+def text_of(stream):
+    """Joins the generated text of a streamed answer."""
+    text = ""
+    for data in events_of(stream):
+        if data == "[DONE]":
+            continue
+        for choice in json.loads(data).get("choices", []):
+            text += choice.get("delta", {}).get("content") or ""
+    return text
+
+
+def wait_until(check, limit=START_LIMIT_S, what="condition"):
+    """Polls until check() returns a true value; an exception counts as false."""
+    deadline = time.monotonic() + limit
+    last = None
+    while time.monotonic() < deadline:
+        try:
+            value = check()
+            if value:
+                return value
+        except (OSError, KeyError, ValueError, http.client.HTTPException) as error:
+            last = error
+        time.sleep(0.05)
+    raise AssertionError(f"timed out waiting for {what}: {last}")
+
+
+class Daemon:
+    """One figchuted with its settings."""
+
+    def __init__(self, fleet, index, zone, roles):
+        self.fleet = fleet
+        self.id = f"vm{index}"
+        self.zone = zone
+        self.roles = roles
+        base = fleet.base_port + 10 * index
+        self.callers_port, self.admin_port, self.peers_port = base, base + 1, base + 2
+        self.folder = os.path.join(fleet.folder, self.id)
+        self.config = os.path.join(fleet.folder, f"{self.id}.ini")
+        self.log_path = os.path.join(fleet.folder, f"{self.id}.log")
+        self.process = None
+
+    def write_settings(self, peers):
+        lines = ["[process]", f"id = {self.id}", f"zone = {self.zone}",
+                 f"roles = {self.roles}", f"data_dir = {self.folder}", "log_level = info",
+                 "", "[listen]", f"callers = 127.0.0.1:{self.callers_port}",
+                 f"admin = 127.0.0.1:{self.admin_port}", f"peers = 127.0.0.1:{self.peers_port}",
+                 "", "[peers]"]
+        for peer in peers:
+            roles = peer.roles.replace(",", "+")
+            lines.append(f"{peer.id} = 127.0.0.1:{peer.peers_port} {peer.zone} {roles}")
+        lines += ["", "[keys]", f"operator = {OPERATOR_KEY}", f"endpoint = {ENDPOINT_KEY}",
+                  f"peer = {PEER_KEY}", "", "[limits]", "shutdown_s = 10", ""]
+        with open(self.config, "w", encoding="utf-8") as file:
+            file.write("\n".join(lines))
+
+    def start(self):
+        with open(self.log_path, "a", encoding="utf-8") as log:
+            self.process = subprocess.Popen(
+                [self.fleet.program("figchuted"), "--config", self.config],
+                stdout=log, stderr=log, cwd=self.fleet.folder)
+
+    def stop(self, how=signal.SIGTERM, limit=20):
+        """Sends a signal and waits. Returns the exit status."""
+        if self.process is None:
+            return None
+        self.process.send_signal(signal.SIGCONT)
+        self.process.send_signal(how)
+        try:
+            status = self.process.wait(limit)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            status = self.process.wait()
+        self.process = None
+        return status
+
+    def kill(self):
+        return self.stop(signal.SIGKILL)
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8") as file:
+            return file.read()
+
+    def admin(self, method, path, body=None, key=OPERATOR_KEY):
+        return request(self.admin_port, method, path, body, {"Authorization": f"Bearer {key}"})
+
+    def dump(self):
+        return self.admin("GET", "/v1/dump").json()
+
+    def counters(self):
+        rows = self.admin("GET", "/v1/metrics").json()["counters"]
+        return {row["counter"]: row["value"] for row in rows}
+
+    def chat(self, text, key="key-keeper-0001", idempotency=None, stream=True, max_tokens=64,
+             timeout=20):
+        headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        if idempotency:
+            headers["Idempotency-Key"] = idempotency
+        body = {"model": "swarm", "max_tokens": max_tokens, "stream": stream,
+                "messages": [{"role": "user", "content": text}]}
+        if stream:
+            body["stream_options"] = {"include_usage": True}
+        return request(self.callers_port, "POST", "/v1/chat/completions", json.dumps(body),
+                       headers, timeout)
+
+    def plain(self, path, method="GET", body=None, idempotency=None, key="key-keeper-0001"):
+        headers = {"Authorization": f"Bearer {key}"}
+        if idempotency:
+            headers["Idempotency-Key"] = idempotency
+        return request(self.callers_port, method, f"/services/dispatch{path}", body, headers)
+
+
+class Standin:
+    """One figchute-standin."""
+
+    def __init__(self, fleet, name, port, zone, arguments):
+        self.name, self.port, self.zone = name, port, zone
+        announce = ",".join(f"127.0.0.1:{daemon.admin_port}" for daemon in fleet.daemons
+                            if daemon.zone == zone or len(fleet.daemons) == 1)
+        announce = announce or f"127.0.0.1:{fleet.daemons[0].admin_port}"
+        self.arguments = [fleet.program("figchute-standin"), "--id", name, "--listen",
+                          f"127.0.0.1:{port}", "--zone", zone, "--announce", announce,
+                          "--endpoint-key", ENDPOINT_KEY, "--stop-after", "170", *arguments]
+        self.log_path = os.path.join(fleet.folder, f"{name}.log")
+        self.process = None
+
+    def start(self):
+        with open(self.log_path, "a", encoding="utf-8") as log:
+            self.process = subprocess.Popen(self.arguments, stdout=log, stderr=log)
+
+    def stop(self, how=signal.SIGTERM):
+        if self.process is not None:
+            self.process.send_signal(how)
+            self.process.wait(10)
+            self.process = None
+
+    def command(self, command, **parameters):
+        body = json.dumps({"command": command, **parameters})
+        return request(self.port, "POST", "/standin", body)
+
+    def runs(self):
+        return request(self.port, "GET", "/standin/runs").json()
+
+
+class Fleet:
+    """Daemons and stand-ins in one temporary folder; use it in a with statement."""
+
+    def __init__(self, build, base_port, zones=("a", "b", "c"), roles="entry,control"):
+        self.build = os.path.abspath(build)
+        self.base_port = base_port
+        self.folder = tempfile.mkdtemp(prefix="figchute-")
+        self.daemons = [Daemon(self, index, zone, roles) for index, zone in enumerate(zones)]
+        self.standins = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, trace):
+        for standin in self.standins:
+            standin.stop(signal.SIGKILL)
+        for daemon in self.daemons:
+            daemon.kill()
+        if kind is not None:
+            for daemon in self.daemons:
+                print(f"--- last log lines of {daemon.id}")
+                print("\n".join(daemon.log().splitlines()[-15:]) if
+                      os.path.exists(daemon.log_path) else "no log")
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def program(self, name):
+        return os.path.join(self.build, name)
+
+    def start(self):
+        for daemon in self.daemons:
+            daemon.write_settings(self.daemons)
+            daemon.start()
+        wait_until(lambda: self.leader(), what="a leader")
+
+    def leader(self):
+        """Returns the daemon that leads the log, or None."""
+        for daemon in self.daemons:
+            if daemon.process is None:
+                continue
+            try:
+                if daemon.dump().get("log", {}).get("role") == "leader":
+                    return daemon
+            except (OSError, ValueError, http.client.HTTPException):
+                continue
+        return None
+
+    def add_model(self, name, zone, *arguments):
+        return self._add(name, zone, ["--kind", "model", "--models", "swarm", *arguments])
+
+    def add_plain(self, name, zone, *arguments):
+        return self._add(name, zone, ["--kind", "plain", "--service", "dispatch", *arguments])
+
+    def _add(self, name, zone, arguments):
+        port = self.base_port + 500 + len(self.standins)
+        standin = Standin(self, name, port, zone, arguments)
+        self.standins.append(standin)
+        standin.start()
+        return standin
+
+    def apply(self, text, base=0, change="change-1", daemon=None):
+        daemon = daemon or self.daemons[0]
+        return daemon.admin("POST", f"/v1/documents/hive?base={base}&change={change}", text)
+
+    def wait_ready(self, revision=1, endpoints=1):
+        """Waits until every daemon has the documents, its wallet and the endpoints."""
+        def ready(daemon):
+            dump = daemon.dump()
+            return (dump["revision"] >= revision and dump["wallet_ready"]
+                    and len(dump["routing"]["endpoints"]) >= endpoints)
+        for daemon in self.daemons:
+            if daemon.process is not None:
+                wait_until(lambda daemon=daemon: ready(daemon), what=f"{daemon.id} to be ready")
+
+    def spend(self, daemon=None):
+        """Returns the budgets by name as the leader reports them."""
+        daemon = daemon or next(d for d in self.daemons if d.process is not None)
+        rows = daemon.admin("GET", "/v1/spend").json()["budgets"]
+        return {row["budget"]: row for row in rows}
+
+    def settled(self, budget, daemon=None):
+        return self.spend(daemon)[budget]["settled"]
+
+
+def unix_key(suffix):
+    """Returns an idempotency key that carries the current time."""
+    return f"{int(time.time())}-{suffix}"
