--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -117,9 +117,6 @@
   /** Larger than in every earlier request of this holder. Control answers a repeated sequence
       without granting again. */
   std::uint64_t sequence = 0;
-  /** Names the holder's account of this budget; an account that is closed and opened again has a
-      larger number. */
-  std::uint64_t opened = 0;
   /** The shortfall of all waiting requests. */
   Tokens want;
   /** The smallest shortfall of a waiting request; granted alone when `want` does not fit. */
@@ -127,7 +124,7 @@
   /** What the holder expects to reserve soon; granted when the budget has plenty. */
   Tokens demand;
 
-  MSGPACK_DEFINE(budget, sequence, opened, want, minimum, demand)
+  MSGPACK_DEFINE(budget, sequence, want, minimum, demand)
 };
 
 /** Asks for grants. Idempotent by (holder, budget, sequence). */
@@ -144,16 +141,14 @@
 {
   BudgetId budget;
   std::uint64_t sequence = 0;
-  /** The account that the total belongs to. */
-  std::uint64_t opened = 0;
-  /** The cumulative total granted to this account. */
+  /** The cumulative total granted to the holder since its account was opened. */
   Tokens granted;
   /** The amount that is still free after the grant. */
   Tokens free;
   /** True when the budget runs low: the holder returns what it does not need at once. */
   bool scarce = false;
 
-  MSGPACK_DEFINE(budget, sequence, opened, granted, free, scarce)
+  MSGPACK_DEFINE(budget, sequence, granted, free, scarce)
 };
 
 /** The outcome of Grant. */
@@ -179,14 +174,13 @@
 struct AccountTotals
 {
   BudgetId budget;
-  std::uint64_t opened = 0;
   /** Bills of requests without a key. Keyed bills are reported as KeyedCharge. */
   Tokens charged;
   Tokens returned;
   std::vector<PeerTotal> transferredIn;
   std::vector<PeerTotal> transferredOut;
 
-  MSGPACK_DEFINE(budget, opened, charged, returned, transferredIn, transferredOut)
+  MSGPACK_DEFINE(budget, charged, returned, transferredIn, transferredOut)
 };
 
 /** The bill of one attempt of a keyed request. */
@@ -211,7 +205,8 @@
   std::uint64_t sequence = 0;
   std::vector<AccountTotals> totals;
   std::vector<KeyedCharge> keyed;
-  /** Accounts that hold nothing and that the holder wants to forget. */
+  /** Accounts that hold nothing and that the holder wants to forget. A later grant opens a new
+      account whose totals start at 0. */
   std::vector<BudgetId> closing;
 
   MSGPACK_DEFINE(holder, sequence, totals, keyed, closing)
--- /dev/null
+++ b/modules/ledger/DocumentBook.cpp
@@ -0,0 +1,51 @@
+#include "ledger/DocumentBook.h"
+
+#include <fmt/format.h>
+
+namespace figchute::ledger::detail {
+
+DocumentResult DocumentBook::apply(Time time, const ApplyDocument& command, EscrowBook& escrow)
+{
+  const ChangeName name{ command.team, command.change };
+  const auto known = outcomes_.find(name);
+  if (known != outcomes_.end()) {
+    return known->second.result;
+  }
+  const auto result = decide(time, command, escrow);
+  outcomes_.emplace(name, ChangeOutcome{ time, result });
+  ages_.push_back(name);
+  return result;
+}
+
+DocumentResult DocumentBook::decide(Time time, const ApplyDocument& command, EscrowBook& escrow)
+{
+  const auto found = documents_.find(command.team);
+  const auto current = found == documents_.end() ? 0 : found->second.version;
+  if (command.baseVersion != current) {
+    const auto detail = fmt::format(
+      "document {} is at version {}, not {}", command.team.value, current, command.baseVersion);
+    return { Verdict{ ErrorKind::versionConflict, detail }, current, revision_ };
+  }
+  if (const auto fault = escrow.checkPurchases(command.team, command.purchases)) {
+    return { Verdict{ fault->kind, fault->detail }, current, revision_ };
+  }
+  escrow.applyPurchases(command.purchases);
+  auto& document = documents_[command.team];
+  document.version = current + 1;
+  document.revision = ++revision_;
+  document.history.push_back({ document.version, command.change, time, command.text });
+  if (document.history.size() > kHistoryTexts) {
+    document.history.pop_front();
+  }
+  return { Verdict{}, document.version, revision_ };
+}
+
+void DocumentBook::expire(Time time)
+{
+  while (!ages_.empty() && outcomes_.at(ages_.front()).time + kKeyRetention < time) {
+    outcomes_.erase(ages_.front());
+    ages_.pop_front();
+  }
+}
+
+} // namespace figchute::ledger::detail
--- /dev/null
+++ b/modules/ledger/DocumentBook.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "ledger/ControlState.h"
+#include "ledger/EscrowBook.h"
+
+#include <deque>
+#include <map>
+
+namespace figchute::ledger::detail {
+
+/** One accepted version. */
+struct Version
+{
+  std::uint64_t number = 0;
+  ChangeId change;
+  Time time;
+  std::string text;
+
+  MSGPACK_DEFINE(number, change, time, text)
+};
+
+/** The first outcome of a change id. */
+struct ChangeOutcome
+{
+  Time time;
+  DocumentResult result;
+
+  MSGPACK_DEFINE(time, result)
+};
+
+/** A team's document with its history, oldest version first. */
+struct Document
+{
+  std::uint64_t version = 0;
+  std::uint64_t revision = 0;
+  std::deque<Version> history;
+
+  MSGPACK_DEFINE(version, revision, history)
+};
+
+/** A change of one team. */
+using ChangeName = std::pair<TeamId, ChangeId>;
+
+/** Documents, their history and the outcomes of changes.
+    Thread safety: use one instance from one thread only. */
+class DocumentBook
+{
+public:
+  DocumentResult apply(Time time, const ApplyDocument& command, EscrowBook& escrow);
+
+  /** Forgets outcomes of changes that are older than keyRetention. */
+  void expire(Time time);
+
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  [[nodiscard]] const std::map<TeamId, Document>& documents() const { return documents_; }
+
+  MSGPACK_DEFINE(revision_, documents_, outcomes_, ages_)
+
+private:
+  DocumentResult decide(Time time, const ApplyDocument& command, EscrowBook& escrow);
+
+  std::uint64_t revision_ = 0;
+  std::map<TeamId, Document> documents_;
+  std::map<ChangeName, ChangeOutcome> outcomes_;
+  std::deque<ChangeName> ages_;
+};
+
+} // namespace figchute::ledger::detail
--- /dev/null
+++ b/modules/ledger/EscrowBook.cpp
@@ -0,0 +1,711 @@
+#include "ledger/EscrowBook.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace figchute::ledger::detail {
+namespace {
+
+/** A holder counts as active on a budget for this time after a grant request. */
+constexpr Duration kActiveTime{ 10'000'000 };
+/** Holders of one budget are recalled at most once in this time. */
+constexpr Duration kRecallInterval{ 10'000 };
+
+/** A budget runs low when this many shares do not cover what one holder asks for. */
+constexpr std::int64_t kScarceShare = 4;
+
+/** Orders accounts by holder for binary search. */
+constexpr auto kByHolder = [](const HolderAccount& account, const HolderId& holder) {
+  return account.holder < holder;
+};
+
+Verdict refuse(ErrorKind kind, std::string detail)
+{
+  return Verdict{ kind, std::move(detail) };
+}
+
+std::string nameOf(const HolderId& id)
+{
+  return fmt::format("{}/{}", id.process.value, id.incarnation.number);
+}
+
+bool raise(Tokens& total, Tokens reported)
+{
+  if (reported <= total) {
+    return false;
+  }
+  total = reported;
+  return true;
+}
+
+std::int64_t activeHolders(const Budget& budget, Time time)
+{
+  const auto active = std::count_if(
+    budget.accounts.begin(), budget.accounts.end(), [time](const HolderAccount& account) {
+      return account.lastGrantAt + kActiveTime >= time;
+    });
+  return std::max<std::int64_t>(1, active);
+}
+
+} // namespace
+
+HolderAccount* Budget::find(const HolderId& holder)
+{
+  const auto at = std::lower_bound(accounts.begin(), accounts.end(), holder, kByHolder);
+  return at != accounts.end() && at->holder == holder ? &*at : nullptr;
+}
+
+const HolderAccount* Budget::find(const HolderId& holder) const
+{
+  const auto at = std::lower_bound(accounts.begin(), accounts.end(), holder, kByHolder);
+  return at != accounts.end() && at->holder == holder ? &*at : nullptr;
+}
+
+HolderAccount& Budget::findOrOpen(const HolderId& holder)
+{
+  auto at = std::lower_bound(accounts.begin(), accounts.end(), holder, kByHolder);
+  if (at == accounts.end() || at->holder != holder) {
+    at = accounts.insert(at, HolderAccount{});
+    at->holder = holder;
+  }
+  return *at;
+}
+
+Flow& Budget::flow(const HolderId& from, const HolderId& to)
+{
+  for (auto& flow : flows) {
+    if (flow.from == from && flow.to == to) {
+      return flow;
+    }
+  }
+  flows.push_back(Flow{ from, to, {}, {}, false, false });
+  return flows.back();
+}
+
+bool Budget::hasFlows(const HolderId& holder) const
+{
+  return std::any_of(flows.begin(), flows.end(), [&holder](const Flow& flow) {
+    return flow.from == holder || flow.to == holder;
+  });
+}
+
+Tokens Budget::held(const HolderAccount& account) const
+{
+  auto held = account.granted - account.settled() - account.returned;
+  for (const auto& flow : flows) {
+    if (flow.to == account.holder) {
+      held += flow.total();
+    }
+    if (flow.from == account.holder) {
+      held -= flow.total();
+    }
+  }
+  return held;
+}
+
+Tokens Budget::held() const
+{
+  Tokens sum;
+  for (const auto& account : accounts) {
+    sum += held(account);
+  }
+  return sum;
+}
+
+Tokens Budget::settled() const
+{
+  auto sum = closedSettled;
+  for (const auto& account : accounts) {
+    sum += account.settled();
+  }
+  return sum;
+}
+
+Tokens Budget::free() const
+{
+  auto free = bought - closedNet;
+  for (const auto& account : accounts) {
+    free -= account.granted - account.returned;
+  }
+  return free;
+}
+
+void Budget::close(const HolderId& holder)
+{
+  const auto at = std::lower_bound(accounts.begin(), accounts.end(), holder, kByHolder);
+  closedSettled += at->settled();
+  closedNet += at->granted - at->returned;
+  accounts.erase(at);
+  accounts.shrink_to_fit();
+}
+
+std::optional<Error> EscrowBook::checkPurchases(const TeamId& team,
+                                                const std::vector<Purchase>& purchases) const
+{
+  const auto prefix = team.value + "/";
+  for (const auto& [id, bought] : purchases) {
+    const auto name = id.view();
+    const bool known = name.starts_with("w:") || name.starts_with("c:");
+    if (!known || !name.substr(2).starts_with(prefix)) {
+      return Error{ ErrorKind::documentInvalid,
+                    fmt::format("budget {} does not belong to team {}", name, team.value) };
+    }
+    const auto found = budgets_.find(id);
+    const auto lowest = found == budgets_.end() ? Tokens{ 0 } : found->second.bought;
+    if (bought < lowest) {
+      return Error{ ErrorKind::documentInvalid,
+                    fmt::format("budget {}: bought = {} is below the {} already bought",
+                                name,
+                                bought.count,
+                                lowest.count) };
+    }
+  }
+  return std::nullopt;
+}
+
+void EscrowBook::applyPurchases(const std::vector<Purchase>& purchases)
+{
+  for (const auto& [id, bought] : purchases) {
+    const auto at = budgets_.try_emplace(id).first;
+    raise(at->second.bought, bought);
+    touched_.push_back(&at->first);
+  }
+}
+
+Verdict EscrowBook::checkHolder(const HolderId& holder) const
+{
+  const auto found = holders_.find(holder);
+  if (found != holders_.end() && !found->second.retiring) {
+    return {};
+  }
+  const auto retired = retiredThrough_.find(holder.process);
+  if (retired != retiredThrough_.end() && holder.incarnation <= retired->second) {
+    return refuse(ErrorKind::shuttingDown, fmt::format("holder {} is retired", nameOf(holder)));
+  }
+  return refuse(ErrorKind::notFound, fmt::format("holder {} is not registered", nameOf(holder)));
+}
+
+HolderAccount& EscrowBook::openAccount(const HolderId& id,
+                                       std::map<BudgetId, Budget>::iterator budget)
+{
+  index_[id].insert(&budget->first);
+  return budget->second.findOrOpen(id);
+}
+
+GrantResult EscrowBook::grant(Time time, const Grant& command, std::vector<Outgoing>& outgoing)
+{
+  GrantResult result{ checkHolder(command.holder), {} };
+  if (!result.verdict.ok()) {
+    return result;
+  }
+  auto& holder = holders_.at(command.holder);
+  for (const auto& item : command.items) {
+    result.items.push_back(grantItem(time, command.holder, holder, item, outgoing));
+  }
+  return result;
+}
+
+GrantedItem EscrowBook::grantItem(Time time,
+                                  const HolderId& id,
+                                  Holder& holder,
+                                  const GrantItem& item,
+                                  std::vector<Outgoing>& outgoing)
+{
+  GrantedItem granted{ item.budget, item.sequence, {}, {}, true };
+  const auto at = budgets_.find(item.budget);
+  if (at == budgets_.end()) {
+    return granted;
+  }
+  auto& budget = at->second;
+  const auto* known = budget.find(id);
+  const auto last = known == nullptr ? holder.closedGrant : known->lastGrant;
+  if (item.sequence <= last) {
+    granted.granted = known == nullptr ? Tokens{ 0 } : known->granted;
+    granted.free = budget.free();
+    return granted;
+  }
+  auto& account = openAccount(id, at);
+  account.lastGrant = item.sequence;
+  account.lastGrantAt = time;
+  const auto free = budget.free();
+  const Tokens share{ free.count / (2 * activeHolders(budget, time)) };
+  auto amount = std::max(item.want, std::min(item.demand, share));
+  if (item.want > free) {
+    amount = item.minimum <= free ? item.minimum : Tokens{ 0 };
+    recall(time, id, item.budget, budget, holders_, outgoing);
+  }
+  account.granted += std::max(amount, Tokens{ 0 });
+  granted.granted = account.granted;
+  granted.free = budget.free();
+  granted.scarce =
+    item.want > free || share.count * kScarceShare < std::max(item.want, item.demand).count;
+  touched_.push_back(&at->first);
+  return granted;
+}
+
+void EscrowBook::recall(Time time,
+                        const HolderId& asker,
+                        const BudgetId& id,
+                        Budget& budget,
+                        const std::map<HolderId, Holder>& holders,
+                        std::vector<Outgoing>& outgoing)
+{
+  if (time < budget.recalledAt + kRecallInterval) {
+    return;
+  }
+  budget.recalledAt = time;
+  for (const auto& account : budget.accounts) {
+    const auto holder = holders.find(account.holder);
+    const bool live = holder != holders.end() && !holder->second.retiring;
+    if (live && account.holder != asker && budget.held(account) > Tokens{ 0 }) {
+      outgoing.push_back({ account.holder.process, Recall{ account.holder, id } });
+    }
+  }
+}
+
+bool EscrowBook::mergeTotals(const HolderId& id, const AccountTotals& totals)
+{
+  const auto at = budgets_.find(totals.budget);
+  if (at == budgets_.end()) {
+    return false;
+  }
+  auto& budget = at->second;
+  openAccount(id, at);
+  for (const auto& [peer, total] : totals.transferredOut) {
+    if (holders_.contains(peer)) {
+      openAccount(peer, at);
+    }
+  }
+  const auto savedAccount = *budget.find(id);
+  const auto savedFlows = budget.flows;
+  auto& account = *budget.find(id);
+  raise(account.charged, totals.charged);
+  raise(account.returned, totals.returned);
+  for (const auto& [peer, total] : totals.transferredIn) {
+    raise(budget.flow(peer, id).received, total);
+  }
+  for (const auto& [peer, total] : totals.transferredOut) {
+    auto& flow = budget.flow(id, peer);
+    flow.toRetired = flow.toRetired || !holders_.contains(peer);
+    raise(flow.sent, total);
+    if (flow.toRetired && flow.received < flow.sent) {
+      holders_.at(id).finals.insert(at->first);
+    }
+  }
+  bool valid = budget.held(account) >= Tokens{ 0 };
+  for (const auto& [peer, total] : totals.transferredIn) {
+    const auto* sender = budget.find(peer);
+    const auto& flow = budget.flow(peer, id);
+    const bool covered =
+      sender != nullptr ? budget.held(*sender) >= Tokens{ 0 } : flow.received <= flow.sent;
+    valid = valid && covered;
+  }
+  if (!valid) {
+    account = savedAccount;
+    budget.flows = savedFlows;
+  }
+  touched_.push_back(&at->first);
+  return valid;
+}
+
+std::optional<KeyedBill> EscrowBook::settleKeyed(Time time,
+                                                 const HolderId& id,
+                                                 const KeyedCharge& charge)
+{
+  KeyedBill result{ charge.sequence, {} };
+  const KeyName key{ charge.caller, charge.key };
+  const auto [at, first] = bills_.try_emplace(key);
+  if (first) {
+    billAges_.push_back({ time, key });
+  }
+  auto& amounts = at->second.amounts;
+  bool valid = true;
+  for (const auto& budgetId : charge.budgets) {
+    auto bill = std::find_if(amounts.begin(), amounts.end(), [&budgetId](const Purchase& entry) {
+      return entry.budget == budgetId;
+    });
+    const auto billed = bill == amounts.end() ? Tokens{ 0 } : bill->bought;
+    const auto increment = std::max(Tokens{ 0 }, charge.amount - billed);
+    const auto budget = budgets_.find(budgetId);
+    auto* account = budget == budgets_.end() ? nullptr : budget->second.find(id);
+    if (increment > Tokens{ 0 } &&
+        (account == nullptr || budget->second.held(*account) < increment)) {
+      valid = false;
+      result.charged.emplace_back();
+      continue;
+    }
+    if (increment > Tokens{ 0 }) {
+      account->keyed += increment;
+      touched_.push_back(&budget->first);
+      if (bill == amounts.end()) {
+        bill = amounts.insert(amounts.end(), Purchase{ budgetId, {} });
+      }
+      bill->bought += increment;
+    }
+    result.charged.push_back(increment);
+  }
+  return valid ? std::optional(result) : std::nullopt;
+}
+
+SettleResult EscrowBook::settle(Time time, const Settle& command)
+{
+  SettleResult result;
+  result.verdict = checkHolder(command.holder);
+  result.sequence = command.sequence;
+  if (!result.verdict.ok()) {
+    return result;
+  }
+  auto& holder = holders_.at(command.holder);
+  if (command.sequence <= holder.settleSequence) {
+    return command.sequence == holder.settleSequence ? holder.lastSettle : result;
+  }
+  holder.settleSequence = command.sequence;
+  for (const auto& totals : command.totals) {
+    if (!mergeTotals(command.holder, totals)) {
+      result.verdict = refuse(ErrorKind::badRequest,
+                              fmt::format("totals of {} exceed what {} was granted",
+                                          totals.budget.value,
+                                          nameOf(command.holder)));
+    }
+  }
+  for (const auto& charge : command.keyed) {
+    if (charge.sequence <= holder.keyedThrough) {
+      continue;
+    }
+    holder.keyedThrough = charge.sequence;
+    const auto bill = settleKeyed(time, command.holder, charge);
+    if (bill) {
+      result.bills.push_back(*bill);
+    } else {
+      result.verdict =
+        refuse(ErrorKind::badRequest,
+               fmt::format(
+                 "the bill of key {} exceeds what {} holds", charge.key, nameOf(command.holder)));
+    }
+  }
+  for (const auto& name : command.closing) {
+    if (closeAccount(command.holder, holder, name)) {
+      result.closed.push_back(name);
+    }
+  }
+  result.finals = finalsFor(command.holder, holder);
+  holder.lastSettle = result;
+  return result;
+}
+
+bool EscrowBook::closeAccount(const HolderId& id, Holder& holder, const BudgetId& name)
+{
+  const auto at = budgets_.find(name);
+  const auto* account = at == budgets_.end() ? nullptr : at->second.find(id);
+  if (account == nullptr) {
+    return true;
+  }
+  if (at->second.held(*account) != Tokens{ 0 } || at->second.hasFlows(id)) {
+    return false;
+  }
+  holder.closedGrant = std::max(holder.closedGrant, account->lastGrant);
+  at->second.close(id);
+  index_[id].erase(&at->first);
+  touched_.push_back(&at->first);
+  return true;
+}
+
+std::vector<FinalTransfer> EscrowBook::finalsFor(const HolderId& id, Holder& holder)
+{
+  std::vector<FinalTransfer> finals;
+  for (const auto& name : std::exchange(holder.finals, {})) {
+    for (auto& flow : budgets_.at(name).flows) {
+      const bool toSender = flow.from == id && flow.toRetired && flow.sent > flow.received;
+      const bool toReceiver = flow.to == id && flow.fromRetired && flow.received < flow.sent;
+      if (toSender || toReceiver) {
+        finals.push_back({ name, flow.from, flow.to, flow.total() });
+      }
+      if (toSender) {
+        flow.sent = flow.received;
+      }
+    }
+  }
+  return finals;
+}
+
+RegisterResult EscrowBook::registerHolder(Time time,
+                                          const RegisterHolder& command,
+                                          std::vector<Outgoing>& outgoing)
+{
+  RegisterResult result{ {}, command.sequence };
+  const auto retired = retiredThrough_.find(command.holder.process);
+  if (retired != retiredThrough_.end() && command.holder.incarnation <= retired->second) {
+    result.verdict = checkHolder(command.holder);
+    return result;
+  }
+  auto& holder = holders_[command.holder];
+  if (command.sequence > holder.registration) {
+    holder.registration = command.sequence;
+    holder.zone = command.zone;
+    holder.witnesses = command.witnesses;
+  }
+  if (command.holder.incarnation.number > 0) {
+    startRetiring(command.holder.process, Incarnation{ command.holder.incarnation.number - 1 });
+  }
+  for (const auto& id : retiringOf(command.holder.process)) {
+    completeIfPossible(time, id, outgoing);
+  }
+  return result;
+}
+
+void EscrowBook::startRetiring(const ProcessId& process, Incarnation through)
+{
+  auto& retired = retiredThrough_[process];
+  retired = std::max(retired, through);
+  for (auto at = holders_.lower_bound(HolderId{ process, Incarnation{ 0 } });
+       at != holders_.end() && at->first.process == process && at->first.incarnation <= through;
+       ++at) {
+    if (!at->second.retiring) {
+      at->second.retiring = true;
+      newlyRetiring_.push_back(at->first);
+    }
+  }
+}
+
+std::vector<HolderId> EscrowBook::retiringOf(const ProcessId& process) const
+{
+  std::vector<HolderId> retiring;
+  for (auto at = holders_.lower_bound(HolderId{ process, Incarnation{ 0 } });
+       at != holders_.end() && at->first.process == process;
+       ++at) {
+    if (at->second.retiring) {
+      retiring.push_back(at->first);
+    }
+  }
+  return retiring;
+}
+
+std::optional<Incarnation> EscrowBook::newestIncarnation(const ProcessId& process) const
+{
+  std::optional<Incarnation> newest;
+  for (auto at = holders_.lower_bound(HolderId{ process, Incarnation{ 0 } });
+       at != holders_.end() && at->first.process == process;
+       ++at) {
+    newest = at->first.incarnation;
+  }
+  return newest;
+}
+
+RetireResult EscrowBook::retire(Time time, const Retire& command, std::vector<Outgoing>& outgoing)
+{
+  RetireResult result;
+  const auto newest = newestIncarnation(command.through.process);
+  if (!newest) {
+    if (!retiredThrough_.contains(command.through.process)) {
+      result.verdict =
+        refuse(ErrorKind::notFound, fmt::format("no holder {}", command.through.process.value));
+    }
+    return result;
+  }
+  startRetiring(command.through.process, std::min(command.through.incarnation, *newest));
+  const auto found = holders_.find(command.record.holder);
+  if (command.reporter && found != holders_.end() && found->second.retiring) {
+    addReport(*command.reporter, command.record, found->second);
+  }
+  for (const auto& id : retiringOf(command.through.process)) {
+    completeIfPossible(time, id, outgoing);
+    const auto left = holders_.find(id);
+    if (left != holders_.end()) {
+      const auto missing = missingReports(id, left->second);
+      result.missing.insert(result.missing.end(), missing.begin(), missing.end());
+      result.stranded += heldBy(id);
+    }
+  }
+  return result;
+}
+
+void EscrowBook::addReport(const HolderId& reporter, const HolderRecord& record, Holder& holder)
+{
+  const auto& witnesses = holder.witnesses;
+  const bool expected = reporter == record.holder ||
+                        std::find(witnesses.begin(), witnesses.end(), reporter) != witnesses.end();
+  if (!expected || !holder.reported.insert(reporter).second) {
+    return;
+  }
+  for (const auto& totals : record.totals) {
+    mergeTotals(record.holder, totals);
+  }
+  for (const auto& charge : record.keyed) {
+    holder.reportedKeyed.try_emplace(charge.sequence, charge);
+  }
+}
+
+std::vector<HolderId> EscrowBook::missingReports(const HolderId& id, const Holder& holder)
+{
+  std::vector<HolderId> missing;
+  if (holder.reported.contains(id)) {
+    return missing;
+  }
+  for (const auto& witness : holder.witnesses) {
+    if (!holder.reported.contains(witness)) {
+      missing.push_back(witness);
+    }
+  }
+  return missing;
+}
+
+Tokens EscrowBook::heldBy(const HolderId& id) const
+{
+  Tokens sum;
+  const auto index = index_.find(id);
+  if (index == index_.end()) {
+    return sum;
+  }
+  for (const auto* name : index->second) {
+    const auto& budget = budgets_.at(*name);
+    const auto* account = budget.find(id);
+    sum += account == nullptr ? Tokens{ 0 } : budget.held(*account);
+  }
+  return sum;
+}
+
+void EscrowBook::completeIfPossible(Time time, const HolderId& id, std::vector<Outgoing>& outgoing)
+{
+  const auto& holder = holders_.at(id);
+  if (heldBy(id) == Tokens{ 0 } || missingReports(id, holder).empty()) {
+    complete(time, id, outgoing);
+  }
+}
+
+void EscrowBook::complete(Time time, const HolderId& id, std::vector<Outgoing>& outgoing)
+{
+  auto& holder = holders_.at(id);
+  for (const auto& witness : holder.witnesses) {
+    if (witness != id) {
+      outgoing.push_back({ witness.process, WitnessForget{ id } });
+    }
+  }
+  for (const auto& [sequence, charge] : holder.reportedKeyed) {
+    if (sequence > holder.keyedThrough) {
+      settleKeyed(time, id, charge);
+    }
+  }
+  const auto index = index_.find(id);
+  if (index != index_.end()) {
+    const auto names = index->second;
+    for (const auto* name : names) {
+      auto& budget = budgets_.at(*name);
+      closeFlows(id, *name, budget, outgoing);
+      if (auto* account = budget.find(id)) {
+        account->returned += budget.held(*account);
+        budget.close(id);
+      }
+      std::erase_if(budget.flows,
+                    [](const Flow& flow) { return flow.fromRetired && flow.toRetired; });
+      touched_.push_back(name);
+    }
+    index_.erase(index);
+  }
+  holders_.erase(id);
+}
+
+void EscrowBook::closeFlows(const HolderId& id,
+                            const BudgetId& name,
+                            Budget& budget,
+                            std::vector<Outgoing>& outgoing)
+{
+  for (auto& flow : budget.flows) {
+    if (flow.to == id) {
+      const auto before = flow.total();
+      flow.toRetired = true;
+      if (flow.fromRetired) {
+        // The sender's account is closed already: what the receiver never recorded becomes free.
+        budget.closedNet -= before - flow.total();
+      } else if (flow.sent > flow.received) {
+        tellFinal(flow.from, name, outgoing);
+      }
+    }
+    if (flow.from == id) {
+      flow.fromRetired = true;
+      if (!flow.toRetired && flow.received < flow.sent) {
+        tellFinal(flow.to, name, outgoing);
+      }
+    }
+  }
+}
+
+void EscrowBook::tellFinal(const HolderId& live,
+                           const BudgetId& name,
+                           std::vector<Outgoing>& outgoing)
+{
+  const auto holder = holders_.find(live);
+  if (holder == holders_.end()) {
+    return;
+  }
+  holder->second.finals.insert(name);
+  // A recall makes the holder settle, and the result of Settle carries the final total.
+  outgoing.push_back({ live.process, Recall{ live, name } });
+}
+
+std::vector<HolderId> EscrowBook::takeRetiring()
+{
+  return std::exchange(newlyRetiring_, {});
+}
+
+void EscrowBook::expire(Time time)
+{
+  while (!billAges_.empty() && billAges_.front().first + kKeyRetention < time) {
+    bills_.erase(billAges_.front().key);
+    billAges_.pop_front();
+  }
+}
+
+void EscrowBook::checkTouched()
+{
+  for (const auto* name : std::exchange(touched_, {})) {
+    const auto& budget = budgets_.at(*name);
+    Tokens held;
+    for (const auto& account : budget.accounts) {
+      const auto mine = budget.held(account);
+      invariant(mine >= Tokens{ 0 }, "held is never negative");
+      invariant(account.charged >= Tokens{ 0 } && account.keyed >= Tokens{ 0 },
+                "settled is never negative");
+      held += mine;
+    }
+    const auto settled = budget.settled();
+    const auto free = budget.free();
+    invariant(free >= Tokens{ 0 }, "free is never negative");
+    invariant(settled <= budget.bought, "settled never exceeds bought");
+    invariant(budget.bought == settled + held + free, "bought = settled + held + free");
+  }
+}
+
+void EscrowBook::rebuildIndex()
+{
+  index_.clear();
+  touched_.clear();
+  newlyRetiring_.clear();
+  for (const auto& [name, budget] : budgets_) {
+    for (const auto& account : budget.accounts) {
+      index_[account.holder].insert(&name);
+    }
+  }
+}
+
+std::vector<StrandedView> EscrowBook::stranded() const
+{
+  std::vector<StrandedView> stranded;
+  for (const auto& [id, holder] : holders_) {
+    const auto index = index_.find(id);
+    if (!holder.retiring || index == index_.end()) {
+      continue;
+    }
+    const auto missing = missingReports(id, holder);
+    for (const auto* name : index->second) {
+      const auto& budget = budgets_.at(*name);
+      const auto* account = budget.find(id);
+      const auto held = account == nullptr ? Tokens{ 0 } : budget.held(*account);
+      if (held > Tokens{ 0 }) {
+        stranded.push_back({ id, *name, held, missing });
+      }
+    }
+  }
+  return stranded;
+}
+
+} // namespace figchute::ledger::detail
--- /dev/null
+++ b/modules/ledger/EscrowBook.h
@@ -0,0 +1,215 @@
+#pragma once
+
+#include "ledger/ControlState.h"
+#include "ledger/Message.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace figchute::ledger::detail {
+
+/** One holder's account of one budget, as control knows it. */
+struct HolderAccount
+{
+  HolderId holder;
+  Tokens granted;
+  /** Bills of requests without a key, a cumulative total. */
+  Tokens charged;
+  /** What keyed bills added to this account. */
+  Tokens keyed;
+  Tokens returned;
+  std::uint64_t lastGrant = 0;
+  Time lastGrantAt;
+
+  [[nodiscard]] Tokens settled() const { return charged + keyed; }
+
+  MSGPACK_DEFINE(holder, granted, charged, keyed, returned, lastGrant, lastGrantAt)
+};
+
+/** The transfers of one budget from one holder to another. */
+struct Flow
+{
+  HolderId from;
+  HolderId to;
+  /** The cumulative total that the sender or its records report. */
+  Tokens sent;
+  /** The cumulative total that the receiver or its records report. */
+  Tokens received;
+  bool fromRetired = false;
+  bool toRetired = false;
+
+  /** Tokens on the way count as held by the receiver. A retired receiver gets nothing more, so what
+      it did not record stays with the sender. */
+  [[nodiscard]] Tokens total() const { return toRetired ? received : std::max(sent, received); }
+
+  MSGPACK_DEFINE(from, to, sent, received, fromRetired, toRetired)
+};
+
+/** One budget with its accounts. */
+struct Budget
+{
+  Tokens bought;
+  /** Settled tokens of closed and retired accounts. */
+  Tokens closedSettled;
+  /** Granted minus returned tokens of closed and retired accounts. */
+  Tokens closedNet;
+  Time recalledAt;
+  std::vector<HolderAccount> accounts;
+  std::vector<Flow> flows;
+
+  HolderAccount* find(const HolderId& holder);
+  [[nodiscard]] const HolderAccount* find(const HolderId& holder) const;
+  HolderAccount& findOrOpen(const HolderId& holder);
+  Flow& flow(const HolderId& from, const HolderId& to);
+  [[nodiscard]] bool hasFlows(const HolderId& holder) const;
+  [[nodiscard]] Tokens held(const HolderAccount& account) const;
+  [[nodiscard]] Tokens held() const;
+  [[nodiscard]] Tokens settled() const;
+  [[nodiscard]] Tokens free() const;
+  void close(const HolderId& holder);
+
+  MSGPACK_DEFINE(bought, closedSettled, closedNet, recalledAt, accounts, flows)
+};
+
+/** One registered holder. */
+struct Holder
+{
+  ZoneId zone;
+  std::uint64_t registration = 0;
+  std::vector<HolderId> witnesses;
+  std::uint64_t settleSequence = 0;
+  /** The result of the last Settle, for its resends. */
+  SettleResult lastSettle;
+  std::uint64_t keyedThrough = 0;
+  /** The largest grant sequence of a closed account; a request up to it is a duplicate. */
+  std::uint64_t closedGrant = 0;
+  bool retiring = false;
+  std::set<HolderId> reported;
+  std::map<std::uint64_t, KeyedCharge> reportedKeyed;
+  /** Budgets with a final transfer total that the holder does not know yet. */
+  std::set<BudgetId> finals;
+
+  MSGPACK_DEFINE(zone,
+                 registration,
+                 witnesses,
+                 settleSequence,
+                 lastSettle,
+                 keyedThrough,
+                 closedGrant,
+                 retiring,
+                 reported,
+                 reportedKeyed,
+                 finals)
+};
+
+/** A caller with an idempotency key. */
+using KeyName = std::pair<CallerId, std::string>;
+
+/** The bill of one key per budget. */
+struct Bill
+{
+  std::vector<Purchase> amounts;
+
+  MSGPACK_DEFINE(amounts)
+};
+
+/** The time of the first settlement of a key. */
+struct BillAge
+{
+  Time first;
+  KeyName key;
+
+  MSGPACK_DEFINE(first, key)
+};
+
+/** Budgets, holders, grants, settlement and retirement.
+    Thread safety: use one instance from one thread only. */
+class EscrowBook
+{
+public:
+  /** Returns why the purchases cannot be applied, or nothing when they can. */
+  [[nodiscard]] std::optional<Error> checkPurchases(const TeamId& team,
+                                                    const std::vector<Purchase>& purchases) const;
+  void applyPurchases(const std::vector<Purchase>& purchases);
+
+  GrantResult grant(Time time, const Grant& command, std::vector<Outgoing>& outgoing);
+  SettleResult settle(Time time, const Settle& command);
+  RegisterResult registerHolder(Time time,
+                                const RegisterHolder& command,
+                                std::vector<Outgoing>& outgoing);
+  RetireResult retire(Time time, const Retire& command, std::vector<Outgoing>& outgoing);
+
+  /** Returns the refusal for a holder that may not act, or an empty verdict. */
+  [[nodiscard]] Verdict checkHolder(const HolderId& holder) const;
+  /** Returns the incarnations that began to retire since the last call. */
+  std::vector<HolderId> takeRetiring();
+  /** Forgets keyed bills whose first settlement is older than keyRetention. */
+  void expire(Time time);
+  /** Checks the invariants of the budgets touched since the last call. */
+  void checkTouched();
+  /** Rebuilds the index that is no part of a snapshot. */
+  void rebuildIndex();
+
+  [[nodiscard]] const std::map<BudgetId, Budget>& budgets() const { return budgets_; }
+  [[nodiscard]] const std::map<HolderId, Holder>& holders() const { return holders_; }
+  [[nodiscard]] const std::map<KeyName, Bill>& bills() const { return bills_; }
+  [[nodiscard]] std::vector<StrandedView> stranded() const;
+  static std::vector<HolderId> missingReports(const HolderId& id, const Holder& holder);
+
+  MSGPACK_DEFINE(budgets_, holders_, retiredThrough_, bills_, billAges_)
+
+private:
+  struct ByName
+  {
+    bool operator()(const BudgetId* a, const BudgetId* b) const { return *a < *b; }
+  };
+  using BudgetIndex = std::set<const BudgetId*, ByName>;
+
+  GrantedItem grantItem(Time time,
+                        const HolderId& id,
+                        Holder& holder,
+                        const GrantItem& item,
+                        std::vector<Outgoing>& outgoing);
+  static void recall(Time time,
+                     const HolderId& asker,
+                     const BudgetId& id,
+                     Budget& budget,
+                     const std::map<HolderId, Holder>& holders,
+                     std::vector<Outgoing>& outgoing);
+  bool mergeTotals(const HolderId& id, const AccountTotals& totals);
+  std::optional<KeyedBill> settleKeyed(Time time, const HolderId& id, const KeyedCharge& charge);
+  bool closeAccount(const HolderId& id, Holder& holder, const BudgetId& name);
+  std::vector<FinalTransfer> finalsFor(const HolderId& id, Holder& holder);
+  [[nodiscard]] std::optional<Incarnation> newestIncarnation(const ProcessId& process) const;
+  [[nodiscard]] std::vector<HolderId> retiringOf(const ProcessId& process) const;
+  void addReport(const HolderId& reporter, const HolderRecord& record, Holder& holder);
+  void startRetiring(const ProcessId& process, Incarnation through);
+  void completeIfPossible(Time time, const HolderId& id, std::vector<Outgoing>& outgoing);
+  void complete(Time time, const HolderId& id, std::vector<Outgoing>& outgoing);
+  void closeFlows(const HolderId& id,
+                  const BudgetId& name,
+                  Budget& budget,
+                  std::vector<Outgoing>& outgoing);
+  void tellFinal(const HolderId& live, const BudgetId& name, std::vector<Outgoing>& outgoing);
+  [[nodiscard]] Tokens heldBy(const HolderId& id) const;
+  HolderAccount& openAccount(const HolderId& id, std::map<BudgetId, Budget>::iterator budget);
+
+  std::map<BudgetId, Budget> budgets_;
+  std::map<HolderId, Holder> holders_;
+  /** Incarnations up to the number are retired or retiring and may not register. */
+  std::map<ProcessId, Incarnation> retiredThrough_;
+  std::map<KeyName, Bill> bills_;
+  std::deque<BillAge> billAges_;
+  /** The budgets in which a holder has an account or a transfer. */
+  std::map<HolderId, BudgetIndex> index_;
+  std::vector<const BudgetId*> touched_;
+  std::vector<HolderId> newlyRetiring_;
+};
+
+} // namespace figchute::ledger::detail
--- a/modules/ledger/Message.h
+++ b/modules/ledger/Message.h
@@ -168,6 +168,16 @@
   MSGPACK_DEFINE(revision, documents, quarantineRevision, quarantine)
 };
 
+/** Control tells a witness that a holder is completely retired, so that its records may be dropped.
+   A lost message only keeps the records longer. */
+struct WitnessForget
+{
+  /** This incarnation and all older ones of the process are retired. */
+  HolderId through;
+
+  MSGPACK_DEFINE(through)
+};
+
 /** A message of the ledger. */
 using Message = std::variant<Propose,
                              ProposeReply,
@@ -180,7 +190,8 @@
                              WitnessReportRequest,
                              WitnessReport,
                              DocumentPoll,
-                             DocumentPush>;
+                             DocumentPush,
+                             WitnessForget>;
 
 /** A message to send. */
 struct Outgoing
--- /dev/null
+++ b/modules/ledger/QuarantineBook.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "ledger/ControlState.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace figchute::ledger::detail {
+
+/** The crashes of one fingerprint. */
+struct CrashEntry
+{
+  std::set<std::pair<RequestId, EndpointId>> reports;
+  std::uint64_t crashes = 0;
+  Time last;
+  Time until;
+
+  MSGPACK_DEFINE(reports, crashes, last, until)
+};
+
+/** Fingerprints of requests that were running when their endpoint crashed.
+    Thread safety: use one instance from one thread only. */
+class QuarantineBook
+{
+public:
+  CrashResult report(Time time, const CrashReport& command);
+
+  /** Forgets fingerprints whose last crash is older than an hour. */
+  void expire(Time time);
+
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  [[nodiscard]] std::vector<QuarantineEntry> entries(Time now) const;
+
+  MSGPACK_DEFINE(revision_, crashes_)
+
+private:
+  std::uint64_t revision_ = 0;
+  std::map<Fingerprint, CrashEntry> crashes_;
+};
+
+} // namespace figchute::ledger::detail
--- /dev/null
+++ b/modules/ledger/Wallet.cpp
@@ -0,0 +1,423 @@
+#include "ledger/Wallet.h"
+
+#include "ledger/WalletImpl.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace figchute::ledger {
+
+Wallet::Impl::Impl(WalletSettings settings)
+  : settings_(std::move(settings))
+  , proposer_(settings_.proposalIdBase)
+{
+  writeJournal(JournalStart{ settings_.self });
+}
+
+Decision Wallet::Impl::refuse(const RequestId& request, ErrorKind kind, std::string detail) const
+{
+  return { request, ReserveStatus::refused, Error{ kind, std::move(detail) } };
+}
+
+Wallet::Impl::Account& Wallet::Impl::open(const BudgetId& id)
+{
+  return accounts_[id];
+}
+
+Decision Wallet::Impl::reserve(Time now,
+                               const RequestId& request,
+                               const std::optional<RequestKey>& key,
+                               std::span<const BudgetId> budgets,
+                               Tokens bound)
+{
+  invariant(bound >= Tokens{ 0 }, "a reservation is not negative");
+  if (draining_ || retired_) {
+    return refuse(request, ErrorKind::shuttingDown, "the process is shutting down");
+  }
+  const bool repeated =
+    reservations_.contains(request) ||
+    std::any_of(waiting_.begin(), waiting_.end(), [&request](const Waiting& waiting) {
+      return waiting.request == request;
+    });
+  if (repeated) {
+    return refuse(
+      request, ErrorKind::badRequest, fmt::format("request {} is running", request.value));
+  }
+  Reservation wanted{ key, { budgets.begin(), budgets.end() }, bound };
+  if (bound == Tokens{ 0 }) {
+    wanted.budgets.clear();
+  }
+  for (const auto& id : wanted.budgets) {
+    open(id).addDemand(now, bound, settings_.demandWindow);
+  }
+  if (admit(now, request, wanted)) {
+    askGrants(now, wanted.budgets);
+    return { request, ReserveStatus::admitted, std::nullopt };
+  }
+  waiting_.push_back({ request, wanted, now + settings_.grantWait });
+  askGrants(now, wanted.budgets);
+  askTransfers(now);
+  return { request, ReserveStatus::waiting, std::nullopt };
+}
+
+bool Wallet::Impl::admit(Time /*now*/, const RequestId& request, const Reservation& wanted)
+{
+  if (!wanted.budgets.empty() && !canRecord()) {
+    return false;
+  }
+  for (const auto& id : wanted.budgets) {
+    auto& account = open(id);
+    if (account.closing && !account.settling) {
+      account.closing = false;
+      writeJournal(JournalAccount{ account.totals(id) });
+    }
+    if (account.closing || account.available() < wanted.bound) {
+      return false;
+    }
+  }
+  for (const auto& id : wanted.budgets) {
+    accounts_.at(id).reserved += wanted.bound;
+  }
+  reservations_.emplace(request, wanted);
+  return true;
+}
+
+void Wallet::Impl::admitWaiting(Time now)
+{
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    if (admit(now, at->request, at->wanted)) {
+      decisions_.push_back({ at->request, ReserveStatus::admitted, std::nullopt });
+      at = waiting_.erase(at);
+    } else {
+      ++at;
+    }
+  }
+}
+
+void Wallet::Impl::refuseWaiting(ErrorKind kind, const std::string& detail)
+{
+  for (const auto& waiting : waiting_) {
+    decisions_.push_back(refuse(waiting.request, kind, detail));
+  }
+  waiting_.clear();
+}
+
+void Wallet::Impl::expireWaiting(Time now)
+{
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    if (at->deadline > now) {
+      ++at;
+      continue;
+    }
+    if (!canRecord()) {
+      decisions_.push_back(refuse(at->request, ErrorKind::noQuorum, "no witness is in reach"));
+    } else {
+      decisions_.push_back(
+        refuse(at->request,
+               ErrorKind::budgetExhausted,
+               fmt::format("the budget does not cover {} tokens", at->wanted.bound.count)));
+    }
+    at = waiting_.erase(at);
+  }
+}
+
+void Wallet::Impl::freeReservation(Time now, const Reservation& reservation)
+{
+  for (const auto& id : reservation.budgets) {
+    accounts_.at(id).reserved -= reservation.bound;
+  }
+  admitWaiting(now);
+  for (const auto& id : reservation.budgets) {
+    giveBack(now, id, accounts_.at(id));
+  }
+  sendSettle(now);
+}
+
+void Wallet::Impl::tighten(Time now, const RequestId& request, Tokens newBound)
+{
+  const auto found = reservations_.find(request);
+  if (found == reservations_.end() || newBound >= found->second.bound) {
+    return;
+  }
+  auto excess = found->second;
+  excess.bound = found->second.bound - std::max(newBound, Tokens{ 0 });
+  found->second.bound -= excess.bound;
+  freeReservation(now, excess);
+}
+
+Expected<void> Wallet::Impl::charge(Time now, const RequestId& request, Tokens actual)
+{
+  const auto found = reservations_.find(request);
+  if (found == reservations_.end()) {
+    return fail(ErrorKind::notFound, fmt::format("request {} has no reservation", request.value));
+  }
+  invariant(actual >= Tokens{ 0 }, "a bill is not negative");
+  invariant(actual <= found->second.bound, "a bill is never above its reservation");
+  const auto reservation = found->second;
+  reservations_.erase(found);
+  if (actual > Tokens{ 0 }) {
+    chargeAccounts(request, reservation, actual);
+    await(request);
+    flushRecords(now);
+  } else {
+    recorded_.insert(request);
+  }
+  freeReservation(now, reservation);
+  popRecorded(now);
+  return {};
+}
+
+void Wallet::Impl::chargeAccounts(const RequestId& request,
+                                  const Reservation& reservation,
+                                  Tokens actual)
+{
+  for (const auto& id : reservation.budgets) {
+    auto& account = accounts_.at(id);
+    if (reservation.key) {
+      account.keyedPending += actual;
+    } else {
+      account.charged += actual;
+      touch(id, account);
+    }
+    invariant(account.held() >= Tokens{ 0 }, "a bill is covered by what its holder holds");
+  }
+  if (reservation.key) {
+    const KeyedCharge charge{ ++keyedSequence_, reservation.key->caller, reservation.key->key,
+                              request,          reservation.budgets,     actual };
+    keyed_[charge.sequence] = { charge, ++clock_ };
+    writeJournal(JournalKeyed{ charge });
+  }
+}
+
+std::vector<RequestId> Wallet::Impl::takeRecorded()
+{
+  const auto taken = std::exchange(recorded_, {});
+  return { taken.begin(), taken.end() };
+}
+
+void Wallet::Impl::release(Time now, const RequestId& request)
+{
+  waiting_.remove_if([&request](const Waiting& waiting) { return waiting.request == request; });
+  const auto found = reservations_.find(request);
+  if (found == reservations_.end()) {
+    return;
+  }
+  const auto reservation = found->second;
+  reservations_.erase(found);
+  freeReservation(now, reservation);
+}
+
+void Wallet::Impl::becomeRetired()
+{
+  retired_ = true;
+  refuseWaiting(ErrorKind::shuttingDown, "the process was retired");
+}
+
+void Wallet::Impl::receive(Time now, const ProcessId& from, const Message& message)
+{
+  std::visit([&](const auto& typed) { handle(now, from, typed); }, message);
+}
+
+void Wallet::Impl::tick(Time now)
+{
+  proposer_.tick(now);
+  if (retired_) {
+    return;
+  }
+  tickWitnesses(now);
+  registerIfNeeded(now);
+  expireWaiting(now);
+  askGrants(now, waitingBudgets());
+  askTransfers(now);
+  resendTransfers(now);
+  maintain(now);
+  sendSettle(now);
+}
+
+void Wallet::Impl::drain(Time now)
+{
+  draining_ = true;
+  refuseWaiting(ErrorKind::shuttingDown, "the process is shutting down");
+  for (auto& [id, account] : accounts_) {
+    giveBack(now, id, account);
+  }
+  settleSoon_ = true;
+  sendSettle(now);
+}
+
+bool Wallet::Impl::drained() const
+{
+  const bool quiet = reservations_.empty() && unrecorded_.empty() && keyed_.empty() &&
+                     dirty_.empty() && !settle_ && retirements_.empty();
+  return draining_ && quiet &&
+         std::all_of(accounts_.begin(), accounts_.end(), [](const auto& item) {
+           return item.second.held() == Tokens{ 0 } && item.second.grantProposal == 0;
+         });
+}
+
+bool Wallet::Impl::ready() const
+{
+  return !retired_ && canRecord();
+}
+
+bool Wallet::Impl::controlReachable(Time now) const
+{
+  return proposer_.controlReachable(now, settings_.controlTimeout);
+}
+
+std::vector<Outgoing> Wallet::Impl::takeOutgoing()
+{
+  auto outgoing = std::exchange(outgoing_, {});
+  auto proposals = proposer_.takeOutgoing();
+  std::move(proposals.begin(), proposals.end(), std::back_inserter(outgoing));
+  return outgoing;
+}
+
+std::optional<AccountView> Wallet::Impl::account(const BudgetId& id) const
+{
+  const auto found = accounts_.find(id);
+  if (found == accounts_.end()) {
+    return std::nullopt;
+  }
+  const auto& account = found->second;
+  return AccountView{ id,
+                      account.granted,
+                      account.received(),
+                      account.passedOn(),
+                      account.spent(),
+                      account.returned,
+                      account.reserved,
+                      account.available() };
+}
+
+std::vector<AccountView> Wallet::Impl::accounts() const
+{
+  std::vector<AccountView> views;
+  for (const auto& [id, account] : accounts_) {
+    views.push_back(*this->account(id));
+  }
+  return views;
+}
+
+Wallet::Wallet(WalletSettings settings)
+  : impl_(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+Wallet::~Wallet() = default;
+
+void Wallet::recover(Time now, std::span<const JournalRecord> records)
+{
+  impl_->recover(now, records);
+}
+
+void Wallet::setPeers(Time now, std::span<const Peer> peers)
+{
+  impl_->setPeers(now, peers);
+}
+
+Decision Wallet::reserve(Time now,
+                         const RequestId& request,
+                         const std::optional<RequestKey>& key,
+                         std::span<const BudgetId> budgets,
+                         Tokens bound)
+{
+  return impl_->reserve(now, request, key, budgets, bound);
+}
+
+std::vector<Decision> Wallet::takeDecisions()
+{
+  return impl_->takeDecisions();
+}
+
+void Wallet::tighten(Time now, const RequestId& request, Tokens newBound)
+{
+  impl_->tighten(now, request, newBound);
+}
+
+Expected<void> Wallet::charge(Time now, const RequestId& request, Tokens actual)
+{
+  return impl_->charge(now, request, actual);
+}
+
+bool Wallet::chargeRecorded(const RequestId& request) const
+{
+  return impl_->chargeRecorded(request);
+}
+
+std::vector<RequestId> Wallet::takeRecorded()
+{
+  return impl_->takeRecorded();
+}
+
+void Wallet::release(Time now, const RequestId& request)
+{
+  impl_->release(now, request);
+}
+
+void Wallet::receive(Time now, const ProcessId& from, const Message& message)
+{
+  impl_->receive(now, from, message);
+}
+
+void Wallet::tick(Time now)
+{
+  impl_->tick(now);
+}
+
+void Wallet::drain(Time now)
+{
+  impl_->drain(now);
+}
+
+bool Wallet::drained() const
+{
+  return impl_->drained();
+}
+
+bool Wallet::retired() const
+{
+  return impl_->retired();
+}
+
+bool Wallet::ready() const
+{
+  return impl_->ready();
+}
+
+bool Wallet::controlReachable(Time now) const
+{
+  return impl_->controlReachable(now);
+}
+
+std::vector<Outgoing> Wallet::takeOutgoing()
+{
+  return impl_->takeOutgoing();
+}
+
+std::vector<JournalRecord> Wallet::takeJournal()
+{
+  return impl_->takeJournal();
+}
+
+void Wallet::journalSynced(Time now, std::uint64_t count)
+{
+  impl_->journalSynced(now, count);
+}
+
+std::vector<JournalRecord> Wallet::compactJournal() const
+{
+  return impl_->compactJournal();
+}
+
+std::optional<AccountView> Wallet::account(const BudgetId& budget) const
+{
+  return impl_->account(budget);
+}
+
+std::vector<AccountView> Wallet::accounts() const
+{
+  return impl_->accounts();
+}
+
+} // namespace figchute::ledger
--- /dev/null
+++ b/modules/ledger/WalletControl.cpp
@@ -0,0 +1,552 @@
+#include "ledger/WalletImpl.h"
+
+#include <algorithm>
+
+namespace figchute::ledger {
+
+using detail::totalOf;
+
+namespace {
+
+/** After control reported a low budget, unreserved tokens go back at once for this time. */
+constexpr Duration kScarceTime{ 1'000'000 };
+/** Pause between two requests that only prepare for demand. */
+constexpr Duration kDemandPause{ 100'000 };
+/** Longest pause between two requests for a waiting request. */
+constexpr Duration kLongestAskPause{ 120'000 };
+/** Pause after a refusal because the holder is not registered. */
+constexpr Duration kRegisterPause{ 50'000 };
+/** A peer that did not answer a transfer request is passed over after this time. */
+constexpr Duration kTransferWait{ 20'000 };
+/** An unacknowledged transfer is sent again after this time. */
+constexpr Duration kTransferResend{ 50'000 };
+/** Interval of the scan over all accounts. */
+constexpr Duration kMaintenanceInterval{ 500'000 };
+/** Lines of one Settle; a line takes about 60 bytes, so a batch stays far below 512 KiB. */
+constexpr std::size_t kMaxSettleLines = 1000;
+/** Unused tokens above this multiple of the expected demand are returned. */
+constexpr double kExcessFactor = 2.0;
+
+constexpr double kMicrosPerSecond = 1e6;
+
+Tokens expected(double perSecond, Duration horizon)
+{
+  const auto seconds = static_cast<double>(horizon.count()) / kMicrosPerSecond;
+  return Tokens{ static_cast<std::int64_t>(perSecond * seconds) };
+}
+
+} // namespace
+
+bool Wallet::Impl::hasWaiting(const BudgetId& id) const
+{
+  return std::any_of(waiting_.begin(), waiting_.end(), [&id](const Waiting& waiting) {
+    const auto& budgets = waiting.wanted.budgets;
+    return std::find(budgets.begin(), budgets.end(), id) != budgets.end();
+  });
+}
+
+std::vector<BudgetId> Wallet::Impl::waitingBudgets() const
+{
+  std::set<BudgetId> budgets;
+  for (const auto& waiting : waiting_) {
+    budgets.insert(waiting.wanted.budgets.begin(), waiting.wanted.budgets.end());
+  }
+  return { budgets.begin(), budgets.end() };
+}
+
+std::optional<GrantItem> Wallet::Impl::grantItemFor(Time now,
+                                                    const BudgetId& id,
+                                                    const Account& account)
+{
+  if (account.grantProposal != 0 || account.closing) {
+    return std::nullopt;
+  }
+  const auto available = account.available();
+  Tokens wanted;
+  Tokens smallest;
+  for (const auto& waiting : waiting_) {
+    const auto& budgets = waiting.wanted.budgets;
+    if (std::find(budgets.begin(), budgets.end(), id) == budgets.end()) {
+      continue;
+    }
+    wanted += waiting.wanted.bound;
+    const auto shortfall = waiting.wanted.bound - available;
+    if (shortfall > Tokens{ 0 } && (smallest == Tokens{ 0 } || shortfall < smallest)) {
+      smallest = shortfall;
+    }
+  }
+  if (smallest > Tokens{ 0 } && now < account.askAt) {
+    return std::nullopt;
+  }
+  const auto want = std::max(Tokens{ 0 }, wanted - available);
+  Tokens demand;
+  if (!account.scarce(now) && (smallest > Tokens{ 0 } || now >= account.demandAskAt)) {
+    const auto ahead =
+      expected(account.demandAtTime(now, settings_.demandWindow), settings_.grantHorizon);
+    // Asks when half of the expected demand is left, so that a busy holder seldom waits.
+    if (want > Tokens{ 0 } || 2 * available.count < ahead.count) {
+      demand = std::max(Tokens{ 0 }, ahead - available);
+    }
+  }
+  if (smallest == Tokens{ 0 } && demand == Tokens{ 0 }) {
+    return std::nullopt;
+  }
+  return GrantItem{
+    id, ++grantSequence_, smallest == Tokens{ 0 } ? Tokens{ 0 } : want, smallest, demand
+  };
+}
+
+void Wallet::Impl::askGrants(Time now, std::span<const BudgetId> budgets)
+{
+  if (registered_.empty() || draining_ || retired_) {
+    return;
+  }
+  Grant command{ settings_.self, {} };
+  for (const auto& id : budgets) {
+    if (const auto item = grantItemFor(now, id, open(id))) {
+      command.items.push_back(*item);
+    }
+  }
+  if (command.items.empty()) {
+    return;
+  }
+  const auto proposal = proposer_.propose(now, command);
+  for (const auto& item : command.items) {
+    accounts_.at(item.budget).grantProposal = proposal;
+    grants_[proposal].push_back(item.budget);
+  }
+}
+
+void Wallet::Impl::handle(Time now, const ProcessId& from, const ProposeReply& message)
+{
+  if (const auto reply = proposer_.receive(now, from, message)) {
+    handleReply(now, *reply);
+  }
+}
+
+void Wallet::Impl::handleReply(Time now, const Proposer::Reply& reply)
+{
+  if (const auto* grant = std::get_if<GrantResult>(&reply.result)) {
+    handleGrant(now, reply.proposalId, *grant);
+  }
+  if (const auto* settled = std::get_if<SettleResult>(&reply.result)) {
+    handleSettle(now, *settled);
+  }
+  if (const auto* registered = std::get_if<RegisterResult>(&reply.result)) {
+    handleRegister(now, *registered);
+  }
+  const auto retirement = retirements_.find(reply.proposalId);
+  if (retirement != retirements_.end()) {
+    earlier_.erase(retirement->second);
+    writeJournal(JournalRetired{ retirement->second });
+    retirements_.erase(retirement);
+  }
+}
+
+bool Wallet::Impl::handleVerdict(Time now, const Verdict& verdict)
+{
+  if (verdict.ok()) {
+    return true;
+  }
+  if (*verdict.error == ErrorKind::shuttingDown) {
+    becomeRetired();
+  }
+  if (*verdict.error == ErrorKind::notFound) {
+    registered_.clear();
+    registerAt_ = now;
+    registerIfNeeded(now);
+  }
+  return false;
+}
+
+void Wallet::Impl::handleGrant(Time now, std::uint64_t proposal, const GrantResult& result)
+{
+  const bool granted = handleVerdict(now, result.verdict);
+  for (const auto& id : grants_[proposal]) {
+    auto& account = accounts_.at(id);
+    account.grantProposal = 0;
+    account.demandAskAt = now + kDemandPause;
+    account.askAt = granted ? now : now + kRegisterPause;
+  }
+  grants_.erase(proposal);
+  for (const auto& item : result.items) {
+    auto& account = open(item.budget);
+    account.granted = std::max(account.granted, item.granted);
+    account.scarceUntil = item.scarce ? now + kScarceTime : Time{};
+  }
+  admitWaiting(now);
+  for (const auto& item : result.items) {
+    auto& account = accounts_.at(item.budget);
+    if (hasWaiting(item.budget)) {
+      account.askPause =
+        std::clamp(account.askPause + account.askPause / 2, settings_.grantRetry, kLongestAskPause);
+      account.askAt = now + account.askPause;
+    } else {
+      account.askPause = Duration{ 0 };
+    }
+    giveBack(now, item.budget, account);
+  }
+  askTransfers(now);
+  sendSettle(now);
+}
+
+void Wallet::Impl::giveBack(Time now, const BudgetId& id, Account& account)
+{
+  // What is returned while control is away helps nobody; kept, it can be passed on in the zone.
+  const bool low = draining_ || (account.scarce(now) && controlReachable(now));
+  if (low && account.available() > Tokens{ 0 } && !account.closing &&
+      (draining_ || !hasWaiting(id))) {
+    returnTokens(id, account, account.available());
+  }
+}
+
+void Wallet::Impl::returnTokens(const BudgetId& id, Account& account, Tokens amount)
+{
+  account.returned += amount;
+  account.dirty = true;
+  dirty_.insert(id);
+  urgent_.insert(id);
+  settleSoon_ = true;
+}
+
+void Wallet::Impl::handle(Time now, const ProcessId& /*from*/, const Recall& message)
+{
+  if (message.holder != settings_.self || retired_) {
+    return;
+  }
+  auto& account = open(message.budget);
+  if (account.closing) {
+    return;
+  }
+  account.scarceUntil = now + kScarceTime;
+  urgent_.insert(message.budget);
+  dirty_.insert(message.budget);
+  settleSoon_ = true;
+  // Waiting requests do not keep a part: two holders that each keep a part of what both need would
+  // both refuse.
+  if (account.available() > Tokens{ 0 }) {
+    returnTokens(message.budget, account, account.available());
+  }
+  sendSettle(now);
+}
+
+void Wallet::Impl::sendSettle(Time now)
+{
+  if (settle_ || registered_.empty() || retired_) {
+    return;
+  }
+  const bool batch = now >= nextSettle_ || draining_;
+  if (!batch && !settleSoon_) {
+    return;
+  }
+  Settle settle{ settings_.self, settleSequence_ + 1, {}, {}, {} };
+  SettleInFlight flight{ 0, settle.sequence, {}, {} };
+  auto& source = batch ? dirty_ : urgent_;
+  while (!source.empty() && settle.totals.size() < kMaxSettleLines) {
+    const auto id = *source.begin();
+    auto& account = accounts_.at(id);
+    settle.totals.push_back(account.totals(id));
+    flight.lines[id] = account.changed;
+    account.dirty = false;
+    account.settling = true;
+    dirty_.erase(id);
+    urgent_.erase(id);
+  }
+  if (batch) {
+    for (const auto& [sequence, pending] : keyed_) {
+      if (settle.keyed.size() < kMaxSettleLines) {
+        settle.keyed.push_back(pending.charge);
+      }
+    }
+    addClosing(settle);
+    nextSettle_ = now + settings_.settleInterval;
+  }
+  settleSoon_ = !urgent_.empty();
+  if (settle.totals.empty() && settle.keyed.empty() && settle.closing.empty()) {
+    return;
+  }
+  ++settleSequence_;
+  flight.closing = settle.closing;
+  flight.proposal = proposer_.propose(now, settle);
+  settle_ = std::move(flight);
+}
+
+void Wallet::Impl::addClosing(Settle& settle)
+{
+  for (auto& [id, account] : accounts_) {
+    const bool ready = !settings_.hasJournal || journalSynced_ >= account.closeAfter;
+    if (account.closing && ready && settle.closing.size() < kMaxSettleLines) {
+      settle.closing.push_back(id);
+      account.settling = true;
+    }
+  }
+}
+
+void Wallet::Impl::handleSettle(Time now, const SettleResult& result)
+{
+  if (!settle_ || settle_->sequence != result.sequence) {
+    return;
+  }
+  const auto flight = *std::exchange(settle_, std::nullopt);
+  const bool known =
+    handleVerdict(now, result.verdict) || *result.verdict.error == ErrorKind::badRequest;
+  for (const auto& [id, clock] : flight.lines) {
+    auto& account = accounts_.at(id);
+    account.settling = false;
+    if (known) {
+      confirmLine(id, account, clock);
+    } else {
+      dirty_.insert(id);
+    }
+  }
+  handleBills(now, result.bills);
+  for (const auto& final : result.finals) {
+    handleFinal(final);
+  }
+  for (const auto& id : flight.closing) {
+    auto& account = accounts_.at(id);
+    account.settling = false;
+    account.closing = false;
+    if (std::find(result.closed.begin(), result.closed.end(), id) != result.closed.end()) {
+      accounts_.erase(id);
+    }
+  }
+  admitWaiting(now);
+  askGrants(now, waitingBudgets());
+  sendSettle(now);
+}
+
+void Wallet::Impl::handleBills(Time now, const std::vector<KeyedBill>& bills)
+{
+  for (const auto& bill : bills) {
+    const auto found = keyed_.find(bill.sequence);
+    if (found == keyed_.end()) {
+      continue;
+    }
+    const auto charge = found->second.charge;
+    keyed_.erase(found);
+    keyedThrough_ = bill.sequence;
+    for (std::size_t i = 0; i < charge.budgets.size() && i < bill.charged.size(); ++i) {
+      auto& account = accounts_.at(charge.budgets[i]);
+      account.keyedPending -= charge.amount;
+      account.keyedSettled += bill.charged[i];
+      giveBack(now, charge.budgets[i], account);
+    }
+  }
+  if (!bills.empty()) {
+    writeJournal(JournalSettled{ keyedThrough_ });
+  }
+}
+
+void Wallet::Impl::handleFinal(const FinalTransfer& final)
+{
+  auto& account = open(final.budget);
+  if (final.to == settings_.self) {
+    auto& total = totalOf(account.in, final.from);
+    total = std::max(total, final.total);
+  }
+  if (final.from == settings_.self) {
+    totalOf(account.out, final.to) = final.total;
+    transfers_.erase({ final.budget, final.to });
+  }
+  touch(final.budget, account);
+}
+
+std::vector<HolderId> Wallet::Impl::zonePeers() const
+{
+  std::vector<HolderId> peers;
+  for (const auto& peer : peers_) {
+    if (peer.entry && peer.live && peer.zone == settings_.zone &&
+        peer.id.process != settings_.self.process) {
+      peers.push_back(peer.id);
+    }
+  }
+  return peers;
+}
+
+void Wallet::Impl::askTransfers(Time now)
+{
+  if (waiting_.empty() || controlReachable(now)) {
+    return;
+  }
+  for (const auto& id : waitingBudgets()) {
+    askTransfer(now, id, open(id));
+  }
+}
+
+void Wallet::Impl::askTransfer(Time now, const BudgetId& id, Account& account)
+{
+  if (now < account.transferAskedAt + kTransferWait) {
+    return;
+  }
+  if (account.transferAskedAt != Time{}) {
+    account.transferRefusals = 0;
+  }
+  Tokens shortfall;
+  for (const auto& waiting : waiting_) {
+    const auto& budgets = waiting.wanted.budgets;
+    if (std::find(budgets.begin(), budgets.end(), id) != budgets.end()) {
+      shortfall += waiting.wanted.bound;
+    }
+  }
+  shortfall -= account.available();
+  const auto peers = zonePeers();
+  if (shortfall <= Tokens{ 0 } || peers.empty()) {
+    return;
+  }
+  account.transferAskedAt = now;
+  const auto& peer = peers[++account.transferPeer % peers.size()];
+  account.transferAsked = peer;
+  outgoing_.push_back({ peer.process, TransferRequest{ settings_.self, id, shortfall } });
+}
+
+void Wallet::Impl::handle(Time now, const ProcessId& from, const TransferRequest& message)
+{
+  const auto peers = zonePeers();
+  if (retired_ || std::find(peers.begin(), peers.end(), message.holder) == peers.end()) {
+    return;
+  }
+  const TransferName name{ message.budget, message.holder };
+  const auto pending = transfers_.find(name);
+  if (pending != transfers_.end()) {
+    return;
+  }
+  const auto found = accounts_.find(message.budget);
+  Tokens amount;
+  if (found != accounts_.end() && !found->second.closing) {
+    // Of two holders that need tokens, the one with the lower name gets them; if both kept a part,
+    // both would refuse.
+    const bool give = !hasWaiting(message.budget) || message.holder < settings_.self;
+    const auto most = give ? found->second.transferable() : Tokens{ 0 };
+    amount = std::min(most, std::max(message.want, Tokens{ most.count / 2 }));
+  }
+  if (amount <= Tokens{ 0 }) {
+    outgoing_.push_back(
+      { from, Transfer{ 0, settings_.self, message.holder, message.budget, Tokens{} } });
+    return;
+  }
+  totalOf(found->second.out, message.holder) += amount;
+  touch(message.budget, found->second);
+  transfers_[name].id = ++transferId_;
+  await(name);
+  flushRecords(now);
+  popRecorded(now);
+}
+
+void Wallet::Impl::sendTransfer(Time now, const TransferName& name, OutTransfer& transfer)
+{
+  transfer.sentAt = now;
+  auto& account = accounts_.at(name.budget);
+  outgoing_.push_back(
+    { name.peer.process,
+      Transfer{
+        transfer.id, settings_.self, name.peer, name.budget, totalOf(account.out, name.peer) } });
+}
+
+void Wallet::Impl::resendTransfers(Time now)
+{
+  for (auto& [name, transfer] : transfers_) {
+    if (transfer.recorded && transfer.sentAt + kTransferResend <= now) {
+      sendTransfer(now, name, transfer);
+    }
+  }
+}
+
+void Wallet::Impl::handle(Time now, const ProcessId& from, const Transfer& message)
+{
+  if (message.to != settings_.self || retired_) {
+    return;
+  }
+  if (message.transferId == 0) {
+    handleNoTransfer(now, message);
+    return;
+  }
+  auto& account = open(message.budget);
+  if (account.closing && account.settling) {
+    return;
+  }
+  account.closing = false;
+  auto& total = totalOf(account.in, message.from);
+  const bool more = message.total > total;
+  if (more) {
+    total = message.total;
+    touch(message.budget, account);
+    account.transferAskedAt = Time{};
+  }
+  outgoing_.push_back(
+    { from,
+      TransferAck{ message.transferId, message.from, settings_.self, message.budget, total } });
+  admitWaiting(now);
+  giveBack(now, message.budget, account);
+  askTransfers(now);
+}
+
+void Wallet::Impl::handleNoTransfer(Time now, const Transfer& message)
+{
+  const auto found = accounts_.find(message.budget);
+  if (found == accounts_.end() || found->second.transferAsked != message.from) {
+    return;
+  }
+  // Each peer is asked once per round; repeated answers must not start further requests.
+  auto& account = found->second;
+  account.transferAsked = HolderId{};
+  if (++account.transferRefusals < zonePeers().size()) {
+    account.transferAskedAt = Time{};
+    askTransfers(now);
+  }
+}
+
+void Wallet::Impl::handle(Time /*now*/, const ProcessId& /*from*/, const TransferAck& message)
+{
+  const TransferName name{ message.budget, message.to };
+  const auto found = transfers_.find(name);
+  if (message.from == settings_.self && found != transfers_.end() &&
+      found->second.id == message.transferId) {
+    transfers_.erase(found);
+  }
+}
+
+void Wallet::Impl::maintain(Time now)
+{
+  if (now < lastMaintenance_ + kMaintenanceInterval) {
+    return;
+  }
+  lastMaintenance_ = now;
+  for (auto& [id, account] : accounts_) {
+    maintainAccount(now, id, account);
+  }
+}
+
+void Wallet::Impl::maintainAccount(Time now, const BudgetId& id, Account& account)
+{
+  if (closable(now, id, account)) {
+    account.closing = true;
+    writeJournal(JournalClosed{ id });
+    account.closeAfter = journalCount_;
+    return;
+  }
+  if (account.closing || hasWaiting(id)) {
+    return;
+  }
+  const bool idle = account.lastReserve + settings_.idleReturn <= now;
+  const auto ahead = expected(account.demandAtTime(now, settings_.demandWindow) * kExcessFactor,
+                              settings_.grantHorizon);
+  const auto keep = idle ? Tokens{ 0 } : ahead;
+  if (account.available().count > 2 * keep.count && account.available() > Tokens{ 0 }) {
+    returnTokens(id, account, account.available() - keep);
+  }
+}
+
+bool Wallet::Impl::closable(Time now, const BudgetId& id, const Account& account) const
+{
+  const bool idle = account.lastReserve + settings_.idleReturn <= now;
+  const bool quiet = !account.closing && !account.settling && !dirty_.contains(id) &&
+                     account.grantProposal == 0 && account.recordedAt.empty() &&
+                     account.changed <= account.confirmed;
+  const bool empty = account.held() == Tokens{ 0 } && account.reserved == Tokens{ 0 } &&
+                     account.keyedPending == Tokens{ 0 } && account.in.empty() &&
+                     account.out.empty();
+  return idle && quiet && empty && !hasWaiting(id);
+}
+
+} // namespace figchute::ledger
--- /dev/null
+++ b/modules/ledger/WalletImpl.h
@@ -0,0 +1,246 @@
+#pragma once
+
+#include "ledger/Proposer.h"
+#include "ledger/Wallet.h"
+#include "ledger/WalletAccount.h"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace figchute::ledger {
+
+/** The state of a wallet. The methods are spread over three sources: Wallet.cpp has admission and
+    bills, WalletControl.cpp grants, settlement and transfers, WalletRecords.cpp witnesses and the
+    journal. */
+class Wallet::Impl
+{
+public:
+  explicit Impl(WalletSettings settings);
+
+  void recover(Time now, std::span<const JournalRecord> records);
+  void setPeers(Time now, std::span<const Peer> peers);
+  Decision reserve(Time now,
+                   const RequestId& request,
+                   const std::optional<RequestKey>& key,
+                   std::span<const BudgetId> budgets,
+                   Tokens bound);
+  std::vector<Decision> takeDecisions() { return std::exchange(decisions_, {}); }
+  void tighten(Time now, const RequestId& request, Tokens newBound);
+  Expected<void> charge(Time now, const RequestId& request, Tokens actual);
+  [[nodiscard]] bool chargeRecorded(const RequestId& id) const { return recorded_.contains(id); }
+  std::vector<RequestId> takeRecorded();
+  void release(Time now, const RequestId& request);
+  void receive(Time now, const ProcessId& from, const Message& message);
+  void tick(Time now);
+  void drain(Time now);
+  [[nodiscard]] bool drained() const;
+  [[nodiscard]] bool retired() const { return retired_; }
+  [[nodiscard]] bool ready() const;
+  [[nodiscard]] bool controlReachable(Time now) const;
+  std::vector<Outgoing> takeOutgoing();
+  std::vector<JournalRecord> takeJournal() { return std::exchange(journalOut_, {}); }
+  void journalSynced(Time now, std::uint64_t count);
+  [[nodiscard]] std::vector<JournalRecord> compactJournal() const;
+  [[nodiscard]] std::optional<AccountView> account(const BudgetId& id) const;
+  [[nodiscard]] std::vector<AccountView> accounts() const;
+
+private:
+  using Account = detail::WalletAccount;
+
+  struct Reservation
+  {
+    std::optional<RequestKey> key;
+    std::vector<BudgetId> budgets;
+    Tokens bound;
+  };
+
+  struct Waiting
+  {
+    RequestId request;
+    Reservation wanted;
+    Time deadline;
+  };
+
+  struct PendingKeyed
+  {
+    KeyedCharge charge;
+    std::uint64_t clock = 0;
+  };
+
+  /** Names the transfers of one budget to one peer. */
+  struct TransferName
+  {
+    BudgetId budget;
+    HolderId peer;
+
+    auto operator<=>(const TransferName&) const = default;
+  };
+
+  struct OutTransfer
+  {
+    std::uint64_t id = 0;
+    bool recorded = false;
+    Time sentAt;
+  };
+
+  /** A charge or a transfer that waits for its record. */
+  struct Unrecorded
+  {
+    std::uint64_t clock = 0;
+    std::uint64_t journal = 0;
+    std::variant<RequestId, TransferName> what;
+  };
+
+  /** A record that a witness has not acknowledged. */
+  struct SentRecord
+  {
+    std::uint64_t covers = 0;
+    std::vector<BudgetId> confirmed;
+  };
+
+  /** What one witness has. */
+  struct Link
+  {
+    /** Every change up to this record clock is at the witness or settled. */
+    std::uint64_t acked = 0;
+    std::map<std::uint64_t, SentRecord> sent;
+    Time firstSentAt;
+    Time lastSentAt;
+    Time suspectUntil;
+    /** Lines at the witness that control has confirmed. */
+    std::set<BudgetId> confirmed;
+  };
+
+  struct SettleInFlight
+  {
+    std::uint64_t proposal = 0;
+    std::uint64_t sequence = 0;
+    /** The record clock of each line when it was sent. */
+    std::map<BudgetId, std::uint64_t> lines;
+    std::vector<BudgetId> closing;
+  };
+
+  // Admission and bills.
+  Decision refuse(const RequestId& request, ErrorKind kind, std::string detail) const;
+  bool admit(Time now, const RequestId& request, const Reservation& wanted);
+  void admitWaiting(Time now);
+  void refuseWaiting(ErrorKind kind, const std::string& detail);
+  void expireWaiting(Time now);
+  void freeReservation(Time now, const Reservation& reservation);
+  void becomeRetired();
+  void chargeAccounts(const RequestId& request, const Reservation& reservation, Tokens actual);
+  Account& open(const BudgetId& id);
+
+  // Grants, settlement and transfers.
+  void askGrants(Time now, std::span<const BudgetId> budgets);
+  std::optional<GrantItem> grantItemFor(Time now, const BudgetId& id, const Account& account);
+  [[nodiscard]] std::vector<BudgetId> waitingBudgets() const;
+  [[nodiscard]] bool hasWaiting(const BudgetId& id) const;
+  void giveBack(Time now, const BudgetId& id, Account& account);
+  void returnTokens(const BudgetId& id, Account& account, Tokens amount);
+  void sendSettle(Time now);
+  void addClosing(Settle& settle);
+  void maintain(Time now);
+  void maintainAccount(Time now, const BudgetId& id, Account& account);
+  [[nodiscard]] bool closable(Time now, const BudgetId& id, const Account& account) const;
+  void handleReply(Time now, const Proposer::Reply& reply);
+  void handleGrant(Time now, std::uint64_t proposal, const GrantResult& result);
+  void handleSettle(Time now, const SettleResult& result);
+  void handleBills(Time now, const std::vector<KeyedBill>& bills);
+  void handleFinal(const FinalTransfer& final);
+  bool handleVerdict(Time now, const Verdict& verdict);
+  void askTransfers(Time now);
+  void askTransfer(Time now, const BudgetId& id, Account& account);
+  void handle(Time now, const ProcessId& from, const Recall& message);
+  void handle(Time now, const ProcessId& from, const TransferRequest& message);
+  void handle(Time now, const ProcessId& from, const Transfer& message);
+  void handle(Time now, const ProcessId& from, const TransferAck& message);
+  void handle(Time now, const ProcessId& from, const WitnessAck& message);
+  void handle(Time now, const ProcessId& from, const ProposeReply& message);
+  template<typename Other>
+  void handle(Time /*now*/, const ProcessId& /*from*/, const Other& /*message*/)
+  {
+  }
+  void handleNoTransfer(Time now, const Transfer& message);
+  void sendTransfer(Time now, const TransferName& name, OutTransfer& transfer);
+  void resendTransfers(Time now);
+  [[nodiscard]] std::vector<HolderId> zonePeers() const;
+
+  // Witnesses and the journal.
+  void touch(const BudgetId& id, Account& account);
+  void await(std::variant<RequestId, TransferName> what);
+  void writeJournal(JournalRecord record);
+  void confirmLine(const BudgetId& id, Account& account, std::uint64_t clock);
+  [[nodiscard]] bool canRecord() const;
+  [[nodiscard]] bool counts(const HolderId& witness) const;
+  [[nodiscard]] bool isLive(const HolderId& id) const;
+  [[nodiscard]] std::vector<HolderId> witnessCandidates() const;
+  [[nodiscard]] std::vector<HolderId> desiredWitnesses() const;
+  [[nodiscard]] bool removable(const HolderId& witness, std::span<const HolderId> kept) const;
+  void chooseWitness(Time now);
+  void registerIfNeeded(Time now);
+  void handleRegister(Time now, const RegisterResult& result);
+  void flushRecords(Time now);
+  void sendRecord(Time now, const HolderId& witness, Link& link);
+  [[nodiscard]] bool hasNewsFor(const Link& link) const;
+  void tickWitnesses(Time now);
+  void popRecorded(Time now);
+
+  WalletSettings settings_;
+  Proposer proposer_;
+  std::vector<Peer> peers_;
+  bool draining_ = false;
+  bool retired_ = false;
+  Time lastMaintenance_;
+
+  std::map<BudgetId, Account> accounts_;
+  std::map<RequestId, Reservation> reservations_;
+  std::list<Waiting> waiting_;
+  std::vector<Decision> decisions_;
+
+  std::uint64_t grantSequence_ = 0;
+  /** The budgets of each grant request in flight. */
+  std::map<std::uint64_t, std::vector<BudgetId>> grants_;
+  std::uint64_t settleSequence_ = 0;
+  std::optional<SettleInFlight> settle_;
+  std::set<BudgetId> dirty_;
+  /** Dirty accounts that do not wait for the next batch. */
+  std::set<BudgetId> urgent_;
+  bool settleSoon_ = false;
+  Time nextSettle_;
+  std::uint64_t transferId_ = 0;
+  std::map<TransferName, OutTransfer> transfers_;
+
+  /** Counts the changes that a witness must know. */
+  std::uint64_t clock_ = 0;
+  /** The accounts with changes that control has not confirmed, by their record clock. */
+  std::map<std::uint64_t, BudgetId> changes_;
+  std::map<std::uint64_t, PendingKeyed> keyed_;
+  std::uint64_t keyedSequence_ = 0;
+  std::uint64_t keyedThrough_ = 0;
+  std::deque<Unrecorded> unrecorded_;
+  std::set<RequestId> recorded_;
+  std::uint64_t recordSequence_ = 0;
+  std::map<HolderId, Link> links_;
+  std::optional<HolderId> active_;
+  /** The witness set that control has confirmed. */
+  std::vector<HolderId> registered_;
+  /** The witness set of the registration in flight. */
+  std::vector<HolderId> proposed_;
+  std::uint64_t registration_ = 0;
+  std::uint64_t registerProposal_ = 0;
+  Time registerAt_;
+
+  std::vector<JournalRecord> journalOut_;
+  std::uint64_t journalCount_ = 0;
+  std::uint64_t journalSynced_ = 0;
+  /** Records of earlier incarnations that are not retired yet. */
+  std::map<HolderId, HolderRecord> earlier_;
+  std::map<std::uint64_t, HolderId> retirements_;
+  std::vector<Outgoing> outgoing_;
+};
+
+} // namespace figchute::ledger
--- a/modules/ledger/Witness.h
+++ b/modules/ledger/Witness.h
@@ -16,18 +16,14 @@
                    the incarnation */
   explicit Witness(HolderId self);
 
-  /** Handles a WitnessRecord or a WitnessReportRequest; other messages are ignored.
+  /** Handles a WitnessRecord, a WitnessReportRequest or a WitnessForget; other messages are
+     ignored.
       @param from  the process that the answer goes to */
   void receive(Time now, const ProcessId& from, const Message& message);
 
   /** Returns the messages to send and forgets them. */
   std::vector<Outgoing> takeOutgoing();
 
-  /** Drops the records of holders that control has retired.
-      @param process  a process
-      @param through  this incarnation and older ones are retired */
-  void forget(const ProcessId& process, Incarnation through);
-
   /** Returns the number of account lines and keyed charges kept. */
   [[nodiscard]] std::size_t size() const;
 
@@ -37,11 +33,15 @@
     std::uint64_t sequence = 0;
     /** Set by the first report; no record is acknowledged after it. */
     bool reported = false;
+    /** Set when control has retired this and all older incarnations. */
+    bool forgotten = false;
     std::map<BudgetId, AccountTotals> totals;
     std::map<std::uint64_t, KeyedCharge> keyed;
   };
 
   void record(const ProcessId& from, const WitnessRecord& message);
+  void forget(const HolderId& through);
+  [[nodiscard]] bool isClosed(const HolderId& holder) const;
   void report(const ProcessId& from, const WitnessReportRequest& message);
 
   HolderId self_;
--- /dev/null
+++ b/tests/LedgerCluster.h
@@ -0,0 +1,282 @@
+#pragma once
+
+#include "ledger/ledger.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace figchute::ledger::test {
+
+constexpr Duration kMs{ 1000 };
+constexpr Duration kSecond{ 1'000'000 };
+const Time kStart{ 1'700'000'000'000'000 };
+
+/** One entry VM: a wallet, a witness and a journal that survives restarts. */
+struct Entry
+{
+  std::uint64_t incarnation = 1;
+  ZoneId zone{ "z1" };
+  bool hasJournal = false;
+  bool alive = true;
+  std::unique_ptr<Wallet> wallet;
+  std::unique_ptr<Witness> witness;
+  std::vector<JournalRecord> journal;
+  std::uint64_t synced = 0;
+};
+
+/** Wallets and witnesses around one control state, joined by a network in virtual time that can
+   lose, repeat and delay messages. Messages pass through the codec. */
+class Cluster
+{
+public:
+  struct Packet
+  {
+    std::string from;
+    std::string to;
+    std::string bytes;
+  };
+
+  explicit Cluster(std::uint64_t seed = 1)
+    : random(seed)
+  {
+  }
+
+  HolderId holder(const std::string& name) const
+  {
+    return { ProcessId(name), Incarnation{ entries.at(name).incarnation } };
+  }
+
+  /** Starts a new process, or the next incarnation of a known one. */
+  void start(const std::string& name, bool hasJournal = false, const std::string& zone = "z1")
+  {
+    auto& entry = entries[name];
+    entry.hasJournal = hasJournal;
+    entry.zone = ZoneId(zone);
+    entry.alive = true;
+    entry.synced = 0;
+    WalletSettings settings;
+    settings.self = holder(name);
+    settings.zone = entry.zone;
+    settings.hasJournal = hasJournal;
+    entry.wallet = std::make_unique<Wallet>(settings);
+    entry.witness = std::make_unique<Witness>(settings.self);
+    entry.wallet->recover(now, entry.journal);
+    tellPeers();
+  }
+
+  void crash(const std::string& name)
+  {
+    entries.at(name).alive = false;
+    entries.at(name).wallet.reset();
+    entries.at(name).witness.reset();
+    ++entries.at(name).incarnation;
+    tellPeers();
+  }
+
+  void tellPeers()
+  {
+    std::vector<Peer> peers;
+    for (const auto& [name, entry] : entries) {
+      peers.push_back({ holder(name), entry.zone, true, false, entry.alive });
+    }
+    peers.push_back({ { ProcessId("ctl"), Incarnation{ 1 } }, ZoneId("z9"), false, true, true });
+    for (auto& [name, entry] : entries) {
+      if (entry.wallet) {
+        entry.wallet->setPeers(now, peers);
+      }
+    }
+  }
+
+  Result apply(const Command& command) { return control.apply(++index, now, command); }
+
+  template<typename R>
+  R run(const Command& command)
+  {
+    return std::get<R>(apply(command));
+  }
+
+  void buy(std::int64_t amount, const std::string& name = "w:t/x")
+  {
+    const auto view = control.document(TeamId("t"));
+    ApplyDocument command{ TeamId("t"),
+                           view ? view->version : 0,
+                           ChangeId("buy" + std::to_string(index)),
+                           "text",
+                           { { BudgetId(name), Tokens{ amount } } } };
+    apply(command);
+  }
+
+  bool linked(const std::string& from, const std::string& to) const
+  {
+    return !cut.contains({ from, to }) && !cut.contains({ to, from });
+  }
+
+  void send(const std::string& from, const Outgoing& outgoing)
+  {
+    const auto& to = outgoing.to.value;
+    const int copies = random.chance(duplication) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (!linked(from, to) || random.chance(loss)) {
+        continue;
+      }
+      const auto delay = Duration(random.between(500, 500 + jitter.count()));
+      queue.emplace(now + delay, Packet{ from, to, wire::encode(outgoing.message) });
+    }
+  }
+
+  void deliver(const Packet& packet);
+
+  /** Runs the network and all ticks for a time, in steps of 1 ms. */
+  void advance(Duration duration)
+  {
+    for (const auto end = now + duration; now < end;) {
+      now = now + kMs;
+      while (!queue.empty() && queue.begin()->first <= now) {
+        const auto packet = queue.begin()->second;
+        queue.erase(queue.begin());
+        deliver(packet);
+      }
+      step();
+    }
+  }
+
+  void step();
+
+  Decision reserve(const std::string& name,
+                   const std::string& request,
+                   std::int64_t bound,
+                   const std::string& key = {})
+  {
+    const std::vector<BudgetId> budgets{ BudgetId("w:t/x") };
+    std::optional<RequestKey> requestKey;
+    if (!key.empty()) {
+      requestKey = RequestKey{ CallerId("t/c"), key };
+    }
+    return entries.at(name).wallet->reserve(
+      now, RequestId(request), requestKey, budgets, Tokens{ bound });
+  }
+
+  /** Reserves and runs the network until the decision is made. */
+  Decision decide(const std::string& name,
+                  const std::string& request,
+                  std::int64_t bound,
+                  const std::string& key = {})
+  {
+    auto decision = reserve(name, request, bound, key);
+    for (int i = 0; decision.status == ReserveStatus::waiting && i < 600; ++i) {
+      advance(kMs);
+      for (const auto& made : decisions[name]) {
+        decision = made.request.value == request ? made : decision;
+      }
+    }
+    return decision;
+  }
+
+  /** Charges a request and runs the network until the charge is recorded. */
+  bool charge(const std::string& name, const std::string& request, std::int64_t amount)
+  {
+    const bool charged =
+      entries.at(name).wallet->charge(now, RequestId(request), Tokens{ amount }).has_value();
+    for (int i = 0; charged && i < 50 && !recorded.contains(request); ++i) {
+      advance(kMs);
+    }
+    return recorded.contains(request);
+  }
+
+  BudgetView budget(const std::string& name = "w:t/x") const
+  {
+    return *control.budget(BudgetId(name));
+  }
+
+  Random random;
+  Time now = kStart;
+  std::uint64_t index = 0;
+  ControlState control;
+  Witness controlWitness{ { ProcessId("ctl"), Incarnation{ 1 } } };
+  std::map<std::string, Entry> entries;
+  std::multimap<Time, Packet> queue;
+  std::set<std::pair<std::string, std::string>> cut;
+  double loss = 0;
+  double duplication = 0;
+  Duration jitter{ 0 };
+  bool controlDown = false;
+  std::map<std::string, std::vector<Decision>> decisions;
+  std::set<std::string> recorded;
+  std::set<std::string> silentWitnesses;
+};
+
+inline void Cluster::deliver(const Packet& packet)
+{
+  const auto message = *wire::decode<Message>(packet.bytes);
+  const ProcessId from(packet.from);
+  if (packet.to != "ctl") {
+    const auto& entry = entries.at(packet.to);
+    if (entry.alive) {
+      entry.wallet->receive(now, from, message);
+      if (!silentWitnesses.contains(packet.to)) {
+        entry.witness->receive(now, from, message);
+      }
+    }
+    return;
+  }
+  if (controlDown) {
+    return;
+  }
+  if (const auto* propose = std::get_if<Propose>(&message)) {
+    const auto result = *control.applyEncoded(++index, now, propose->command);
+    send("ctl", { from, ProposeReply{ propose->proposalId, true, ProcessId("ctl"), result } });
+  }
+  if (const auto* report = std::get_if<WitnessReport>(&message)) {
+    apply(ControlState::retireFrom(*report));
+  }
+  controlWitness.receive(now, from, message);
+}
+
+inline void Cluster::step()
+{
+  for (auto& [name, entry] : entries) {
+    if (!entry.alive) {
+      continue;
+    }
+    entry.wallet->tick(now);
+    const auto records = entry.wallet->takeJournal();
+    entry.journal.insert(entry.journal.end(), records.begin(), records.end());
+    entry.synced += records.size();
+    entry.wallet->journalSynced(now, entry.synced);
+    for (const auto& outgoing : entry.wallet->takeOutgoing()) {
+      send(name, outgoing);
+    }
+    for (const auto& outgoing : entry.witness->takeOutgoing()) {
+      send(name, outgoing);
+    }
+    for (const auto& decision : entry.wallet->takeDecisions()) {
+      decisions[name].push_back(decision);
+    }
+    for (const auto& request : entry.wallet->takeRecorded()) {
+      recorded.insert(request.value);
+    }
+  }
+  for (const auto& outgoing : controlWitness.takeOutgoing()) {
+    send("ctl", outgoing);
+  }
+  auto caused = control.takeOutgoing();
+  if (!controlDown && now.micros % 100'000 == 0) {
+    const auto requests = control.reportRequests();
+    caused.insert(caused.end(), requests.begin(), requests.end());
+  }
+  for (const auto& outgoing : caused) {
+    if (outgoing.to.value == "ctl") {
+      controlWitness.receive(now, ProcessId("ctl"), outgoing.message);
+    } else {
+      send("ctl", outgoing);
+    }
+  }
+}
+
+} // namespace figchute::ledger::test
--- /dev/null
+++ b/tests/ledger_test.cpp
@@ -0,0 +1,409 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "LedgerCluster.h"
+
+#include <doctest/doctest.h>
+
+using namespace figchute;
+using namespace figchute::ledger;
+using figchute::ledger::test::Cluster;
+using figchute::ledger::test::kMs;
+using figchute::ledger::test::kSecond;
+
+namespace {
+
+/** Three entry VMs of one zone with a registered witness each. */
+struct Zone : Cluster
+{
+  Zone()
+  {
+    buy(10'000);
+    for (const auto* name : { "a", "b", "c" }) {
+      start(name);
+    }
+    advance(kSecond);
+  }
+
+  Wallet& wallet(const std::string& name) { return *entries.at(name).wallet; }
+
+  /** Checks that nothing was lost or invented once all reports have arrived. */
+  void checkSettled(std::int64_t settled)
+  {
+    const auto view = budget();
+    CHECK(view.settled.count == settled);
+    CHECK((view.settled + view.held + view.free) == view.bought);
+  }
+
+  void retireCrashed(const std::string& name)
+  {
+    const Incarnation last{ entries.at(name).incarnation - 1 };
+    apply(Retire{ { ProcessId(name), last }, std::nullopt, {} });
+  }
+};
+
+} // namespace
+
+// Guards against a bill or a settlement that differs from what was charged.
+TEST_CASE_FIXTURE(Zone, "Wallet_chargedRequest_isSettledOnce")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  CHECK(charge("a", "r1", 300));
+  advance(3 * kSecond);
+  checkSettled(300);
+  CHECK(wallet("a").account(BudgetId("w:t/x"))->reserved == Tokens{ 0 });
+}
+
+// Guards against a last byte that goes out before a witness has the charge.
+TEST_CASE_FIXTURE(Zone, "Wallet_witnessSilent_recordsAtTheOther")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  cut.insert({ "a", "b" });
+  cut.insert({ "a", "c" });
+  CHECK_FALSE(charge("a", "r1", 300));
+  cut.erase({ "a", "c" });
+  advance(500 * kMs);
+  CHECK(recorded.contains("r1"));
+}
+
+// Guards against admission of a billable request that no witness could record.
+TEST_CASE_FIXTURE(Cluster, "Wallet_noWitness_refusesAsNoQuorum")
+{
+  buy(1000);
+  start("a");
+  start("b");
+  advance(kSecond);
+  entries.at("b").alive = false;
+  tellPeers();
+  std::vector<Peer> alone{
+    { { ProcessId("ctl"), Incarnation{ 1 } }, ZoneId("z9"), false, true, false }
+  };
+  entries.at("a").wallet->setPeers(now, alone);
+  const auto decision = decide("a", "r1", 10);
+  CHECK(decision.status == ReserveStatus::refused);
+  CHECK(decision.error->kind == ErrorKind::noQuorum);
+}
+
+// Guards against a process with a disk that stops serving when no witness is left.
+TEST_CASE_FIXTURE(Cluster, "Wallet_noWitnessButJournal_admitsAndRecords")
+{
+  buy(1000);
+  start("a", true);
+  advance(kSecond);
+  cut.insert({ "a", "ctl" });
+  entries.at("a").wallet->setPeers(now, {});
+  cut.clear();
+  std::vector<Peer> control{
+    { { ProcessId("ctl"), Incarnation{ 1 } }, ZoneId("z9"), false, true, false }
+  };
+  entries.at("a").wallet->setPeers(now, control);
+  CHECK(decide("a", "r1", 10).status == ReserveStatus::admitted);
+  CHECK(charge("a", "r1", 10));
+}
+
+// Guards against a refusal while another holder has the tokens unused.
+TEST_CASE_FIXTURE(Zone, "Wallet_tokensIdleElsewhere_areRecalled")
+{
+  REQUIRE(decide("a", "r1", 9000).status == ReserveStatus::admitted);
+  wallet("a").release(now, RequestId("r1"));
+  CHECK(decide("b", "r2", 9500).status == ReserveStatus::admitted);
+}
+
+// Guards against a budget that is promised twice.
+TEST_CASE_FIXTURE(Zone, "Wallet_budgetReservedElsewhere_refusesAfterGrantWait")
+{
+  REQUIRE(decide("a", "r1", 9000).status == ReserveStatus::admitted);
+  const auto asked = now;
+  const auto decision = decide("b", "r2", 2000);
+  CHECK(decision.status == ReserveStatus::refused);
+  CHECK(decision.error->kind == ErrorKind::budgetExhausted);
+  CHECK((now - asked) >= 400 * kMs);
+  CHECK((now - asked) <= 410 * kMs);
+}
+
+// Guards against an excess that stays reserved until the answer ends.
+TEST_CASE_FIXTURE(Zone, "Wallet_tightened_freesTheExcessAtOnce")
+{
+  REQUIRE(decide("a", "r1", 10'000).status == ReserveStatus::admitted);
+  wallet("a").tighten(now, RequestId("r1"), Tokens{ 1000 });
+  wallet("a").tighten(now, RequestId("r1"), Tokens{ 5000 });
+  CHECK(decide("b", "r2", 9000).status == ReserveStatus::admitted);
+  CHECK(charge("a", "r1", 1000));
+}
+
+// Guards against a reservation that counts against one budget but not the other.
+TEST_CASE_FIXTURE(Zone, "Wallet_twoBudgets_bothMustFit")
+{
+  buy(100, "c:t/c");
+  const std::vector<BudgetId> both{ BudgetId("w:t/x"), BudgetId("c:t/c") };
+  auto& a = wallet("a");
+  a.reserve(now, RequestId("r1"), std::nullopt, both, Tokens{ 101 });
+  a.reserve(now, RequestId("r2"), std::nullopt, both, Tokens{ 100 });
+  advance(500 * kMs);
+  REQUIRE(decisions["a"].size() == 2);
+  CHECK(decisions["a"][0].request == RequestId("r2"));
+  CHECK(decisions["a"][0].status == ReserveStatus::admitted);
+  CHECK(decisions["a"][1].error->kind == ErrorKind::budgetExhausted);
+  CHECK(charge("a", "r2", 100));
+  advance(2 * kSecond);
+  CHECK(budget("c:t/c").settled == Tokens{ 100 });
+  CHECK(budget("w:t/x").settled == Tokens{ 100 });
+}
+
+// Guards against a second bill when a caller retries one key at another VM.
+TEST_CASE_FIXTURE(Zone, "KeyedBill_attemptsAtTwoVms_billsTheMaximum")
+{
+  REQUIRE(decide("a", "r1", 500, "k").status == ReserveStatus::admitted);
+  REQUIRE(decide("b", "r2", 500, "k").status == ReserveStatus::admitted);
+  CHECK(charge("a", "r1", 200));
+  CHECK(charge("b", "r2", 300));
+  advance(3 * kSecond);
+  checkSettled(300);
+  CHECK(control.keyedBill(CallerId("t/c"), "k", BudgetId("w:t/x")) == Tokens{ 300 });
+  REQUIRE(decide("c", "r3", 500, "k").status == ReserveStatus::admitted);
+  CHECK(charge("c", "r3", 250));
+  advance(3 * kSecond);
+  checkSettled(300);
+  advance(10 * kSecond);
+  CHECK(budget().held == Tokens{ 0 });
+  now = now + kKeyRetention;
+  buy(10'000);
+  CHECK(control.keyedBills() == 0);
+}
+
+// Guards against charges that die with their process, and against unfinished requests that are
+// billed.
+TEST_CASE_FIXTURE(Zone, "Retire_witnessesReport_settlesRecordedChargesAndFreesTheRest")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  REQUIRE(decide("a", "r2", 500).status == ReserveStatus::admitted);
+  REQUIRE(decide("a", "r3", 500, "k").status == ReserveStatus::admitted);
+  cut.insert({ "a", "ctl" });
+  CHECK(charge("a", "r1", 300));
+  CHECK(charge("a", "r3", 70));
+  crash("a");
+  cut.clear();
+  advance(kSecond);
+  CHECK(budget().held > Tokens{ 0 });
+  retireCrashed("a");
+  advance(kSecond);
+  checkSettled(370);
+  CHECK(budget().held == Tokens{ 0 });
+  CHECK(control.stranded().empty());
+  CHECK(controlWitness.size() + entries.at("b").witness->size() == 0);
+}
+
+// Guards against tokens freed before every registered witness has reported.
+TEST_CASE_FIXTURE(Zone, "Retire_witnessSilent_keepsTheRestStranded")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  cut.insert({ "a", "ctl" });
+  CHECK(charge("a", "r1", 300));
+  crash("a");
+  cut.clear();
+  silentWitnesses.insert("c");
+  retireCrashed("a");
+  advance(2 * kSecond);
+  auto stranded = control.stranded();
+  REQUIRE(stranded.size() == 1);
+  CHECK(stranded[0].holder == HolderId{ ProcessId("a"), Incarnation{ 1 } });
+  CHECK(stranded[0].missing == std::vector<HolderId>{ holder("c") });
+  CHECK(stranded[0].amount >= Tokens{ 200 });
+  silentWitnesses.clear();
+  advance(kSecond);
+  CHECK(control.stranded().empty());
+  checkSettled(300);
+}
+
+// Guards against a holder that was retired by mistake and still completes answers for free.
+TEST_CASE_FIXTURE(Zone, "Retire_holderAlive_recordsNothingMore")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  apply(Retire{ holder("a"), std::nullopt, {} });
+  advance(kSecond);
+  CHECK_FALSE(charge("a", "r1", 300));
+  advance(2 * kSecond);
+  CHECK(wallet("a").retired());
+  CHECK(reserve("a", "r2", 1).error->kind == ErrorKind::shuttingDown);
+  checkSettled(0);
+}
+
+// Guards against a restarted witness whose empty report frees charged tokens.
+TEST_CASE_FIXTURE(Zone, "Retire_witnessesRestarted_staysStranded")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  cut.insert({ "a", "ctl" });
+  CHECK(charge("a", "r1", 300));
+  crash("a");
+  cut.clear();
+  for (const auto* name : { "b", "c" }) {
+    crash(name);
+    start(name);
+  }
+  retireCrashed("a");
+  advance(2 * kSecond);
+  REQUIRE(control.stranded().size() == 1);
+  CHECK(control.stranded()[0].amount >= Tokens{ 300 });
+  CHECK(control.stranded()[0].missing.size() == 2);
+}
+
+// Guards against a journal that is ignored, read for the wrong incarnation or applied twice.
+TEST_CASE_FIXTURE(Cluster, "Journal_restartedProcess_settlesItsEarlierIncarnation")
+{
+  buy(10'000);
+  start("a", true);
+  start("b");
+  advance(kSecond);
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  REQUIRE(decide("a", "r2", 500, "k").status == ReserveStatus::admitted);
+  cut.insert({ "a", "ctl" });
+  CHECK(charge("a", "r1", 300));
+  CHECK(charge("a", "r2", 40));
+  silentWitnesses.insert("b");
+  crash("a");
+  start("a", true);
+  advance(500 * kMs);
+  crash("a");
+  cut.clear();
+  start("a", true);
+  advance(3 * kSecond);
+  CHECK(control.stranded().empty());
+  CHECK(budget().settled == Tokens{ 340 });
+  CHECK(budget().held == Tokens{ 0 });
+  CHECK(decide("a", "r3", 9000).status == ReserveStatus::admitted);
+}
+
+// Guards against compaction that drops unsettled charges.
+TEST_CASE_FIXTURE(Cluster, "Journal_compacted_recoversTheSameCharges")
+{
+  buy(10'000);
+  start("a", true);
+  start("b");
+  advance(kSecond);
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  CHECK(charge("a", "r1", 100));
+  advance(2 * kSecond);
+  REQUIRE(decide("a", "r2", 500).status == ReserveStatus::admitted);
+  REQUIRE(decide("a", "r3", 500, "k").status == ReserveStatus::admitted);
+  cut.insert({ "a", "ctl" });
+  CHECK(charge("a", "r2", 50));
+  CHECK(charge("a", "r3", 7));
+  entries.at("a").journal = entries.at("a").wallet->compactJournal();
+  crash("a");
+  cut.clear();
+  start("a", true);
+  advance(2 * kSecond);
+  CHECK(budget().settled == Tokens{ 157 });
+  CHECK(budget().held == Tokens{ 0 });
+}
+
+// Guards against tokens that are unreachable inside a zone while control is away, and against
+// transfers that are counted twice afterwards.
+TEST_CASE_FIXTURE(Zone, "Transfer_controlAway_passesTokensInsideTheZone")
+{
+  REQUIRE(decide("a", "r1", 6000).status == ReserveStatus::admitted);
+  controlDown = true;
+  wallet("a").release(now, RequestId("r1"));
+  duplication = 0.3;
+  loss = 0.1;
+  REQUIRE(decide("b", "r2", 2000).status == ReserveStatus::admitted);
+  CHECK(charge("b", "r2", 1500));
+  REQUIRE(decide("c", "r3", 1000).status == ReserveStatus::admitted);
+  CHECK(charge("c", "r3", 1000));
+  controlDown = false;
+  loss = 0;
+  advance(20 * kSecond);
+  checkSettled(2500);
+  CHECK(budget().held == Tokens{ 0 });
+}
+
+// Guards against tokens in transit that are lost when the sender dies after recording them.
+TEST_CASE_FIXTURE(Zone, "Transfer_senderDiesBeforeDelivery_creditsTheReceiver")
+{
+  REQUIRE(decide("a", "r1", 6000).status == ReserveStatus::admitted);
+  wallet("a").release(now, RequestId("r1"));
+  wallet("a").receive(
+    now, ProcessId("b"), TransferRequest{ holder("b"), BudgetId("w:t/x"), Tokens{ 500 } });
+  cut.insert({ "a", "b" });
+  cut.insert({ "a", "ctl" });
+  advance(200 * kMs);
+  crash("a");
+  cut.clear();
+  retireCrashed("a");
+  advance(500 * kMs);
+  const auto view = wallet("b").account(BudgetId("w:t/x"));
+  REQUIRE(view.has_value());
+  CHECK(view->transferredIn >= Tokens{ 500 });
+  advance(10 * kSecond);
+  CHECK(budget().held == Tokens{ 0 });
+  CHECK(budget().free == Tokens{ 10'000 });
+}
+
+// Guards against tokens in transit that are lost when the receiver dies before it records them.
+TEST_CASE_FIXTURE(Zone, "Transfer_receiverDies_returnsToTheSender")
+{
+  REQUIRE(decide("a", "r1", 6000).status == ReserveStatus::admitted);
+  wallet("a").release(now, RequestId("r1"));
+  cut.insert({ "a", "ctl" });
+  wallet("a").receive(
+    now, ProcessId("b"), TransferRequest{ holder("b"), BudgetId("w:t/x"), Tokens{ 500 } });
+  entries.at("b").alive = false;
+  advance(100 * kMs);
+  crash("b");
+  cut.clear();
+  retireCrashed("b");
+  advance(15 * kSecond);
+  CHECK(wallet("a").account(BudgetId("w:t/x"))->transferredOut == Tokens{ 0 });
+  CHECK(budget().free == Tokens{ 10'000 });
+}
+
+// Guards against accounts, witness lines and control accounts that pile up for idle budgets.
+TEST_CASE_FIXTURE(Zone, "Wallet_idleBudget_isForgottenEverywhere")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  CHECK(charge("a", "r1", 300));
+  advance(20 * kSecond);
+  CHECK_FALSE(wallet("a").account(BudgetId("w:t/x")).has_value());
+  CHECK(entries.at("b").witness->size() == 0);
+  CHECK(budget().holders.empty());
+  checkSettled(300);
+  REQUIRE(decide("a", "r2", 500).status == ReserveStatus::admitted);
+  CHECK(charge("a", "r2", 200));
+  crash("a");
+  retireCrashed("a");
+  advance(kSecond);
+  checkSettled(500);
+}
+
+// Guards against a shutdown that leaves tokens with a process that ends.
+TEST_CASE_FIXTURE(Zone, "Wallet_drained_holdsNothing")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  wallet("a").drain(now);
+  CHECK(reserve("a", "r2", 10).error->kind == ErrorKind::shuttingDown);
+  advance(kSecond);
+  CHECK_FALSE(wallet("a").drained());
+  CHECK(budget().held == Tokens{ 500 });
+  CHECK(charge("a", "r1", 100));
+  advance(kSecond);
+  CHECK(wallet("a").drained());
+  CHECK(budget().held == Tokens{ 0 });
+  checkSettled(100);
+}
+
+// Guards against a busy holder that asks control for each request.
+TEST_CASE_FIXTURE(Cluster, "Wallet_steadyDemand_asksForGrantsRarely")
+{
+  buy(100'000'000);
+  start("a");
+  start("b");
+  advance(kSecond);
+  const auto before = index;
+  int waited = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const auto id = "r" + std::to_string(i);
+    waited += reserve("a", id, 1000).status == ReserveStatus::waiting ? 1 : 0;
+    advance(10 * kMs);
+    REQUIRE(charge("a", id, 400));
+  }
+  CHECK(waited < 20);
+  CHECK(index - before < 100);
+}
