--- /dev/null
+++ b/apps/figchute/CommandLine.cpp
@@ -0,0 +1,263 @@
+#include "CommandLine.h"
+
+#include "ini/ini.h"
+#include "settings/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <memory>
+#include <popt.h>
+#include <system_error>
+
+namespace figchute::cli {
+namespace {
+
+struct Subcommand
+{
+  std::string_view name;
+  std::size_t argumentCount;
+  bool needsServer;
+  const char* usage;
+  const char* summary;
+};
+
+constexpr std::array<Subcommand, 12> kSubcommands{ {
+  { "check", 1, false, "check FILE", "Lists every fault of a team document or a settings file" },
+  { "apply",
+    1,
+    true,
+    "apply FILE --base N [--change ID]",
+    "Replaces version N of the team's document (0: the first document)" },
+  { "show", 1, true, "show TEAM", "Shows the document in force" },
+  { "history", 1, true, "history TEAM", "Lists the accepted documents of a team" },
+  { "spend", 0, true, "spend", "Lists the budgets: bought, settled, held, free, stranded" },
+  { "service", 0, true, "service", "Lists the service by rank and workspace" },
+  { "endpoints", 0, true, "endpoints", "Lists the endpoints that the server knows" },
+  { "versions", 0, true, "versions", "Lists which process has which documents in force" },
+  { "members", 0, true, "members", "Lists the processes of the fleet" },
+  { "member",
+    2,
+    true,
+    "member add|remove ID",
+    "Adds or removes a control process of the replicated log" },
+  { "retire", 1, true, "retire PROCESS", "Declares that a process never returns" },
+  { "dump", 0, true, "dump", "Shows the state of the server for diagnosis" },
+} };
+
+/** The targets that popt writes option values to. */
+struct RawOptions
+{
+  char** servers = nullptr;
+  char* key = nullptr;
+  char* base = nullptr;
+  char* change = nullptr;
+  int isJson = 0;
+  int isHelp = 0;
+};
+
+using Context = std::unique_ptr<poptContext_s, decltype(&poptFreeContext)>;
+using OptionTable = std::vector<poptOption>;
+
+OptionTable makeTable(RawOptions& raw, bool isApply)
+{
+  OptionTable table{
+    { "server",
+      's',
+      POPT_ARG_ARGV,
+      &raw.servers,
+      0,
+      "Admin address of a process, tried in order; repeated or comma separated (FIGCHUTE_SERVER)",
+      "IP:port" },
+    { "key", 'k', POPT_ARG_STRING, &raw.key, 0, "Operator key (FIGCHUTE_KEY)", "KEY" },
+    { "json", 'j', POPT_ARG_NONE, &raw.isJson, 0, "Print the answer as JSON", nullptr },
+    { "help", 'h', POPT_ARG_NONE, &raw.isHelp, 0, "Show this help", nullptr },
+  };
+  if (isApply) {
+    table.push_back(
+      { "base", 'b', POPT_ARG_STRING, &raw.base, 0, "Version that the document replaces", "N" });
+    table.push_back({ "change",
+                      'c',
+                      POPT_ARG_STRING,
+                      &raw.change,
+                      0,
+                      "Id of the change; a new one is made and printed when it is left out",
+                      "ID" });
+  }
+  table.push_back(POPT_TABLEEND);
+  return table;
+}
+
+ParsedCommandLine usageFault(const std::string& message)
+{
+  fmt::print(stderr, "figchute: {}\nRun \"figchute --help\" for usage.\n", message);
+  return { std::nullopt, ExitCode::usage };
+}
+
+// Reads the options of a table. Returns an empty text, or the fault.
+std::string readOptions(poptContext context)
+{
+  int code = 0;
+  do {
+    code = poptGetNextOpt(context);
+  } while (code >= 0);
+  if (code == -1) {
+    return {};
+  }
+  return fmt::format("{}: {}", poptBadOption(context, 0), poptStrerror(code));
+}
+
+std::vector<std::string> readArguments(poptContext context)
+{
+  std::vector<std::string> arguments;
+  while (const auto* argument = poptGetArg(context)) {
+    arguments.emplace_back(argument);
+  }
+  return arguments;
+}
+
+void printHelp(poptContext context)
+{
+  poptPrintHelp(context, stdout, 0);
+  fmt::print("\nSubcommands:\n");
+  for (const auto& subcommand : kSubcommands) {
+    fmt::print("  {:<36}{}\n", subcommand.usage, subcommand.summary);
+  }
+  fmt::print("\nExit codes: 0 ok, 1 usage, 2 refused, 3 conflict, 4 unreachable\n");
+}
+
+std::string environment(const char* name)
+{
+  const auto* value = std::getenv(name);
+  return value != nullptr ? value : "";
+}
+
+// Adds the servers of a comma separated list. Returns an empty text, or the fault.
+std::string addServers(CommandLine& line, const std::string& list)
+{
+  for (const auto& text : ini::splitList(list)) {
+    const auto address = settings::parseAddress(text);
+    if (!address) {
+      return fmt::format("server \"{}\" is no numeric address IP:port", text);
+    }
+    line.servers.push_back(admin::ServerAddress{ address->ip, address->port });
+  }
+  return {};
+}
+
+std::string readServers(CommandLine& line, const RawOptions& raw)
+{
+  for (auto** server = raw.servers; server != nullptr && *server != nullptr; ++server) {
+    if (auto fault = addServers(line, *server); !fault.empty()) {
+      return fault;
+    }
+  }
+  const auto fallback = environment("FIGCHUTE_SERVER");
+  return line.servers.empty() && !fallback.empty() ? addServers(line, fallback) : std::string();
+}
+
+std::string readApplyOptions(CommandLine& line, const RawOptions& raw)
+{
+  const std::string base = raw.base != nullptr ? raw.base : "";
+  std::uint64_t number = 0;
+  const auto* const end = base.data() + base.size();
+  const auto parsed = std::from_chars(base.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return fmt::format("--base \"{}\" is no version number; apply needs --base N", base);
+  }
+  line.base = number;
+  line.change = raw.change != nullptr ? raw.change : "";
+  return {};
+}
+
+std::string findFault(const CommandLine& line, const Subcommand& subcommand)
+{
+  if (line.arguments.size() != subcommand.argumentCount) {
+    return fmt::format("usage: figchute {}", subcommand.usage);
+  }
+  if (line.command == "member" && line.arguments[0] != "add" && line.arguments[0] != "remove") {
+    return fmt::format("usage: figchute {}", subcommand.usage);
+  }
+  if (subcommand.needsServer && line.servers.empty()) {
+    return "no server: give --server IP:port or set FIGCHUTE_SERVER";
+  }
+  if (subcommand.needsServer && line.key.empty()) {
+    return "no key: give --key KEY or set FIGCHUTE_KEY";
+  }
+  return {};
+}
+
+ParsedCommandLine parseSubcommand(const Subcommand& subcommand,
+                                  std::vector<const char*> arguments,
+                                  RawOptions& raw)
+{
+  const auto isApply = subcommand.name == "apply";
+  const auto table = makeTable(raw, isApply);
+  const Context context(
+    poptGetContext(
+      "figchute", static_cast<int>(arguments.size()), arguments.data(), table.data(), 0),
+    &poptFreeContext);
+  const auto help = fmt::format("{}\n{}", subcommand.usage, subcommand.summary);
+  poptSetOtherOptionHelp(context.get(), help.c_str());
+  CommandLine line;
+  line.command = subcommand.name;
+  auto fault = readOptions(context.get());
+  if (fault.empty() && raw.isHelp != 0) {
+    poptPrintHelp(context.get(), stdout, 0);
+    return { std::nullopt, ExitCode::ok };
+  }
+  line.arguments = readArguments(context.get());
+  line.isJson = raw.isJson != 0;
+  line.key = raw.key != nullptr ? raw.key : environment("FIGCHUTE_KEY");
+  if (fault.empty()) {
+    fault = readServers(line, raw);
+  }
+  if (fault.empty() && isApply) {
+    fault = readApplyOptions(line, raw);
+  }
+  if (fault.empty()) {
+    fault = findFault(line, subcommand);
+  }
+  if (!fault.empty()) {
+    return usageFault(fault);
+  }
+  return { std::move(line), ExitCode::ok };
+}
+
+} // namespace
+
+ParsedCommandLine parseCommandLine(int argc, const char** argv)
+{
+  RawOptions raw;
+  const auto table = makeTable(raw, false);
+  const Context context(
+    poptGetContext("figchute", argc, argv, table.data(), POPT_CONTEXT_POSIXMEHARDER),
+    &poptFreeContext);
+  poptSetOtherOptionHelp(context.get(), "[OPTION...] SUBCOMMAND [ARGUMENT...]");
+  if (const auto fault = readOptions(context.get()); !fault.empty()) {
+    return usageFault(fault);
+  }
+  if (raw.isHelp != 0) {
+    printHelp(context.get());
+    return { std::nullopt, ExitCode::ok };
+  }
+  const auto** rest = poptGetArgs(context.get());
+  if (rest == nullptr || *rest == nullptr) {
+    return usageFault("a subcommand is missing");
+  }
+  const std::string_view name = *rest;
+  const auto* const subcommand = std::ranges::find(kSubcommands, name, &Subcommand::name);
+  if (subcommand == kSubcommands.end()) {
+    return usageFault(fmt::format("unknown subcommand \"{}\"", name));
+  }
+  std::vector<const char*> arguments{ "figchute" };
+  for (++rest; *rest != nullptr; ++rest) {
+    arguments.push_back(*rest);
+  }
+  return parseSubcommand(*subcommand, std::move(arguments), raw);
+}
+
+} // namespace figchute::cli
--- /dev/null
+++ b/apps/figchute/Output.cpp
@@ -0,0 +1,145 @@
+#include "Output.h"
+
+#include <algorithm>
+
+namespace figchute::cli {
+namespace {
+
+constexpr std::string_view kGap = "  ";
+
+std::string printable(std::string text)
+{
+  std::ranges::replace_if(
+    text, [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7F; }, '?');
+  return text;
+}
+
+std::size_t width(std::string_view text)
+{
+  const auto isContinuation = [](char c) {
+    return (static_cast<unsigned char>(c) & 0xC0U) == 0x80U;
+  };
+  return text.size() - static_cast<std::size_t>(std::ranges::count_if(text, isContinuation));
+}
+
+bool isNumber(std::string_view text)
+{
+  return text.empty() || text.find_first_not_of("0123456789+-.") == std::string_view::npos;
+}
+
+std::string cellOf(const json::Value* value)
+{
+  if (value == nullptr || value->isNull()) {
+    return "-";
+  }
+  if (const auto* text = value->asString()) {
+    return text->empty() ? "-" : *text;
+  }
+  const auto* elements = value->asArray();
+  if (elements == nullptr) {
+    return json::dump(*value);
+  }
+  std::string list;
+  for (const auto& element : *elements) {
+    list += (list.empty() ? "" : ",") + cellOf(&element);
+  }
+  return list.empty() ? "-" : list;
+}
+
+bool isTable(const json::Value& value)
+{
+  const auto* rows = value.asArray();
+  return rows != nullptr && !rows->empty() &&
+         std::ranges::all_of(*rows, [](const auto& row) { return row.asObject() != nullptr; });
+}
+
+std::string renderTable(const json::Value::Array& rows)
+{
+  std::vector<std::string> columns;
+  for (const auto& row : rows) {
+    for (const auto& member : *row.asObject()) {
+      if (std::ranges::find(columns, member.name) == columns.end()) {
+        columns.push_back(member.name);
+      }
+    }
+  }
+  Table table(columns);
+  for (const auto& row : rows) {
+    std::vector<std::string> cells;
+    for (const auto& column : columns) {
+      cells.push_back(cellOf(row.find(column)));
+    }
+    table.add(std::move(cells));
+  }
+  return table.text();
+}
+
+// The recursion follows the depth of the answer, which the JSON reader bounds.
+// NOLINTNEXTLINE(misc-no-recursion)
+void renderMembers(const json::Value& value, const std::string& prefix, std::string& out)
+{
+  for (const auto& member : *value.asObject()) {
+    const auto name = prefix + printable(member.name);
+    if (isTable(member.value)) {
+      out += (out.empty() ? "" : "\n") + name + ":\n" + renderTable(*member.value.asArray());
+    } else if (member.value.asObject() != nullptr) {
+      renderMembers(member.value, name + ".", out);
+    } else {
+      out += name + ": " + printable(cellOf(&member.value)) + "\n";
+    }
+  }
+}
+
+} // namespace
+
+Table::Table(std::vector<std::string> columns)
+{
+  add(std::move(columns));
+}
+
+void Table::add(std::vector<std::string> cells)
+{
+  std::ranges::transform(cells, cells.begin(), printable);
+  if (!rows_.empty()) {
+    cells.resize(rows_.front().size());
+  }
+  rows_.push_back(std::move(cells));
+}
+
+std::string Table::text() const
+{
+  const auto columns = rows_.front().size();
+  std::vector<std::size_t> widths(columns, 0);
+  std::vector<bool> isRight(columns, rows_.size() > 1);
+  for (std::size_t i = 0; i < rows_.size(); ++i) {
+    for (std::size_t column = 0; column < columns; ++column) {
+      const auto& cell = rows_[i][column];
+      widths[column] = std::max(widths[column], width(cell));
+      isRight[column] = isRight[column] && (i == 0 || isNumber(cell));
+    }
+  }
+  std::string text;
+  for (const auto& row : rows_) {
+    std::string line;
+    for (std::size_t column = 0; column < columns; ++column) {
+      const std::string padding(widths[column] - width(row[column]), ' ');
+      line += column == 0 ? "" : kGap;
+      line += isRight[column] ? padding + row[column] : row[column] + padding;
+    }
+    line.erase(line.find_last_not_of(' ') + 1);
+    text += line + "\n";
+  }
+  return text;
+}
+
+std::string render(const json::Value& answer)
+{
+  std::string out;
+  if (answer.asObject() == nullptr) {
+    return printable(cellOf(&answer)) + "\n";
+  }
+  renderMembers(answer, "", out);
+  return out;
+}
+
+} // namespace figchute::cli
--- a/modules/admin/Responder.cpp
+++ b/modules/admin/Responder.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <istream>
 #include <ostream>
+#include <stdexcept>
 #include <strings.h>
 
 namespace figchute::admin {
@@ -77,6 +78,19 @@
                              Request& request)
 {
   framingFault_ = findFramingFault(request);
+  if (framingFault_) {
+    // replyError() answers at once; without it cxxtools first waits for a body of that length.
+    throw std::runtime_error(framingFault_->detail);
+  }
+  // Senders without a valid key make the server hold no body.
+  keepsBody_ = router_.checkKey(headOf(request)).has_value();
+}
+
+AdminRequest Responder::headOf(const Request& request)
+{
+  return AdminRequest{
+    request.method(), request.url(), request.qparams(), headerOf(request, "Authorization"), {}
+  };
 }
 
 std::optional<Error> Responder::findFramingFault(const Request& request) const
@@ -112,21 +126,15 @@
   const auto available = std::max<std::streamsize>(in.rdbuf()->in_avail(), 0);
   const auto wanted = std::min<std::streamsize>(available, buffer.size());
   const auto got = in.rdbuf()->sgetn(buffer.data(), wanted);
-  const auto room = maxBodyBytes_ - std::min(maxBodyBytes_, body_.size());
-  body_.append(buffer.data(), std::min(room, static_cast<std::size_t>(got)));
+  if (keepsBody_) {
+    body_.append(buffer.data(), static_cast<std::size_t>(got));
+  }
   return static_cast<std::size_t>(got);
 }
 
 void Responder::reply(std::ostream& out, Request& request, Reply& reply)
 {
-  if (framingFault_) {
-    reply.setHeader("Connection", "close");
-    writeError(out, request, reply, *framingFault_);
-    return;
-  }
-  AdminRequest admin{
-    request.method(), request.url(), request.qparams(), headerOf(request, "Authorization"), {}
-  };
+  auto admin = headOf(request);
   admin.body = std::move(body_);
   const auto answer = router_.route(admin);
   if (!answer) {
@@ -142,7 +150,8 @@
                            const std::exception& exception)
 {
   reply.setHeader("Connection", "close");
-  writeError(out, request, reply, Error{ ErrorKind::internal, exception.what() });
+  writeError(
+    out, request, reply, framingFault_.value_or(Error{ ErrorKind::internal, exception.what() }));
 }
 
 void Responder::writeError(std::ostream& out,
--- a/modules/admin/Responder.h
+++ b/modules/admin/Responder.h
@@ -55,6 +55,7 @@
                   const std::exception& exception) override;
 
 private:
+  [[nodiscard]] static AdminRequest headOf(const cxxtools::http::Request& request);
   [[nodiscard]] std::optional<Error> findFramingFault(const cxxtools::http::Request& request) const;
   void writeError(std::ostream& out,
                   const cxxtools::http::Request& request,
@@ -64,6 +65,7 @@
   const Router& router_;
   std::size_t maxBodyBytes_;
   std::optional<Error> framingFault_;
+  bool keepsBody_ = false;
   std::string body_;
 };
 
--- a/modules/admin/admin.h
+++ b/modules/admin/admin.h
@@ -1,8 +1,10 @@
 #pragma once
 
-/** HTTP server for operators and for the announcements of endpoints, over cxxtools. It knows the
-    fleet only through AdminBackend. The headers may be included from C++17 and C++20 code. */
+/** HTTP server for operators and for the announcements of endpoints, and the client of operators,
+    over cxxtools. The server knows the fleet only through AdminBackend. The headers may be included
+   from C++17 and C++20 code. */
 
 #include "admin/AdminBackend.h"
+#include "admin/AdminClient.h"
 #include "admin/AdminServer.h"
 #include "admin/Announcement.h"
--- a/modules/ini/SectionReader.cpp
+++ b/modules/ini/SectionReader.cpp
@@ -23,7 +23,8 @@
 std::string shortest(double number)
 {
   char digits[32];
-  const auto written = std::to_chars(digits, digits + sizeof(digits), number);
+  const auto written =
+    std::to_chars(digits, digits + sizeof(digits), number, std::chars_format::fixed);
   return std::string(digits, written.ptr);
 }
 
--- a/modules/settings/Parser.cpp
+++ b/modules/settings/Parser.cpp
@@ -227,10 +227,13 @@
     return Peer{ ProcessId(entry.key), *parsedAddress, ZoneId(zone), *parsedRoles };
   }
 
-  // The address may differ from the one that the process listens on, for example 0.0.0.0.
+  // The address may differ from the one that the process listens on, for example 0.0.0.0. A zone or
+  // role that is a fault of its own is not compared.
   void checkSelf(const ini::Section& section, const ini::Entry& entry, const Peer& self)
   {
-    if (self.zone != settings_.zone || self.roles != settings_.roles) {
+    const auto hasRoles = settings_.roles.entry || settings_.roles.control;
+    const auto isOtherZone = !settings_.zone.empty() && self.zone != settings_.zone;
+    if (isOtherZone || (hasRoles && self.roles != settings_.roles)) {
       SectionReader(section, faults_)
         .fault(entry, "the zone and roles of [process], because this is the process itself");
     }
