--- /dev/null
+++ b/tests/ledger_control_test.cpp
@@ -0,0 +1,336 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "ledger/ledger.h"
+
+#include <doctest/doctest.h>
+
+#include <stdexcept>
+
+using namespace figchute;
+using namespace figchute::ledger;
+
+namespace {
+
+const BudgetId kBudget("w:t/x");
+
+/** A control state with 1000 tokens bought and two registered holders. */
+struct Control
+{
+  Control()
+  {
+    buy(0, 1000, "first");
+    run<RegisterResult>(RegisterHolder{ a, ZoneId("z1"), 1, { b } });
+    run<RegisterResult>(RegisterHolder{ b, ZoneId("z1"), 1, { a } });
+  }
+
+  template<typename R>
+  R run(const Command& command)
+  {
+    return std::get<R>(state.apply(++index, now, command));
+  }
+
+  DocumentResult buy(std::uint64_t base, std::int64_t bought, const std::string& change)
+  {
+    return run<DocumentResult>(ApplyDocument{
+      TeamId("t"), base, ChangeId(change), "text " + change, { { kBudget, Tokens{ bought } } } });
+  }
+
+  Tokens grant(const HolderId& holder, std::uint64_t sequence, std::int64_t want)
+  {
+    const GrantItem item{ kBudget, sequence, Tokens{ want }, Tokens{ want }, Tokens{ 0 } };
+    const auto result = run<GrantResult>(Grant{ holder, { item } });
+    return result.items.empty() ? Tokens{ -1 } : result.items[0].granted;
+  }
+
+  SettleResult settle(const HolderId& holder, std::uint64_t sequence, std::int64_t charged)
+  {
+    return run<SettleResult>(
+      Settle{ holder, sequence, { { kBudget, Tokens{ charged }, Tokens{ 0 }, {}, {} } }, {}, {} });
+  }
+
+  std::string key(Duration age) const
+  {
+    return std::to_string((now - age).micros / 1'000'000) + "-k";
+  }
+
+  ClaimResult claim(const std::string& key, const std::string& request, Fingerprint content = 7)
+  {
+    return run<ClaimResult>(Claim{ a, CallerId("t/c"), key, RequestId(request), content });
+  }
+
+  OutcomeResult outcome(const std::string& key, const std::string& request, OutcomeKind kind)
+  {
+    return run<OutcomeResult>(
+      Outcome{ a, CallerId("t/c"), key, RequestId(request), kind, 201, "booked" });
+  }
+
+  ErrorKind errorOf(const Verdict& verdict) const { return verdict.error.value(); }
+
+  ControlState state;
+  std::uint64_t index = 0;
+  Time now{ 1'700'000'000'000'000 };
+  HolderId a{ ProcessId("a"), Incarnation{ 1 } };
+  HolderId b{ ProcessId("b"), Incarnation{ 1 } };
+};
+
+} // namespace
+
+// Guards against two winners of a race, a changed first outcome and a lowered purchase.
+TEST_CASE_FIXTURE(Control, "ApplyDocument_racingAndResentChanges_haveOneWinner")
+{
+  const auto won = buy(1, 2000, "second");
+  CHECK(won.verdict.ok());
+  CHECK(won.version == 2);
+  const auto lost = buy(1, 3000, "rival");
+  CHECK(errorOf(lost.verdict) == ErrorKind::versionConflict);
+  CHECK(lost.version == 2);
+  const auto lowered = buy(2, 1999, "lower");
+  CHECK(errorOf(lowered.verdict) == ErrorKind::documentInvalid);
+  CHECK(lowered.verdict.detail.find("w:t/x") != std::string::npos);
+  CHECK(buy(2, 2500, "third").version == 3);
+  CHECK(buy(1, 2000, "second").version == 2);
+  CHECK(errorOf(buy(3, 9000, "rival").verdict) == ErrorKind::versionConflict);
+  CHECK(state.budget(kBudget)->bought == Tokens{ 2500 });
+  CHECK(state.revision() == 3);
+  CHECK(state.document(TeamId("t"))->history.size() == 3);
+}
+
+// Guards against a document that sells budgets of another team.
+TEST_CASE_FIXTURE(Control, "ApplyDocument_foreignBudget_isRefusedAsAWhole")
+{
+  const auto result = run<DocumentResult>(
+    ApplyDocument{ TeamId("t"),
+                   1,
+                   ChangeId("x"),
+                   "text",
+                   { { kBudget, Tokens{ 5000 } }, { BudgetId("w:other/x"), Tokens{ 1 } } } });
+  CHECK(errorOf(result.verdict) == ErrorKind::documentInvalid);
+  CHECK(state.budget(kBudget)->bought == Tokens{ 1000 });
+}
+
+// Guards against an entry VM that misses a document or reads all of them at each poll.
+TEST_CASE_FIXTURE(Control, "DocumentPoll_olderRevision_getsTheChangedDocuments")
+{
+  run<DocumentResult>(ApplyDocument{ TeamId("u"), 0, ChangeId("u1"), "u text", {} });
+  CHECK(state.documentsSince({ 0, 0 }).documents.size() == 2);
+  const auto push = state.documentsSince({ 1, 0 });
+  REQUIRE(push.documents.size() == 1);
+  CHECK(push.documents[0].text == "u text");
+  CHECK(state.documentsSince({ 2, 0 }).documents.empty());
+}
+
+// Guards against grants beyond the free amount and against a second grant for a resent request.
+TEST_CASE_FIXTURE(Control, "Grant_repeatedOrTooLarge_neverExceedsFree")
+{
+  CHECK(grant(a, 1, 600) == Tokens{ 600 });
+  CHECK(grant(a, 1, 600) == Tokens{ 600 });
+  CHECK(grant(b, 1, 600) == Tokens{ 0 });
+  const auto recalls = state.takeOutgoing();
+  REQUIRE(recalls.size() == 1);
+  CHECK(std::get<Recall>(recalls[0].message).holder == a);
+  CHECK(grant(b, 2, 400) == Tokens{ 400 });
+  CHECK(state.budget(kBudget)->free == Tokens{ 0 });
+}
+
+// Guards against settlement that counts a repeated or overtaken report, or more than was granted.
+TEST_CASE_FIXTURE(Control, "Settle_repeatedOvertakenOrExcessive_changesNothing")
+{
+  grant(a, 1, 600);
+  CHECK(settle(a, 2, 300).verdict.ok());
+  settle(a, 2, 500);
+  settle(a, 1, 400);
+  CHECK(state.budget(kBudget)->settled == Tokens{ 300 });
+  CHECK(errorOf(settle(a, 3, 601).verdict) == ErrorKind::badRequest);
+  CHECK(state.budget(kBudget)->settled == Tokens{ 300 });
+  const HolderId stranger{ ProcessId("z"), Incarnation{ 1 } };
+  CHECK(errorOf(settle(stranger, 1, 1).verdict) == ErrorKind::notFound);
+}
+
+// Guards against a resent keyed settlement that is billed again, also after its key was forgotten.
+TEST_CASE_FIXTURE(Control, "Settle_resentKeyedCharge_isBilledOnce")
+{
+  grant(a, 1, 600);
+  const KeyedCharge charge{ 1, CallerId("t/c"), "k", RequestId("r"), { kBudget }, Tokens{ 50 } };
+  const Command command = Settle{ a, 1, {}, { charge }, {} };
+  CHECK(run<SettleResult>(command).bills[0].charged[0] == Tokens{ 50 });
+  now = now + kKeyRetention + Duration(1);
+  CHECK(run<SettleResult>(command).bills[0].charged[0] == Tokens{ 50 });
+  CHECK(run<SettleResult>(Settle{ a, 2, {}, { charge }, {} }).bills.empty());
+  CHECK(state.budget(kBudget)->settled == Tokens{ 50 });
+}
+
+// Guards against an old incarnation that keeps spending after its successor has started.
+TEST_CASE_FIXTURE(Control, "RegisterHolder_newIncarnation_retiresTheOldOne")
+{
+  grant(a, 1, 600);
+  const HolderId next{ a.process, Incarnation{ 2 } };
+  run<RegisterResult>(RegisterHolder{ next, ZoneId("z1"), 1, { b } });
+  CHECK(errorOf(settle(a, 1, 100).verdict) == ErrorKind::shuttingDown);
+  CHECK(grant(a, 2, 1) == Tokens{ -1 });
+  const auto late = run<RegisterResult>(RegisterHolder{ a, ZoneId("z1"), 9, {} });
+  CHECK(errorOf(late.verdict) == ErrorKind::shuttingDown);
+  REQUIRE(state.stranded().size() == 1);
+  CHECK(state.stranded()[0].amount == Tokens{ 600 });
+  const HolderRecord record{ a, { { kBudget, Tokens{ 70 }, Tokens{ 0 }, {}, {} } }, {} };
+  const auto foreign = run<RetireResult>(Retire{ a, next, record });
+  CHECK(foreign.missing == std::vector<HolderId>{ b });
+  CHECK(run<RetireResult>(Retire{ a, b, record }).missing.empty());
+  CHECK(state.budget(kBudget)->settled == Tokens{ 70 });
+  CHECK(state.budget(kBudget)->free == Tokens{ 930 });
+}
+
+// Guards against an operator's retire that blocks every later incarnation.
+TEST_CASE_FIXTURE(Control, "Retire_anyIncarnation_leavesLaterOnesFree")
+{
+  const HolderId all{ a.process, Incarnation{ ~0ULL } };
+  CHECK(run<RetireResult>(Retire{ all, std::nullopt, {} }).verdict.ok());
+  const HolderId next{ a.process, Incarnation{ 2 } };
+  CHECK(run<RegisterResult>(RegisterHolder{ next, ZoneId("z1"), 1, { b } }).verdict.ok());
+  const HolderId unknown{ ProcessId("nobody"), Incarnation{ 1 } };
+  CHECK(errorOf(run<RetireResult>(Retire{ unknown, std::nullopt, {} }).verdict) ==
+        ErrorKind::notFound);
+}
+
+// Guards against keys without a time, forgotten keys that run again and keys from the future.
+TEST_CASE_FIXTURE(Control, "Claim_keyTime_isChecked")
+{
+  for (const auto* bad : { "", "-", "abc-1", "1700000000", "17e8-1", "9999999999999-1" }) {
+    CHECK(errorOf(claim(bad, "r").verdict) == ErrorKind::keyRequired);
+  }
+  CHECK(errorOf(claim(key(kKeyRetention + std::chrono::seconds(1)), "r").verdict) ==
+        ErrorKind::keyExpired);
+  CHECK(claim(key(kKeyRetention), "r").verdict.ok());
+  CHECK(claim(key(-kKeyFutureLimit), "r").verdict.ok());
+  CHECK(errorOf(claim(key(-kKeyFutureLimit - std::chrono::seconds(1)), "r").verdict) ==
+        ErrorKind::badRequest);
+}
+
+// Guards against a second run, a lost outcome, and another request's answer under one key.
+TEST_CASE_FIXTURE(Control, "Claim_retries_neverRunTwice")
+{
+  const auto name = key(Duration(0));
+  const auto first = claim(name, "r1");
+  CHECK(first.verdict.ok());
+  CHECK_FALSE(first.replay);
+  CHECK(claim(name, "r1").fencing == first.fencing);
+  CHECK(errorOf(claim(name, "r2").verdict) == ErrorKind::inProgress);
+  CHECK(errorOf(claim(name, "r2", 8).verdict) == ErrorKind::keyConflict);
+  CHECK(errorOf(outcome(name, "r2", OutcomeKind::done).verdict) == ErrorKind::notFound);
+  CHECK(outcome(name, "r1", OutcomeKind::done).verdict.ok());
+  outcome(name, "r1", OutcomeKind::unknown);
+  const auto replay = claim(name, "r3");
+  CHECK(replay.replay);
+  CHECK(replay.status == 201);
+  CHECK(replay.body == "booked");
+  now = now + kKeyRetention + std::chrono::seconds(1);
+  CHECK(errorOf(claim(name, "r4").verdict) == ErrorKind::keyExpired);
+  CHECK(state.claims().empty());
+}
+
+// Guards against a key that stays blocked when its request did not run, and against a late claim of
+// a proposer that gave up.
+TEST_CASE_FIXTURE(Control, "Claim_abandonedBeforeCommit_doesNotTakeTheKey")
+{
+  const auto name = key(Duration(0));
+  outcome(name, "r1", OutcomeKind::notRun);
+  CHECK(errorOf(claim(name, "r1").verdict) == ErrorKind::noQuorum);
+  CHECK(claim(name, "r2").verdict.ok());
+  outcome(name, "r2", OutcomeKind::notRun);
+  CHECK(claim(name, "r3").verdict.ok());
+}
+
+// Guards against a claim of a dead process that is forgotten or runs again.
+TEST_CASE_FIXTURE(Control, "Claim_holderRetired_isOutcomeUnknown")
+{
+  const auto name = key(Duration(0));
+  claim(name, "r1");
+  run<RetireResult>(Retire{ a, std::nullopt, {} });
+  const auto retry = run<ClaimResult>(Claim{ b, CallerId("t/c"), name, RequestId("r2"), 7 });
+  CHECK(errorOf(retry.verdict) == ErrorKind::outcomeUnknown);
+  CHECK(errorOf(claim(key(std::chrono::seconds(5)), "r3").verdict) == ErrorKind::shuttingDown);
+}
+
+// Guards against a quarantine after one crash, after a repeated report, or without an end.
+TEST_CASE_FIXTURE(Control, "CrashReport_secondCrash_quarantinesForTenMinutes")
+{
+  const CrashReport first{ a, RequestId("r1"), EndpointId("e1"), 99 };
+  const CrashReport second{ b, RequestId("r2"), EndpointId("e2"), 99 };
+  CHECK_FALSE(run<CrashResult>(first).quarantined);
+  CHECK_FALSE(run<CrashResult>(first).quarantined);
+  CHECK(run<CrashResult>(second).quarantined);
+  REQUIRE(state.documentsSince({ 9, 0 }).quarantine.size() == 1);
+  CHECK(state.documentsSince({ 9, 1 }).quarantine.empty());
+  CHECK(state.quarantine(now + kQuarantineTime).empty());
+}
+
+// Guards against a member that returns with another disk under its old identity.
+TEST_CASE_FIXTURE(Control, "Members_newDisk_mustBeRemovedFirst")
+{
+  const ProcessId p("ctl1");
+  CHECK(run<MemberResult>(AddMember{ p, "d1", ZoneId("z1") }).verdict.ok());
+  CHECK(errorOf(run<MemberResult>(AddMember{ p, "d2", ZoneId("z1") }).verdict) ==
+        ErrorKind::forbidden);
+  CHECK(errorOf(run<MemberResult>(PromoteMember{ p, "d2" }).verdict) == ErrorKind::notFound);
+  CHECK(run<MemberResult>(PromoteMember{ p, "d1" }).verdict.ok());
+  CHECK(state.members().at(0).voter);
+  run<MemberResult>(RemoveMember{ p, "" });
+  CHECK(run<MemberResult>(AddMember{ p, "d2", ZoneId("z1") }).verdict.ok());
+}
+
+// Guards against state that a snapshot loses, and against damaged snapshots.
+TEST_CASE_FIXTURE(Control, "Snapshot_restored_continuesTheSame")
+{
+  grant(a, 1, 600);
+  settle(a, 1, 100);
+  claim(key(Duration(0)), "r1");
+  run<CrashResult>(CrashReport{ a, RequestId("r1"), EndpointId("e1"), 99 });
+  ControlState copy;
+  REQUIRE(copy.restore(state.snapshot()).has_value());
+  CHECK(copy.snapshot() == state.snapshot());
+  const std::vector<Command> rest{ Settle{ a, 1, {}, {}, {} },
+                                   Retire{ a, std::nullopt, {} },
+                                   Retire{ a, b, HolderRecord{ a, {}, {} } },
+                                   CrashReport{ a, RequestId("r2"), EndpointId("e1"), 99 } };
+  for (const auto& command : rest) {
+    ++index;
+    CHECK(wire::encode(state.apply(index, now, command)) ==
+          wire::encode(copy.apply(index, now, command)));
+  }
+  CHECK(copy.snapshot() == state.snapshot());
+  CHECK(copy.budget(kBudget)->free == Tokens{ 900 });
+  CHECK(copy.restore("damaged").error().kind == ErrorKind::codecError);
+  CHECK(copy.lastIndex() == index);
+}
+
+// Guards against entries that are applied twice or cannot be decoded.
+TEST_CASE_FIXTURE(Control, "Apply_repeatedIndexOrUnknownBytes_isDetected")
+{
+  const auto previous = setInvariantHandler(
+    [](std::string_view message) { throw std::runtime_error(std::string(message)); });
+  CHECK_THROWS(state.apply(index, now, Grant{}));
+  setInvariantHandler(previous);
+  CHECK(state.applyEncoded(++index, now, "\x01").error().kind == ErrorKind::codecError);
+  CHECK(state.lastIndex() == index);
+}
+
+// Guards against proposals that are dropped when a control VM does not answer or is no leader.
+TEST_CASE("Proposer_silentOrWrongControl_reachesTheLeaderWithTheSameId")
+{
+  Time now{ 1'000'000 };
+  Proposer proposer(100);
+  proposer.setControls({ ProcessId("c1"), ProcessId("c2"), ProcessId("c3") });
+  const auto id = proposer.propose(now, Grant{});
+  CHECK(proposer.takeOutgoing().at(0).to == ProcessId("c1"));
+  now = now + Proposer::kResendAfter;
+  CHECK_FALSE(proposer.controlReachable(now, Duration(100'000)));
+  proposer.tick(now);
+  const auto resent = proposer.takeOutgoing();
+  CHECK(resent.at(0).to == ProcessId("c2"));
+  CHECK(std::get<Propose>(resent.at(0).message).proposalId == id);
+  CHECK_FALSE(
+    proposer.receive(now, ProcessId("c2"), { id, false, ProcessId("c3"), {} }).has_value());
+  CHECK(proposer.takeOutgoing().at(0).to == ProcessId("c3"));
+  const ProposeReply reply{ id, true, {}, wire::encode(Result(GrantResult{})) };
+  CHECK(proposer.receive(now, ProcessId("c3"), reply).has_value());
+  CHECK_FALSE(proposer.receive(now, ProcessId("c3"), reply).has_value());
+  CHECK(proposer.pending() == 0);
+}
