--- a/modules/membership/Membership.cpp
+++ b/modules/membership/Membership.cpp
@@ -353,7 +353,15 @@
 
 routing::Peers Membership::peers() const
 {
-  return { neighbours(), otherRelays(), static_cast<std::uint32_t>(live().size()) };
+  const auto zone = liveInZone();
+  const auto self = std::find(zone.begin(), zone.end(), options_.self);
+  routing::Peers peers;
+  peers.neighbours = neighbours();
+  peers.relays = otherRelays();
+  peers.liveVms = static_cast<std::uint32_t>(live().size());
+  peers.zoneVms = static_cast<std::uint32_t>(zone.size());
+  peers.zoneIndex = static_cast<std::uint32_t>(self - zone.begin());
+  return peers;
 }
 
 std::vector<MemberUpdate> Membership::statements() const
--- a/modules/routing/ConcurrencyLimit.cpp
+++ b/modules/routing/ConcurrencyLimit.cpp
@@ -1,7 +1,6 @@
 #include "routing/ConcurrencyLimit.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace figchute::routing {
 namespace {
@@ -10,6 +9,10 @@
 constexpr double kSlowFactor = 3;
 constexpr double kSlowMarginMicros = 400'000;
 
+/** With a decrease at each slow sample and an increase of 1/limit, the limits of all endpoints sank
+    in a flood and cost 8% of the capacity. */
+constexpr std::uint32_t kSlowInRow = 3;
+constexpr double kIncrease = 0.25;
 constexpr double kDecrease = 0.9;
 constexpr Duration kDecreaseInterval = std::chrono::seconds(1);
 constexpr double kSmallestPart = 0.25;
@@ -18,9 +21,6 @@
     became slower for good. */
 constexpr double kForget = 1.005;
 
-/** Part of the slots held back from batch and prompt work. */
-constexpr std::array<double, kRankCount> kHeldBack{ 0, 0.03, 0.06 };
-
 } // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(std::uint32_t slots)
@@ -39,23 +39,23 @@
 
 void ConcurrencyLimit::record(Time now, Rank rank, Duration latency)
 {
+  if (rank == Rank::batch) {
+    return;
+  }
   const auto micros = static_cast<double>(latency.count());
   auto& shortest = shortest_[static_cast<std::size_t>(rank)];
   shortest = shortest == 0 ? micros : std::min(shortest * kForget, micros);
   if (micros <= shortest * kSlowFactor + kSlowMarginMicros) {
-    limit_ = std::min(limit_ + 1 / limit_, slots_);
+    slowInRow_ = 0;
+    limit_ = std::min(limit_ + kIncrease, slots_);
     return;
   }
-  if (now >= nextDecrease_) {
+  ++slowInRow_;
+  if (slowInRow_ >= kSlowInRow && now >= nextDecrease_) {
+    slowInRow_ = 0;
     nextDecrease_ = now + kDecreaseInterval;
     limit_ = std::max(limit_ * kDecrease, std::max(slots_ * kSmallestPart, 1.0));
   }
 }
 
-double ConcurrencyLimit::forRank(Rank rank) const
-{
-  const double heldBack = std::ceil(slots_ * kHeldBack[static_cast<std::size_t>(rank)]);
-  return std::max(limit_ - heldBack, 1.0);
-}
-
 } // namespace figchute::routing
--- a/modules/routing/ConcurrencyLimit.h
+++ b/modules/routing/ConcurrencyLimit.h
@@ -9,10 +9,11 @@
 
 /** Concurrency limit of one endpoint that adapts to the time from dispatch to first token.
 
-    The limit starts at the slots that the endpoint announces. When first tokens of a rank take much
-    longer than the shortest of late, requests wait inside the endpoint, and the limit shrinks by a
-    tenth at most once a second. Good samples grow it back to the slots.
-    Thread safety: use one instance from one thread at a time. */
+    The limit starts at the slots that the endpoint announces. When several first tokens in a row
+    take much longer than the shortest of late, requests wait inside the endpoint, and the limit
+    shrinks by a tenth at most once a second. Good samples grow it back to the slots. Batch work
+   does not count: an engine that honours priorities may let it wait at any load. Thread safety: use
+   one instance from one thread at a time. */
 class ConcurrencyLimit
 {
 public:
@@ -29,17 +30,14 @@
       @param latency  time from dispatch to first token */
   void record(Time now, Rank rank, Duration latency);
 
-  /** Returns the largest number of requests of all VMs at which a request of a rank may be added.
-      A few slots are held back from the lower ranks, so that urgent work finds a free one. */
-  [[nodiscard]] double forRank(Rank rank) const;
-
-  /** Returns the limit without what is held back. */
+  /** Returns the largest number of requests of all VMs that the endpoint should have. */
   [[nodiscard]] double value() const { return limit_; }
 
 private:
   double slots_;
   double limit_;
   std::array<double, kRankCount> shortest_{};
+  std::uint32_t slowInRow_ = 0;
   Time nextDecrease_;
 };
 
--- a/modules/routing/EndpointChooser.cpp
+++ b/modules/routing/EndpointChooser.cpp
@@ -34,11 +34,11 @@
   return candidate.load / candidate.limit;
 }
 
-std::vector<std::size_t> withRoom(std::span<const ChoiceCandidate> candidates, bool ownZone)
+std::vector<std::size_t> openIn(std::span<const ChoiceCandidate> candidates, bool ownZone)
 {
   std::vector<std::size_t> open;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    if (candidates[i].ownZone == ownZone && candidates[i].load + 1 <= candidates[i].limit) {
+    if (candidates[i].ownZone == ownZone && candidates[i].open) {
       open.push_back(i);
     }
   }
@@ -89,9 +89,9 @@
                                                    std::span<const Fingerprint> prefixes,
                                                    std::span<const ChoiceCandidate> candidates)
 {
-  auto open = withRoom(candidates, true);
+  auto open = openIn(candidates, true);
   if (open.empty()) {
-    open = withRoom(candidates, false);
+    open = openIn(candidates, false);
   }
   if (open.empty()) {
     return std::nullopt;
--- a/modules/routing/EndpointChooser.h
+++ b/modules/routing/EndpointChooser.h
@@ -21,8 +21,10 @@
   bool ownZone = false;
   /** Estimated requests of all VMs at the endpoint. */
   double load = 0;
-  /** The load below which it takes more work of the rank. */
+  /** The load at which it is full. */
   double limit = 1;
+  /** Whether it may take the request now. */
+  bool open = true;
   /** Seed for rendezvous hashing. */
   std::uint64_t hash = 0;
 };
@@ -80,11 +82,11 @@
   {
   }
 
-  /** Chooses among endpoints with room.
+  /** Chooses among open endpoints.
       @param strategy    affinity, or a baseline
       @param prefixes    prefix fingerprints of the request, shortest first; may be empty
       @param candidates  endpoints that serve the request
-      @returns the index of the chosen candidate; nullopt when none has room */
+      @returns the index of the chosen candidate; nullopt when none is open */
   std::optional<std::size_t> choose(ChoiceStrategy strategy,
                                     std::span<const Fingerprint> prefixes,
                                     std::span<const ChoiceCandidate> candidates);
--- a/modules/routing/FairShareTotals.cpp
+++ b/modules/routing/FairShareTotals.cpp
@@ -74,6 +74,15 @@
   return result;
 }
 
+double FairShareTotals::orderKeySum(Rank rank) const
+{
+  double sum = 0;
+  for (const auto& entry : entries_) {
+    sum += entry.scaled[static_cast<std::size_t>(rank)];
+  }
+  return sum;
+}
+
 double FairShareTotals::total(Time now, const WorkspaceId& workspace) const
 {
   const auto found = indexes_.find(workspace);
--- a/modules/routing/FairShareTotals.h
+++ b/modules/routing/FairShareTotals.h
@@ -46,6 +46,9 @@
     return entries_[index].scaled[static_cast<std::size_t>(rank)];
   }
 
+  /** Returns the sum of all order keys of a rank. */
+  [[nodiscard]] double orderKeySum(Rank rank) const;
+
   /** Returns the decayed tokens of a workspace over all ranks. */
   [[nodiscard]] double total(Time now, const WorkspaceId& workspace) const;
 
--- a/modules/routing/Messages.h
+++ b/modules/routing/Messages.h
@@ -135,6 +135,10 @@
   std::vector<ProcessId> relays;
   /** Live entry VMs of the whole fleet, this one included. */
   std::uint32_t liveVms = 1;
+  /** Live entry VMs of the zone, this one included. They divide the endpoints of the zone. */
+  std::uint32_t zoneVms = 1;
+  /** Position of this VM among the live VMs of the zone in order of their ids, from 0. */
+  std::uint32_t zoneIndex = 0;
 };
 
 } // namespace figchute::routing
--- a/modules/routing/RankQueue.cpp
+++ b/modules/routing/RankQueue.cpp
@@ -68,26 +68,24 @@
   return Duration(static_cast<std::int64_t>(std::min(seconds, 3600.0) * 1e6));
 }
 
-/** A workspace waits for its own work at its share of the rate, but never for more than the whole
-    queue. A workspace with little work therefore is not refused for the work of a large one. */
+/** Work of workspaces that got less goes first, and so does earlier work of the same workspace.
+   Work of the others does not delay it, so a small workspace is not refused for the work of a large
+    one. */
 Duration RankQueue::expectedWait(Time now, const QueuedWork& work) const
 {
   const auto& line = lineOf(work.rank);
   if (line.queued == 0) {
     return Duration(0);
   }
-  double own = 1;
-  double weights = 0;
+  const auto index = totals_.indexOf(work.workspace);
+  const double ownKey = totals_.orderKey(index, work.rank) / weight(work.workspace);
+  double position = 1;
   for (const auto& [id, workspace] : line.workspaces) {
-    if (id == work.workspace) {
-      own += static_cast<double>(workspace.queued);
-    } else if (workspace.queued > 0) {
-      weights += weight(id);
+    const double key = totals_.orderKey(workspace.index, work.rank) / weight(id);
+    if (workspace.queued > 0 && (id == work.workspace || key < ownKey)) {
+      position += static_cast<double>(workspace.queued);
     }
   }
-  const double ownWeight = weight(work.workspace);
-  const double shared = own * (weights + ownWeight) / ownWeight;
-  const double position = std::min(shared, static_cast<double>(line.queued) + 1);
   const bool measured = line.left.at(now) >= 1;
   if (!measured && position <= kUnmeasuredPosition) {
     return Duration(0);
@@ -95,6 +93,17 @@
   return drainTime(now, line, position);
 }
 
+bool RankQueue::isAboveShare(const QueuedWork& work) const
+{
+  double weights = 0;
+  for (const auto& [id, workspace] : lineOf(work.rank).workspaces) {
+    weights += weight(id);
+  }
+  const double own = totals_.orderKey(totals_.indexOf(work.workspace), work.rank);
+  const double share = totals_.orderKeySum(work.rank) * weight(work.workspace) / weights;
+  return own > share;
+}
+
 Refusal RankQueue::refusal(Time now, Rank rank, Duration slack) const
 {
   const auto& line = lineOf(rank);
--- a/modules/routing/RankQueue.h
+++ b/modules/routing/RankQueue.h
@@ -69,6 +69,10 @@
   /** Returns whether a rank got less than its floor of the tokens served of late. */
   [[nodiscard]] bool isBelowFloor(Time now, Rank rank) const;
 
+  /** Returns whether the workspace of queued work got more than its share of the tokens of the rank
+      of late, by weight among the workspaces with work of that rank. */
+  [[nodiscard]] bool isAboveShare(const QueuedWork& work) const;
+
   /** Returns the work of a rank that goes next, or nullptr. The pointer stays valid until the next
       call that changes the queue. */
   [[nodiscard]] const QueuedWork* peek(Time now, Rank rank) const;
--- a/modules/routing/RouterCore.cpp
+++ b/modules/routing/RouterCore.cpp
@@ -3,6 +3,7 @@
 #include "core/Invariant.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -28,6 +29,13 @@
 /** Plain calls are short, so an endpoint may have some of them waiting. */
 constexpr double kPlainPerSlot = 2;
 
+/** Above this factor of its limit an endpoint gets no work, even within the part of this VM. */
+constexpr double kOverload = 1.25;
+
+/** Beyond its part a VM leaves this part of an endpoint free, because its reports are up to two
+    seconds old and other VMs may do the same. */
+constexpr double kBorrowDistance = 0.25;
+
 /** Urgent work without a first token after this part of its target gets a place freed for it. */
 constexpr int kHelpDivisor = 3;
 
@@ -50,6 +58,26 @@
   return static_cast<double>(work.promptBytes) / kBytesPerToken * kPromptCost;
 }
 
+/** Part of the capacity held back from work, so that urgent work finds a free place, and urgent
+    work of small workspaces finds one in a flood of urgent work of large ones. */
+double heldBackFrom(const RankTurn& turn, bool aboveShare)
+{
+  constexpr double kFromPrompt = 0.03;
+  constexpr double kFromBatch = 0.06;
+  if (turn.belowFloor) {
+    return 0;
+  }
+  switch (turn.rank) {
+    case Rank::urgent:
+      return aboveShare ? kFromPrompt : 0;
+    case Rank::prompt:
+      return kFromPrompt;
+    case Rank::batch:
+      break;
+  }
+  return kFromBatch;
+}
+
 void smooth(double& mean, double sample)
 {
   mean = mean == 0 ? sample : mean + kSmoothing * (sample - mean);
@@ -205,7 +233,7 @@
   }
   Job job;
   job.work = std::move(work);
-  const auto place = findPlace(now, job, job.work.rank);
+  const auto place = findPlace(now, job, 0);
   if (!place) {
     plainLimiter_.release(job.work.workspace, job.work.caller);
     return tl::unexpected<Refusal>(makeRefusal(
@@ -290,7 +318,7 @@
 {
   for (const auto& turn : line.queue.order(now)) {
     auto& job = find(line.queue.peek(now, turn.rank)->id);
-    auto place = findPlace(now, job, turn.belowFloor ? Rank::urgent : turn.rank);
+    auto place = findPlace(now, job, heldBackFrom(turn, line.queue.isAboveShare(job.item)));
     if (!place && turn.rank == Rank::urgent && policy_.preempt) {
       place = preempt(now, model, line);
     }
@@ -316,8 +344,55 @@
   return !latest.leaving && !tried && !outliers_.isEjected(now, latest.id);
 }
 
-std::optional<std::uint32_t> Router::Core::findPlace(Time now, const Job& job, Rank limitRank)
+Router::Core::Pool Router::Core::poolFor(Time now, const Job& job)
+{
+  Pool pool;
+  for (const auto place : placesFor(job.work)) {
+    if (usable(now, place, job) && registry_.at(place).latest.zone == options_.zone) {
+      const auto& state = stateAt(place);
+      pool.part += state.limit.value() / peers_.zoneVms;
+      pool.own += state.load.own();
+    }
+  }
+  return pool;
+}
+
+/** Divides the slots of an endpoint so that the parts of all VMs of the zone sum to its limit.
+   Which VMs get one slot more differs between endpoints. A part below one slot counts as one, and
+   the pool bounds the sum. */
+double Router::Core::partOf(const EndpointState& state, std::uint64_t hash) const
+{
+  const auto limit = static_cast<std::uint64_t>(state.limit.value());
+  const std::uint64_t vms = peers_.zoneVms;
+  const std::uint64_t turn = (peers_.zoneIndex + hash % vms) % vms;
+  const std::uint64_t part = limit / vms + (turn < limit % vms ? 1 : 0);
+  return static_cast<double>(std::max<std::uint64_t>(part, 1));
+}
+
+/** The VMs of a zone divide its endpoints: within its part a VM relies on its own count, which does
+    not lag. Beyond it, and in other zones, it relies on reports and keeps a distance. */
+bool Router::Core::isOpen(const Work& work,
+                          const EndpointState& state,
+                          const Endpoint& endpoint,
+                          bool poolOpen) const
+{
+  const double limit = state.limit.value();
+  const double load = state.load.current();
+  if (work.kind == WorkKind::plain) {
+    return load + 1 <= limit * kPlainPerSlot;
+  }
+  const bool withinPart = endpoint.latest.zone == options_.zone && poolOpen &&
+                          state.load.own() + 1 <= partOf(state, endpoint.hash);
+  if (withinPart && load < limit * kOverload) {
+    return true;
+  }
+  return load + 1 <= limit * (1 - kBorrowDistance);
+}
+
+std::optional<std::uint32_t> Router::Core::findPlace(Time now, const Job& job, double heldBack)
 {
+  const auto pool = poolFor(now, job);
+  const bool poolOpen = pool.own + 1 <= pool.part - std::ceil(pool.part * heldBack);
   std::vector<ChoiceCandidate> candidates;
   for (const auto place : placesFor(job.work)) {
     if (!usable(now, place, job)) {
@@ -325,10 +400,13 @@
     }
     const auto& state = stateAt(place);
     const auto& endpoint = registry_.at(place);
-    const double limit = job.work.kind == WorkKind::plain ? state.limit.value() * kPlainPerSlot
-                                                          : state.limit.forRank(limitRank);
-    candidates.push_back(
-      { place, endpoint.latest.zone == options_.zone, state.load.current(), limit, endpoint.hash });
+    const bool ownZone = endpoint.latest.zone == options_.zone;
+    candidates.push_back({ place,
+                           ownZone,
+                           state.load.current(),
+                           state.limit.value(),
+                           isOpen(job.work, state, endpoint, poolOpen),
+                           endpoint.hash });
   }
   const auto chosen = chooser_.choose(policy_.choice, job.work.prefixChain, candidates);
   if (!chosen) {
@@ -341,7 +419,7 @@
     full, the least loaded one takes it. */
 std::optional<std::uint32_t> Router::Core::findAnyPlace(Time now, const Job& job)
 {
-  if (const auto place = findPlace(now, job, Rank::urgent)) {
+  if (const auto place = findPlace(now, job, 0)) {
     return place;
   }
   std::optional<std::uint32_t> best;
@@ -371,8 +449,7 @@
   for (const auto place : registry_.serving(model)) {
     const auto& endpoint = registry_.at(place).latest;
     const auto& state = stateAt(place);
-    const bool roomAfter = state.load.current() <= state.limit.forRank(Rank::urgent);
-    if (!endpoint.leaving && !outliers_.isEjected(now, endpoint.id) && roomAfter) {
+    if (!endpoint.leaving && !outliers_.isEjected(now, endpoint.id)) {
       running.insert(running.end(), state.running.begin(), state.running.end());
     }
   }
@@ -388,7 +465,7 @@
   std::vector<Job*> batch;
   std::vector<PreemptionCandidate> candidates;
   for (auto* job : jobs) {
-    if (job->work.rank != Rank::batch || !job->work.repeatable) {
+    if (job->work.rank != Rank::batch || !job->work.repeatable || !job->streams) {
       continue;
     }
     batch.push_back(job);
--- a/modules/routing/RouterCore.h
+++ b/modules/routing/RouterCore.h
@@ -106,7 +106,20 @@
   void exchangeUsage(Time now);
   void dispatchModel(Time now, const ModelName& model);
   bool dispatchNext(Time now, const ModelName& model, ModelLine& line);
-  std::optional<std::uint32_t> findPlace(Time now, const Job& job, Rank limitRank);
+  /** Capacity that this VM may use at the endpoints of its zone for one model. */
+  struct Pool
+  {
+    double part = 0;
+    double own = 0;
+  };
+
+  std::optional<std::uint32_t> findPlace(Time now, const Job& job, double heldBack);
+  [[nodiscard]] Pool poolFor(Time now, const Job& job);
+  [[nodiscard]] double partOf(const EndpointState& state, std::uint64_t hash) const;
+  [[nodiscard]] bool isOpen(const Work& work,
+                            const EndpointState& state,
+                            const Endpoint& endpoint,
+                            bool poolOpen) const;
   std::optional<std::uint32_t> findAnyPlace(Time now, const Job& job);
   std::optional<std::uint32_t> preempt(Time now, const ModelName& model, const ModelLine& line);
   bool cancelCheapest(Time now, std::span<Job* const> jobs, std::uint32_t& place);
