routing: test each rule; let a pool of one slot take batch work

Cause: the tests found that the slots held back rounded up to the only slot of a small pool, so batch work never ran there. Change: one slot always remains. 18 cases cover floors, weights, early refusal, leaving, expiry, load reports, ejection bound, retry budget, non-repeatable work, stalled streams, preemption, lookups in a flood, rate division, totals on the tree, affinity, load estimate and limit. build/routing_test: 18 passed.

--- a/modules/routing/RouterCore.cpp
+++ b/modules/routing/RouterCore.cpp
@@ -392,7 +392,8 @@
 std::optional<std::uint32_t> Router::Core::findPlace(Time now, const Job& job, double heldBack)
 {
   const auto pool = poolFor(now, job);
-  const bool poolOpen = pool.own + 1 <= pool.part - std::ceil(pool.part * heldBack);
+  const double kept = std::min(std::ceil(pool.part * heldBack), std::max(pool.part - 1, 0.0));
+  const bool poolOpen = pool.own + 1 <= pool.part - kept;
   std::vector<ChoiceCandidate> candidates;
   for (const auto place : placesFor(job.work)) {
     if (!usable(now, place, job)) {
--- /dev/null
+++ b/tests/routing_test.cpp
@@ -0,0 +1,541 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "core/Invariant.h"
+#include "routing/RateLimiter.h"
+#include "routing/RouterCore.h"
+#include "routing/routing.h"
+
+#include <algorithm>
+#include <cmath>
+#include <doctest/doctest.h>
+#include <map>
+#include <stdexcept>
+#include <string>
+
+using namespace figchute;
+using namespace figchute::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ModelName kModel("m");
+
+void throwOnBrokenInvariant(std::string_view message)
+{
+  throw std::logic_error(std::string(message));
+}
+
+/** Makes a broken invariant an exception for the length of a test. */
+struct InvariantsThrow
+{
+  InvariantsThrow()
+    : previous(setInvariantHandler(&throwOnBrokenInvariant))
+  {
+  }
+  ~InvariantsThrow() { setInvariantHandler(previous); }
+  InvariantsThrow(const InvariantsThrow&) = delete;
+  InvariantsThrow& operator=(const InvariantsThrow&) = delete;
+  InvariantHandler previous;
+};
+
+Announcement engine(const std::string& id, std::uint32_t slots, const std::string& zone = "a")
+{
+  Announcement announcement;
+  announcement.id = EndpointId(id);
+  announcement.address = "127.0.0.1:1";
+  announcement.zone = ZoneId(zone);
+  announcement.models = { kModel };
+  announcement.slots = slots;
+  return announcement;
+}
+
+/** One router with helpers that submit, run and finish work. */
+struct Vm : InvariantsThrow
+{
+  explicit Vm(const std::string& id = "vm1")
+    : router({ ProcessId(id), ZoneId("a"), 1 })
+  {
+  }
+
+  Work work(Rank rank, const std::string& workspace = "w")
+  {
+    Work work;
+    work.id = RequestId(std::to_string(++requests));
+    work.workspace = WorkspaceId(workspace);
+    work.caller = CallerId(workspace);
+    work.rank = rank;
+    work.model = kModel;
+    work.maxTokens = Tokens{ 100 };
+    work.arrival = now;
+    return work;
+  }
+
+  /** Submits work and returns its dispatches. */
+  std::vector<Dispatch> submit(Work request)
+  {
+    accepted = static_cast<bool>(router.submit(now, std::move(request)));
+    return dispatches();
+  }
+
+  std::vector<Dispatch> dispatches()
+  {
+    std::vector<Dispatch> result;
+    for (const auto& action : router.takeDispatches()) {
+      if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+        result.push_back(*dispatch);
+      } else if (const auto* cancel = std::get_if<CancelStream>(&action)) {
+        cancels.push_back(*cancel);
+      } else {
+        refused.push_back(std::get<Refused>(action));
+      }
+    }
+    return result;
+  }
+
+  std::vector<Dispatch> advance(Duration length)
+  {
+    now = now + length;
+    router.tick(now);
+    return dispatches();
+  }
+
+  std::vector<Dispatch> finish(const RequestId& id, int tokens = 50)
+  {
+    router.progress(now, id, Tokens{ tokens });
+    router.finished(now, id, Outcome::completed);
+    return dispatches();
+  }
+
+  Time now{ 1'000'000'000 };
+  Router router;
+  int requests = 0;
+  bool accepted = false;
+  std::vector<CancelStream> cancels;
+  std::vector<Refused> refused;
+};
+
+} // namespace
+
+// Guards against batch work that never runs while urgent work keeps coming.
+TEST_CASE_FIXTURE(Vm, "RankQueue_urgentFlood_leavesTheFloorToBatch")
+{
+  router.announce(now, engine("e", 1));
+  submit(work(Rank::urgent));
+  auto policy = Policy{};
+  policy.ranks[0].target = 1h;
+  policy.ranks[2].target = 1h;
+  router.setPolicy(policy);
+  for (int i = 0; i < 300; ++i) {
+    submit(work(Rank::batch));
+    submit(work(Rank::urgent));
+  }
+  RequestId running("1");
+  int batch = 0;
+  for (int i = 0; i < 200; ++i) {
+    now = now + 100ms;
+    const auto next = finish(running);
+    REQUIRE(next.size() == 1);
+    batch += next[0].rank == Rank::batch ? 1 : 0;
+    running = next[0].id;
+    router.announce(now, engine("e", 1));
+  }
+  CHECK(batch >= 18);
+  CHECK(batch <= 30);
+}
+
+// Guards against a small workspace that waits behind the queue of a large one, and against weights
+// without effect.
+TEST_CASE_FIXTURE(Vm, "RankQueue_severalWorkspaces_servedByWeight")
+{
+  auto policy = Policy{};
+  policy.ranks[2].target = 1h;
+  policy.workspaces[WorkspaceId("heavy")].weight = 2;
+  router.setPolicy(policy);
+  router.announce(now, engine("e", 1));
+  const auto first = submit(work(Rank::batch, "large"));
+  for (int i = 0; i < 100; ++i) {
+    submit(work(Rank::batch, "large"));
+  }
+  for (int i = 0; i < 100; ++i) {
+    submit(work(Rank::batch, "heavy"));
+  }
+  submit(work(Rank::batch, "small"));
+  std::map<char, int> served;
+  RequestId running = first.at(0).id;
+  int smallAt = -1;
+  for (int i = 0; i < 60; ++i) {
+    now = now + 10ms;
+    router.announce(now, engine("e", 1));
+    const auto next = finish(running);
+    REQUIRE(next.size() == 1);
+    running = next[0].id;
+    const int number = std::stoi(running.value);
+    ++served[number <= 101 ? 'l' : number <= 201 ? 'h' : 's'];
+    smallAt = number == 202 ? i : smallAt;
+  }
+  CHECK(smallAt >= 0);
+  CHECK(smallAt <= 1);
+  CHECK(served['h'] > 1.7 * served['l']);
+  CHECK(served['h'] < 2.3 * served['l']);
+}
+
+// Guards against work that waits although its target cannot be met, and against refusals without a
+// time to retry.
+TEST_CASE_FIXTURE(Vm, "RankQueue_targetCannotBeMet_refusesEarly")
+{
+  router.announce(now, engine("e", 1));
+  submit(work(Rank::urgent));
+  REQUIRE(accepted);
+  submit(work(Rank::urgent));
+  REQUIRE(accepted);
+  advance(200ms);
+  CHECK(refused.empty());
+  advance(200ms);
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].refusal.kind == ErrorKind::deadlineUnmeetable);
+  CHECK(refused[0].refusal.retryAfter >= 100ms);
+  CHECK_THROWS(router.finished(now, RequestId("2"), Outcome::abandoned));
+  for (int i = 0; i < 10; ++i) {
+    submit(work(Rank::urgent));
+  }
+  CHECK_FALSE(accepted);
+}
+
+// Guards against new work for an endpoint that leaves, at the VM it told and at the others.
+TEST_CASE_FIXTURE(Vm, "Router_endpointLeaves_getsNoMoreWork")
+{
+  Vm other("vm2");
+  router.setPeers({ { ProcessId("vm2") }, {}, 2, 2, 0 });
+  other.router.setPeers({ { ProcessId("vm1") }, {}, 2, 2, 1 });
+  for (const auto* id : { "e1", "e2" }) {
+    router.announce(now, engine(id, 8));
+  }
+  const auto exchange = [&] {
+    for (const auto& [to, message] : router.takeOutgoing()) {
+      const auto decoded = wire::decode<Message>(wire::encode(message));
+      REQUIRE(decoded);
+      other.router.receive(now, ProcessId("vm1"), *decoded);
+    }
+  };
+  advance(300ms);
+  exchange();
+  REQUIRE(other.router.dump(now).endpoints.size() == 2);
+  auto leaving = engine("e1", 8);
+  leaving.leaving = true;
+  router.announce(now, leaving);
+  exchange();
+  for (auto* vm : { static_cast<Vm*>(this), &other }) {
+    vm->now = now;
+    for (int i = 0; i < 4; ++i) {
+      for (const auto& dispatch : vm->submit(vm->work(Rank::prompt))) {
+        CHECK(dispatch.endpoint == EndpointId("e2"));
+      }
+    }
+  }
+}
+
+// Guards against dispatches to endpoints that stopped announcing, and against load reports that
+// keep an endpoint alive that nobody hears.
+TEST_CASE_FIXTURE(Vm, "EndpointRegistry_silentEndpoint_expiresAfterSixSeconds")
+{
+  router.announce(now, engine("e", 8));
+  advance(5900ms);
+  CHECK(submit(work(Rank::prompt)).size() == 1);
+  advance(100ms);
+  submit(work(Rank::prompt));
+  CHECK_FALSE(accepted);
+  CHECK(router.dump(now).endpoints.empty());
+}
+
+// Guards against a load report with an old age that undoes a newer announcement, and against loads
+// of unknown endpoints that are lost without a request for the whole registry.
+TEST_CASE("EndpointRegistry_loadReports_followAgeAndAskForUnknown")
+{
+  EndpointRegistry a;
+  EndpointRegistry b;
+  a.setPeers({ { ProcessId("b") }, {}, 2, 2, 0 });
+  Time now{ 1'000'000'000 };
+  const auto exchange = [&] {
+    a.tick(now);
+    for (const auto& [to, message] : a.takeOutgoing()) {
+      b.receive(now, ProcessId("a"), std::get<RegistryDelta>(message));
+    }
+  };
+  a.announce(now, engine("e", 8));
+  a.tick(now);
+  a.takeOutgoing();
+  now = now + 2s;
+  auto loaded = engine("e", 8);
+  loaded.running = 5;
+  a.announce(now, loaded);
+  exchange();
+  CHECK_FALSE(b.find(EndpointId("e")));
+  const auto request = b.takeOutgoing();
+  REQUIRE(request.size() == 1);
+  a.receive(now, ProcessId("b"), std::get<RegistryRequest>(request[0].message));
+  exchange();
+  REQUIRE(b.find(EndpointId("e")));
+  CHECK(b.at(0).latest.running == 5);
+  b.announce(now, engine("e", 8));
+  now = now + 250ms;
+  exchange();
+  CHECK(b.at(0).latest.running == 0);
+}
+
+// Guards against the ejection of so many endpoints that the rest cannot carry the load.
+TEST_CASE("OutlierDetector_allFail_ejectsAtMostAThird")
+{
+  OutlierDetector detector;
+  std::vector<EndpointId> ids;
+  for (int i = 0; i < 7; ++i) {
+    ids.emplace_back("e" + std::to_string(i));
+    for (int failure = 0; failure < 5; ++failure) {
+      detector.recordFailure(ids.back());
+    }
+  }
+  const Time now{ 1'000'000'000 };
+  for (int round = 0; round < 3; ++round) {
+    detector.evaluate(now, ids);
+  }
+  const auto out = std::count_if(
+    ids.begin(), ids.end(), [&](const EndpointId& id) { return detector.isEjected(now, id); });
+  CHECK(out == 2);
+  CHECK_FALSE(detector.isEjected(now + 6s, ids[0]));
+}
+
+// Guards against a slow endpoint that keeps its share of the work.
+TEST_CASE("OutlierDetector_slowEndpoint_isEjected")
+{
+  OutlierDetector detector;
+  const std::vector<EndpointId> ids{ EndpointId("a"), EndpointId("b"), EndpointId("c") };
+  for (int i = 0; i < 20; ++i) {
+    detector.recordSuccess(ids[0], 100ms);
+    detector.recordSuccess(ids[1], 120ms);
+    detector.recordSuccess(ids[2], 2s);
+  }
+  detector.evaluate(Time{ 1 }, ids);
+  CHECK(detector.isEjected(Time{ 1 }, ids[2]));
+  CHECK_FALSE(detector.isEjected(Time{ 1 }, ids[0]));
+}
+
+// Guards against retries that multiply the load when everything fails.
+TEST_CASE("RetryPolicy_everythingFails_stopsAtTheBudget")
+{
+  RetryPolicy policy;
+  int allowed = 0;
+  for (int i = 0; i < 1000; ++i) {
+    policy.recordRequest();
+    allowed += policy.ask(true, AttemptFailure::failed, 1) ? 0 : 1;
+  }
+  CHECK(allowed <= 110);
+  CHECK(allowed >= 100);
+}
+
+// Guards against a second run of a booking, and against a lost booking that surely did not run.
+TEST_CASE_FIXTURE(Vm, "Router_nonRepeatableWork_runsAtMostOnce")
+{
+  router.announce(now, engine("e1", 8));
+  router.announce(now, engine("e2", 8));
+  auto booking = work(Rank::prompt);
+  booking.repeatable = false;
+  const auto first = submit(booking);
+  const auto second = router.retry(now, booking.id, AttemptFailure::notRun);
+  REQUIRE(second);
+  CHECK(second->endpoint != first.at(0).endpoint);
+  const auto third = router.retry(now, booking.id, AttemptFailure::stalled);
+  REQUIRE_FALSE(third);
+  CHECK(third.error().kind == ErrorKind::outcomeUnknown);
+  CHECK(router.inProgress() == 0);
+}
+
+// Guards against a retry at the endpoint that just failed, and against lost progress.
+TEST_CASE_FIXTURE(Vm, "Router_silentStream_continuesElsewhere")
+{
+  router.announce(now, engine("e1", 8));
+  router.announce(now, engine("e2", 8));
+  const auto request = work(Rank::prompt);
+  const auto first = submit(request);
+  router.firstToken(now, request.id);
+  router.progress(now, request.id, Tokens{ 17 });
+  const auto second = router.retry(now, request.id, AttemptFailure::stalled);
+  REQUIRE(second);
+  CHECK(second->endpoint != first.at(0).endpoint);
+  CHECK(second->resumeAfter == Tokens{ 17 });
+  CHECK(router.retry(now, request.id, AttemptFailure::stalled).error().kind ==
+        ErrorKind::noEndpoint);
+}
+
+// Guards against urgent work that is late while batch work holds all slots, and against cancelled
+// batch work that is lost or starts anew.
+TEST_CASE_FIXTURE(Vm, "Router_slotsFullOfBatch_cancelsAndResumesForUrgent")
+{
+  router.announce(now, engine("e", 4));
+  std::vector<RequestId> running;
+  for (int i = 0; i < 4; ++i) {
+    auto report = work(Rank::batch);
+    report.maxTokens = Tokens{ 1000 };
+    submit(report);
+    router.firstToken(now, RequestId("1"));
+    router.progress(now, RequestId("1"), Tokens{ 10 });
+  }
+  for (int i = 0; i < 2; ++i) {
+    submit(work(Rank::urgent));
+  }
+  REQUIRE(cancels.size() == 1);
+  CHECK(cancels[0].id == RequestId("1"));
+  router.cancelled(now, RequestId("1"));
+  CHECK(router.counters()[2].preempted == 1);
+  finish(RequestId("5"));
+  const auto resumed = finish(RequestId("6"));
+  REQUIRE(resumed.size() == 1);
+  CHECK(resumed[0].id == RequestId("1"));
+  CHECK(resumed[0].resumeAfter == Tokens{ 10 });
+}
+
+// Guards against lookups that wait for, or are refused because of, model work.
+TEST_CASE_FIXTURE(Vm, "Router_floodOfModelWork_leavesLookupsAlone")
+{
+  auto policy = Policy{};
+  policy.workspaces[WorkspaceId("w")].maxConcurrency = 20;
+  router.setPolicy(policy);
+  router.announce(now, engine("e", 1));
+  Announcement till;
+  till.id = EndpointId("till");
+  till.zone = ZoneId("a");
+  till.kind = WorkKind::plain;
+  till.service = ServiceName("stock");
+  till.slots = 4;
+  router.announce(now, till);
+  for (int i = 0; i < 100; ++i) {
+    submit(work(Rank::batch));
+  }
+  CHECK_FALSE(accepted);
+  auto lookup = work(Rank::prompt);
+  lookup.kind = WorkKind::plain;
+  lookup.service = ServiceName("stock");
+  const auto sent = submit(lookup);
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].endpoint == EndpointId("till"));
+  lookup.id = RequestId("other");
+  lookup.service = ServiceName("none");
+  CHECK(router.submit(now, lookup).error().kind == ErrorKind::unknownService);
+}
+
+// Guards against a rate that each VM grants in full, and against a VM with little demand that keeps
+// an equal part.
+TEST_CASE("RateLimiter_severalVms_divideTheRateByDemand")
+{
+  Policy policy;
+  policy.workspaces[WorkspaceId("w")].requestsPerSecond = 100;
+  RateLimiter busy(WorkKind::model);
+  RateLimiter quiet(WorkKind::model);
+  int admitted = 0;
+  for (auto* limiter : { &busy, &quiet }) {
+    limiter->setPolicy(policy);
+  }
+  busy.setPeers({ { ProcessId("quiet") }, {}, 2, 2, 0 });
+  quiet.setPeers({ { ProcessId("busy") }, {}, 2, 2, 1 });
+  Time now{ 1'000'000'000 };
+  for (int i = 0; i < 4000; ++i) {
+    now = now + 5ms;
+    const WorkspaceId workspace("w");
+    const bool counted = i >= 2000;
+    admitted += busy.admit(now, workspace, CallerId("c")) && counted ? 1 : 0;
+    if (i % 10 == 0) {
+      admitted += quiet.admit(now, workspace, CallerId("c")) && counted ? 1 : 0;
+    }
+    if (i % 200 == 0) {
+      quiet.receive(now, ProcessId("busy"), busy.take(ProcessId("quiet")));
+      busy.receive(now, ProcessId("quiet"), quiet.take(ProcessId("busy")));
+    }
+  }
+  CHECK(admitted <= 1050);
+  CHECK(admitted >= 900);
+  CHECK(busy.part(now, "w:w") > 0.7);
+}
+
+// Guards against increments that are counted twice or get lost on the tree between VMs.
+TEST_CASE("FairShareTotals_treeOfVms_countEachTokenOnce")
+{
+  const std::vector<ProcessId> ids{ ProcessId("a"), ProcessId("b"), ProcessId("c") };
+  std::vector<FairShareTotals> totals(3);
+  totals[0].setLinks({ ids[1], ids[2] });
+  totals[1].setLinks({ ids[0] });
+  totals[2].setLinks({ ids[0] });
+  const Time now{ 1'000'000'000 };
+  const WorkspaceId workspace("w");
+  for (auto& total : totals) {
+    total.add(now, total.indexOf(workspace), Rank::batch, 100);
+  }
+  for (int round = 0; round < 3; ++round) {
+    for (const std::size_t leaf : { 1U, 2U }) {
+      totals[leaf].receive(now, ids[0], totals[0].take(ids[leaf]));
+      totals[0].receive(now, ids[leaf], totals[leaf].take(ids[0]));
+    }
+  }
+  for (const auto& total : totals) {
+    CHECK(total.total(now, workspace) == doctest::Approx(300));
+    CHECK(total.total(now + kFairShareMemory, workspace) == doctest::Approx(300 / std::exp(1.0)));
+  }
+}
+
+// Guards against all requests of one prefix on one endpoint, and against a prefix that moves
+// between endpoints at low load.
+TEST_CASE("EndpointChooser_commonPrefix_staysTogetherWithBoundedLoad")
+{
+  EndpointChooser chooser(1);
+  std::vector<ChoiceCandidate> candidates;
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    candidates.push_back({ i, true, 0, 32, true, i * 7919ULL });
+  }
+  const std::vector<Fingerprint> prefix{ 1, 2, 3 };
+  const auto home = chooser.choose(ChoiceStrategy::affinity, prefix, candidates);
+  REQUIRE(home);
+  CHECK(chooser.choose(ChoiceStrategy::affinity, prefix, candidates) == home);
+  for (int i = 0; i < 40; ++i) {
+    const auto at = chooser.choose(ChoiceStrategy::affinity, prefix, candidates);
+    candidates[*at].load += 1;
+  }
+  CHECK(candidates[*home].load < 16);
+  candidates[*home].open = false;
+  CHECK(chooser.choose(ChoiceStrategy::affinity, prefix, candidates) != home);
+}
+
+// Guards against a load estimate that forgets requests sent since the report or counts finished
+// ones for ever.
+TEST_CASE("LoadEstimate_lagingReport_isCorrectedByOwnRequests")
+{
+  LoadEstimate load;
+  const Time start{ 1'000'000'000 };
+  for (int i = 0; i < 4; ++i) {
+    load.change(start, 1);
+  }
+  load.report(start + 1s, 10);
+  CHECK(load.current() == 10);
+  load.change(start + 1100ms, 1);
+  load.change(start + 1200ms, 1);
+  CHECK(load.current() == 12);
+  for (int i = 0; i < 6; ++i) {
+    load.change(start + 1300ms, -1);
+  }
+  CHECK(load.current() == 6);
+}
+
+// Guards against a limit that sinks at a single slow sample or never recovers.
+TEST_CASE("ConcurrencyLimit_slowFirstTokens_shrinkAndRecover")
+{
+  ConcurrencyLimit limit(32);
+  Time now{ 1'000'000'000 };
+  limit.record(now, Rank::urgent, 100ms);
+  limit.record(now, Rank::urgent, 2s);
+  CHECK(limit.value() == 32);
+  for (int i = 0; i < 10; ++i) {
+    now = now + 1s;
+    limit.record(now, Rank::urgent, 2s);
+  }
+  CHECK(limit.value() < 32);
+  CHECK(limit.value() >= 8);
+  for (int i = 0; i < 100; ++i) {
+    limit.record(now, Rank::urgent, 100ms);
+  }
+  CHECK(limit.value() == 32);
+}
