--- a/modules/gateway/UpstreamLink.cpp
+++ b/modules/gateway/UpstreamLink.cpp
@@ -1,6 +1,6 @@
 #include "gateway/UpstreamLink.h"
 
-#include <cxxtools/streambuffer.h>
+#include <cxxtools/ioerror.h>
 #include <exception>
 #include <fmt/format.h>
 #include <string_view>
@@ -20,11 +20,12 @@
 
 } // namespace
 
-UpstreamLink::UpstreamLink(cxxtools::SelectorBase& selector,
+UpstreamLink::UpstreamLink(LinkSelector& selector,
                            std::vector<RequestId>& finished,
                            const std::string& host,
                            std::uint16_t port)
-  : finishedCalls_(finished)
+  : selector_(selector)
+  , finishedCalls_(finished)
   , peer_(fmt::format("{}:{}", host, port))
 {
   client_.setSelector(selector);
@@ -41,11 +42,16 @@
   call_ = std::move(call);
   callback_ = std::move(callback);
   bodyBytes_ = 0;
+  isChunked_ = false;
   requestSent_ = headReceived_ = echoed_ = finished_ = reusable_ = failed_ = mismatched_ = false;
   restartDeadline(call_.connectTimeout);
   try {
     fillRequest();
+    selector_.takeLastAdded();
     client_.beginExecute(request_);
+    if (auto* added = selector_.takeLastAdded()) {
+      socket_ = dynamic_cast<cxxtools::IODevice*>(added);
+    }
   } catch (const std::exception& error) {
     fail(ErrorKind::endpointFailed, error.what());
   }
@@ -126,6 +132,11 @@
     return;
   }
   echoed_ = header.hasHeader(kRequestIdHeader);
+  isChunked_ = header.chunkedTransferEncoding() && socket_ != nullptr;
+  if (isChunked_) {
+    // chunksEnded() reads from the stream; with this it does not wait for bytes.
+    socket_->setTimeout(0);
+  }
   restartDeadline(call_.progressTimeout);
   UpstreamHead head{ static_cast<int>(header.httpReturnCode()), {} };
   for (const auto& [name, value] : header) {
@@ -140,15 +151,32 @@
 }
 
 std::size_t UpstreamLink::onBody(cxxtools::http::Client& client)
+{
+  std::size_t count = takeAvailable(client);
+  if (!isChunked_ || finished_) {
+    return count;
+  }
+  // The client does not notice the last chunk when it comes in one read with the chunk before it.
+  while (!chunksEnded(client)) {
+    const auto more = takeAvailable(client);
+    if (more == 0) {
+      return count;
+    }
+    count += more;
+  }
+  complete();
+  return count;
+}
+
+std::size_t UpstreamLink::takeAvailable(cxxtools::http::Client& client)
 {
   const auto available = client.in().rdbuf()->in_avail();
   if (available <= 0) {
     return 0;
   }
   std::string bytes(static_cast<std::size_t>(available), '\0');
-  client.in().read(bytes.data(), available);
-  const auto count = static_cast<std::size_t>(client.in().gcount());
-  bytes.resize(count);
+  bytes.resize(static_cast<std::size_t>(client.in().rdbuf()->sgetn(bytes.data(), available)));
+  const auto count = bytes.size();
   if (!finished_) {
     bodyBytes_ += count;
     restartDeadline(call_.progressTimeout);
@@ -157,35 +185,57 @@
   return count;
 }
 
+/** Tells whether the last chunk was read. It may read further bytes from the socket, but does not
+    wait for them. */
+bool UpstreamLink::chunksEnded(cxxtools::http::Client& client)
+{
+  try {
+    return client.in().rdbuf()->sgetc() == std::char_traits<char>::eof();
+  } catch (const cxxtools::IOTimeout&) {
+    return false;
+  } catch (const std::exception&) {
+    // The client meets the same fault when it goes on, and reports it by replyFinished.
+    return false;
+  }
+}
+
+/** Delivers the end of the answer. */
+void UpstreamLink::complete()
+{
+  end();
+  std::exchange(callback_, {})(UpstreamDone{});
+}
+
 void UpstreamLink::onFinished(cxxtools::http::Client& client)
 {
   try {
     client.endExecute();
   } catch (const std::exception& error) {
+    reusable_ = false;
     if (!finished_) {
       fail(ErrorKind::endpointFailed, fmt::format("endpoint {}: {}", peer_, error.what()));
     }
     return;
   }
-  if (finished_) {
+  if (failed_) {
     return;
   }
   const auto& header = client.header();
-  if (!headReceived_ ||
-      (header.hasHeader("Content-Length") && !mayHaveNoBody(header.httpReturnCode()) &&
-       header.contentLength() != bodyBytes_)) {
+  const bool hasLength =
+    header.hasHeader("Content-Length") && !mayHaveNoBody(header.httpReturnCode());
+  if (!headReceived_ || (hasLength && header.contentLength() != bodyBytes_)) {
     fail(ErrorKind::endpointFailed, fmt::format("endpoint {} ended its answer early", peer_));
     return;
   }
-  end();
   reusable_ = echoed_ && header.keepAlive() && client.in().rdbuf()->in_avail() <= 0;
-  std::exchange(callback_, {})(UpstreamDone{});
+  if (!finished_) {
+    complete();
+  }
 }
 
-bool UpstreamLink::requestOnItsWay()
+bool UpstreamLink::requestOnItsWay() const
 {
-  const auto* buffer = dynamic_cast<cxxtools::StreamBuffer*>(client_.in().rdbuf());
-  return requestSent_ || buffer == nullptr || buffer->writing();
+  return requestSent_ || socket_ == nullptr || socket_->writing();
 }
 
 void UpstreamLink::fail(ErrorKind kind, std::string detail)
--- a/modules/gateway/UpstreamLink.h
+++ b/modules/gateway/UpstreamLink.h
@@ -7,12 +7,33 @@
 #include <cxxtools/connectable.h>
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
+#include <cxxtools/iodevice.h>
 #include <cxxtools/selector.h>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace figchute::gateway::detail {
 
+/** A selector that tells which device was added last. The client gives no access to its socket,
+    but adds it to its selector. */
+class LinkSelector : public cxxtools::Selector
+{
+public:
+  /** Returns the device added since the last call, or nullptr. */
+  cxxtools::Selectable* takeLastAdded() { return std::exchange(lastAdded_, nullptr); }
+
+protected:
+  void onAdd(cxxtools::Selectable& device) override
+  {
+    lastAdded_ = &device;
+    Selector::onAdd(device);
+  }
+
+private:
+  cxxtools::Selectable* lastAdded_ = nullptr;
+};
+
 /** One connection to an endpoint with the call that runs on it. Used on one worker thread. */
 class UpstreamLink : public cxxtools::Connectable
 {
@@ -21,7 +42,7 @@
 
   /** Creates a connection that is opened by the first call.
       @param finished  gets the id of each call that has ended */
-  UpstreamLink(cxxtools::SelectorBase& selector,
+  UpstreamLink(LinkSelector& selector,
                std::vector<RequestId>& finished,
                const std::string& host,
                std::uint16_t port);
@@ -51,17 +72,23 @@
   std::size_t onBody(cxxtools::http::Client& client);
   void onFinished(cxxtools::http::Client& client);
   [[nodiscard]] Error checkHeader(const cxxtools::http::ReplyHeader& header) const;
-  [[nodiscard]] bool requestOnItsWay();
+  [[nodiscard]] bool requestOnItsWay() const;
+  std::size_t takeAvailable(cxxtools::http::Client& client);
+  [[nodiscard]] static bool chunksEnded(cxxtools::http::Client& client);
+  void complete();
   void fail(ErrorKind kind, std::string detail);
   void end();
   void restartDeadline(Duration timeout);
 
+  LinkSelector& selector_;
   std::vector<RequestId>& finishedCalls_;
   std::string peer_;
   UpstreamCall call_;
   UpstreamCallback callback_;
   Clock::time_point deadline_;
   std::uint64_t bodyBytes_ = 0;
+  cxxtools::IODevice* socket_ = nullptr;
+  bool isChunked_ = false;
   bool used_ = false;
   bool requestSent_ = false;
   bool headReceived_ = false;
--- a/modules/gateway/UpstreamWorker.cpp
+++ b/modules/gateway/UpstreamWorker.cpp
@@ -132,13 +132,15 @@
 UpstreamWorker::LinkPointer UpstreamWorker::linkFor(const UpstreamCall& call)
 {
   const auto kept = idle_.find({ call.host, call.port });
-  if (!call.mayReuseConnection || kept == idle_.end() || kept->second.empty()) {
-    return std::make_unique<UpstreamLink>(selector_, finished_, call.host, call.port);
+  while (call.mayReuseConnection && kept != idle_.end() && !kept->second.empty()) {
+    auto link = std::move(kept->second.back().link);
+    kept->second.pop_back();
+    if (link->isReusable()) {
+      ++reused_;
+      return link;
+    }
   }
-  auto link = std::move(kept->second.back().link);
-  kept->second.pop_back();
-  ++reused_;
-  return link;
+  return std::make_unique<UpstreamLink>(selector_, finished_, call.host, call.port);
 }
 
 void UpstreamWorker::waitForEvents()
--- a/modules/gateway/UpstreamWorker.h
+++ b/modules/gateway/UpstreamWorker.h
@@ -5,7 +5,6 @@
 
 #include <atomic>
 #include <chrono>
-#include <cxxtools/selector.h>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -67,7 +66,7 @@
   void dropOldIdle(Clock::time_point now);
 
   UpstreamLimits limits_;
-  cxxtools::Selector selector_;
+  LinkSelector selector_;
   std::mutex mutex_;
   std::vector<Command> commands_;
   bool stopping_ = false;
