Look at eight ASCII bytes at a time in the UTF-8 check

Cause: every JSON text and every string that is written passes the check.

Figures: json::dump of a 4 KiB string took 20 us before and 9 to 15 us after, on a machine with other builds running.

Conclusion: core_test and json_test pass.

--- a/modules/core/Utf8.cpp
+++ b/modules/core/Utf8.cpp
@@ -1,6 +1,7 @@
 #include "core/Utf8.h"
 
 #include <cstdint>
+#include <cstring>
 
 namespace figchute {
 namespace {
@@ -48,17 +49,31 @@
   return isAllowed(codePoint, length);
 }
 
+// Returns the offset of the next byte that may not be ASCII; eight bytes are looked at in one step.
+std::size_t skipAscii(std::string_view text, std::size_t at)
+{
+  std::uint64_t bytes = 0;
+  while (at + sizeof(bytes) <= text.size()) {
+    std::memcpy(&bytes, text.data() + at, sizeof(bytes));
+    if ((bytes & 0x8080808080808080U) != 0) {
+      return at;
+    }
+    at += sizeof(bytes);
+  }
+  return at;
+}
+
 } // namespace
 
 std::size_t findInvalidUtf8(std::string_view text)
 {
-  std::size_t at = 0;
+  auto at = skipAscii(text, 0);
   while (at < text.size()) {
     const auto length = sequenceLength(static_cast<std::uint8_t>(text[at]));
     if (length == 0 || at + length > text.size() || !isValidSequence(text.substr(at, length))) {
       return at;
     }
-    at += length;
+    at = skipAscii(text, at + length);
   }
   return std::string_view::npos;
 }
