--- a/modules/json/Value.h
+++ b/modules/json/Value.h
@@ -122,7 +122,7 @@
   Value value;
 };
 
-// Defined here because the body needs Member to be complete.
+// Defined after Member: clang in C++20 mode needs the complete type to build the variant.
 template<typename Integer,
          std::enable_if_t<std::is_integral_v<Integer> && !std::is_same_v<Integer, bool>, int>>
 Value::Value(Integer number)
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -4,7 +4,10 @@
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <fstream>
+#include <iterator>
 #include <mutex>
+#include <sstream>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -181,6 +184,27 @@
   CHECK(statusOf(request("GET /v1/service")) == 500);
 }
 
+// Guards against a page for callers that differs from the errors they get.
+TEST_CASE("ErrorTable_apiPage_hasTheSameRows")
+{
+  const std::string here = __FILE__;
+  std::ifstream file(here.substr(0, here.rfind('/')) + "/../docs/api.md");
+  const std::string page(std::istreambuf_iterator<char>(file), {});
+  const auto table = page.substr(page.find("| type | status |"));
+  for (std::size_t i = 0; i < kErrorKindCount; ++i) {
+    const auto& traits = errorTraits(static_cast<ErrorKind>(i));
+    std::ostringstream row;
+    row << "\n| `" << traits.name << "` | " << traits.httpStatus << " | " << toString(traits.ran)
+        << " | " << toString(traits.retry) << " | " << traits.retryAfter.count() << " | ";
+    CHECK_MESSAGE(table.find(row.str()) != std::string::npos, row.str());
+  }
+  std::size_t rows = 0;
+  for (auto at = table.find("\n| `"); at != std::string::npos; at = table.find("\n| `", at + 1)) {
+    ++rows;
+  }
+  CHECK(rows == kErrorKindCount);
+}
+
 // Guards against access without a key, or with the key of the other kind of client.
 TEST_CASE_FIXTURE(AdminFixture, "AdminServer_wrongKey_reachesNoBackend")
 {
