--- a/modules/entry/CoordinatorRun.cpp
+++ b/modules/entry/CoordinatorRun.cpp
@@ -29,6 +29,15 @@
   return rank == Rank::batch ? Duration(10s) : Duration(2s);
 }
 
+/** Turns the router's "nobody serves this" into no_endpoint: the document names the model or service,
+    so the name is right and only its endpoints are missing. */
+Error namedByDocument(const Error& error)
+{
+  const bool unknown =
+    error.kind == ErrorKind::unknownModel || error.kind == ErrorKind::unknownService;
+  return unknown ? Error{ ErrorKind::noEndpoint, error.detail } : error;
+}
+
 bool isRefusedByLoad(int status)
 {
   return status == 429 || status == 503;
@@ -58,7 +67,7 @@
   request.phase = Phase::queued;
   const auto accepted = parts_.router.submit(now, std::move(work));
   if (!accepted) {
-    refuse(now, request, accepted.error(), accepted.error().retryAfter);
+    refuse(now, request, namedByDocument(accepted.error()), accepted.error().retryAfter);
   }
 }
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,8 +6,10 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -16,6 +18,7 @@
 ENDPOINT_KEY = "endpoint-key-for-tests"
 PEER_KEY = "peer-key-for-tests"
 START_LIMIT_S = 15
+_used_ports = set()
 
 DOCUMENT = """[team]
 name = hive
@@ -64,6 +67,21 @@
     return DOCUMENT.format(bought=bought)
 
 
+def free_port():
+    """Returns a loopback port that nothing listens on, below the ports of outgoing connections."""
+    while True:
+        port = random.randint(15000, 32000)
+        if port in _used_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _used_ports.add(port)
+        return port
+
+
 class Answer:
     """One HTTP answer, read whole."""
 
@@ -129,8 +147,7 @@
         self.id = f"vm{index}"
         self.zone = zone
         self.roles = roles
-        base = fleet.base_port + 10 * index
-        self.callers_port, self.admin_port, self.peers_port = base, base + 1, base + 2
+        self.callers_port, self.admin_port, self.peers_port = (free_port() for _ in range(3))
         self.folder = os.path.join(fleet.folder, self.id)
         self.config = os.path.join(fleet.folder, f"{self.id}.ini")
         self.log_path = os.path.join(fleet.folder, f"{self.id}.log")
@@ -241,9 +258,8 @@
 class Fleet:
     """Daemons and stand-ins in one temporary folder; use it in a with statement."""
 
-    def __init__(self, build, base_port, zones=("a", "b", "c"), roles="entry,control"):
+    def __init__(self, build, zones=("a", "b", "c"), roles="entry,control"):
         self.build = os.path.abspath(build)
-        self.base_port = base_port
         self.folder = tempfile.mkdtemp(prefix="figchute-")
         self.daemons = [Daemon(self, index, zone, roles) for index, zone in enumerate(zones)]
         self.standins = []
@@ -291,8 +307,7 @@
         return self._add(name, zone, ["--kind", "plain", "--service", "dispatch", *arguments])
 
     def _add(self, name, zone, arguments):
-        port = self.base_port + 500 + len(self.standins)
-        standin = Standin(self, name, port, zone, arguments)
+        standin = Standin(self, name, free_port(), zone, arguments)
         self.standins.append(standin)
         standin.start()
         return standin
@@ -324,3 +339,28 @@
 def unix_key(suffix):
     """Returns an idempotency key that carries the current time."""
     return f"{int(time.time())}-{suffix}"
+
+
+def check(holds, message):
+    """Fails the case with a message."""
+    if not holds:
+        raise AssertionError(message)
+
+
+def run_cases(cases, arguments):
+    """Runs each case with the build folder and prints a line for each; further arguments select cases
+    by a part of their names. Exits 1 if a case failed."""
+    build, wanted = arguments[1], arguments[2:]
+    failed = 0
+    for case in cases:
+        if wanted and not any(part in case.__name__ for part in wanted):
+            continue
+        begun = time.monotonic()
+        try:
+            case(build)
+            verdict = "passed"
+        except Exception as error:  # pylint: disable=broad-except
+            verdict = f"FAILED: {type(error).__name__}: {error}"
+            failed += 1
+        print(f"{case.__name__}: {verdict} ({time.monotonic() - begun:.1f} s)", flush=True)
+    raise SystemExit(1 if failed else 0)
