routing: spread preemptions; keep the reserve for small workspaces

First tokens of batch work, which engines let wait, ejected endpoints as slow. Change: the cost of a cancellation grows with each one of the same work in place of a fixed limit; batch work keeps 1.5 times its floor; urgent work of workspaces at half of their share or more leaves 3% of the pool free, as ranks below their floor now do; only urgent and prompt work counts for ejection. skewed_share skews inside the zones; skewed_zones is new.

--- a/modules/routing/OutlierDetector.h
+++ b/modules/routing/OutlierDetector.h
@@ -19,7 +19,8 @@
 class OutlierDetector
 {
 public:
-  /** Records a first token of an endpoint.
+  /** Records a first token of an endpoint. Leave batch work out: an engine that honours priorities
+      may let it wait at any load.
       @param latency  time from dispatch to first token */
   void recordSuccess(const EndpointId& endpoint, Duration latency);
 
--- a/modules/routing/PreemptionPolicy.cpp
+++ b/modules/routing/PreemptionPolicy.cpp
@@ -5,8 +5,6 @@
 namespace figchute::routing {
 namespace {
 
-constexpr std::uint32_t kMostPreemptions = 3;
-
 /** Work with fewer tokens left frees its place within about half a second anyway. */
 constexpr std::int64_t kNearlyDoneTokens = 16;
 
@@ -15,7 +13,9 @@
 /** Time to read one token of a prompt relative to generating one. Prompts are read in parallel. */
 constexpr double kReadingCost = 0.01;
 
-/** A cancellation always delays the batch work; this part of its worth covers that. */
+/** A cancellation always delays the batch work; this part of its worth covers that. It grows with
+    each cancellation of the same work, so that the delay is spread. A fixed limit of three
+    cancellations left no work to cancel in a long flood. */
 constexpr double kFixedCost = 0.05;
 
 double costOf(const PreemptionCandidate& candidate)
@@ -23,13 +23,13 @@
   const double prompt = static_cast<double>(candidate.promptBytes) / kBytesPerToken;
   const double read = prompt + static_cast<double>(candidate.generated.count);
   const double whole = std::max(static_cast<double>(candidate.maxTokens.count), 1.0);
-  return kFixedCost + read * kReadingCost / whole;
+  return kFixedCost * (1.0 + candidate.preemptions) + read * kReadingCost / whole;
 }
 
 bool mayBePreempted(const PreemptionCandidate& candidate)
 {
   const auto left = candidate.maxTokens - candidate.generated;
-  return candidate.preemptions < kMostPreemptions && left.count > kNearlyDoneTokens;
+  return left.count > kNearlyDoneTokens;
 }
 
 } // namespace
--- a/modules/routing/PreemptionPolicy.h
+++ b/modules/routing/PreemptionPolicy.h
@@ -24,7 +24,8 @@
 
     The gain is the worth of one urgent request that would be late otherwise. The cost is the part
     of a batch request that has to be computed again when it is resumed, times the worth of batch
-    work. Work that is nearly done, or that was cancelled several times, is left alone.
+    work. The cost grows with each cancellation of the same work. Work that is nearly done is left
+    alone.
     Thread safety: safe from any thread. */
 class PreemptionPolicy
 {
--- a/modules/routing/RankQueue.cpp
+++ b/modules/routing/RankQueue.cpp
@@ -93,7 +93,7 @@
   return drainTime(now, line, position);
 }
 
-bool RankQueue::isAboveShare(const QueuedWork& work) const
+bool RankQueue::isSmall(const QueuedWork& work) const
 {
   double weights = 0;
   for (const auto& [id, workspace] : lineOf(work.rank).workspaces) {
@@ -101,7 +101,7 @@
   }
   const double own = totals_.orderKey(totals_.indexOf(work.workspace), work.rank);
   const double share = totals_.orderKeySum(work.rank) * weight(work.workspace) / weights;
-  return own > share;
+  return own < share / 2;
 }
 
 Refusal RankQueue::refusal(Time now, Rank rank, Duration slack) const
@@ -134,14 +134,14 @@
   changeCount(work, 1);
 }
 
-bool RankQueue::isBelowFloor(Time now, Rank rank) const
+bool RankQueue::isBelowFloor(Time now, Rank rank, double factor) const
 {
   double served = 0;
   for (const auto& line : ranks_) {
     served += line.tokens.at(now);
   }
   const double floor = policy_.ranks[static_cast<std::size_t>(rank)].floor;
-  return lineOf(rank).tokens.at(now) < floor * served;
+  return lineOf(rank).tokens.at(now) < factor * floor * served;
 }
 
 std::vector<RankTurn> RankQueue::order(Time now) const
--- a/modules/routing/RankQueue.h
+++ b/modules/routing/RankQueue.h
@@ -66,12 +66,13 @@
       @param now  the current time */
   [[nodiscard]] std::vector<RankTurn> order(Time now) const;
 
-  /** Returns whether a rank got less than its floor of the tokens served of late. */
-  [[nodiscard]] bool isBelowFloor(Time now, Rank rank) const;
+  /** Returns whether a rank got less than its floor, times @p factor, of the tokens served of
+      late. */
+  [[nodiscard]] bool isBelowFloor(Time now, Rank rank, double factor = 1) const;
 
-  /** Returns whether the workspace of queued work got more than its share of the tokens of the rank
-      of late, by weight among the workspaces with work of that rank. */
-  [[nodiscard]] bool isAboveShare(const QueuedWork& work) const;
+  /** Returns whether the workspace of queued work got less than half of its share of the tokens of
+      the rank of late, by weight among the workspaces with work of that rank. */
+  [[nodiscard]] bool isSmall(const QueuedWork& work) const;
 
   /** Returns the work of a rank that goes next, or nullptr. The pointer stays valid until the next
       call that changes the queue. */
--- a/modules/routing/RouterCore.cpp
+++ b/modules/routing/RouterCore.cpp
@@ -36,6 +36,10 @@
     seconds old and other VMs may do the same. */
 constexpr double kBorrowDistance = 0.25;
 
+/** Batch work keeps this multiple of its floor. At its floor itself, it would be given places and
+    lose them again in turn. */
+constexpr double kPreemptionFloor = 1.5;
+
 /** Urgent work without a first token after this part of its target gets a place freed for it. */
 constexpr int kHelpDivisor = 3;
 
@@ -60,22 +64,14 @@
 
 /** Part of the capacity held back from work, so that urgent work finds a free place, and urgent
     work of small workspaces finds one in a flood of urgent work of large ones. */
-double heldBackFrom(const RankTurn& turn, bool aboveShare)
+double heldBackFrom(const RankTurn& turn, bool small)
 {
-  constexpr double kFromPrompt = 0.03;
+  constexpr double kFromMost = 0.03;
   constexpr double kFromBatch = 0.06;
-  if (turn.belowFloor) {
+  if (turn.rank == Rank::urgent && small) {
     return 0;
   }
-  switch (turn.rank) {
-    case Rank::urgent:
-      return aboveShare ? kFromPrompt : 0;
-    case Rank::prompt:
-      return kFromPrompt;
-    case Rank::batch:
-      break;
-  }
-  return kFromBatch;
+  return turn.rank == Rank::batch && !turn.belowFloor ? kFromBatch : kFromMost;
 }
 
 void smooth(double& mean, double sample)
@@ -318,7 +314,7 @@
 {
   for (const auto& turn : line.queue.order(now)) {
     auto& job = find(line.queue.peek(now, turn.rank)->id);
-    auto place = findPlace(now, job, heldBackFrom(turn, line.queue.isAboveShare(job.item)));
+    auto place = findPlace(now, job, heldBackFrom(turn, line.queue.isSmall(job.item)));
     if (!place && turn.rank == Rank::urgent && policy_.preempt) {
       place = preempt(now, model, line);
     }
@@ -443,7 +439,7 @@
                                                    const ModelName& model,
                                                    const ModelLine& line)
 {
-  if (line.queue.isBelowFloor(now, Rank::batch)) {
+  if (line.queue.isBelowFloor(now, Rank::batch, kPreemptionFloor)) {
     return std::nullopt;
   }
   std::vector<Job*> running;
@@ -571,7 +567,9 @@
   auto& state = states_[job.place];
   if (state.generation == job.generation) {
     state.limit.record(now, job.work.rank, latency);
-    outliers_.recordSuccess(job.endpoint, latency);
+    if (job.work.rank != Rank::batch) {
+      outliers_.recordSuccess(job.endpoint, latency);
+    }
   }
   if (job.work.kind == WorkKind::plain || job.hasFirstToken) {
     return;
--- a/tools/figchute-measure/RoutingWorkload.cpp
+++ b/tools/figchute-measure/RoutingWorkload.cpp
@@ -96,9 +96,18 @@
 
   int chooseVm()
   {
-    const bool skewed = scenario_ == Scenario::skewedShare && rank_ == Rank::batch;
-    const int vms = skewed && workspace_ == 2 ? 1 : skewed && workspace_ == 1 ? 3 : sizes_.vms;
-    return static_cast<int>(random_.below(static_cast<std::uint64_t>(vms)));
+    const auto any = static_cast<int>(random_.below(static_cast<std::uint64_t>(sizes_.vms)));
+    const bool oneEntry = workspace_ == 1 || workspace_ == 2;
+    if (rank_ != Rank::batch || !oneEntry) {
+      return any;
+    }
+    if (scenario_ == Scenario::skewedShare) {
+      return any % sizes_.zones + sizes_.zones * (workspace_ - 1);
+    }
+    if (scenario_ == Scenario::skewedZones) {
+      return any / sizes_.zones * sizes_.zones % sizes_.vms + workspace_ - 1;
+    }
+    return any;
   }
 
   [[nodiscard]] Fingerprint templateOf() const
@@ -151,7 +160,7 @@
     large ? kLargePart / kLargeWorkspaces : (1 - kLargePart) / (kWorkspaces - kLargeWorkspaces);
   const double calm = kCalmLoad.at(static_cast<std::size_t>(rank));
   double load = calm * part;
-  const bool skewed = scenario == Scenario::skewedShare;
+  const bool skewed = scenario == Scenario::skewedShare || scenario == Scenario::skewedZones;
   const bool reports = (scenario == Scenario::floodReports || skewed) && rank == Rank::batch;
   const bool urgent = scenario == Scenario::floodUrgent && rank == Rank::urgent;
   if (large && (reports || urgent)) {
@@ -200,9 +209,11 @@
     case Scenario::plannedStop:
       return "planned_stop";
     case Scenario::skewedShare:
+      return "skewed_share";
+    case Scenario::skewedZones:
       break;
   }
-  return "skewed_share";
+  return "skewed_zones";
 }
 
 std::vector<PlannedRequest> planRequests(const DeploymentSizes& sizes,
--- a/tools/figchute-measure/RoutingWorkload.h
+++ b/tools/figchute-measure/RoutingWorkload.h
@@ -32,8 +32,11 @@
   zoneCut,
   crashLoop,
   plannedStop,
-  /** A flood of reports of three workspaces that enter at all, three and one of the VMs. */
+  /** A flood of reports of three workspaces that enter at all VMs, at the first VM of each zone and
+      at the second VM of each zone. */
   skewedShare,
+  /** The same, but the second and third workspace enter at the VMs of one zone each. */
+  skewedZones,
 };
 
 /** Returns the name of a scenario in the rows. */
