routing: accept work that goes first in its rank

Change: work at position one is accepted and refused only when its time has run out; the lead before the deadline is 1.1 times the mean first token.

--- a/modules/routing/RankQueue.cpp
+++ b/modules/routing/RankQueue.cpp
@@ -68,9 +68,10 @@
   return Duration(static_cast<std::int64_t>(std::min(seconds, 3600.0) * 1e6));
 }
 
-/** Work of workspaces that got less goes first, and so does earlier work of the same workspace.
-   Work of the others does not delay it, so a small workspace is not refused for the work of a large
-    one. */
+/** Work of workspaces that got less goes first, and so does earlier work of the same workspace. Work
+    of the others does not delay it, so a small workspace is not refused for the work of a large
+    one. Work that goes first may find a place at once, so it is accepted and refused only when its
+    time has run out. */
 Duration RankQueue::expectedWait(Time now, const QueuedWork& work) const
 {
   const auto& line = lineOf(work.rank);
@@ -86,6 +87,9 @@
       position += static_cast<double>(workspace.queued);
     }
   }
+  if (position == 1) {
+    return Duration(0);
+  }
   const bool measured = line.left.at(now) >= 1;
   if (!measured && position <= kUnmeasuredPosition) {
     return Duration(0);
--- a/modules/routing/RouterCore.cpp
+++ b/modules/routing/RouterCore.cpp
@@ -18,7 +18,7 @@
 constexpr double kSmoothing = 0.1;
 
 /** First tokens vary around their mean; work starts this factor of the mean before its deadline. */
-constexpr double kFirstTokenMargin = 1.25;
+constexpr double kFirstTokenMargin = 1.1;
 
 constexpr Duration kEvaluationInterval = std::chrono::milliseconds(500);
 constexpr Duration kExchangeInterval = std::chrono::seconds(1);
