--- a/modules/routing/RankQueue.cpp
+++ b/modules/routing/RankQueue.cpp
@@ -68,9 +68,10 @@
   return Duration(static_cast<std::int64_t>(std::min(seconds, 3600.0) * 1e6));
 }
 
-/** Work of workspaces that got less goes first, and so does earlier work of the same workspace.
-   Work of the others does not delay it, so a small workspace is not refused for the work of a large
-    one. */
+/** Work of workspaces that got less goes first, and so does earlier work of the same workspace. Work
+    of the others does not delay it, so a small workspace is not refused for the work of a large
+    one. Work that goes first may find a place at once, so it is accepted and refused only when its
+    time has run out. */
 Duration RankQueue::expectedWait(Time now, const QueuedWork& work) const
 {
   const auto& line = lineOf(work.rank);
@@ -86,6 +87,9 @@
       position += static_cast<double>(workspace.queued);
     }
   }
+  if (position == 1) {
+    return Duration(0);
+  }
   const bool measured = line.left.at(now) >= 1;
   if (!measured && position <= kUnmeasuredPosition) {
     return Duration(0);
@@ -93,7 +97,7 @@
   return drainTime(now, line, position);
 }
 
-bool RankQueue::isAboveShare(const QueuedWork& work) const
+bool RankQueue::isSmall(const QueuedWork& work) const
 {
   double weights = 0;
   for (const auto& [id, workspace] : lineOf(work.rank).workspaces) {
@@ -101,7 +105,7 @@
   }
   const double own = totals_.orderKey(totals_.indexOf(work.workspace), work.rank);
   const double share = totals_.orderKeySum(work.rank) * weight(work.workspace) / weights;
-  return own > share;
+  return own < share / 2;
 }
 
 Refusal RankQueue::refusal(Time now, Rank rank, Duration slack) const
@@ -134,14 +138,14 @@
   changeCount(work, 1);
 }
 
-bool RankQueue::isBelowFloor(Time now, Rank rank) const
+bool RankQueue::isBelowFloor(Time now, Rank rank, double factor) const
 {
   double served = 0;
   for (const auto& line : ranks_) {
     served += line.tokens.at(now);
   }
   const double floor = policy_.ranks[static_cast<std::size_t>(rank)].floor;
-  return lineOf(rank).tokens.at(now) < floor * served;
+  return lineOf(rank).tokens.at(now) < factor * floor * served;
 }
 
 std::vector<RankTurn> RankQueue::order(Time now) const
