standin: keep silent connections open, and free no slot after the end

Change: only close() and the end of an answer give the slot back; a silent session goes on reading and drops what it reads.

--- a/tools/figchute-standin/Session.cpp
+++ b/tools/figchute-standin/Session.cpp
@@ -35,11 +35,6 @@
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
-Session::~Session()
-{
-  leaveSlot();
-}
-
 void Session::start()
 {
   readRequest();
@@ -305,7 +300,11 @@
 void Session::endAnswer()
 {
   answerEnded_ = true;
-  if (closed_ || isSilent() || !writing_.empty()) {
+  if (isSilent()) {
+    stayOpen();
+    return;
+  }
+  if (closed_ || !writing_.empty()) {
     return;
   }
   if (!request_.keep_alive()) {
@@ -315,6 +314,15 @@
   readRequest();
 }
 
+/** Keeps a silent connection open until its caller closes it. */
+void Session::stayOpen()
+{
+  socket_.async_read_some(asio::buffer(discarded_),
+                          [self = shared_from_this()](beast::error_code error, std::size_t) {
+                            error ? self->close() : self->stayOpen();
+                          });
+}
+
 void Session::leaveSlot()
 {
   if (ticket_) {
--- a/tools/figchute-standin/Session.h
+++ b/tools/figchute-standin/Session.h
@@ -3,6 +3,7 @@
 #include "Engine.h"
 #include "Standin.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/error.hpp>
@@ -21,7 +22,7 @@
 {
 public:
   Session(boost::asio::ip::tcp::socket socket, Standin& standin);
-  ~Session();
+  ~Session() = default;
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
@@ -49,6 +50,7 @@
   void write();
   void watchForClose();
   void endAnswer();
+  void stayOpen();
   void leaveSlot();
   void close();
   [[nodiscard]] bool isSilent() const { return silenceEpoch_ < standin_.silenceEpoch(); }
@@ -67,6 +69,7 @@
   std::optional<std::uint64_t> ticket_;
   std::string outbox_;
   std::string writing_;
+  std::array<char, 512> discarded_{};
   bool answering_ = false;
   bool answerEnded_ = false;
   bool watching_ = false;
