--- a/modules/gateway/UpstreamLink.cpp
+++ b/modules/gateway/UpstreamLink.cpp
@@ -187,10 +187,11 @@
 
 /** Tells whether the last chunk was read. It may read further bytes from the socket, but does not
     wait for them. */
-bool UpstreamLink::chunksEnded(cxxtools::http::Client& client)
+bool UpstreamLink::chunksEnded(cxxtools::http::Client& client) const
 {
   try {
-    return client.in().rdbuf()->sgetc() == std::char_traits<char>::eof();
+    // The end of the connection looks like the last chunk, but is no complete answer.
+    return client.in().rdbuf()->sgetc() == std::char_traits<char>::eof() && !socket_->eof();
   } catch (const cxxtools::IOTimeout&) {
     return false;
   } catch (const std::exception&) {
--- a/modules/gateway/UpstreamLink.h
+++ b/modules/gateway/UpstreamLink.h
@@ -74,7 +74,7 @@
   [[nodiscard]] Error checkHeader(const cxxtools::http::ReplyHeader& header) const;
   [[nodiscard]] bool requestOnItsWay() const;
   std::size_t takeAvailable(cxxtools::http::Client& client);
-  [[nodiscard]] static bool chunksEnded(cxxtools::http::Client& client);
+  [[nodiscard]] bool chunksEnded(cxxtools::http::Client& client) const;
   void complete();
   void fail(ErrorKind kind, std::string detail);
   void end();
