Free option values and refuse pointers as JSON values

Cause: a run under the address sanitizer found the strings that popt allocates, up to 52 bytes a run. A pointer given to json::Value, such as the result of find(), would silently become true.

Change: RawOptions frees what popt allocated; the pointer constructor of Value is deleted.

--- a/apps/figchute/CommandLine.cpp
+++ b/apps/figchute/CommandLine.cpp
@@ -48,9 +48,23 @@
   { "dump", 0, true, "dump", "Shows the state of the server for diagnosis" },
 } };
 
-/** The targets that popt writes option values to. */
+/** The targets that popt writes option values to; popt allocates them with malloc(). */
 struct RawOptions
 {
+  RawOptions() = default;
+  RawOptions(const RawOptions&) = delete;
+  RawOptions& operator=(const RawOptions&) = delete;
+  ~RawOptions()
+  {
+    for (auto** server = servers; server != nullptr && *server != nullptr; ++server) {
+      std::free(*server);
+    }
+    std::free(static_cast<void*>(servers));
+    std::free(key);
+    std::free(base);
+    std::free(change);
+  }
+
   char** servers = nullptr;
   char* key = nullptr;
   char* base = nullptr;
--- a/modules/json/Value.h
+++ b/modules/json/Value.h
@@ -50,6 +50,8 @@
   Value(std::string text);
   Value(std::string_view text);
   Value(const char* text);
+  /** Other pointers would convert to a boolean. */
+  Value(const void* pointer) = delete;
   /** Creates a real number; a number that is not finite is written as null. */
   Value(double number);
   /** Creates an array. */
