ledger: wait for an election before a request without a grant is refused

Cause: the death of a control leader leaves about 1 s without one, but a request that needed a grant was refused as budget_exhausted after 400 ms although its budget covered it. Seen in failover_test, entry killed while it led the log: the retry at another VM got 402. Ruled out: a lost grant reply (the proposal was never committed). Change: while no control VM answers, a request waits 1.6 s longer and is then refused as no_quorum; transport_test takes free ports, two runs at once on one machine collided. Conclusion: budget_exhausted now means that control answered.

--- a/modules/ledger/Wallet.cpp
+++ b/modules/ledger/Wallet.cpp
@@ -109,8 +109,16 @@
       ++at;
       continue;
     }
+    const bool reachable = controlReachable(now);
+    if (!reachable && now < at->deadline + settings_.electionWait) {
+      ++at;
+      continue;
+    }
     if (!canRecord()) {
       decisions_.push_back(refuse(at->request, ErrorKind::noQuorum, "no witness is in reach"));
+    } else if (!reachable) {
+      decisions_.push_back(
+        refuse(at->request, ErrorKind::noQuorum, "no control VM answered a request for a grant"));
     } else {
       decisions_.push_back(
         refuse(at->request,
--- a/modules/ledger/Wallet.h
+++ b/modules/ledger/Wallet.h
@@ -20,6 +20,9 @@
   bool hasJournal = false;
   /** How long a request waits for a grant before it is refused. */
   Duration grantWait{ 400'000 };
+  /** How much longer a request waits while no control VM answers. The loss of a leader is repaired
+      within about 1 s; refusing earlier refuses requests that a budget covers. */
+  Duration electionWait{ 1'600'000 };
   /** Interval of settle batches. */
   Duration settleInterval{ 1'000'000 };
   /** A waiting request asks again after this time when control had too little. */
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -119,6 +119,31 @@
   CHECK((now - asked) <= 410 * kMs);
 }
 
+// Guards against the refusal of covered requests while the control VMs elect a leader.
+TEST_CASE_FIXTURE(Zone, "Wallet_controlSilentForOneSecond_waitsAndAdmits")
+{
+  cut.insert({ "a", "ctl" });
+  const std::vector<BudgetId> budgets{ BudgetId("w:t/x") };
+  wallet("a").reserve(now, RequestId("r1"), std::nullopt, budgets, Tokens{ 500 });
+  advance(kSecond);
+  CHECK(decisions["a"].empty());
+  cut.clear();
+  advance(500 * kMs);
+  REQUIRE(decisions["a"].size() == 1);
+  CHECK(decisions["a"][0].status == ReserveStatus::admitted);
+}
+
+// Guards against a lost majority that is reported to callers as a spent budget.
+TEST_CASE_FIXTURE(Zone, "Wallet_controlSilentForLong_refusesAsNoQuorum")
+{
+  cut.insert({ "a", "ctl" });
+  const std::vector<BudgetId> budgets{ BudgetId("w:t/x") };
+  wallet("a").reserve(now, RequestId("r1"), std::nullopt, budgets, Tokens{ 500 });
+  advance(3 * kSecond);
+  REQUIRE(decisions["a"].size() == 1);
+  CHECK(decisions["a"][0].error->kind == ErrorKind::noQuorum);
+}
+
 // Guards against an excess that stays reserved until the answer ends.
 TEST_CASE_FIXTURE(Zone, "Wallet_tightened_freesTheExcessAtOnce")
 {
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -4,7 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <arpa/inet.h>
 #include <future>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace figchute;
 using namespace figchute::transport;
@@ -41,6 +44,20 @@
   return { ProcessId(id), "127.0.0.1:" + std::to_string(port), ZoneId("z"), true, false };
 }
 
+/** Returns a loopback port that nothing listens on. */
+int freePort()
+{
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  REQUIRE(::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
+  REQUIRE(::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+  ::close(descriptor);
+  return ntohs(address.sin_port);
+}
+
 struct TransportPair
 {
   Metrics metrics;
@@ -48,11 +65,16 @@
   Transport a;
   Transport b;
 
-  explicit TransportPair(int port, const char* keyOfB = "key")
-    : a({ peerAt("a", port), Incarnation{ 1 }, "key", { peerAt("b", port + 1) } },
+  explicit TransportPair(const char* keyOfB = "key")
+    : TransportPair(freePort(), freePort(), keyOfB)
+  {
+  }
+
+  TransportPair(int portOfA, int portOfB, const char* keyOfB)
+    : a({ peerAt("a", portOfA), Incarnation{ 1 }, "key", { peerAt("b", portOfB) } },
         metrics,
         [](const Received&) {})
-    , b({ peerAt("b", port + 1), Incarnation{ 1 }, keyOfB, {} }, metrics, [this](Received message) {
+    , b({ peerAt("b", portOfB), Incarnation{ 1 }, keyOfB, {} }, metrics, [this](Received message) {
       arrived.set_value(std::move(message));
     })
   {
@@ -110,7 +132,7 @@
 // Guards against a process that cannot answer a peer its settings do not name.
 TEST_CASE("Transport_unknownPeer_isLearnedFromItsHeartbeat")
 {
-  TransportPair pair(47110);
+  TransportPair pair;
   for (int i = 0; i < 50 && pair.b.peers().empty(); ++i) {
     std::this_thread::sleep_for(50ms);
   }
@@ -126,7 +148,7 @@
 // Guards against messages from a process that does not have the peer key.
 TEST_CASE("Transport_wrongKey_isRefusedAndCounted")
 {
-  TransportPair pair(47120, "another key");
+  TransportPair pair("another key");
   pair.a.send(ProcessId("b"), wire::Channel::ledger, "hello");
   std::this_thread::sleep_for(600ms);
   CHECK(pair.b.peers().empty());
