--- a/modules/document/Parser.cpp
+++ b/modules/document/Parser.cpp
@@ -10,16 +10,14 @@
 namespace {
 
 using ini::IntegerRange;
+using ini::isKey;
+using ini::kNameRule;
 using ini::Presence;
 using ini::RealRange;
 using ini::SectionReader;
 
-constexpr std::size_t kMaxNameBytes = 64;
-constexpr std::size_t kMinKeyBytes = 8;
-constexpr std::size_t kMaxKeyBytes = 256;
 constexpr IntegerRange kTokenRange{ 0, kMaxTokens.count };
 constexpr RealRange kWeightRange{ 0.001, 1e6 };
-constexpr std::string_view kNameRule = "a name of 1 to 64 letters, digits, '-', '_' and '.'";
 
 // The first token within 0.38 s is the target of the design; the other two follow the work that
 // the ranks carry: tags and labels in a second, reports in minutes.
@@ -39,18 +37,6 @@
   return std::nullopt;
 }
 
-bool isNameCharacter(char c)
-{
-  const auto isLetter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-  return isLetter || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
-}
-
-bool isKey(std::string_view text)
-{
-  return text.size() >= kMinKeyBytes && text.size() <= kMaxKeyBytes &&
-         std::ranges::all_of(text, [](char c) { return c > 0x20 && c < 0x7F; });
-}
-
 bool isPathPrefix(std::string_view text)
 {
   const auto isPathCharacter = [](char c) { return c > 0x20 && c < 0x7F && c != '?' && c != '#'; };
@@ -249,7 +235,7 @@
       faults_.push_back(Fault{ "caller." + caller.name,
                                "key",
                                "a key of " + std::to_string(key->value.size()) + " bytes",
-                               "8 to 256 visible ASCII characters without spaces",
+                               std::string(ini::kKeyRule),
                                key->line });
       return;
     }
@@ -316,8 +302,7 @@
 
 bool isName(std::string_view text)
 {
-  return !text.empty() && text.size() <= kMaxNameBytes && text.front() != '.' &&
-         std::ranges::all_of(text, isNameCharacter);
+  return ini::isName(text);
 }
 
 } // namespace figchute::document
--- a/modules/ini/ini.h
+++ b/modules/ini/ini.h
@@ -5,4 +5,5 @@
 
 #include "ini/Fault.h"
 #include "ini/IniFile.h"
+#include "ini/Rules.h"
 #include "ini/SectionReader.h"
--- a/modules/settings/Parser.cpp
+++ b/modules/settings/Parser.cpp
@@ -9,33 +9,14 @@
 namespace figchute::settings {
 namespace {
 
+using ini::isKey;
+using ini::isName;
+using ini::kNameRule;
 using ini::Presence;
 using ini::SectionReader;
 
-constexpr std::size_t kMaxNameBytes = 64;
-constexpr std::size_t kMinKeyBytes = 8;
-constexpr std::size_t kMaxKeyBytes = 256;
 constexpr std::string_view kAddressRule =
   "a numeric address IP:port or [IPv6]:port with a port from 1 to 65535";
-constexpr std::string_view kNameRule = "1 to 64 letters, digits, '-', '_' and '.'";
-
-bool isNameCharacter(char c)
-{
-  const auto isLetter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-  return isLetter || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
-}
-
-bool isName(std::string_view text)
-{
-  return !text.empty() && text.size() <= kMaxNameBytes &&
-         std::ranges::all_of(text, isNameCharacter);
-}
-
-bool isKey(std::string_view text)
-{
-  return text.size() >= kMinKeyBytes && text.size() <= kMaxKeyBytes &&
-         std::ranges::all_of(text, [](char c) { return c > 0x20 && c < 0x7F; });
-}
 
 // Reads role names; nothing when one is unknown or occurs twice.
 std::optional<Roles> parseRoles(const std::vector<std::string>& names)
@@ -248,7 +229,7 @@
     if (!isKey(entry->value)) {
       faultKey(*entry,
                "a key of " + std::to_string(entry->value.size()) + " bytes",
-               "8 to 256 visible ASCII characters without spaces");
+               std::string(ini::kKeyRule));
     }
     const auto [other, isNew] = keys_.emplace(entry->value, key);
     if (!isNew) {
