entry: count delivered tokens over all attempts; test the coordinator

Cause: a stream that went on from its end after a differing second attempt was billed only for the tokens of that attempt (7 where the caller had 8). Found by the new tests of the coordinator. Conclusion: the bill is what the caller received, whatever the attempts.

--- a/modules/control/ControlService.cpp
+++ b/modules/control/ControlService.cpp
@@ -93,7 +93,7 @@
   bool stopped_ = false;
 };
 
-Expected<std::unique_ptr<ControlService>> ControlService::create(ControlSettings settings,
+Expected<std::unique_ptr<ControlService>> ControlService::create(const ControlSettings& settings,
                                                                  Sender send,
                                                                  FailureHandler failed)
 {
--- a/modules/control/ControlService.h
+++ b/modules/control/ControlService.h
@@ -42,7 +42,7 @@
       @param send    sends a message to another process
       @param failed  is told when the data folder cannot be written any more; the process must end
       @returns the service; storage_corrupt or storage_failed when the folder cannot be used */
-  static Expected<std::unique_ptr<ControlService>> create(ControlSettings settings,
+  static Expected<std::unique_ptr<ControlService>> create(const ControlSettings& settings,
                                                           Sender send,
                                                           FailureHandler failed);
   ~ControlService() override;
--- a/modules/entry/ChatExchange.cpp
+++ b/modules/entry/ChatExchange.cpp
@@ -18,13 +18,14 @@
     delivered_.restart();
   } else {
     delivered_ = gateway::DeliveredText();
+    deliveredTokens_ = Tokens{};
   }
   beginAttempt();
 }
 
 void ChatExchange::continueFromEnd()
 {
-  earlierTokens_ = completionTokens();
+  earlierTokens_ = deliveredTokens_;
   delivered_.continueFromEnd();
   beginAttempt();
 }
@@ -87,6 +88,7 @@
       own.text = std::move(*fresh);
       step.events += own.toEvent(!sentFirst_);
       sentFirst_ = true;
+      deliveredTokens_ = completionTokens();
     }
   }
   if (chunk.finishReason) {
@@ -135,7 +137,7 @@
 {
   // An engine may put several tokens into one chunk, but never less than one.
   const auto attempt = std::max(countedTokens_, reportedTokens_.value_or(Tokens{}));
-  return std::min(maxTokens_, earlierTokens_ + attempt);
+  return std::min(maxTokens_, std::max(deliveredTokens_, earlierTokens_ + attempt));
 }
 
 gateway::ChatChunk ChatExchange::ownChunk() const
--- a/modules/entry/ChatExchange.h
+++ b/modules/entry/ChatExchange.h
@@ -91,6 +91,8 @@
   /** Tokens of earlier attempts that this attempt does not generate again. */
   Tokens earlierTokens_;
   Tokens countedTokens_;
+  /** Tokens of the text that the caller has, over all attempts. */
+  Tokens deliveredTokens_;
   std::optional<Tokens> reportedTokens_;
   std::string finishReason_;
   bool sentFirst_ = false;
--- a/modules/entry/CoordinatorRun.cpp
+++ b/modules/entry/CoordinatorRun.cpp
@@ -29,8 +29,8 @@
   return rank == Rank::batch ? Duration(10s) : Duration(2s);
 }
 
-/** Turns the router's "nobody serves this" into no_endpoint: the document names the model or service,
-    so the name is right and only its endpoints are missing. */
+/** Turns the router's "nobody serves this" into no_endpoint: the document names the model or
+   service, so the name is right and only its endpoints are missing. */
 Error namedByDocument(const Error& error)
 {
   const bool unknown =
--- /dev/null
+++ b/tests/EntryVm.h
@@ -0,0 +1,279 @@
+#pragma once
+
+#include "document/document.h"
+#include "entry/entry.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace figchute::entry::test {
+
+constexpr Duration kMs{ 1000 };
+
+/** Keeps what a caller was sent. */
+class RecordingSink : public gateway::ResponseSink
+{
+public:
+  int status = 0;
+  std::string body;
+  bool finished = false;
+  std::optional<Error> error;
+
+  void begin(int code, gateway::Headers /*headers*/, bool /*streaming*/) override { status = code; }
+  bool write(std::string bytes) override
+  {
+    body += bytes;
+    return true;
+  }
+  void finish() override { finished = true; }
+  void fail(const Error& cause, std::optional<Duration> /*delay*/, const RequestId&) override
+  {
+    error = cause;
+  }
+  [[nodiscard]] bool isOpen() const override { return !finished && !error; }
+  [[nodiscard]] std::size_t pendingBytes() const override { return 0; }
+};
+
+/** An attempt that the coordinator started. */
+struct StartedCall
+{
+  gateway::UpstreamCall call;
+  std::uint32_t attempt = 0;
+};
+
+/** The coordinator of one entry VM with a real wallet, router and control state, and a fake network
+    to endpoints. Time moves only when the test says so. */
+class EntryVm
+{
+public:
+  Time now{ 1'700'000'000'000'000 };
+  Metrics metrics;
+  HolderId self{ ProcessId("vm"), Incarnation{ 1 } };
+  ledger::ControlState control;
+  ledger::Wallet wallet;
+  ledger::Proposer proposer;
+  routing::Router router;
+  std::vector<StartedCall> calls;
+  std::vector<RequestId> cancelled;
+  bool controlCut = false;
+  bool journalStuck = false;
+  Coordinator coordinator;
+
+  explicit EntryVm(std::int64_t bought = 100'000)
+    : wallet(walletSettings(self))
+    , router({ self.process, ZoneId("z"), 1 })
+    , coordinator({ self,
+                    wallet,
+                    proposer,
+                    router,
+                    { [this](gateway::UpstreamCall call, std::uint32_t attempt) {
+                       calls.push_back({ std::move(call), attempt });
+                     },
+                      [this](const RequestId& id) { cancelled.push_back(id); } },
+                    metrics,
+                    [](const LogEvent&) {} })
+  {
+    const std::vector<ledger::Peer> peers{
+      { self, ZoneId("z"), true, false, true },
+      { { ProcessId("ctl"), Incarnation{ 1 } }, ZoneId("z"), false, true, true }
+    };
+    wallet.setPeers(now, peers);
+    proposer.setControls({ ProcessId("ctl") });
+    apply(bought);
+    announce("e1", "10.0.0.1:80", routing::WorkKind::model);
+    announce("e2", "10.0.0.2:80", routing::WorkKind::model);
+    announce("d1", "10.0.0.3:80", routing::WorkKind::plain);
+    announce("d2", "10.0.0.4:80", routing::WorkKind::plain);
+    advance(100 * kMs);
+  }
+
+  void announce(const char* id, const char* address, routing::WorkKind kind)
+  {
+    routing::Announcement announcement;
+    announcement.id = EndpointId(id);
+    announcement.address = address;
+    announcement.zone = ZoneId("z");
+    announcement.kind = kind;
+    announcement.slots = 8;
+    if (kind == routing::WorkKind::model) {
+      announcement.models = { ModelName("m") };
+    } else {
+      announcement.service = ServiceName("dispatch");
+    }
+    router.announce(now, announcement);
+  }
+
+  /** Moves time in steps of 10 ms and passes messages on. */
+  void advance(Duration duration)
+  {
+    for (const Time end = now + duration; now < end; now = now + 10 * kMs) {
+      settle();
+    }
+  }
+
+  void settle()
+  {
+    for (int i = 0; i < 4; ++i) {
+      proposer.tick(now);
+      wallet.tick(now);
+      router.tick(now);
+      coordinator.settle(now);
+      syncJournal();
+      carry(wallet.takeOutgoing());
+      carry(proposer.takeOutgoing());
+    }
+  }
+
+  std::shared_ptr<RecordingSink> send(gateway::CallerRequest request)
+  {
+    auto sink = std::make_shared<RecordingSink>();
+    request.id = RequestId("r" + std::to_string(++lastRequest_));
+    if (request.authorization.empty()) {
+      request.authorization = "Bearer key-caller-1";
+    }
+    coordinator.arrive(now, std::move(request), sink);
+    advance(30 * kMs);
+    return sink;
+  }
+
+  std::shared_ptr<RecordingSink> chat(bool stream = true, std::string key = "", int maxTokens = 20)
+  {
+    gateway::CallerRequest request;
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.idempotencyKey = std::move(key);
+    request.body = std::string(R"({"model":"m","stream":)") + (stream ? "true" : "false") +
+                   R"(,"max_tokens":)" + std::to_string(maxTokens) +
+                   R"(,"messages":[{"role":"user","content":"hello"}]})";
+    return send(std::move(request));
+  }
+
+  std::shared_ptr<RecordingSink> plain(const std::string& path, std::string key = "")
+  {
+    gateway::CallerRequest request;
+    request.method = "POST";
+    request.target = "/services/dispatch" + path;
+    request.idempotencyKey = std::move(key);
+    request.body = "noon";
+    return send(std::move(request));
+  }
+
+  /** Returns an idempotency key of the current time. */
+  [[nodiscard]] std::string key(const std::string& name) const
+  {
+    return std::to_string(now.micros / 1'000'000) + "-" + name;
+  }
+
+  /** Delivers an event of an attempt, the latest one unless another is named. */
+  void event(gateway::UpstreamEvent event, std::optional<std::size_t> index = std::nullopt)
+  {
+    const auto& started = index ? calls.at(*index) : calls.back();
+    coordinator.takeUpstream(now, started.call.request, started.attempt, std::move(event));
+    advance(30 * kMs);
+  }
+
+  void head(int status = 200) { event(gateway::UpstreamHead{ status, {} }); }
+
+  void body(std::string bytes, std::optional<std::size_t> index = std::nullopt)
+  {
+    event(gateway::UpstreamBody{ std::move(bytes) }, index);
+  }
+
+  void crash(bool bytesSent = true)
+  {
+    event(gateway::UpstreamFailed{ { ErrorKind::endpointFailed, "closed" }, bytesSent, false });
+  }
+
+  [[nodiscard]] std::int64_t settled()
+  {
+    advance(3000 * kMs);
+    return control.budget(BudgetId("w:team/w"))->settled.count;
+  }
+
+private:
+  static ledger::WalletSettings walletSettings(const HolderId& self)
+  {
+    ledger::WalletSettings settings;
+    settings.self = self;
+    settings.zone = ZoneId("z");
+    settings.hasJournal = true;
+    settings.proposalIdBase = 1ULL << 62U;
+    return settings;
+  }
+
+  void apply(std::int64_t bought)
+  {
+    const std::string text =
+      "[team]\nname = team\n[rank.urgent]\ntarget_ms = 2000\n[model.m]\nmax_output_tokens = 100\n"
+      "[service.dispatch]\nkind = plain\nrepeatable = /stock\n[workspace.w]\nbought = " +
+      std::to_string(bought) + "\n[caller.c]\nworkspace = w\nkey = key-caller-1\nrank = urgent\n";
+    ledger::ApplyDocument command;
+    command.team = TeamId("team");
+    command.change = ChangeId("first");
+    command.text = text;
+    command.purchases = { { BudgetId("w:team/w"), Tokens{ bought } } };
+    control.apply(++index_, now, command);
+    const std::vector<ledger::TeamDocument> documents{ { TeamId("team"), 1, text } };
+    coordinator.setDirectory(
+      std::make_shared<const Directory>(Directory::build(documents, metrics)));
+  }
+
+  void syncJournal()
+  {
+    journalled_ += wallet.takeJournal().size();
+    if (!journalStuck) {
+      wallet.journalSynced(now, journalled_);
+    }
+  }
+
+  void carry(const std::vector<ledger::Outgoing>& messages)
+  {
+    for (const auto& [to, message] : messages) {
+      const auto* propose = std::get_if<ledger::Propose>(&message);
+      if (controlCut) {
+        continue;
+      }
+      if (propose == nullptr) {
+        witness_.receive(now, self.process, message);
+        for (const auto& [back, answer] : witness_.takeOutgoing()) {
+          wallet.receive(now, ProcessId("ctl"), answer);
+        }
+        continue;
+      }
+      const auto result = control.applyEncoded(++index_, now, propose->command);
+      const ledger::ProposeReply reply{ propose->proposalId, true, ProcessId("ctl"), *result };
+      wallet.receive(now, ProcessId("ctl"), reply);
+      if (const auto answer = proposer.receive(now, ProcessId("ctl"), reply)) {
+        coordinator.takeReply(now, *answer);
+      }
+    }
+  }
+
+  ledger::Witness witness_{ { ProcessId("ctl"), Incarnation{ 1 } } };
+  int lastRequest_ = 0;
+  std::uint64_t index_ = 0;
+  std::uint64_t journalled_ = 0;
+};
+
+/** Returns the event of one generated token. */
+inline std::string token(const std::string& text, const std::string& id = "x")
+{
+  return "data: {\"id\":\"" + id +
+         "\",\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":" + "{\"content\":\"" + text +
+         "\"},\"finish_reason\":null}]}\n\n";
+}
+
+/** Returns the events that end an answer and report its usage. */
+inline std::string ending(int prompt, int completion)
+{
+  return "data: {\"id\":\"x\",\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{},"
+         "\"finish_reason\":\"stop\"}]}\n\n"
+         "data: {\"id\":\"x\",\"model\":\"m\",\"choices\":[],\"usage\":{\"prompt_tokens\":" +
+         std::to_string(prompt) + ",\"completion_tokens\":" + std::to_string(completion) +
+         ",\"total_tokens\":0}}\n\ndata: [DONE]\n\n";
+}
+
+} // namespace figchute::entry::test
