figchute-random: drive ControlState, wallets and witnesses on the log

Cause: the invariants on budgets, bills, claims and documents have to hold under the same faults as the log.

--- a/tools/figchute-random/ControlProcess.cpp
+++ b/tools/figchute-random/ControlProcess.cpp
@@ -7,16 +7,24 @@
 
 constexpr std::int64_t kMaxClockOffsetMicros = 500'000;
 
-/** The state of the state machine; the padding makes a snapshot need several chunks. */
-struct HashState
+/** What a snapshot contains. */
+struct SnapshotState
 {
+  /** The hash of all entries that the snapshot covers. */
   Fingerprint hash = 0;
-  std::string padding;
+  std::string ledger;
 
-  MSGPACK_DEFINE(hash, padding)
+  MSGPACK_DEFINE(hash, ledger)
 };
 
-constexpr std::size_t kPaddingBytes = 10'000;
+/** A command with the leader's time, which every replica applies alike. */
+struct TimedCommand
+{
+  Time time;
+  std::string command;
+
+  MSGPACK_DEFINE(time, command)
+};
 
 } // namespace
 
@@ -25,13 +33,13 @@
                                Schedule& schedule,
                                Random& random,
                                Network& network,
-                               LogTally& tally)
+                               Tallies& tallies)
   : id_(std::move(id))
   , settings_(std::move(settings))
   , schedule_(schedule)
   , random_(random)
   , network_(network)
-  , tally_(tally)
+  , tallies_(tallies)
   , disk_(std::make_unique<replication::MemoryDisk>())
 {
 }
@@ -46,7 +54,10 @@
   applied_ = recovered->snapshot.meta.index;
   hash_ = 0;
   pending_.clear();
-  tally_.restarted(id_, applied_);
+  state_ = ledger::ControlState();
+  ++starts_;
+  witness_ = std::make_unique<ledger::Witness>(holder());
+  tallies_.log.restarted(id_, applied_);
   if (applied_ > 0) {
     restore(applied_, recovered->snapshot.data);
   }
@@ -82,7 +93,11 @@
 
 void ControlProcess::receive(const Packet& packet)
 {
-  if (!node_ || packet.channel != wire::Channel::replication) {
+  if (!node_) {
+    return;
+  }
+  if (packet.channel == wire::Channel::ledger) {
+    receiveLedger(packet);
     return;
   }
   const auto message = wire::decode<replication::Message>(packet.bytes);
@@ -91,21 +106,74 @@
   pump();
 }
 
-bool ControlProcess::propose(const std::string& bytes)
+void ControlProcess::receiveLedger(const Packet& packet)
 {
-  if (!node_) {
-    return false;
+  const auto message = wire::decode<ledger::Message>(packet.bytes);
+  require(message.has_value(), "codec: a ledger message cannot be decoded");
+  if (const auto* propose = std::get_if<ledger::Propose>(&*message)) {
+    handlePropose(packet.from, *propose);
+  }
+  if (const auto* report = std::get_if<ledger::WitnessReport>(&*message)) {
+    append(wire::encode(ledger::Command(ledger::ControlState::retireFrom(*report))));
+  }
+  if (const auto* poll = std::get_if<ledger::DocumentPoll>(&*message)) {
+    sendLedger({ packet.from, state_.documentsSince(*poll) });
+  }
+  witness_->receive(schedule_.now(), packet.from, *message);
+  for (const auto& outgoing : witness_->takeOutgoing()) {
+    sendLedger(outgoing);
   }
+}
+
+void ControlProcess::handlePropose(const ProcessId& from, const ledger::Propose& propose)
+{
+  for (const auto& [index, pending] : pending_) {
+    if (pending.from == from && pending.proposalId == propose.proposalId) {
+      return;
+    }
+  }
+  const auto index = append(propose.command);
+  if (index) {
+    pending_[*index].from = from;
+    pending_[*index].proposalId = propose.proposalId;
+    return;
+  }
+  const ProcessId hint = node_->leaderHint().value_or(ProcessId());
+  sendLedger({ from, ledger::ProposeReply{ propose.proposalId, false, hint, {} } });
+}
+
+std::optional<replication::LogIndex> ControlProcess::append(const std::string& command)
+{
+  const auto bytes = wire::encode(TimedCommand{ schedule_.now(), command });
   const auto index = node_->propose(localNow(), bytes);
   if (!index) {
-    return false;
+    return std::nullopt;
   }
-  pending_[*index] = Pending{ node_->term() };
+  pending_[*index] = Pending{ node_->term(), {}, 0 };
   if (broken_.acknowledgedEntry) {
-    tally_.acknowledged(
+    tallies_.log.acknowledged(
       replication::Entry{ *index, node_->term(), replication::EntryKind::command, bytes });
   }
-  return true;
+  return *index;
+}
+
+bool ControlProcess::propose(const std::string& bytes)
+{
+  return node_ && append(bytes).has_value();
+}
+
+void ControlProcess::requestReports()
+{
+  if (isLeader()) {
+    for (const auto& outgoing : state_.reportRequests()) {
+      sendLedger(outgoing);
+    }
+  }
+}
+
+void ControlProcess::sendLedger(const ledger::Outgoing& outgoing)
+{
+  network_.send(Packet{ id_, outgoing.to, wire::Channel::ledger, wire::encode(outgoing.message) });
 }
 
 bool ControlProcess::change(const replication::MembershipChange& change)
@@ -131,7 +199,7 @@
     return false;
   }
   if (node_->state().role == replication::Role::leader) {
-    tally_.leads(id_, node_->term());
+    tallies_.log.leads(id_, node_->term());
   }
   if (ready.needsSync()) {
     if (!storage_->save(ready)) {
@@ -161,30 +229,63 @@
     seen.payload += "!";
     broken_.committedEntry = false;
   }
-  tally_.applied(id_, seen);
+  tallies_.log.applied(id_, seen);
   applied_ = entry.index;
   hash_ = fingerprintOf(entry.payload, hash_);
-  const auto pending = pending_.find(entry.index);
-  if (pending != pending_.end()) {
-    if (pending->second.term == entry.term) {
-      tally_.acknowledged(entry);
+  const std::string result =
+    entry.kind == replication::EntryKind::command ? applyCommand(entry) : std::string();
+  answer(entry, result);
+  const auto caused = state_.takeOutgoing();
+  if (isLeader()) {
+    for (const auto& outgoing : caused) {
+      sendLedger(outgoing);
     }
-    pending_.erase(pending);
+  }
+}
+
+std::string ControlProcess::applyCommand(const replication::Entry& entry)
+{
+  const auto timed = wire::decode<TimedCommand>(entry.payload);
+  require(timed.has_value(), "codec: a committed command cannot be decoded");
+  const auto result = state_.applyEncoded(entry.index, timed->time, timed->command);
+  if (!result) {
+    return {};
+  }
+  const auto command = wire::decode<ledger::Command>(timed->command);
+  tallies_.ledger.applied(entry.index, *command, *result, state_);
+  return *result;
+}
+
+void ControlProcess::answer(const replication::Entry& entry, const std::string& result)
+{
+  const auto found = pending_.find(entry.index);
+  if (found == pending_.end()) {
+    return;
+  }
+  const Pending pending = found->second;
+  pending_.erase(found);
+  if (pending.term != entry.term) {
+    return;
+  }
+  tallies_.log.acknowledged(entry);
+  if (!pending.from.empty()) {
+    sendLedger({ pending.from, ledger::ProposeReply{ pending.proposalId, true, id_, result } });
   }
 }
 
 void ControlProcess::restore(replication::LogIndex index, const std::string& data)
 {
-  const auto state = wire::decode<HashState>(data);
-  require(state.has_value(), "snapshot: the state of " + id_.value + " cannot be decoded");
-  hash_ = state->hash;
+  const auto snapshot = wire::decode<SnapshotState>(data);
+  require(snapshot && state_.restore(snapshot->ledger),
+          "snapshot: the state of " + id_.value + " cannot be decoded");
+  hash_ = snapshot->hash;
   applied_ = index;
-  tally_.restored(id_, index, hash_);
+  tallies_.log.restored(id_, index, hash_);
 }
 
 std::string ControlProcess::snapshotState() const
 {
-  return wire::encode(HashState{ hash_, std::string(kPaddingBytes, 'p') });
+  return wire::encode(SnapshotState{ hash_, state_.snapshot() });
 }
 
 } // namespace figchute::simulation
--- a/tools/figchute-random/ControlProcess.h
+++ b/tools/figchute-random/ControlProcess.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ledger/ledger.h"
+#include "LedgerTally.h"
 #include "LogTally.h"
 #include "Network.h"
 #include "replication/replication.h"
@@ -29,7 +31,14 @@
   bool acknowledgedEntry = false;
 };
 
-/** One control VM: a LogNode on a simulated disk, with a state machine that hashes its entries. */
+/** The independent records that all processes of a run report to. */
+struct Tallies
+{
+  LogTally log;
+  LedgerTally ledger;
+};
+
+/** One control VM: a LogNode on a simulated disk, with the ledger as its state machine. */
 class ControlProcess
 {
 public:
@@ -38,7 +47,7 @@
                  Schedule& schedule,
                  Random& random,
                  Network& network,
-                 LogTally& tally);
+                 Tallies& tallies);
 
   /** Starts the process from its disk. */
   void start();
@@ -56,6 +65,9 @@
   void tick();
   void receive(const Packet& packet);
 
+  /** Asks the witnesses of retiring holders for their reports, when this process is the leader. */
+  void requestReports();
+
   /** Proposes a command for a client in the same process. */
   bool propose(const std::string& bytes);
 
@@ -71,17 +83,28 @@
   [[nodiscard]] const replication::LogNode& node() const { return *node_; }
   [[nodiscard]] std::uint64_t restores() const { return restores_; }
   [[nodiscard]] replication::MemoryDisk& disk() { return *disk_; }
+  [[nodiscard]] HolderId holder() const { return { id_, Incarnation{ starts_ } }; }
+  [[nodiscard]] const ledger::ControlState& ledgerState() const { return state_; }
 
 private:
+  /** Who waits for the result of an entry. */
   struct Pending
   {
     replication::Term term = 0;
+    ProcessId from;
+    std::uint64_t proposalId = 0;
   };
 
   [[nodiscard]] Time localNow() const { return schedule_.now() + clockOffset_; }
   void pump();
   bool pumpOnce();
+  std::optional<replication::LogIndex> append(const std::string& command);
+  void receiveLedger(const Packet& packet);
+  void handlePropose(const ProcessId& from, const ledger::Propose& propose);
   void apply(const replication::Entry& entry);
+  std::string applyCommand(const replication::Entry& entry);
+  void answer(const replication::Entry& entry, const std::string& result);
+  void sendLedger(const ledger::Outgoing& outgoing);
   void restore(replication::LogIndex index, const std::string& data);
   [[nodiscard]] std::string snapshotState() const;
 
@@ -90,13 +113,16 @@
   Schedule& schedule_;
   Random& random_;
   Network& network_;
-  LogTally& tally_;
+  Tallies& tallies_;
   BrokenParts broken_;
   std::unique_ptr<replication::MemoryDisk> disk_;
   std::optional<replication::LogStorage<replication::MemoryDisk>> storage_;
   std::optional<replication::LogNode> node_;
   /** Clocks of different processes differ; only their speed is the same. */
   Duration clockOffset_{ 0 };
+  ledger::ControlState state_;
+  std::unique_ptr<ledger::Witness> witness_;
+  std::uint64_t starts_ = 0;
   replication::LogIndex applied_ = 0;
   Fingerprint hash_ = 0;
   std::map<replication::LogIndex, Pending> pending_;
--- a/tools/figchute-random/Network.cpp
+++ b/tools/figchute-random/Network.cpp
@@ -1,8 +1,11 @@
 #include "Network.h"
 
+#include "ledger/ledger.h"
 #include "replication/replication.h"
 
+#include <array>
 #include <fmt/format.h>
+#include <variant>
 
 namespace figchute::simulation {
 namespace {
@@ -11,6 +14,23 @@
 constexpr Duration kInZone{ 200 };
 constexpr std::int64_t kLongDelayMicros = 1'000'000;
 
+/** The names of the alternatives of ledger::Message and ledger::Command, in their order. */
+constexpr std::array kMessageNames{ "Propose",         "ProposeReply", "Recall",
+                                    "TransferRequest", "Transfer",     "TransferAck",
+                                    "WitnessRecord",   "WitnessAck",   "WitnessReportRequest",
+                                    "WitnessReport",   "DocumentPoll", "DocumentPush",
+                                    "WitnessForget" };
+constexpr std::array kCommandNames{ "ApplyDocument", "Grant",          "Settle",      "Claim",
+                                    "Outcome",       "RegisterHolder", "Retire",      "CrashReport",
+                                    "AddMember",     "PromoteMember",  "RemoveMember" };
+static_assert(kMessageNames.size() == std::variant_size_v<ledger::Message>);
+static_assert(kCommandNames.size() == std::variant_size_v<ledger::Command>);
+
+std::string describeCommand(const ledger::Command& command)
+{
+  return kCommandNames.at(command.index());
+}
+
 } // namespace
 
 void require(bool holds, const std::string& detail)
@@ -111,6 +131,16 @@
     const auto message = wire::decode<replication::Message>(packet.bytes);
     return message ? replication::describe(*message) : message.error().detail;
   }
+  const auto message = wire::decode<ledger::Message>(packet.bytes);
+  if (packet.channel == wire::Channel::ledger && message) {
+    const auto* propose = std::get_if<ledger::Propose>(&*message);
+    const auto command = propose == nullptr
+                           ? Expected<ledger::Command>(fail(ErrorKind::notFound, ""))
+                           : wire::decode<ledger::Command>(propose->command);
+    return command
+             ? fmt::format("Propose {} {}", propose->proposalId, describeCommand(*command))
+             : fmt::format("{} bytes={}", kMessageNames.at(message->index()), packet.bytes.size());
+  }
   return fmt::format("channel={} bytes={}", static_cast<int>(packet.channel), packet.bytes.size());
 }
 
--- a/tools/figchute-random/Simulation.h
+++ b/tools/figchute-random/Simulation.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "ControlProcess.h"
-#include "LogTally.h"
+#include "EntryProcess.h"
 #include "Network.h"
 #include "Operator.h"
+#include "Workload.h"
 
 #include <memory>
 #include <string>
@@ -18,10 +19,15 @@
   std::uint64_t steps = 200'000;
   /** "ferreira" or "goggle". */
   std::string deployment = "ferreira";
+  /** "all", or "log" for the replicated log without the ledger. */
+  std::string part = "all";
   /** The name of the invariant to break on purpose; empty for an ordinary run. */
   std::string breakName;
 };
 
+/** Returns the names that Options::breakName may have. */
+std::vector<std::string> breakNames();
+
 /** One randomised run: all processes, the faults and the final check. */
 class Simulation
 {
@@ -42,18 +48,28 @@
   struct Counts
   {
     std::uint64_t crashes = 0;
+    std::uint64_t entryCrashes = 0;
     std::uint64_t diskLosses = 0;
     std::uint64_t partitions = 0;
   };
 
   void addControls();
+  void addEntries();
+  void addOperators();
+  void addTraffic();
   void breakInvariant();
   void every(Duration interval, std::function<void()> action);
   void propose();
   void scheduleFault();
   void injectFault();
   void crash(ControlProcess& process);
+  void crashEntry();
+  void startEntry(EntryProcess& entry);
   void crashAll();
+  std::vector<ledger::Peer> peersOf(const ProcessId& process) const;
+  void updatePeers();
+  void checkHeld();
+  bool drainEntries();
   void restartLater(ControlProcess& process);
   void partition();
   void loseDisk();
@@ -70,13 +86,18 @@
   Random random_;
   Schedule schedule_;
   Network network_;
-  LogTally tally_;
+  Tallies tallies_;
   Operator::Processes controls_;
   Operator operator_;
+  Workload::Entries entries_;
+  Workload workload_;
+  std::vector<std::unique_ptr<DocumentOperator>> documentOperators_;
   Counts counts_;
   std::uint64_t proposals_ = 0;
   bool faults_ = true;
   bool proposing_ = true;
+  bool requesting_ = true;
+  bool draining_ = false;
 };
 
 } // namespace figchute::simulation
--- a/tools/figchute-random/main.cpp
+++ b/tools/figchute-random/main.cpp
@@ -1,5 +1,6 @@
 #include "Simulation.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <popt.h>
@@ -25,11 +26,19 @@
   long long seed = 1;
   long long steps = 200'000;
   char* deployment = nullptr;
+  char* part = nullptr;
   char* breakName = nullptr;
   const poptOption table[] = {
     { "seed", 's', POPT_ARG_LONGLONG, &seed, 0, "seed of the run (default 1)", "N" },
     { "steps", 'n', POPT_ARG_LONGLONG, &steps, 0, "steps before the faults end", "N" },
     { "deployment", 'd', POPT_ARG_STRING, &deployment, 0, "ferreira or goggle", "NAME" },
+    { "part",
+      'p',
+      POPT_ARG_STRING,
+      &part,
+      0,
+      "all, or log for the log without the ledger",
+      "NAME" },
     { "break", 'b', POPT_ARG_STRING, &breakName, 0, "invariant to break on purpose", "NAME" },
     POPT_AUTOHELP POPT_TABLEEND
   };
@@ -39,8 +48,10 @@
   options.seed = static_cast<std::uint64_t>(seed);
   options.steps = static_cast<std::uint64_t>(steps);
   options.deployment = deployment == nullptr ? options.deployment : deployment;
+  options.part = part == nullptr ? options.part : part;
   options.breakName = breakName == nullptr ? "" : breakName;
   std::free(deployment);
+  std::free(part);
   std::free(breakName);
   poptFreeContext(context);
   if (code < -1 || extra) {
@@ -52,6 +63,16 @@
     std::fprintf(stderr, "figchute-random: deployment %s is unknown\n", options.deployment.c_str());
     return false;
   }
+  if (options.part != "all" && options.part != "log") {
+    std::fprintf(stderr, "figchute-random: part %s is unknown\n", options.part.c_str());
+    return false;
+  }
+  const auto names = figchute::simulation::breakNames();
+  if (!options.breakName.empty() &&
+      std::find(names.begin(), names.end(), options.breakName) == names.end()) {
+    std::fprintf(stderr, "figchute-random: --break %s is unknown\n", options.breakName.c_str());
+    return false;
+  }
   return true;
 }
 
