--- /dev/null
+++ b/tools/figchute-random/SimulationBreaks.cpp
@@ -0,0 +1,72 @@
+#include "Simulation.h"
+
+namespace figchute::simulation {
+namespace {
+
+/** Turns every refused vote into a granted one. */
+void grantEveryVote(Packet& packet)
+{
+  auto message = wire::decode<replication::Message>(packet.bytes);
+  if (packet.channel != wire::Channel::replication || !message) {
+    return;
+  }
+  if (auto* reply = std::get_if<replication::VoteReply>(&*message)) {
+    reply->granted = true;
+    packet.bytes = wire::encode(*message);
+  }
+}
+
+/** Adds to the returned amount in every report of a wallet to control. */
+void raiseReturned(Packet& packet)
+{
+  auto message = wire::decode<ledger::Message>(packet.bytes);
+  if (packet.channel != wire::Channel::ledger || !message) {
+    return;
+  }
+  auto* propose = std::get_if<ledger::Propose>(&*message);
+  auto command = propose == nullptr ? Expected<ledger::Command>(fail(ErrorKind::codecError, ""))
+                                    : wire::decode<ledger::Command>(propose->command);
+  auto* settle = command ? std::get_if<ledger::Settle>(&*command) : nullptr;
+  if (settle != nullptr) {
+    for (auto& totals : settle->totals) {
+      totals.returned += Tokens{ 1 };
+    }
+    propose->command = wire::encode(*command);
+    packet.bytes = wire::encode(*message);
+  }
+}
+
+} // namespace
+
+std::vector<std::string> breakNames()
+{
+  return { "committed_entry", "acknowledged_entry", "one_leader",  "sync", "overspend", "one_bill",
+           "one_run",         "revision",           "conservation" };
+}
+
+void Simulation::breakInvariant()
+{
+  BrokenParts broken;
+  broken.committedEntry = options_.breakName == "committed_entry";
+  broken.acknowledgedEntry = options_.breakName == "acknowledged_entry";
+  if (options_.breakName == "one_leader") {
+    network_.setTamper(grantEveryVote);
+  }
+  BrokenEntry brokenEntry;
+  brokenEntry.overspend = options_.breakName == "overspend";
+  brokenEntry.bill = options_.breakName == "one_bill";
+  brokenEntry.run = options_.breakName == "one_run";
+  brokenEntry.revision = options_.breakName == "revision";
+  for (auto& entry : entries_) {
+    entry->setBroken(brokenEntry);
+  }
+  if (options_.breakName == "conservation") {
+    network_.setTamper(raiseReturned);
+  }
+  for (auto& process : controls_) {
+    process->setBroken(broken);
+    process->disk().setIgnoreSync(options_.breakName == "sync");
+  }
+}
+
+} // namespace figchute::simulation
