--- a/tools/figchute-random/Simulation.cpp
+++ b/tools/figchute-random/Simulation.cpp
@@ -5,11 +5,8 @@
 namespace figchute::simulation {
 namespace {
 
-constexpr int kInitialVoters = 5;
-constexpr int kControls = 7;
-constexpr std::size_t kMinVoters = 3;
-constexpr Duration kTick{ 10'000 };
-constexpr Duration kProposalInterval{ 5'000 };
+constexpr Duration kProposalInterval{ 50'000 };
+constexpr Duration kLogProposalInterval{ 5'000 };
 constexpr Duration kOperatorInterval{ 200'000 };
 constexpr Duration kStart{ 3'000'000 };
 /** Elections, snapshots and all membership steps end well within this time. */
@@ -26,19 +23,6 @@
   return Duration(deployment == "goggle" ? 500 : 1000);
 }
 
-/** Turns every refused vote into a granted one. */
-void grantEveryVote(Packet& packet)
-{
-  auto message = wire::decode<replication::Message>(packet.bytes);
-  if (packet.channel != wire::Channel::replication || !message) {
-    return;
-  }
-  if (auto* reply = std::get_if<replication::VoteReply>(&*message)) {
-    reply->granted = true;
-    packet.bytes = wire::encode(*message);
-  }
-}
-
 } // namespace
 
 Simulation::Simulation(Options options)
@@ -46,10 +30,16 @@
   , zones_(zonesOf(options_.deployment))
   , random_(options_.seed)
   , network_(schedule_, random_, delayOf(options_.deployment))
-  , operator_(controls_, tally_)
+  , operator_(controls_, tallies_.log)
+  , workload_(entries_, schedule_, random_)
 {
   addControls();
-  every(kProposalInterval, [this] { propose(); });
+  if (options_.part == "all") {
+    addEntries();
+    addOperators();
+    addTraffic();
+  }
+  every(options_.part == "all" ? kProposalInterval : kLogProposalInterval, [this] { propose(); });
   every(kOperatorInterval, [this] { operator_.tick(); });
   schedule_.add(schedule_.now() + kStart, [this] {
     breakInvariant();
@@ -57,39 +47,19 @@
   });
 }
 
-void Simulation::addControls()
+void Simulation::checkHeld()
 {
-  ControlSettings settings;
-  for (int i = 0; i < kInitialVoters; ++i) {
-    settings.initialMembers.push_back({ ProcessId("k" + std::to_string(i)), "" });
-  }
-  for (int i = 0; i < kControls; ++i) {
-    const ProcessId id("k" + std::to_string(i));
-    controls_.push_back(
-      std::make_unique<ControlProcess>(id, settings, schedule_, random_, network_, tally_));
-    auto& process = *controls_.back();
-    network_.addProcess(
-      id, i % zones_, [&process](const Packet& packet) { process.receive(packet); });
-    process.start();
-    every(kTick, [this, &process] {
-      process.tick();
-      checkLeaders();
-    });
-  }
-}
-
-void Simulation::breakInvariant()
-{
-  BrokenParts broken;
-  broken.committedEntry = options_.breakName == "committed_entry";
-  broken.acknowledgedEntry = options_.breakName == "acknowledged_entry";
-  controls_.front()->setBroken(broken);
-  if (options_.breakName == "one_leader") {
-    network_.setTamper(grantEveryVote);
+  std::map<BudgetId, Tokens> spendable;
+  for (const auto& entry : entries_) {
+    if (!entry->running()) {
+      continue;
+    }
+    for (const auto& account : entry->wallet().accounts()) {
+      spendable[account.budget] += account.available + account.reserved;
+    }
   }
-  for (auto& process : controls_) {
-    process->setBroken(broken);
-    process->disk().setIgnoreSync(options_.breakName == "sync");
+  for (const auto& [budget, amount] : spendable) {
+    tallies_.ledger.checkHeld(budget, amount);
   }
 }
 
@@ -120,138 +90,6 @@
   }
 }
 
-void Simulation::scheduleFault()
-{
-  const Duration wait(random_.between(20'000, 1'000'000));
-  schedule_.add(schedule_.now() + wait, [this] {
-    if (faults_) {
-      injectFault();
-      scheduleFault();
-    }
-  });
-}
-
-void Simulation::injectFault()
-{
-  switch (random_.below(12)) {
-    case 0:
-    case 1:
-    case 2:
-      crash(anyControl());
-      break;
-    case 3:
-      if (random_.chance(0.3)) {
-        crashAll();
-      }
-      break;
-    case 4:
-    case 5:
-      partition();
-      break;
-    case 6:
-    case 7:
-      network_.heal();
-      break;
-    case 8:
-      network_.setFaults({ random_.unit() * 0.2, random_.unit() * 0.2, random_.unit() * 0.1 });
-      break;
-    case 9:
-      network_.setFaults({});
-      break;
-    case 10:
-      loseDisk();
-      break;
-    default:
-      changeMembers();
-      break;
-  }
-}
-
-void Simulation::crash(ControlProcess& process)
-{
-  if (!process.running()) {
-    return;
-  }
-  ++counts_.crashes;
-  if (random_.chance(0.5)) {
-    process.crashDuringWrite(random_.below(8));
-  } else {
-    process.crash();
-  }
-  restartLater(process);
-}
-
-void Simulation::crashAll()
-{
-  for (auto& process : controls_) {
-    if (process->running()) {
-      ++counts_.crashes;
-      process->crash();
-      restartLater(*process);
-    }
-  }
-}
-
-void Simulation::restartLater(ControlProcess& process)
-{
-  const Duration wait(random_.between(50'000, 4'000'000));
-  schedule_.add(schedule_.now() + wait, [this, &process] {
-    if (process.running()) {
-      // The disk did not reach its failing operation, or another restart came first.
-      process.crash();
-    }
-    process.start();
-  });
-}
-
-void Simulation::partition()
-{
-  ++counts_.partitions;
-  if (random_.chance(0.4)) {
-    network_.isolate(anyControl().id());
-    return;
-  }
-  const int zone = static_cast<int>(random_.below(static_cast<std::uint64_t>(zones_)));
-  const bool oneWay = random_.chance(0.2);
-  for (int other = 0; other < zones_; ++other) {
-    if (other == zone) {
-      continue;
-    }
-    network_.cutZones(zone, other);
-    if (!oneWay) {
-      network_.cutZones(other, zone);
-    }
-  }
-}
-
-void Simulation::loseDisk()
-{
-  // The log outlives the loss of one disk at a time; the next may follow right after a repair.
-  ControlProcess& process = anyControl();
-  const auto* member = tally_.members().find(process.id());
-  if (!operator_.idle() || member == nullptr || tally_.members().voterCount() <= kMinVoters) {
-    return;
-  }
-  ++counts_.diskLosses;
-  process.loseDisk();
-  process.start();
-  operator_.repair(process.id());
-}
-
-void Simulation::changeMembers()
-{
-  if (!operator_.idle()) {
-    return;
-  }
-  ControlProcess& process = anyControl();
-  const auto* member = tally_.members().find(process.id());
-  if (member == nullptr) {
-    operator_.add(process.id());
-  } else if (tally_.members().voterCount() > kMinVoters) {
-    operator_.remove(process.id());
-  }
-}
-
 void Simulation::checkLeaders() const
 {
   const ControlProcess* first = nullptr;
@@ -275,10 +113,24 @@
   while (schedule_.now() < limit && !(operator_.idle() && leader() != nullptr)) {
     schedule_.step();
   }
+  requesting_ = false;
   runUntil(schedule_.now() + kSettling);
   checkRecovered();
 }
 
+bool Simulation::drainEntries()
+{
+  bool drained = true;
+  for (auto& entry : entries_) {
+    if (!draining_) {
+      entry->drain();
+    }
+    drained = drained && entry->wallet().drained();
+  }
+  draining_ = true;
+  return drained;
+}
+
 void Simulation::endFaults()
 {
   faults_ = false;
@@ -289,6 +141,12 @@
       process->start();
     }
   }
+  for (auto& entry : entries_) {
+    if (!entry->running()) {
+      startEntry(*entry);
+    }
+  }
+  updatePeers();
 }
 
 void Simulation::runUntil(Time end)
@@ -303,13 +161,23 @@
   require(operator_.idle(), "recovery: a membership step was not completed after all faults ended");
   ControlProcess* last = leader();
   require(last != nullptr, "recovery: no leader after all faults ended");
-  const auto before = tally_.acknowledgedCount();
+  const auto before = tallies_.log.acknowledgedCount();
   runUntil(schedule_.now() + kSettling);
-  require(tally_.acknowledgedCount() > before, "recovery: no command was committed");
+  require(tallies_.log.acknowledgedCount() > before, "recovery: no command was committed");
+  const Time limit = schedule_.now() + kRecovery;
+  while (!drainEntries()) {
+    require(schedule_.now() < limit, "recovery: a wallet did not return its grants");
+    runUntil(schedule_.now() + kSettling);
+  }
   proposing_ = false;
   runUntil(schedule_.now() + kSettling);
-  for (const auto& member : tally_.members().members) {
-    tally_.checkComplete(member.id.process);
+  for (const auto& member : tallies_.log.members().members) {
+    tallies_.log.checkComplete(member.id.process);
+  }
+  tallies_.ledger.checkSettled();
+  for (const auto& entry : entries_) {
+    require(entry->revision() == tallies_.ledger.revision(),
+            "recovery: " + entry->id().value + " does not have the last document in force");
   }
 }
 
@@ -319,23 +187,29 @@
   for (const auto& process : controls_) {
     restores += process->restores();
   }
-  return fmt::format("seed={} deployment={} steps={} seconds={} messages={} entries={} "
-                     "acknowledged={} terms={} crashes={} disk_losses={} partitions={} "
-                     "membership_steps={} snapshots_received={} hash={:016x}",
-                     options_.seed,
-                     options_.deployment,
-                     schedule_.steps(),
-                     (schedule_.now() - Schedule().now()).count() / 1'000'000,
-                     network_.delivered(),
-                     tally_.size(),
-                     tally_.acknowledgedCount(),
-                     tally_.leaderCount(),
-                     counts_.crashes,
-                     counts_.diskLosses,
-                     counts_.partitions,
-                     operator_.completed(),
-                     restores,
-                     tally_.hashAt(tally_.size()));
+  return fmt::format(
+    "seed={} deployment={} steps={} seconds={} messages={} entries={} "
+    "acknowledged={} terms={} crashes={} disk_losses={} partitions={} "
+    "membership_steps={} snapshots_received={} entry_crashes={} answers={} bookings={} "
+    "documents={} hash={:016x}",
+    options_.seed,
+    options_.deployment,
+    schedule_.steps(),
+    (schedule_.now() - Schedule().now()).count() / 1'000'000,
+    network_.delivered(),
+    tallies_.log.size(),
+    tallies_.log.acknowledgedCount(),
+    tallies_.log.leaderCount(),
+    counts_.crashes,
+    counts_.diskLosses,
+    counts_.partitions,
+    operator_.completed(),
+    restores,
+    counts_.entryCrashes,
+    tallies_.ledger.answers(),
+    tallies_.ledger.bookings(),
+    tallies_.ledger.revision(),
+    tallies_.log.hashAt(tallies_.log.size()));
 }
 
 } // namespace figchute::simulation
