routing: bound what a VM borrows per report

Cause: VMs of all zones read the same report of an idle endpoint and sent it up to 78 requests too many within its refresh time of 2.5 s. Change: of the spare slots in a report a VM takes two equal shares of all VMs, at least one slot.

--- a/modules/routing/EndpointChooser.h
+++ b/modules/routing/EndpointChooser.h
@@ -48,6 +48,9 @@
   /** Returns the estimated requests of all VMs. */
   [[nodiscard]] double current() const;
 
+  /** Returns how many more requests this VM has than at the time of the report. */
+  [[nodiscard]] double addedSinceReport() const { return own_ - ownAtReport_; }
+
   /** Returns this VM's requests in flight. */
   [[nodiscard]] std::uint32_t own() const { return static_cast<std::uint32_t>(own_); }
 
--- a/modules/routing/RankQueue.cpp
+++ b/modules/routing/RankQueue.cpp
@@ -68,8 +68,8 @@
   return Duration(static_cast<std::int64_t>(std::min(seconds, 3600.0) * 1e6));
 }
 
-/** Work of workspaces that got less goes first, and so does earlier work of the same workspace. Work
-    of the others does not delay it, so a small workspace is not refused for the work of a large
+/** Work of workspaces that got less goes first, and so does earlier work of the same workspace.
+   Work of the others does not delay it, so a small workspace is not refused for the work of a large
     one. Work that goes first may find a place at once, so it is accepted and refused only when its
     time has run out. */
 Duration RankQueue::expectedWait(Time now, const QueuedWork& work) const
--- a/modules/routing/RouterCore.cpp
+++ b/modules/routing/RouterCore.cpp
@@ -36,6 +36,10 @@
     seconds old and other VMs may do the same. */
 constexpr double kBorrowDistance = 0.25;
 
+/** Of the spare slots in a report each VM takes this many equal shares, and at least one slot. With
+    all of them, the VMs of all zones met at an endpoint whose report showed it idle. */
+constexpr double kBorrowShares = 2;
+
 /** Batch work keeps this multiple of its floor. At its floor itself, it would be given places and
     lose them again in turn. */
 constexpr double kPreemptionFloor = 1.5;
@@ -382,7 +386,10 @@
   if (withinPart && load < limit * kOverload) {
     return true;
   }
-  return load + 1 <= limit * (1 - kBorrowDistance);
+  const double seen = load - state.load.addedSinceReport();
+  const double spare = limit * (1 - kBorrowDistance) - seen;
+  const double mayAdd = std::max(spare * kBorrowShares / peers_.liveVms, 1.0);
+  return load + 1 <= limit * (1 - kBorrowDistance) && state.load.addedSinceReport() + 1 <= mayAdd;
 }
 
 std::optional<std::uint32_t> Router::Core::findPlace(Time now, const Job& job, double heldBack)
