--- a/modules/routing/EndpointRegistry.cpp
+++ b/modules/routing/EndpointRegistry.cpp
@@ -3,6 +3,7 @@
 #include "core/Fingerprint.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace figchute::routing {
@@ -12,11 +13,18 @@
 constexpr Duration kRelayFlush = std::chrono::seconds(1);
 constexpr Duration kRequestInterval = std::chrono::seconds(1);
 
-/** In the zone a load is refreshed within 1.5 s, or when it changes by a sixteenth of the slots.
-    To other zones it is refreshed within 2.5 s, so that one lost message does not expire an
-    endpoint, or when it changes by a quarter. */
+/** A summary this much older than the last one comes from a relay with another clock. */
+constexpr std::int32_t kClockJumpSeconds = 10;
+
+/** A summary may differ while a change is under way; a lasting difference needs all endpoints. */
+constexpr Duration kDigestPatience = std::chrono::seconds(3);
+
+/** In the zone a load is sent when it changes by a sixteenth of the slots, and is refreshed within
+    1.5 s. To other zones it is sent when it changes by a quarter, and is refreshed within 20 s;
+    the summaries keep the endpoint alive there. Refreshing each of 610 endpoints to each VM within
+    2.5 s cost more than the 4 KB/s of section 1. */
 constexpr Duration kNeighbourRefresh = std::chrono::milliseconds(1500);
-constexpr Duration kRelayRefresh = std::chrono::milliseconds(2500);
+constexpr Duration kRelayRefresh = std::chrono::seconds(20);
 constexpr std::uint32_t kNeighbourLoadFraction = 16;
 constexpr std::uint32_t kRelayLoadFraction = 4;
 
@@ -35,6 +43,17 @@
          a.leaving == b.leaving;
 }
 
+std::uint32_t digestOf(const Announcement& announcement)
+{
+  std::string text = announcement.id.value + "|" + announcement.address + "|" +
+                     announcement.service.value + "|" + std::to_string(announcement.slots) +
+                     (announcement.checksFencing ? "f" : "-") + (announcement.leaving ? "l" : "-");
+  for (const auto& model : announcement.models) {
+    text += "|" + model.value;
+  }
+  return static_cast<std::uint32_t>(fingerprintOf(text));
+}
+
 template<typename Map, typename Key>
 std::span<const std::uint32_t> findPlaces(const Map& map, const Key& key)
 {
@@ -80,27 +99,93 @@
       store(now, announcement, from);
     }
   }
+  removeMissing(delta);
+  removeGone(delta);
   bool unknown = false;
   for (const auto& report : delta.loads) {
     storeLoad(now, report, from, unknown);
   }
-  if (unknown && now >= nextRequest_) {
+  if (unknown) {
+    request(now, from, ZoneId());
+  }
+  for (const auto& summary : delta.summaries) {
+    compare(now, summary, from);
+  }
+}
+
+void EndpointRegistry::request(Time now, const ProcessId& from, const ZoneId& zone)
+{
+  if (now >= nextRequest_) {
     nextRequest_ = now + kRequestInterval;
-    outgoing_.push_back({ from, RegistryRequest{} });
+    outgoing_.push_back({ from, RegistryRequest{ zone } });
   }
 }
 
-void EndpointRegistry::receive(Time /*now*/,
-                               const ProcessId& from,
-                               const RegistryRequest& /*request*/)
+void EndpointRegistry::compare(Time now, const ZoneSummary& summary, const ProcessId& source)
 {
-  RegistryDelta all;
+  auto& zone = zones_[summary.zone];
+  const auto older = static_cast<std::int32_t>(zone.second - summary.second);
+  if (summary.zone == zone_ || (older >= 0 && older < kClockJumpSeconds)) {
+    return;
+  }
+  zone.second = summary.second;
+  summariesToPass_.push_back(summary);
+  if (zone.digest == summary.digest) {
+    zone.differsSince = Time{};
+    for (auto& endpoint : endpoints_) {
+      if (endpoint.live && endpoint.latest.zone == summary.zone) {
+        endpoint.confirmed = now;
+      }
+    }
+    return;
+  }
+  if (zone.differsSince == Time{}) {
+    zone.differsSince = now;
+  } else if (now - zone.differsSince >= kDigestPatience) {
+    zone.differsSince = now;
+    request(now, source, summary.zone);
+  }
+}
+
+void EndpointRegistry::removeMissing(const RegistryDelta& delta)
+{
+  for (const auto& zone : delta.complete) {
+    for (std::uint32_t place = 0; place < endpoints_.size(); ++place) {
+      const auto& endpoint = endpoints_[place];
+      const auto isSame = [&](const Announcement& other) { return other.id == endpoint.latest.id; };
+      const bool listed =
+        std::any_of(delta.announcements.begin(), delta.announcements.end(), isSame);
+      if (endpoint.live && endpoint.latest.zone == zone && zone != zone_ && !listed) {
+        remove(place);
+      }
+    }
+  }
+}
+
+void EndpointRegistry::removeGone(const RegistryDelta& delta)
+{
+  for (const auto& id : delta.gone) {
+    const auto known = byId_.find(id);
+    if (known == byId_.end() || endpoints_[known->second].latest.zone == zone_) {
+      continue;
+    }
+    remove(known->second);
+    goneToPass_.push_back(id);
+  }
+}
+
+void EndpointRegistry::receive(Time /*now*/, const ProcessId& from, const RegistryRequest& request)
+{
+  RegistryDelta answer;
   for (const auto& endpoint : endpoints_) {
-    if (endpoint.live) {
-      all.announcements.push_back(endpoint.latest);
+    if (endpoint.live && (request.zone.empty() || endpoint.latest.zone == request.zone)) {
+      answer.announcements.push_back(endpoint.latest);
     }
   }
-  outgoing_.push_back({ from, std::move(all) });
+  if (!request.zone.empty()) {
+    answer.complete.push_back(request.zone);
+  }
+  outgoing_.push_back({ from, std::move(answer) });
 }
 
 std::uint32_t EndpointRegistry::place(const Announcement& announcement)
@@ -133,6 +218,7 @@
     index(at, false);
   }
   endpoint.latest = announcement;
+  endpoint.confirmed = std::max(endpoint.confirmed, announcement.announced);
   endpoint.live = true;
   if (whole) {
     index(at, true);
@@ -144,8 +230,8 @@
   }
   enqueue(now, at, source, whole);
   if (startsLeaving) {
-    flush(now, peers_.neighbours, forNeighbours_);
-    flush(now, peers_.relays, forRelays_);
+    flushToNeighbours(now);
+    flushToRelays(now);
   }
 }
 
@@ -168,6 +254,7 @@
     return;
   }
   endpoint.latest.announced = announced;
+  endpoint.confirmed = std::max(endpoint.confirmed, announced);
   endpoint.latest.running = report.running;
   endpoint.latest.waiting = report.waiting;
   enqueue(now, first->second, source, false);
@@ -217,20 +304,37 @@
 {
   for (std::uint32_t place = 0; place < endpoints_.size(); ++place) {
     const auto& endpoint = endpoints_[place];
-    if (endpoint.live && now - endpoint.latest.announced >= kAnnouncementLife) {
-      remove(place);
+    if (!endpoint.live || now - endpoint.confirmed < kAnnouncementLife) {
+      continue;
+    }
+    if (endpoint.latest.zone == zone_ && !peers_.relays.empty()) {
+      expiredHere_.push_back(endpoint.latest.id);
     }
+    remove(place);
   }
   if (now >= nextNeighbourFlush_) {
     nextNeighbourFlush_ = now + kNeighbourFlush;
-    flush(now, peers_.neighbours, forNeighbours_);
+    flushToNeighbours(now);
   }
   if (now >= nextRelayFlush_) {
     nextRelayFlush_ = now + kRelayFlush;
-    flush(now, peers_.relays, forRelays_);
+    flushToRelays(now);
   }
 }
 
+void EndpointRegistry::flushToNeighbours(Time now)
+{
+  flush(now, peers_.neighbours, forNeighbours_);
+  summariesToPass_.clear();
+  goneToPass_.clear();
+}
+
+void EndpointRegistry::flushToRelays(Time now)
+{
+  flush(now, peers_.relays, forRelays_);
+  expiredHere_.clear();
+}
+
 void EndpointRegistry::remove(std::uint32_t place)
 {
   auto& endpoint = endpoints_[place];
@@ -250,6 +354,7 @@
 void EndpointRegistry::index(std::uint32_t place, bool add)
 {
   const auto& latest = endpoints_[place].latest;
+  zones_[latest.zone].digest ^= digestOf(latest);
   if (latest.kind == WorkKind::plain) {
     change(byService_[latest.service], place, add);
     return;
@@ -263,7 +368,9 @@
 {
   for (const auto& link : links) {
     auto delta = makeDelta(now, link, pending);
-    if (!delta.announcements.empty() || !delta.loads.empty()) {
+    const bool empty = delta.announcements.empty() && delta.loads.empty() &&
+                       delta.summaries.empty() && delta.gone.empty();
+    if (!empty) {
       outgoing_.push_back({ link, std::move(delta) });
     }
   }
@@ -289,6 +396,15 @@
     delta.loads.push_back(
       { handle, latest.running, latest.waiting, static_cast<std::uint8_t>(steps) });
   }
+  if (!isRelay(link)) {
+    delta.summaries = summariesToPass_;
+    delta.gone = goneToPass_;
+    return delta;
+  }
+  const auto own = zones_.find(zone_);
+  const auto second = static_cast<std::uint32_t>(now.micros / 1'000'000);
+  delta.summaries.push_back({ zone_, own == zones_.end() ? 0 : own->second.digest, second });
+  delta.gone = expiredHere_;
   return delta;
 }
 
--- a/modules/routing/EndpointRegistry.h
+++ b/modules/routing/EndpointRegistry.h
@@ -24,14 +24,18 @@
   std::uint64_t hash = 0;
   /** When this VM learned that the endpoint leaves; 0 while it does not. */
   Time leavingSince;
+  /** When the endpoint was last known to be alive, by an announcement or a summary. */
+  Time confirmed;
   bool live = false;
 };
 
 /** Keeps what endpoints announce and exchanges the changes with other VMs.
 
     Changes go over the links of Peers: whole announcements when something other than the load
-    changed, load reports otherwise. Small load changes are held back, which keeps the cost per VM
-    bounded. A leaving endpoint is passed on at once.
+    changed, load reports otherwise. Small load changes are held back. In the zone each load is
+    refreshed in time for the expiry; between zones a summary of the relay does that for all
+    endpoints of its zone at once, which keeps the cost per VM bounded. A leaving endpoint is passed
+    on at once.
 
     Clocks of the VMs may differ by up to a second. An announcement received first-hand always
     replaces what other VMs said.
@@ -39,6 +43,13 @@
 class EndpointRegistry
 {
 public:
+  /** Creates an empty registry.
+      @param zone  the zone of this VM */
+  explicit EndpointRegistry(ZoneId zone)
+    : zone_(std::move(zone))
+  {
+  }
+
   /** Replaces the links to other VMs. */
   void setPeers(Peers peers) { peers_ = std::move(peers); }
 
@@ -50,7 +61,7 @@
   /** Handles changes from another VM. Older statements than the known ones have no effect. */
   void receive(Time now, const ProcessId& from, const RegistryDelta& delta);
 
-  /** Answers a request with every live announcement. */
+  /** Answers a request with the live endpoints of the zone in question. */
   void receive(Time now, const ProcessId& from, const RegistryRequest& request);
 
   /** Removes expired endpoints and prepares the messages that are due. */
@@ -118,17 +129,39 @@
   std::uint32_t place(const Announcement& announcement);
   void store(Time now, const Announcement& announcement, const ProcessId& source);
   void storeLoad(Time now, const LoadReport& report, const ProcessId& source, bool& unknown);
+  void compare(Time now, const ZoneSummary& summary, const ProcessId& source);
+  void removeMissing(const RegistryDelta& delta);
+  void removeGone(const RegistryDelta& delta);
+  void request(Time now, const ProcessId& from, const ZoneId& zone);
   void enqueue(Time now, std::uint32_t place, const ProcessId& source, bool whole);
   void remove(std::uint32_t place);
   void index(std::uint32_t place, bool add);
   void flush(Time now, const std::vector<ProcessId>& links, PendingMap& pending);
+  void flushToNeighbours(Time now);
+  void flushToRelays(Time now);
   [[nodiscard]] RegistryDelta makeDelta(Time now,
                                         const ProcessId& link,
                                         const PendingMap& pending) const;
   [[nodiscard]] bool isRelay(const ProcessId& source) const;
   [[nodiscard]] bool loadWorthSending(Time now, std::uint32_t place, bool toRelays);
 
+  /** A zone as its summaries describe it. */
+  struct ZoneState
+  {
+    /** Digest of the live endpoints here, kept up to date by index(). */
+    std::uint32_t digest = 0;
+    /** Since when the digest of the summaries differs; 0 while it does not. */
+    Time differsSince;
+    /** Second of the newest summary. */
+    std::uint32_t second = 0;
+  };
+
+  ZoneId zone_;
   Peers peers_;
+  std::map<ZoneId, ZoneState> zones_;
+  std::vector<ZoneSummary> summariesToPass_;
+  std::vector<EndpointId> goneToPass_;
+  std::vector<EndpointId> expiredHere_;
   std::vector<Endpoint> endpoints_;
   std::vector<std::uint32_t> freePlaces_;
   std::map<EndpointId, std::uint32_t> byId_;
--- a/modules/routing/FairShareTotals.cpp
+++ b/modules/routing/FairShareTotals.cpp
@@ -1,5 +1,7 @@
 #include "routing/FairShareTotals.h"
 
+#include "core/Fingerprint.h"
+
 #include <cmath>
 
 namespace figchute::routing {
@@ -8,12 +10,22 @@
 /** exp(100) leaves room for token counts in a double; then all totals are scaled down. */
 constexpr double kLargestExponent = 100;
 
-/** Bounds a message to about 1 KB at 510 workspaces; the smaller entries wait and add up. */
-constexpr std::size_t kEntriesPerMessage = 32;
+/** Bounds a message to about 250 bytes at 510 workspaces; the smaller entries wait and add up. */
+constexpr std::size_t kEntriesPerMessage = 24;
+
+std::uint32_t nameOf(const WorkspaceId& workspace)
+{
+  return static_cast<std::uint32_t>(fingerprintOf(workspace.value));
+}
 
 } // namespace
 
 std::uint32_t FairShareTotals::indexOf(const WorkspaceId& workspace)
+{
+  return indexOf(nameOf(workspace));
+}
+
+std::uint32_t FairShareTotals::indexOf(std::uint32_t workspace)
 {
   const auto next = static_cast<std::uint32_t>(entries_.size());
   const auto [entry, added] = indexes_.try_emplace(workspace, next);
@@ -85,7 +97,7 @@
 
 double FairShareTotals::total(Time now, const WorkspaceId& workspace) const
 {
-  const auto found = indexes_.find(workspace);
+  const auto found = indexes_.find(nameOf(workspace));
   if (found == indexes_.end()) {
     return 0;
   }
--- a/modules/routing/FairShareTotals.h
+++ b/modules/routing/FairShareTotals.h
@@ -6,7 +6,7 @@
 
 #include <array>
 #include <cstdint>
-#include <map>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -37,7 +37,7 @@
   /** Adds tokens served by other VMs. */
   void receive(Time now, const ProcessId& from, const std::vector<ServedTokens>& served);
 
-  /** Takes what a neighbour has not been told yet, at most 32 of the largest entries. */
+  /** Takes what a neighbour has not been told yet, at most 24 of the largest entries. */
   std::vector<ServedTokens> take(const ProcessId& neighbour);
 
   /** Returns a number that orders totals: a larger one has been served more. */
@@ -55,15 +55,17 @@
 private:
   struct Entry
   {
-    WorkspaceId workspace;
+    std::uint32_t workspace = 0;
     std::array<double, kRankCount> scaled{};
   };
 
+  std::uint32_t indexOf(std::uint32_t workspace);
+
   double scale(Time now);
   [[nodiscard]] double exponent(Time now) const;
 
   std::vector<Entry> entries_;
-  std::map<WorkspaceId, std::uint32_t> indexes_;
+  std::unordered_map<std::uint32_t, std::uint32_t> indexes_;
   LinkIncrements<std::pair<std::uint32_t, Rank>> owed_;
   Time epoch_;
   bool started_ = false;
--- a/modules/routing/Messages.h
+++ b/modules/routing/Messages.h
@@ -65,6 +65,20 @@
   MSGPACK_DEFINE(handle, running, waiting, age)
 };
 
+/** What the relay of a zone says once a second about the endpoints of its zone. It keeps them alive
+    in other zones, where loads are sent only when they change much. */
+struct ZoneSummary
+{
+  ZoneId zone;
+  /** Fingerprint of everything but the loads of the live endpoints of the zone. A receiver whose
+      endpoints differ for several seconds asks for all of them. */
+  std::uint32_t digest = 0;
+  /** Low 32 bits of the relay's clock in seconds; a summary passes each VM once. */
+  std::uint32_t second = 0;
+
+  MSGPACK_DEFINE(zone, digest, second)
+};
+
 /** Changes of the registry since the last message to the same VM. */
 struct RegistryDelta
 {
@@ -72,23 +86,30 @@
   std::vector<Announcement> announcements;
   /** Endpoints of which only the load changed. */
   std::vector<LoadReport> loads;
-
-  MSGPACK_DEFINE(announcements, loads)
+  /** Zones of which the relay was heard. */
+  std::vector<ZoneSummary> summaries;
+  /** Endpoints of other zones that expired there. */
+  std::vector<EndpointId> gone;
+  /** Zones of which this message has all endpoints; others of these zones are gone. */
+  std::vector<ZoneId> complete;
+
+  MSGPACK_DEFINE(announcements, loads, summaries, gone, complete)
 };
 
-/** Asks a neighbour for every announcement it has; sent by a VM that sees an unknown handle. */
+/** Asks for all endpoints of a zone, or of all zones when the zone is empty. */
 struct RegistryRequest
 {
-  bool all = true;
+  ZoneId zone;
 
-  MSGPACK_DEFINE(all)
+  MSGPACK_DEFINE(zone)
 };
 
 /** Tokens served for a workspace in one rank since the last message on the same link; negative when
-    an answer turned out shorter than charged at its dispatch. */
+    an answer turned out shorter than charged at its dispatch. The workspace is named by the low 32
+    bits of its fingerprint. */
 struct ServedTokens
 {
-  WorkspaceId workspace;
+  std::uint32_t workspace = 0;
   Rank rank = Rank::prompt;
   std::int64_t tokens = 0;
 
--- a/modules/routing/RouterCore.cpp
+++ b/modules/routing/RouterCore.cpp
@@ -87,6 +87,7 @@
 
 Router::Core::Core(RouterOptions options)
   : options_(std::move(options))
+  , registry_(options_.zone)
   , chooser_(options_.seed)
 {
 }
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -250,8 +250,8 @@
 // of unknown endpoints that are lost without a request for the whole registry.
 TEST_CASE("EndpointRegistry_loadReports_followAgeAndAskForUnknown")
 {
-  EndpointRegistry a;
-  EndpointRegistry b;
+  EndpointRegistry a(ZoneId("a"));
+  EndpointRegistry b(ZoneId("a"));
   a.setPeers({ { ProcessId("b") }, {}, 2, 2, 0 });
   Time now{ 1'000'000'000 };
   const auto exchange = [&] {
--- a/tools/figchute-measure/FifoRandomRouter.h
+++ b/tools/figchute-measure/FifoRandomRouter.h
@@ -19,6 +19,7 @@
 public:
   explicit FifoRandomRouter(routing::RouterOptions options)
     : random_(options.seed)
+    , registry_(options.zone)
   {
   }
 
