--- a/modules/membership/Membership.cpp
+++ b/modules/membership/Membership.cpp
@@ -117,12 +117,15 @@
 {
   if (view == static_cast<std::uint32_t>(view_)) {
     sender.differsSince = Time{};
-  } else if (sender.differsSince == Time{}) {
-    sender.differsSince = now;
-  } else if (now - sender.differsSince >= kViewPatience) {
-    sender.differsSince = now;
+    return;
+  }
+  const bool lasting = sender.differsSince != Time{} && now - sender.differsSince >= kViewPatience;
+  if (lasting) {
     outgoing_.push_back({ sender.statement.id, FullView{ statements(), true } });
   }
+  if (lasting || sender.differsSince == Time{}) {
+    sender.differsSince = now;
+  }
 }
 
 void Membership::handle(Time now, const ProcessId& from, const FullView& view)
@@ -139,11 +142,11 @@
   }
 }
 
-bool Membership::apply(Time now, const MemberUpdate& update)
+void Membership::apply(Time now, const MemberUpdate& update)
 {
   if (update.id == options_.self) {
     refute(now, update);
-    return false;
+    return;
   }
   auto [entry, added] = members_.try_emplace(update.id);
   auto& member = entry->second;
@@ -154,11 +157,10 @@
   } else if (precedence(update) > precedence(member.statement)) {
     replace(now, member, update);
   } else {
-    return false;
+    return;
   }
   member.sendsLeft = kSendsPerStatement;
   nextHeartbeat_ = std::min(nextHeartbeat_, now + kForwardDelay);
-  return true;
 }
 
 void Membership::replace(Time now, Member& member, const MemberUpdate& update)
--- a/modules/membership/Membership.h
+++ b/modules/membership/Membership.h
@@ -119,7 +119,7 @@
   };
 
   void start(Time now);
-  bool apply(Time now, const MemberUpdate& update);
+  void apply(Time now, const MemberUpdate& update);
   void replace(Time now, Member& member, const MemberUpdate& update);
   void refute(Time now, const MemberUpdate& update);
   void handle(Time now, const ProcessId& from, const Heartbeat& heartbeat);
--- a/modules/routing/RankQueue.cpp
+++ b/modules/routing/RankQueue.cpp
@@ -120,7 +120,7 @@
   return refusal;
 }
 
-tl::expected<Duration, Refusal> RankQueue::push(Time now, QueuedWork work)
+tl::expected<Duration, Refusal> RankQueue::push(Time now, const QueuedWork& work)
 {
   const Duration wait = expectedWait(now, work);
   const Duration slack = work.latestStart - now;
@@ -132,7 +132,7 @@
   return wait;
 }
 
-void RankQueue::pushFront(QueuedWork work)
+void RankQueue::pushFront(const QueuedWork& work)
 {
   callerLine(work).works.push_front(work);
   changeCount(work, 1);
--- a/modules/routing/RankQueue.h
+++ b/modules/routing/RankQueue.h
@@ -57,10 +57,10 @@
       @param now   the current time
       @param work  the work
       @returns the expected wait, or deadline_unmeetable with a delay to retry */
-  tl::expected<Duration, Refusal> push(Time now, QueuedWork work);
+  tl::expected<Duration, Refusal> push(Time now, const QueuedWork& work);
 
   /** Returns cancelled work to the front of its caller's line, without a check. */
-  void pushFront(QueuedWork work);
+  void pushFront(const QueuedWork& work);
 
   /** Returns the ranks that have work, the one to serve first in front.
       @param now  the current time */
