--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -281,6 +281,56 @@
   CHECK(b.at(0).latest.running == 0);
 }
 
+// Guards against endpoints of another zone that expire because their load is not sent there every
+// time, and against endpoints that stay although they are gone, even when that news is lost.
+TEST_CASE("EndpointRegistry_otherZone_livesAndEndsWithSummaries")
+{
+  EndpointRegistry a(ZoneId("a"));
+  EndpointRegistry b(ZoneId("b"));
+  a.setPeers({ {}, { ProcessId("b") }, 2, 1, 0 });
+  b.setPeers({ {}, { ProcessId("a") }, 2, 1, 0 });
+  Time now{ 1'000'000'000 };
+  bool connected = true;
+  const auto deliver = [&](EndpointRegistry& from, EndpointRegistry& to, const char* name) {
+    for (const auto& outgoing : from.takeOutgoing()) {
+      std::visit(
+        [&](const auto& body) {
+          if constexpr (!std::is_same_v<std::decay_t<decltype(body)>, UsageDelta>) {
+            connected ? to.receive(now, ProcessId(name), body) : void();
+          }
+        },
+        outgoing.message);
+    }
+  };
+  const auto run = [&](Duration length, bool firstLives, bool secondLives) {
+    for (const Time end = now + length; now < end; now = now + 500ms) {
+      firstLives ? a.announce(now, engine("first", 8)) : void();
+      secondLives ? a.announce(now, engine("second", 8)) : void();
+      a.tick(now);
+      b.tick(now);
+      deliver(a, b, "a");
+      deliver(b, a, "b");
+    }
+  };
+  run(15s, true, true);
+  CHECK(b.serving(kModel).size() == 2);
+  run(8s, false, true);
+  CHECK(b.serving(kModel).size() == 1);
+  CHECK(b.find(EndpointId("second")));
+  run(4s, true, true);
+  CHECK(b.serving(kModel).size() == 2);
+  run(5s, false, true);
+  connected = false;
+  run(2s, false, true);
+  connected = true;
+  run(5s, false, true);
+  CHECK(b.serving(kModel).size() == 1);
+  CHECK(b.find(EndpointId("second")));
+  connected = false;
+  run(8s, false, true);
+  CHECK(b.serving(kModel).empty());
+}
+
 // Guards against the ejection of so many endpoints that the rest cannot carry the load.
 TEST_CASE("OutlierDetector_allFail_ejectsAtMostAThird")
 {
--- a/tools/figchute-measure/FifoRandomRouter.h
+++ b/tools/figchute-measure/FifoRandomRouter.h
@@ -17,7 +17,7 @@
 class FifoRandomRouter
 {
 public:
-  explicit FifoRandomRouter(routing::RouterOptions options)
+  explicit FifoRandomRouter(const routing::RouterOptions& options)
     : random_(options.seed)
     , registry_(options.zone)
   {
--- a/tools/figchute-measure/RoutingExperiments.cpp
+++ b/tools/figchute-measure/RoutingExperiments.cpp
@@ -96,6 +96,8 @@
     add(Scenario::skewedShare, figchute());
     add(Scenario::skewedShare, localShare);
     add(Scenario::skewedShare, globalQueue);
+    add(Scenario::skewedZones, figchute());
+    add(Scenario::skewedZones, globalQueue);
   }
   return experiments;
 }
--- a/tools/figchute-measure/RoutingFleet.cpp
+++ b/tools/figchute-measure/RoutingFleet.cpp
@@ -84,6 +84,7 @@
 void RoutingFleet<R>::makeVms(std::uint64_t seed)
 {
   std::vector<membership::KnownPeer> known;
+  known.reserve(static_cast<std::size_t>(sizes_.vms));
   for (int i = 0; i < sizes_.vms; ++i) {
     known.push_back(
       { ProcessId("vm" + twoDigits(static_cast<std::size_t>(i))), zoneName(i % sizes_.zones) });
--- a/tools/figchute-measure/RoutingWorkload.cpp
+++ b/tools/figchute-measure/RoutingWorkload.cpp
@@ -112,8 +112,8 @@
 
   [[nodiscard]] Fingerprint templateOf() const
   {
-    return fingerprintOf("template",
-                         static_cast<Fingerprint>(workspace_ * 10 + static_cast<int>(rank_)));
+    const auto workspace = static_cast<Fingerprint>(workspace_);
+    return fingerprintOf("template", workspace * 10 + static_cast<Fingerprint>(rank_));
   }
 
   std::vector<PromptPart> templated()
