--- a/modules/gateway/AnswerSink.cpp
+++ b/modules/gateway/AnswerSink.cpp
@@ -41,10 +41,9 @@
     return false;
   }
   connection_->addPosted(bytes.size());
-  connection_->post(
-    [sequence = sequence_, bytes = std::move(bytes)](ServerConnection& connection) mutable {
-      connection.write(sequence, std::move(bytes));
-    });
+  connection_->post([sequence = sequence_, bytes = std::move(bytes)](ServerConnection& connection) {
+    connection.write(sequence, bytes);
+  });
   return true;
 }
 
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -359,7 +359,7 @@
   sendHead(status, headers, std::nullopt);
 }
 
-void ServerConnection::write(std::uint64_t sequence, std::string bytes)
+void ServerConnection::write(std::uint64_t sequence, std::string_view bytes)
 {
   posted_ -= bytes.size();
   if (!accepts(sequence) || !begun_) {
--- a/modules/gateway/ServerConnection.h
+++ b/modules/gateway/ServerConnection.h
@@ -43,7 +43,7 @@
   void closeIfIdle();
   void checkDeadline(Clock::time_point now);
   void begin(std::uint64_t sequence, int status, const Headers& headers, bool streaming);
-  void write(std::uint64_t sequence, std::string bytes);
+  void write(std::uint64_t sequence, std::string_view bytes);
   void finish(std::uint64_t sequence);
   void fail(std::uint64_t sequence,
             const Error& error,
--- a/modules/gateway/UpstreamLink.cpp
+++ b/modules/gateway/UpstreamLink.cpp
@@ -164,6 +164,9 @@
     }
     count += more;
   }
+  // The chunk reader has read the whole message, so the connection can take the next request even
+  // when the client does not report the end.
+  reusable_ = echoed_ && client.header().keepAlive();
   complete();
   return count;
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -640,6 +640,28 @@
   }
 }
 
+// Guards against a new connection for each request, and against answers that shift by one, when the
+// last chunk of an answer arrives with the chunk before it.
+TEST_CASE("UpstreamPool_chunkedAnswersInOneWrite_keepTheConnection")
+{
+  ScriptedEndpoint endpoint([](RawSocket& socket, int) {
+    for (auto request = readRequest(socket); request.find("payload") != std::string::npos;
+         request = readRequest(socket)) {
+      const auto id = headerOf(request, "X-Request-Id");
+      answer(socket, request, "Transfer-Encoding: chunked\r\n\r\n3\r\n" + id + "\r\n0\r\n\r\n");
+    }
+  });
+  UpstreamPool pool({ 1, 3s, 8 });
+  for (int i = 0; i < 9; ++i) {
+    const auto id = "r-" + std::to_string(i);
+    CallRecord record;
+    pool.start(callTo(endpoint, id), record.callback());
+    CHECK(record.outcome() == "done");
+    CHECK(record.bytes == id);
+  }
+  CHECK(endpoint.connections() == 1);
+}
+
 // Guards against requests that generate or read more tokens than were reserved.
 TEST_CASE("ChatRequest_unboundedOrMalformedBody_isRefused")
 {
--- a/tools/figchute-load/Options.cpp
+++ b/tools/figchute-load/Options.cpp
@@ -19,6 +19,7 @@
   char* key = nullptr;
   char* model = nullptr;
   int concurrency = 8;
+  int spreadMs = 0;
   int count = 100;
   int duration = 60;
   int maxTokens = 32;
@@ -35,6 +36,7 @@
     { "key", 0, POPT_ARG_STRING, &raw.key, 0, "bearer key of the caller", "KEY" },
     { "model", 0, POPT_ARG_STRING, &raw.model, 0, "model to ask for", "NAME" },
     { "concurrency", 0, POPT_ARG_INT, &raw.concurrency, 0, "requests at one time", "N" },
+    { "spread-ms", 0, POPT_ARG_INT, &raw.spreadMs, 0, "time to spread the first requests", "MS" },
     { "count", 0, POPT_ARG_INT, &raw.count, 0, "requests in all", "N" },
     { "duration", 0, POPT_ARG_INT, &raw.duration, 0, "longest time", "SECONDS" },
     { "max-tokens", 0, POPT_ARG_INT, &raw.maxTokens, 0, "tokens of an answer", "N" },
@@ -87,6 +89,7 @@
     return std::nullopt;
   }
   const bool good = isWithin(raw.concurrency, 1, kMaxConnections, "--concurrency") &&
+                    isWithin(raw.spreadMs, 0, kMaxSeconds * 1000, "--spread-ms") &&
                     isWithin(raw.count, 1, kMaxCount, "--count") &&
                     isWithin(raw.duration, 1, kMaxSeconds, "--duration") &&
                     isWithin(raw.maxTokens, 1, kMaxCount, "--max-tokens") &&
@@ -100,6 +103,7 @@
   options.key = raw.key == nullptr ? "" : raw.key;
   options.model = raw.model == nullptr ? options.model : raw.model;
   options.concurrency = raw.concurrency;
+  options.spread = std::chrono::milliseconds(raw.spreadMs);
   options.count = raw.count;
   options.duration = std::chrono::seconds(raw.duration);
   options.maxTokens = raw.maxTokens;
--- a/tools/figchute-load/Options.h
+++ b/tools/figchute-load/Options.h
@@ -15,6 +15,9 @@
   std::string key;
   std::string model = "test-model";
   int concurrency = 8;
+  /** Time over which the first requests are spread; requests that start at one moment wait for each
+      other. */
+  std::chrono::milliseconds spread{ 0 };
   /** Requests in all; the load ends after these or after the duration. */
   int count = 100;
   std::chrono::seconds duration{ 60 };
--- a/tools/figchute-load/Stream.cpp
+++ b/tools/figchute-load/Stream.cpp
@@ -27,9 +27,18 @@
 {
 }
 
-void Stream::start()
+void Stream::start(std::chrono::milliseconds delay)
 {
-  next();
+  if (delay.count() == 0) {
+    next();
+    return;
+  }
+  timer_.expires_after(delay);
+  timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error) {
+      self->next();
+    }
+  });
 }
 
 void Stream::stop()
--- a/tools/figchute-load/Stream.h
+++ b/tools/figchute-load/Stream.h
@@ -27,8 +27,8 @@
 
   Stream(boost::asio::io_context& io, const Options& options, Results& results, Source source);
 
-  /** Sends the first request. */
-  void start();
+  /** Sends the first request after the delay. */
+  void start(std::chrono::milliseconds delay = std::chrono::milliseconds(0));
 
   /** Closes the connection; a request that runs is not counted. */
   void stop();
--- a/tools/figchute-load/main.cpp
+++ b/tools/figchute-load/main.cpp
@@ -30,7 +30,8 @@
     return sent++;
   };
   for (int i = 0; i < options.concurrency; ++i) {
-    std::make_shared<Stream>(io, options, results, source)->start();
+    const auto delay = options.spread * i / options.concurrency;
+    std::make_shared<Stream>(io, options, results, source)->start(delay);
   }
   io.run();
   results.print(Clock::now() - start);
--- a/tools/figchute-standin/Engine.cpp
+++ b/tools/figchute-standin/Engine.cpp
@@ -1,6 +1,5 @@
 #include "Engine.h"
 
-#include "core/Fingerprint.h"
 #include "json/json.h"
 
 #include <algorithm>
@@ -83,30 +82,34 @@
   return { std::move(prompt), "" };
 }
 
-Generation generate(const Prompt& prompt, int answerTokens)
+Generation::Generation(const Prompt& prompt, int answerTokens)
+  : seed_(fingerprintOf(prompt.text, fingerprintOf(prompt.model)))
+  , promptTokens_(
+      static_cast<std::int64_t>((prompt.text.size() + kBytesPerToken - 1) / kBytesPerToken) +
+      kTokensPerMessage * static_cast<std::int64_t>(prompt.messages))
+  , length_(answerTokens)
+  , bound_(prompt.maxTokens > 0 ? prompt.maxTokens : answerTokens)
+  , toSkip_(prompt.continued.size())
 {
-  Generation result;
-  const auto seed = fingerprintOf(prompt.text, fingerprintOf(prompt.model));
-  result.promptTokens =
-    static_cast<std::int64_t>((prompt.text.size() + kBytesPerToken - 1) / kBytesPerToken) +
-    kTokensPerMessage * static_cast<std::int64_t>(prompt.messages);
-  std::string text;
-  for (int i = 0; i < answerTokens; ++i) {
-    auto token = tokenAt(seed, static_cast<std::uint64_t>(i));
-    text += token;
-    if (text.size() <= prompt.continued.size()) {
-      continue;
+}
+
+std::optional<std::string> Generation::next()
+{
+  while (index_ < length_ && emitted_ < bound_) {
+    auto token = tokenAt(seed_, static_cast<std::uint64_t>(index_++));
+    const auto skipped = std::min(toSkip_, token.size());
+    toSkip_ -= skipped;
+    if (skipped < token.size()) {
+      ++emitted_;
+      return token.substr(skipped);
     }
-    const auto fresh = std::min(token.size(), text.size() - prompt.continued.size());
-    result.tokens.push_back(token.substr(token.size() - fresh));
-  }
-  result.finishReason = "stop";
-  const auto bound = static_cast<std::size_t>(std::max(prompt.maxTokens, 0));
-  if (bound > 0 && result.tokens.size() > bound) {
-    result.tokens.resize(bound);
-    result.finishReason = "length";
   }
-  return result;
+  return std::nullopt;
+}
+
+std::string Generation::finishReason() const
+{
+  return index_ < length_ ? "length" : "stop";
 }
 
 std::uint64_t Slots::take(int priority, std::function<void()> start)
--- a/tools/figchute-standin/Engine.h
+++ b/tools/figchute-standin/Engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Fingerprint.h"
 #include "Options.h"
 
 #include <chrono>
@@ -7,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -28,23 +30,41 @@
   bool stream = false;
 };
 
-/** The answer to a prompt: the same prompt always gives the same tokens. */
-struct Generation
+/** The answer to a prompt: the same prompt always gives the same tokens. Each token is generated
+    when it is asked for, so that a long answer holds up no other stream. */
+class Generation
 {
-  std::vector<std::string> tokens;
-  std::string finishReason;
-  std::int64_t promptTokens = 0;
+public:
+  Generation() = default;
+
+  /** Starts an answer.
+      @param answerTokens  the length of an answer that `max_tokens` does not cut */
+  Generation(const Prompt& prompt, int answerTokens);
+
+  /** Returns the next token, or nothing at the end. */
+  std::optional<std::string> next();
+
+  /** Returns why the answer ended: "stop" or "length". */
+  [[nodiscard]] std::string finishReason() const;
+
+  [[nodiscard]] std::int64_t promptTokens() const { return promptTokens_; }
+  [[nodiscard]] std::int64_t completionTokens() const { return emitted_; }
+
+private:
+  Fingerprint seed_ = 0;
+  std::int64_t promptTokens_ = 0;
+  std::int64_t length_ = 0;
+  std::int64_t bound_ = 0;
+  std::int64_t index_ = 0;
+  std::int64_t emitted_ = 0;
+  /** Bytes of the text to continue that are not yet passed. */
+  std::size_t toSkip_ = 0;
 };
 
 /** Reads a chat completions body.
     @returns the prompt, or the text of the fault */
 std::pair<Prompt, std::string> readPrompt(std::string_view body);
 
-/** Generates the answer.
-    @param prompt        what to answer
-    @param answerTokens  the length of an answer that `max_tokens` does not cut */
-Generation generate(const Prompt& prompt, int answerTokens);
-
 /** Running and waiting requests at one moment. */
 struct Load
 {
--- a/tools/figchute-standin/Session.cpp
+++ b/tools/figchute-standin/Session.cpp
@@ -120,8 +120,8 @@
     return;
   }
   prompt_ = std::move(prompt);
-  generation_ = generate(prompt_, standin_.options().answerTokens);
-  nextToken_ = 0;
+  generation_ = Generation(prompt_, standin_.options().answerTokens);
+  text_.clear();
   watchForClose();
   ticket_ = standin_.slots().take(prompt_.priority, [weak = weak_from_this()] {
     if (auto self = weak.lock()) {
@@ -144,7 +144,7 @@
     if (self->prompt_.stream) {
       self->sendHead();
     }
-    self->sendTokens();
+    self->sendToken();
   });
 }
 
@@ -159,20 +159,26 @@
     chunk(R"({"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null})", true));
 }
 
+std::string Session::usageJson() const
+{
+  const auto prompt = generation_.promptTokens();
+  const auto completion = generation_.completionTokens();
+  return fmt::format(R"("usage":{{"prompt_tokens":{},"completion_tokens":{},"total_tokens":{}}})",
+                     prompt,
+                     completion,
+                     prompt + completion);
+}
+
 std::string Session::chunk(const std::string& choices, bool withUsage) const
 {
-  const auto usage = fmt::format(R"(,"usage":{{"prompt_tokens":{},"completion_tokens":{},)"
-                                 R"("total_tokens":{}}})",
-                                 generation_.promptTokens,
-                                 nextToken_,
-                                 generation_.promptTokens + static_cast<std::int64_t>(nextToken_));
+  const auto usage = withUsage ? "," + usageJson() : "";
   return fmt::format(R"(data: {{"id":"chatcmpl-{}","object":"chat.completion.chunk","created":0,)"
                      R"("model":{},"choices":[{}]{}}})"
                      "\n\n",
                      answerId_,
                      jsonQuote(prompt_.model),
                      choices,
-                     withUsage ? usage : "");
+                     usage);
 }
 
 /** Waits until the next token is due. */
@@ -186,23 +192,25 @@
   timer_.expires_at(nextTokenAt_);
   timer_.async_wait([self = shared_from_this()](beast::error_code error) {
     if (!error && !self->closed_) {
-      self->sendTokens();
+      self->sendToken();
     }
   });
 }
 
 /** Sends the next token; the last one is followed by the end of the answer. */
-void Session::sendTokens()
+void Session::sendToken()
 {
-  if (nextToken_ == generation_.tokens.size()) {
+  const auto token = generation_.next();
+  if (!token) {
     prompt_.stream ? sendTail() : sendWholeChat();
     return;
   }
-  const auto& token = generation_.tokens[nextToken_++];
   if (prompt_.stream) {
     sendChunk(chunk(fmt::format(R"({{"index":0,"delta":{{"content":{}}},"finish_reason":null}})",
-                                jsonQuote(token)),
+                                jsonQuote(*token)),
                     false));
+  } else {
+    text_ += *token;
   }
   scheduleToken();
 }
@@ -210,7 +218,7 @@
 void Session::sendTail()
 {
   sendChunk(chunk(
-    fmt::format(R"({{"index":0,"delta":{{}},"finish_reason":"{}"}})", generation_.finishReason),
+    fmt::format(R"({{"index":0,"delta":{{}},"finish_reason":"{}"}})", generation_.finishReason()),
     true));
   sendChunk("data: [DONE]\n\n");
   send("0\r\n\r\n");
@@ -220,25 +228,16 @@
 
 void Session::sendWholeChat()
 {
-  std::string text;
-  for (const auto& token : generation_.tokens) {
-    text += token;
-  }
   leaveSlot();
-  const auto promptTokens = generation_.promptTokens;
-  const auto count = static_cast<std::int64_t>(generation_.tokens.size());
   sendWhole({ 200,
               fmt::format(R"({{"id":"chatcmpl-{}","object":"chat.completion","created":0,)"
                           R"("model":{},"choices":[{{"index":0,"message":{{"role":"assistant",)"
-                          R"("content":{}}},"finish_reason":"{}"}}],"usage":{{"prompt_tokens":{},)"
-                          R"("completion_tokens":{},"total_tokens":{}}}}})",
+                          R"("content":{}}},"finish_reason":"{}"}}],{}}})",
                           answerId_,
                           jsonQuote(prompt_.model),
-                          jsonQuote(text),
-                          generation_.finishReason,
-                          promptTokens,
-                          count,
-                          promptTokens + count) });
+                          jsonQuote(text_),
+                          generation_.finishReason(),
+                          usageJson()) });
 }
 
 void Session::sendChunk(const std::string& event)
--- a/tools/figchute-standin/Session.h
+++ b/tools/figchute-standin/Session.h
@@ -41,10 +41,11 @@
   void startGeneration();
   void sendHead();
   void scheduleToken();
-  void sendTokens();
+  void sendToken();
   void sendTail();
   void sendWholeChat();
-  std::string chunk(const std::string& choices, bool withUsage) const;
+  [[nodiscard]] std::string usageJson() const;
+  [[nodiscard]] std::string chunk(const std::string& choices, bool withUsage) const;
   void sendChunk(const std::string& event);
   void send(const std::string& bytes);
   void write();
@@ -64,7 +65,8 @@
   std::string answerId_;
   Prompt prompt_;
   Generation generation_;
-  std::size_t nextToken_ = 0;
+  /** The text of an answer that is not streamed. */
+  std::string text_;
   Clock::time_point nextTokenAt_;
   std::optional<std::uint64_t> ticket_;
   std::string outbox_;
