gateway: compare token bounds as numbers

Cause: clang-tidy reports modernize-use-nullptr for the defaulted <=> of Tokens where std::min() uses it. Change: the bounds are compared by their counts.

--- a/modules/gateway/ChatRequest.cpp
+++ b/modules/gateway/ChatRequest.cpp
@@ -222,8 +222,8 @@
   if (!number || *number < 1 || *number > kMaxTokens) {
     return bad(fmt::format("{} is not a whole number from 1 to {}", name, kMaxTokens));
   }
-  const Tokens bound{ *number };
-  request_.maxTokens_ = std::min(bound, request_.maxTokens_.value_or(bound));
+  const auto earlier = request_.maxTokens_.value_or(Tokens{ *number });
+  request_.maxTokens_ = Tokens{ std::min(*number, earlier.count) };
   return {};
 }
 
