gateway: test what a time-out tells about sent bytes

Cause: an order may go to another endpoint only when nothing of it left. Change: tests for a connection that is not accepted and for a body that is only partly taken. Conclusion: UpstreamFailed::bytesSent is right in both cases.

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -143,6 +143,38 @@
   std::vector<std::thread> threads_;
 };
 
+/** A listening socket whose queue is full, so that further connections wait. */
+struct FullListener
+{
+  FullListener()
+    : listener(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    REQUIRE(::bind(listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(::listen(listener, 0) == 0);
+    REQUIRE(::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    port = ntohs(address.sin_port);
+    for (int i = 0; i < 3; ++i) {
+      waiting.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      ::connect(waiting.back(), reinterpret_cast<sockaddr*>(&address), size);
+    }
+  }
+  ~FullListener()
+  {
+    for (const int descriptor : waiting) {
+      ::close(descriptor);
+    }
+    ::close(listener);
+  }
+
+  int listener;
+  std::uint16_t port = 0;
+  std::vector<int> waiting;
+};
+
 /** The events of one upstream call. */
 class CallRecord
 {
@@ -554,6 +586,33 @@
   CHECK_FALSE(record.failed->bytesSent);
 }
 
+// Guards against an order that is sent twice, or not retried, because a time-out before the whole
+// request was sent does not tell whether any of it left.
+TEST_CASE("UpstreamPool_timeoutBeforeRequestIsSent_tellsWhetherBytesLeft")
+{
+  ScriptedEndpoint endpoint([](RawSocket&, int) { std::this_thread::sleep_for(400ms); });
+  UpstreamPool pool;
+  CallRecord partly;
+  auto large = callTo(endpoint, "r-1");
+  large.body = std::string(32U * 1024 * 1024, 'x');
+  large.connectTimeout = 150ms;
+  pool.start(std::move(large), partly.callback());
+  CHECK(partly.outcome() == "endpoint_timeout");
+  CHECK(partly.failed->bytesSent);
+
+  const FullListener full;
+  CallRecord unconnected;
+  UpstreamCall call;
+  call.request = RequestId("r-2");
+  call.host = "127.0.0.1";
+  call.port = full.port;
+  call.target = "/x";
+  call.connectTimeout = 150ms;
+  pool.start(call, unconnected.callback());
+  CHECK(unconnected.outcome() == "endpoint_timeout");
+  CHECK_FALSE(unconnected.failed->bytesSent);
+}
+
 // Guards against late bytes of an abandoned request that arrive as the answer to the next one.
 TEST_CASE("UpstreamPool_abandonedConnection_isNotUsedAgain")
 {
