ledger: size grants for few waits, pass on granted tokens and ask witnesses at once

Change: a grant covers at least four requests when the budget has plenty and idle grants stay 30 s; report requests go out when a retirement begins; bills use received tokens first, so that granted ones stay transferable; transfers give what is wanted; retries pause 40 ms at most; a receiver is told at once what a dead sender recorded.

--- a/modules/ledger/EscrowBook.cpp
+++ b/modules/ledger/EscrowBook.cpp
@@ -416,7 +416,7 @@
   for (const auto& name : std::exchange(holder.finals, {})) {
     for (auto& flow : budgets_.at(name).flows) {
       const bool toSender = flow.from == id && flow.toRetired && flow.sent > flow.received;
-      const bool toReceiver = flow.to == id && flow.fromRetired && flow.received < flow.sent;
+      const bool toReceiver = flow.to == id && flow.received < flow.sent;
       if (toSender || toReceiver) {
         finals.push_back({ name, flow.from, flow.to, flow.total() });
       }
@@ -438,6 +438,7 @@
     result.verdict = checkHolder(command.holder);
     return result;
   }
+  const bool first = !holders_.contains(command.holder);
   auto& holder = holders_[command.holder];
   if (command.sequence > holder.registration) {
     holder.registration = command.sequence;
@@ -448,7 +449,7 @@
     startRetiring(command.holder.process, Incarnation{ command.holder.incarnation.number - 1 });
   }
   for (const auto& id : retiringOf(command.holder.process)) {
-    completeIfPossible(time, id, outgoing);
+    completeIfPossible(time, id, first, outgoing);
   }
   return result;
 }
@@ -505,10 +506,10 @@
   startRetiring(command.through.process, std::min(command.through.incarnation, *newest));
   const auto found = holders_.find(command.record.holder);
   if (command.reporter && found != holders_.end() && found->second.retiring) {
-    addReport(*command.reporter, command.record, found->second);
+    addReport(*command.reporter, command.record, found->second, outgoing);
   }
   for (const auto& id : retiringOf(command.through.process)) {
-    completeIfPossible(time, id, outgoing);
+    completeIfPossible(time, id, !command.reporter, outgoing);
     const auto left = holders_.find(id);
     if (left != holders_.end()) {
       const auto missing = missingReports(id, left->second);
@@ -519,7 +520,22 @@
   return result;
 }
 
-void EscrowBook::addReport(const HolderId& reporter, const HolderRecord& record, Holder& holder)
+void EscrowBook::tellReceivers(const HolderId& sender,
+                               const BudgetId& name,
+                               std::vector<Outgoing>& outgoing)
+{
+  // What a dead sender recorded is certain, so its receiver need not wait for the other reports.
+  for (const auto& flow : budgets_.at(name).flows) {
+    if (flow.from == sender && !flow.toRetired && flow.received < flow.sent) {
+      tellFinal(flow.to, name, outgoing);
+    }
+  }
+}
+
+void EscrowBook::addReport(const HolderId& reporter,
+                           const HolderRecord& record,
+                           Holder& holder,
+                           std::vector<Outgoing>& outgoing)
 {
   const auto& witnesses = holder.witnesses;
   const bool expected = reporter == record.holder ||
@@ -528,7 +544,9 @@
     return;
   }
   for (const auto& totals : record.totals) {
-    mergeTotals(record.holder, totals);
+    if (mergeTotals(record.holder, totals)) {
+      tellReceivers(record.holder, totals.budget, outgoing);
+    }
   }
   for (const auto& charge : record.keyed) {
     holder.reportedKeyed.try_emplace(charge.sequence, charge);
@@ -564,12 +582,24 @@
   return sum;
 }
 
-void EscrowBook::completeIfPossible(Time time, const HolderId& id, std::vector<Outgoing>& outgoing)
+void EscrowBook::completeIfPossible(Time time,
+                                    const HolderId& id,
+                                    bool ask,
+                                    std::vector<Outgoing>& outgoing)
 {
   // A holder that holds nothing as far as control knows may have spent tokens that another holder
   // passed to it, so the reports are needed in every case.
-  if (missingReports(id, holders_.at(id)).empty()) {
+  const auto missing = missingReports(id, holders_.at(id));
+  if (missing.empty()) {
     complete(time, id, outgoing);
+    return;
+  }
+  // A report asks for nothing: a restarted witness answers under a new incarnation, and asking
+  // again at each answer would never end.
+  for (const auto& witness : missing) {
+    if (ask && witness != id) {
+      outgoing.push_back({ witness.process, WitnessReportRequest{ id } });
+    }
   }
 }
 
--- a/modules/ledger/EscrowBook.h
+++ b/modules/ledger/EscrowBook.h
@@ -188,9 +188,13 @@
   std::vector<FinalTransfer> finalsFor(const HolderId& id, Holder& holder);
   [[nodiscard]] std::optional<Incarnation> newestIncarnation(const ProcessId& process) const;
   [[nodiscard]] std::vector<HolderId> retiringOf(const ProcessId& process) const;
-  void addReport(const HolderId& reporter, const HolderRecord& record, Holder& holder);
+  void tellReceivers(const HolderId& sender, const BudgetId& name, std::vector<Outgoing>& outgoing);
+  void addReport(const HolderId& reporter,
+                 const HolderRecord& record,
+                 Holder& holder,
+                 std::vector<Outgoing>& outgoing);
   void startRetiring(const ProcessId& process, Incarnation through);
-  void completeIfPossible(Time time, const HolderId& id, std::vector<Outgoing>& outgoing);
+  void completeIfPossible(Time time, const HolderId& id, bool ask, std::vector<Outgoing>& outgoing);
   void complete(Time time, const HolderId& id, std::vector<Outgoing>& outgoing);
   void closeFlows(const HolderId& id,
                   const BudgetId& name,
--- a/modules/ledger/Wallet.cpp
+++ b/modules/ledger/Wallet.cpp
@@ -179,6 +179,7 @@
       account.charged += actual;
       touch(id, account);
     }
+    account.noteUse();
     invariant(account.held() >= Tokens{ 0 }, "a bill is covered by what its holder holds");
   }
   if (reservation.key) {
--- a/modules/ledger/Wallet.h
+++ b/modules/ledger/Wallet.h
@@ -29,7 +29,7 @@
   /** A grant is sized for the demand of this time. */
   Duration grantHorizon{ 3'000'000 };
   /** Unused tokens are returned when an account made no reservation for this time. */
-  Duration idleReturn{ 5'000'000 };
+  Duration idleReturn{ 30'000'000 };
   /** Control counts as out of reach when a proposal is unanswered for this time. */
   Duration controlTimeout{ 120'000 };
   /** Start of the range of proposal ids of this wallet. */
--- a/modules/ledger/WalletAccount.cpp
+++ b/modules/ledger/WalletAccount.cpp
@@ -29,9 +29,14 @@
   return sum(out);
 }
 
+void WalletAccount::noteUse()
+{
+  ownUsed = std::max(ownUsed, spent() + returned - received());
+}
+
 Tokens WalletAccount::transferable() const
 {
-  const auto own = granted - spent() - returned - passedOn();
+  const auto own = granted - ownUsed - passedOn();
   return std::max(Tokens{ 0 }, std::min(available(), own));
 }
 
@@ -47,6 +52,7 @@
   demand = demandAtTime(now, window) + static_cast<double>(bound.count) / seconds;
   demandAt = now;
   lastReserve = now;
+  lastBound = bound;
 }
 
 AccountTotals WalletAccount::totals(const BudgetId& id) const
--- a/modules/ledger/WalletAccount.h
+++ b/modules/ledger/WalletAccount.h
@@ -18,6 +18,8 @@
   Tokens keyedSettled;
   Tokens returned;
   Tokens reserved;
+  /** The largest amount so far by which spent and returned tokens exceeded the received ones. */
+  Tokens ownUsed;
   std::vector<PeerTotal> in;
   std::vector<PeerTotal> out;
 
@@ -50,6 +52,7 @@
   double demand = 0;
   Time demandAt;
   Time lastReserve;
+  Tokens lastBound;
   /** Rotates over the peers that are asked for transfers. */
   std::size_t transferPeer = 0;
   /** The peer whose answer is awaited. */
@@ -71,6 +74,9 @@
   /** What a new request may reserve. */
   [[nodiscard]] Tokens available() const { return held() - reserved; }
 
+  /** Updates ownUsed after a bill or a return. */
+  void noteUse();
+
   /** What may be passed on: only tokens granted by control. Tokens that came from another holder
      stay, because control could otherwise learn of the second transfer before the first. */
   [[nodiscard]] Tokens transferable() const;
--- a/modules/ledger/WalletControl.cpp
+++ b/modules/ledger/WalletControl.cpp
@@ -13,7 +13,7 @@
 /** Pause between two requests that only prepare for demand. */
 constexpr Duration kDemandPause{ 100'000 };
 /** Longest pause between two requests for a waiting request. */
-constexpr Duration kLongestAskPause{ 120'000 };
+constexpr Duration kLongestAskPause{ 40'000 };
 /** Pause after a refusal because the holder is not registered. */
 constexpr Duration kRegisterPause{ 50'000 };
 /** A peer that did not answer a transfer request is passed over after this time. */
@@ -25,7 +25,10 @@
 /** Lines of one Settle; a line takes about 60 bytes, so a batch stays far below 512 KiB. */
 constexpr std::size_t kMaxSettleLines = 1000;
 /** Unused tokens above this multiple of the expected demand are returned. */
-constexpr double kExcessFactor = 2.0;
+constexpr std::int64_t kExcessFactor = 2;
+/** A grant covers at least this many requests of the last size when the budget has plenty, because
+   a holder with little traffic would otherwise ask for each request. */
+constexpr std::int64_t kSpareRequests = 4;
 
 constexpr double kMicrosPerSecond = 1e6;
 
@@ -54,6 +57,13 @@
   return { budgets.begin(), budgets.end() };
 }
 
+Tokens Wallet::Impl::expectedDemand(Time now, const Account& account) const
+{
+  const auto rate = account.demandAtTime(now, settings_.demandWindow);
+  return std::max(expected(rate, settings_.grantHorizon),
+                  Tokens{ kSpareRequests * account.lastBound.count });
+}
+
 std::optional<GrantItem> Wallet::Impl::grantItemFor(Time now,
                                                     const BudgetId& id,
                                                     const Account& account)
@@ -81,8 +91,7 @@
   const auto want = std::max(Tokens{ 0 }, wanted - available);
   Tokens demand;
   if (!account.scarce(now) && (smallest > Tokens{ 0 } || now >= account.demandAskAt)) {
-    const auto ahead =
-      expected(account.demandAtTime(now, settings_.demandWindow), settings_.grantHorizon);
+    const auto ahead = expectedDemand(now, account);
     // Asks when half of the expected demand is left, so that a busy holder seldom waits.
     if (want > Tokens{ 0 } || 2 * available.count < ahead.count) {
       demand = std::max(Tokens{ 0 }, ahead - available);
@@ -204,6 +213,7 @@
 void Wallet::Impl::returnTokens(const BudgetId& id, Account& account, Tokens amount)
 {
   account.returned += amount;
+  account.noteUse();
   account.dirty = true;
   dirty_.insert(id);
   urgent_.insert(id);
@@ -420,7 +430,7 @@
     // both would refuse.
     const bool give = !hasWaiting(message.budget) || message.holder < settings_.self;
     const auto most = give ? found->second.transferable() : Tokens{ 0 };
-    amount = std::min(most, std::max(message.want, Tokens{ most.count / 2 }));
+    amount = std::min(most, message.want);
   }
   if (amount <= Tokens{ 0 }) {
     outgoing_.push_back(
@@ -527,13 +537,12 @@
     account.closeAfter = journalCount_;
     return;
   }
-  if (account.closing || hasWaiting(id)) {
+  if (account.closing || hasWaiting(id) || !controlReachable(now)) {
     return;
   }
   const bool idle = account.lastReserve + settings_.idleReturn <= now;
-  const auto ahead = expected(account.demandAtTime(now, settings_.demandWindow) * kExcessFactor,
-                              settings_.grantHorizon);
-  const auto keep = idle ? Tokens{ 0 } : ahead;
+  const auto keep =
+    idle ? Tokens{ 0 } : Tokens{ kExcessFactor * expectedDemand(now, account).count };
   if (account.available().count > 2 * keep.count && account.available() > Tokens{ 0 }) {
     returnTokens(id, account, account.available() - keep);
   }
--- a/modules/ledger/WalletImpl.h
+++ b/modules/ledger/WalletImpl.h
@@ -138,6 +138,7 @@
 
   // Grants, settlement and transfers.
   void askGrants(Time now, std::span<const BudgetId> budgets);
+  [[nodiscard]] Tokens expectedDemand(Time now, const Account& account) const;
   std::optional<GrantItem> grantItemFor(Time now, const BudgetId& id, const Account& account);
   [[nodiscard]] std::vector<BudgetId> waitingBudgets() const;
   [[nodiscard]] bool hasWaiting(const BudgetId& id) const;
--- a/tests/LedgerCluster.h
+++ b/tests/LedgerCluster.h
@@ -64,6 +64,7 @@
     settings.self = holder(name);
     settings.zone = entry.zone;
     settings.hasJournal = hasJournal;
+    settings.idleReturn = 5 * kSecond;
     entry.wallet = std::make_unique<Wallet>(settings);
     entry.witness = std::make_unique<Witness>(settings.self);
     entry.wallet->recover(now, entry.journal);
