--- a/apps/figchuted/FleetBackend.cpp
+++ b/apps/figchuted/FleetBackend.cpp
@@ -107,6 +107,9 @@
   for (const auto& budget : document->budgets()) {
     command.purchases.push_back({ budget.id, budget.bought });
   }
+  for (const auto& caller : document->callers) {
+    command.callerKeys.push_back(fingerprintOf(caller.key));
+  }
   return resultAs<ledger::DocumentResult>(propose(std::move(command)))
     .map([&](const ledger::DocumentResult& result) {
       return Value::object({ { "team", request.team },
--- a/modules/entry/EntryHandler.h
+++ b/modules/entry/EntryHandler.h
@@ -21,7 +21,7 @@
 public:
   using Message = EntryService::Message;
   using Poster = std::function<void(Message)>;
-  static constexpr Duration kTickInterval = std::chrono::milliseconds(5);
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(10);
 
   EntryHandler(EntrySettings settings, EntryService::Environment environment);
 
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -93,8 +93,11 @@
   ChangeId change;
   std::string text;
   std::vector<Purchase> purchases;
+  /** Fingerprints of the callers' keys. A key belongs to one team, or a request could be billed to
+      another team than its caller's. */
+  std::vector<Fingerprint> callerKeys;
 
-  MSGPACK_DEFINE(team, baseVersion, change, text, purchases)
+  MSGPACK_DEFINE(team, baseVersion, change, text, purchases, callerKeys)
 };
 
 /** The outcome of ApplyDocument: version_conflict carries the winning version, document_invalid
--- a/modules/ledger/DocumentBook.cpp
+++ b/modules/ledger/DocumentBook.cpp
@@ -1,5 +1,6 @@
 #include "ledger/DocumentBook.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace figchute::ledger::detail {
@@ -29,6 +30,12 @@
   if (const auto fault = escrow.checkPurchases(command.team, command.purchases)) {
     return { Verdict{ fault->kind, fault->detail }, current, revision_ };
   }
+  if (usesForeignKey(command)) {
+    return { Verdict{ ErrorKind::documentInvalid, "a caller key is in use by another team" },
+             current,
+             revision_ };
+  }
+  replaceKeys(command);
   escrow.applyPurchases(command.purchases);
   auto& document = documents_[command.team];
   document.version = current + 1;
@@ -40,6 +47,23 @@
   return { Verdict{}, document.version, revision_ };
 }
 
+bool DocumentBook::usesForeignKey(const ApplyDocument& command) const
+{
+  return std::any_of(
+    command.callerKeys.begin(), command.callerKeys.end(), [&](Fingerprint callerKey) {
+      const auto owner = keyOwners_.find(callerKey);
+      return owner != keyOwners_.end() && owner->second != command.team;
+    });
+}
+
+void DocumentBook::replaceKeys(const ApplyDocument& command)
+{
+  std::erase_if(keyOwners_, [&](const auto& entry) { return entry.second == command.team; });
+  for (const auto callerKey : command.callerKeys) {
+    keyOwners_[callerKey] = command.team;
+  }
+}
+
 void DocumentBook::expire(Time time)
 {
   while (!ages_.empty() && outcomes_.at(ages_.front()).time + kKeyRetention < time) {
--- a/modules/ledger/DocumentBook.h
+++ b/modules/ledger/DocumentBook.h
@@ -54,15 +54,18 @@
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   [[nodiscard]] const std::map<TeamId, Document>& documents() const { return documents_; }
 
-  MSGPACK_DEFINE(revision_, documents_, outcomes_, ages_)
+  MSGPACK_DEFINE(revision_, documents_, outcomes_, ages_, keyOwners_)
 
 private:
+  [[nodiscard]] bool usesForeignKey(const ApplyDocument& command) const;
+  void replaceKeys(const ApplyDocument& command);
   DocumentResult decide(Time time, const ApplyDocument& command, EscrowBook& escrow);
 
   std::uint64_t revision_ = 0;
   std::map<TeamId, Document> documents_;
   std::map<ChangeName, ChangeOutcome> outcomes_;
   std::deque<ChangeName> ages_;
+  std::map<Fingerprint, TeamId> keyOwners_;
 };
 
 } // namespace figchute::ledger::detail
--- a/tests/golden_test.py
+++ b/tests/golden_test.py
@@ -79,6 +79,8 @@
     send("POST", f"{apply}?base=1&change=bad", "[team]\nname = hive\n[workspace.a]\nbought = -1\ncolour = red\n")
     send("POST", f"{apply}?base=1&change=third", document(3000))
     send("GET", f"{apply}/history")
+    other = document(1000).replace("name = hive", "name = other")
+    send("POST", "/v1/documents/other?base=0&change=foreign-key", other)
     send("GET", "/v1/spend")
     send("GET", "/v1/members")
     send("GET", "/v1/spend", key="wrong")
