--- a/modules/replication/LogStorage.h
+++ b/modules/replication/LogStorage.h
@@ -75,7 +75,7 @@
   Expected<void> saveParts(const Ready& ready);
   Expected<void> saveSnapshot(const Snapshot& snapshot);
   Expected<void> removeCovered(LogIndex snapshotIndex);
-  Expected<void> startSegment();
+  Expected<void> startSegment(LogIndex resetIndex = 0);
   Expected<void> appendBatch(const detail::Batch& batch);
 
   D& disk_;
@@ -109,8 +109,11 @@
     return tl::unexpected(read.error());
   }
   hardState_ = state.hardState;
+  // When the snapshot covers or replaces all stored entries, the next entry may leave a gap to
+  // them.
+  const LogIndex resetIndex = state.entries.empty() ? state.snapshot.meta.index : 0;
   // A new segment keeps the file that was cut or read as it is.
-  if (auto started = startSegment(); !started) {
+  if (auto started = startSegment(resetIndex); !started) {
     return tl::unexpected(started.error());
   }
   return state;
@@ -297,12 +300,13 @@
 }
 
 template<Disk D>
-Expected<void> LogStorage<D>::startSegment()
+Expected<void> LogStorage<D>::startSegment(LogIndex resetIndex)
 {
   segments_.push_back(Segment{ segments_.empty() ? 1 : segments_.back().number + 1, 0, 0 });
   detail::Batch first;
   first.hasHardState = true;
   first.hardState = hardState_;
+  first.resetIndex = resetIndex;
   return appendBatch(first).and_then([&] { return disk_.syncFolder(); });
 }
 
--- a/tests/random_test.sh
+++ b/tests/random_test.sh
@@ -11,6 +11,12 @@
   "$program" --part log --seed "$seed" --deployment "$deployment"
 done
 
+# Most time passes in elections, restarts and snapshots; seed 12 is one that found a log that could
+# not be opened after a crash inside a leader's snapshot.
+for seed in 4 9 12; do
+  "$program" --part log --seed "$seed" --intensity 6
+done
+
 for part in log all; do
   first=$("$program" --part "$part" --seed 11 --steps 50000 || true)
   second=$("$program" --part "$part" --seed 11 --steps 50000 || true)
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -148,7 +148,8 @@
   REQUIRE(storage.save(entriesFrom(1, 10, 1)));
   REQUIRE(storage.save(snapshotAt(8, 1, false)));
   REQUIRE(storage.save(entriesFrom(11, 12, 1)));
-  CHECK(recovered(disk)->entries.front().index == 9);
+  MemoryDisk copy = disk;
+  CHECK(recovered(copy)->entries.front().index == 9);
   REQUIRE(storage.save(snapshotAt(12, 1, false)));
   CHECK(disk.read(fmt::format("snapshot-{:020}", 8)).error().kind == ErrorKind::notFound);
   CHECK(disk.read(fmt::format("log-{:020}", 1)).error().kind == ErrorKind::notFound);
@@ -164,13 +165,41 @@
   REQUIRE(storage.recover("disk1"));
   REQUIRE(storage.save(entriesFrom(1, 10, 1)));
   REQUIRE(storage.save(snapshotAt(9, 2, true)));
-  CHECK(recovered(disk)->entries.empty());
+  // A copy, because recovery writes to the folder that the first storage still has open.
+  MemoryDisk copy = disk;
+  CHECK(recovered(copy)->entries.empty());
   REQUIRE(storage.save(entriesFrom(10, 11, 2)));
   const auto state = recovered(disk);
   REQUIRE(state->entries.size() == 2);
   CHECK(state->entries.front().term == 2);
 }
 
+// Guards against a log that cannot be opened after a crash that came between the leader's snapshot
+// and the record that replaces the log.
+TEST_CASE("LogStorage_crashInsideLeaderSnapshot_leavesNoGap")
+{
+  for (std::uint64_t operations = 0; operations < 12; ++operations) {
+    MemoryDisk disk;
+    Random random(operations);
+    {
+      LogStorage<MemoryDisk> storage(disk);
+      REQUIRE(storage.recover("disk1"));
+      REQUIRE(storage.save(entriesFrom(1, 5, 1)));
+      disk.failAfter(operations);
+      static_cast<void>(storage.save(snapshotAt(20, 2, true)));
+    }
+    disk.crash(random);
+    LogStorage<MemoryDisk> storage(disk);
+    const auto state = storage.recover("other");
+    REQUIRE(state.has_value());
+    const LogIndex next = state->snapshot.meta.index + state->entries.size() + 1;
+    REQUIRE(storage.save(entriesFrom(next, next + 1, 2)));
+    const auto again = recovered(disk);
+    REQUIRE_MESSAGE(again.has_value(), again.error().detail);
+    CHECK(again->snapshot.meta.index + again->entries.size() == next + 1);
+  }
+}
+
 // Guards against a crash between any two operations of a save that loses what an earlier save
 // acknowledged or leaves a folder that cannot be opened.
 TEST_CASE("LogStorage_crashAtAnyOperation_keepsAcknowledgedState")
--- a/tools/figchute-random/Simulation.h
+++ b/tools/figchute-random/Simulation.h
@@ -21,6 +21,8 @@
   std::string deployment = "ferreira";
   /** "all", or "log" for the replicated log without the ledger. */
   std::string part = "all";
+  /** Divides the pauses between faults and before restarts; at 6 most time passes in elections. */
+  std::uint64_t intensity = 1;
   /** The name of the invariant to break on purpose; empty for an ordinary run. */
   std::string breakName;
 };
--- a/tools/figchute-random/SimulationFaults.cpp
+++ b/tools/figchute-random/SimulationFaults.cpp
@@ -9,7 +9,8 @@
 
 void Simulation::scheduleFault()
 {
-  const Duration wait(random_.between(20'000, 1'000'000));
+  const Duration wait(random_.between(20'000, 1'000'000) /
+                      static_cast<std::int64_t>(options_.intensity));
   schedule_.add(schedule_.now() + wait, [this] {
     if (faults_) {
       injectFault();
@@ -102,7 +103,8 @@
 
 void Simulation::restartLater(ControlProcess& process)
 {
-  const Duration wait(random_.between(50'000, 4'000'000));
+  const Duration wait(random_.between(50'000, 4'000'000) /
+                      static_cast<std::int64_t>(options_.intensity));
   schedule_.add(schedule_.now() + wait, [this, &process] {
     if (process.running()) {
       // The disk did not reach its failing operation, or another restart came first.
--- a/tools/figchute-random/main.cpp
+++ b/tools/figchute-random/main.cpp
@@ -25,6 +25,7 @@
 {
   long long seed = 1;
   long long steps = 200'000;
+  long long intensity = 1;
   char* deployment = nullptr;
   char* part = nullptr;
   char* breakName = nullptr;
@@ -32,6 +33,7 @@
     { "seed", 's', POPT_ARG_LONGLONG, &seed, 0, "seed of the run (default 1)", "N" },
     { "steps", 'n', POPT_ARG_LONGLONG, &steps, 0, "steps before the faults end", "N" },
     { "deployment", 'd', POPT_ARG_STRING, &deployment, 0, "ferreira or goggle", "NAME" },
+    { "intensity", 'i', POPT_ARG_LONGLONG, &intensity, 0, "fault rate factor (default 1)", "N" },
     { "part",
       'p',
       POPT_ARG_STRING,
@@ -48,6 +50,7 @@
   options.seed = static_cast<std::uint64_t>(seed);
   options.steps = static_cast<std::uint64_t>(steps);
   options.deployment = deployment == nullptr ? options.deployment : deployment;
+  options.intensity = static_cast<std::uint64_t>(intensity);
   options.part = part == nullptr ? options.part : part;
   options.breakName = breakName == nullptr ? "" : breakName;
   std::free(deployment);
@@ -63,6 +66,10 @@
     std::fprintf(stderr, "figchute-random: deployment %s is unknown\n", options.deployment.c_str());
     return false;
   }
+  if (intensity < 1) {
+    std::fprintf(stderr, "figchute-random: intensity %lld is below 1\n", intensity);
+    return false;
+  }
   if (options.part != "all" && options.part != "log") {
     std::fprintf(stderr, "figchute-random: part %s is unknown\n", options.part.c_str());
     return false;
