--- a/modules/wire/Envelope.h
+++ b/modules/wire/Envelope.h
@@ -20,6 +20,8 @@
   replication = 1,
   ledger = 2,
   membership = 3,
+  routing = 4,
+  report = 5,
 };
 
 } // namespace figchute::wire
