routing: skip the outlier lookup while nothing is ejected

Cause: each candidate of each decision was looked up by name, most often for nothing. Change: the end of the last ejection answers first.

--- a/modules/routing/OutlierDetector.cpp
+++ b/modules/routing/OutlierDetector.cpp
@@ -77,6 +77,7 @@
     }
     auto& record = found->second;
     record.ejectedUntil = now + kFirstEjection * (1U << std::min(record.ejections, kMostDoublings));
+    lastEjectionEnd_ = std::max(lastEjectionEnd_, record.ejectedUntil);
     ++record.ejections;
     record.failuresInRow = 0;
     record.samples = 0;
@@ -86,6 +87,9 @@
 
 bool OutlierDetector::isEjected(Time now, const EndpointId& endpoint) const
 {
+  if (now >= lastEjectionEnd_) {
+    return false;
+  }
   const auto found = records_.find(endpoint);
   return found != records_.end() && now < found->second.ejectedUntil;
 }
--- a/modules/routing/OutlierDetector.h
+++ b/modules/routing/OutlierDetector.h
@@ -52,6 +52,8 @@
   [[nodiscard]] double medianLatency(std::span<const EndpointId> peers) const;
 
   std::map<EndpointId, Record> records_;
+  /** End of the last ejection; after it no lookup is needed. */
+  Time lastEjectionEnd_;
 };
 
 } // namespace figchute::routing
