gateway: report an oversized request head as not sent

Cause: a call whose header fields exceed the 4 KiB of cxxtools failed with bytesSent set although nothing was sent; a refused request answered under a new id although its own was valid. Change: a failure before the client starts reports nothing sent; the refusal keeps the caller's id. Conclusion: such a request may go elsewhere.

--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -125,6 +125,8 @@
   parser_->header_limit(static_cast<std::uint32_t>(limits().maxHeadBytes));
   parser_->body_limit(limits().maxBodyBytes);
   headChecked_ = false;
+  keepAlive_ = true;
+  isHttp10_ = false;
   parse();
 }
 
@@ -312,9 +314,9 @@
 void ServerConnection::refuse(const Error& error)
 {
   core_->countRefused();
-  request_ = {};
   parser_.reset();
   startAnswer();
+  request_ = {};
   keepAlive_ = false;
   answerError(error, {}, requestId_);
 }
--- a/modules/gateway/UpstreamLink.cpp
+++ b/modules/gateway/UpstreamLink.cpp
@@ -46,13 +46,17 @@
   requestSent_ = headReceived_ = echoed_ = finished_ = reusable_ = failed_ = mismatched_ = false;
   restartDeadline(call_.connectTimeout);
   try {
+    started_ = false;
     fillRequest();
+    started_ = true;
     selector_.takeLastAdded();
     client_.beginExecute(request_);
     if (auto* added = selector_.takeLastAdded()) {
       socket_ = dynamic_cast<cxxtools::IODevice*>(added);
     }
   } catch (const std::exception& error) {
+    // On a new connection the client only starts to connect, so nothing was sent.
+    started_ = started_ && used_;
     fail(ErrorKind::endpointFailed, error.what());
   }
 }
@@ -239,7 +243,7 @@
 
 bool UpstreamLink::requestOnItsWay() const
 {
-  return requestSent_ || socket_ == nullptr || socket_->writing();
+  return requestSent_ || (started_ && (socket_ == nullptr || socket_->writing()));
 }
 
 void UpstreamLink::fail(ErrorKind kind, std::string detail)
--- a/modules/gateway/UpstreamLink.h
+++ b/modules/gateway/UpstreamLink.h
@@ -90,6 +90,7 @@
   cxxtools::IODevice* socket_ = nullptr;
   bool isChunked_ = false;
   bool used_ = false;
+  bool started_ = false;
   bool requestSent_ = false;
   bool headReceived_ = false;
   bool echoed_ = false;
--- a/modules/gateway/UpstreamPool.h
+++ b/modules/gateway/UpstreamPool.h
@@ -102,7 +102,9 @@
     A connection whose answer was not received as a whole is closed and never used again. An answer
     with a body that has neither a length nor chunking fails as `endpoint_failed`, as does one that
     ends early. An answer that carries an `X-Request-Id` other than the request's fails as
-    `answer_mismatch`, before any of it is delivered.
+    `answer_mismatch`, before any of it is delivered. The header fields of a request or an answer
+    may take 4 KiB, the bound of cxxtools::http::MessageHeader; larger ones fail as
+    `endpoint_failed`.
     Thread safety: every method is safe from any thread, also from a callback. */
 class UpstreamPool
 {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -600,6 +600,13 @@
   CHECK(partly.outcome() == "endpoint_timeout");
   CHECK(partly.failed->bytesSent);
 
+  CallRecord oversized;
+  auto headers = callTo(endpoint, "r-3");
+  headers.headers = { { "X-Large", std::string(5000, 'x') } };
+  pool.start(std::move(headers), oversized.callback());
+  CHECK(oversized.outcome() == "endpoint_failed");
+  CHECK_FALSE(oversized.failed->bytesSent);
+
   const FullListener full;
   CallRecord unconnected;
   UpstreamCall call;
