ledger, figchute-measure: follow the linter

Cause: the linter reported a missed move and a vector that grows in a loop. Change: the result is movable, the vector reserves its size. Conclusion: no change of behaviour.

--- a/modules/ledger/DocumentBook.cpp
+++ b/modules/ledger/DocumentBook.cpp
@@ -11,7 +11,7 @@
   if (known != outcomes_.end()) {
     return known->second.result;
   }
-  const auto result = decide(time, command, escrow);
+  auto result = decide(time, command, escrow);
   outcomes_.emplace(name, ChangeOutcome{ time, result });
   ages_.push_back(name);
   return result;
--- a/tools/figchute-measure/LedgerExperiments.cpp
+++ b/tools/figchute-measure/LedgerExperiments.cpp
@@ -31,6 +31,7 @@
   const auto metric =
     [&](std::string_view name, std::string_view unit, double LedgerOutcome::*value) {
       std::vector<double> values;
+      values.reserve(outcomes.size());
       for (const auto& outcome : outcomes) {
         values.push_back(outcome.*value);
       }
