--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -95,7 +95,7 @@
   std::vector<Purchase> purchases;
   /** Fingerprints of the callers' keys. A key belongs to one team, or a request could be billed to
       another team than its caller's. */
-  std::vector<Fingerprint> callerKeys;
+  std::vector<Fingerprint> callerKeys{};
 
   MSGPACK_DEFINE(team, baseVersion, change, text, purchases, callerKeys)
 };
--- a/tools/figchute-bench/main.cpp
+++ b/tools/figchute-bench/main.cpp
@@ -1,15 +1,42 @@
+/** figchute-bench: costs of the log, the ledger and the router as tab-separated rows. */
+
+#include "LedgerBench.h"
 #include "LogBench.h"
+#include "RoutingBench.h"
 
 #include <cstdio>
+#include <cstdlib>
 #include <filesystem>
+#include <iostream>
 #include <popt.h>
 #include <string>
 
 namespace {
 
+constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
+/** Runs the benchmark of one part.
+    @returns the exit status of the program */
+int run(const std::string& part, const std::string& folder)
+{
+  if (part == "ledger") {
+    figchute::bench::runLedgerBench(std::cout);
+    return kExitOk;
+  }
+  if (part == "routing") {
+    figchute::bench::runRoutingBench(std::cout);
+    return kExitOk;
+  }
+  const auto result = figchute::bench::runLogBench(folder);
+  if (!result) {
+    std::fprintf(stderr, "figchute-bench: %s\n", result.error().detail.c_str());
+    return kExitFailed;
+  }
+  return kExitOk;
+}
+
 } // namespace
 
 int main(int argc, const char** argv)
@@ -20,22 +47,19 @@
     POPT_AUTOHELP POPT_TABLEEND
   };
   poptContext context = poptGetContext("figchute-bench", argc, argv, table, 0);
-  poptSetOtherOptionHelp(context, "log");
+  poptSetOtherOptionHelp(context, "log|ledger|routing");
   const int code = poptGetNextOpt(context);
   const char* argument = poptGetArg(context);
-  const std::string subcommand = argument == nullptr ? "" : argument;
+  const std::string part = argument == nullptr ? "" : argument;
   const std::string folder =
     folderOption == nullptr ? std::filesystem::temp_directory_path().string() : folderOption;
-  if (code < -1 || subcommand != "log") {
+  std::free(folderOption);
+  const bool known = part == "log" || part == "ledger" || part == "routing";
+  if (code < -1 || !known) {
     poptPrintUsage(context, stderr, 0);
     poptFreeContext(context);
     return kExitUsage;
   }
   poptFreeContext(context);
-  const auto result = figchute::bench::runLogBench(folder);
-  if (!result) {
-    std::fprintf(stderr, "figchute-bench: %s\n", result.error().detail.c_str());
-    return kExitFailed;
-  }
-  return 0;
+  return run(part, folder);
 }
