ledger: keep a refused keyed bill open until it is covered

Cause: control advanced past a keyed bill that it refused, so the holder's repeated report was skipped and never answered, and the holder sent it again every few milliseconds. Figures: the new test gets no bill without the change and one with it. Conclusion: a bill that overtakes the transfer that covers it is settled later in place of never.

--- a/modules/ledger/EscrowBook.cpp
+++ b/modules/ledger/EscrowBook.cpp
@@ -372,16 +372,17 @@
     if (charge.sequence <= holder.keyedThrough) {
       continue;
     }
-    holder.keyedThrough = charge.sequence;
     const auto bill = settleKeyed(time, command.holder, charge);
-    if (bill) {
-      result.bills.push_back(*bill);
-    } else {
+    if (!bill) {
+      // The holder reports it again; control may not have heard of a transfer that covers it yet.
       result.verdict =
         refuse(ErrorKind::badRequest,
                fmt::format(
                  "the bill of key {} exceeds what {} holds", charge.key, nameOf(command.holder)));
+      break;
     }
+    holder.keyedThrough = charge.sequence;
+    result.bills.push_back(*bill);
   }
   for (const auto& name : command.closing) {
     if (closeAccount(command.holder, holder, name)) {
--- a/tests/cli_test.sh
+++ b/tests/cli_test.sh
@@ -133,5 +133,18 @@
 expect 4 --server $dead spend
 contains err "no_endpoint"
 
+# The daemon's own check of its settings lists every fault.
+printf '[process]\nid = x y\ncolour = red\n' >"$work/bad.ini"
+"$build/figchuted" --config "$work/bad.ini" --check >"$work/out" 2>"$work/err"
+if [ $? -ne 2 ] || ! grep -q 'colour' "$work/err" || ! grep -q 'id = "x y"' "$work/err"; then
+  echo "FAIL: figchuted --check did not list every fault:"
+  cat "$work/err"
+  failures=$((failures + 1))
+fi
+"$build/figchuted" --config examples/entry.ini --check >"$work/out" 2>&1 || {
+  echo "FAIL: figchuted --check refused examples/entry.ini"
+  failures=$((failures + 1))
+}
+
 [ "$failures" -eq 0 ] && echo "cli_test: ok"
 exit "$((failures > 0))"
--- a/tests/ledger_control_test.cpp
+++ b/tests/ledger_control_test.cpp
@@ -131,6 +131,21 @@
   CHECK(state.budget(kBudget)->free == Tokens{ 0 });
 }
 
+// Guards against a keyed bill that is lost once control has refused it: control may hear of the
+// tokens that cover it later than of the bill.
+TEST_CASE_FIXTURE(Control, "Settle_keyedBillRefusedOnce_isBilledWhenItIsCovered")
+{
+  const KeyedCharge charge{ 1, CallerId("t/c"), "k", RequestId("r1"), { kBudget }, Tokens{ 50 } };
+  const auto refused = run<SettleResult>(Settle{ a, 1, {}, { charge }, {} });
+  CHECK_FALSE(refused.verdict.ok());
+  CHECK(refused.bills.empty());
+  grant(a, 1, 600);
+  const auto billed = run<SettleResult>(Settle{ a, 2, {}, { charge }, {} });
+  CHECK(billed.verdict.ok());
+  REQUIRE(billed.bills.size() == 1);
+  CHECK(state.budget(kBudget)->settled == Tokens{ 50 });
+}
+
 // Guards against settlement that counts a repeated or overtaken report, or more than was granted.
 TEST_CASE_FIXTURE(Control, "Settle_repeatedOvertakenOrExcessive_changesNothing")
 {
