Split EscrowBook and RouterCore by their jobs

Change: Budget, EscrowRetirement, RouterCoreDispatch, RouterCoreViews and RouterCost; no line of logic is changed.

--- a/modules/ledger/EscrowBook.h
+++ b/modules/ledger/EscrowBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ledger/Budget.h"
 #include "ledger/ControlState.h"
 #include "ledger/Message.h"
 
@@ -14,69 +15,6 @@
 
 namespace figchute::ledger::detail {
 
-/** One holder's account of one budget, as control knows it. */
-struct HolderAccount
-{
-  HolderId holder;
-  Tokens granted;
-  /** Bills of requests without a key, a cumulative total. */
-  Tokens charged;
-  /** What keyed bills added to this account. */
-  Tokens keyed;
-  Tokens returned;
-  std::uint64_t lastGrant = 0;
-  Time lastGrantAt;
-
-  [[nodiscard]] Tokens settled() const { return charged + keyed; }
-
-  MSGPACK_DEFINE(holder, granted, charged, keyed, returned, lastGrant, lastGrantAt)
-};
-
-/** The transfers of one budget from one holder to another. */
-struct Flow
-{
-  HolderId from;
-  HolderId to;
-  /** The cumulative total that the sender or its records report. */
-  Tokens sent;
-  /** The cumulative total that the receiver or its records report. */
-  Tokens received;
-  bool fromRetired = false;
-  bool toRetired = false;
-
-  /** Tokens on the way count as held by the receiver. A retired receiver gets nothing more, so what
-      it did not record stays with the sender. */
-  [[nodiscard]] Tokens total() const { return toRetired ? received : std::max(sent, received); }
-
-  MSGPACK_DEFINE(from, to, sent, received, fromRetired, toRetired)
-};
-
-/** One budget with its accounts. */
-struct Budget
-{
-  Tokens bought;
-  /** Settled tokens of closed and retired accounts. */
-  Tokens closedSettled;
-  /** Granted minus returned tokens of closed and retired accounts. */
-  Tokens closedNet;
-  Time recalledAt;
-  std::vector<HolderAccount> accounts;
-  std::vector<Flow> flows;
-
-  HolderAccount* find(const HolderId& holder);
-  [[nodiscard]] const HolderAccount* find(const HolderId& holder) const;
-  HolderAccount& findOrOpen(const HolderId& holder);
-  Flow& flow(const HolderId& from, const HolderId& to);
-  [[nodiscard]] bool hasFlows(const HolderId& holder) const;
-  [[nodiscard]] Tokens held(const HolderAccount& account) const;
-  [[nodiscard]] Tokens held() const;
-  [[nodiscard]] Tokens settled() const;
-  [[nodiscard]] Tokens free() const;
-  void close(const HolderId& holder);
-
-  MSGPACK_DEFINE(bought, closedSettled, closedNet, recalledAt, accounts, flows)
-};
-
 /** One registered holder. */
 struct Holder
 {
