entry: look through waits every 10 ms and drop an unused counter

Cause: expireWaits() read every request after each batch of tokens, and Request::crashes was counted but never read. Change: the look runs at most every 10 ms; the counter is gone. Waits are 1 s and longer, so they end at most 10 ms later. Conclusion: same behaviour, less work for each token.

--- a/modules/entry/Coordinator.h
+++ b/modules/entry/Coordinator.h
@@ -57,6 +57,10 @@
   /** An answer waits this long for the record of its charge. */
   static constexpr Duration kChargeWait = std::chrono::seconds(10);
 
+  /** Waits are looked through this often, not after every batch of tokens: at 1,200 streams each
+     look reads 1,200 requests. */
+  static constexpr Duration kExpiryInterval = std::chrono::milliseconds(10);
+
   explicit Coordinator(CoordinatorParts parts);
 
   /** Replaces the documents that new requests are checked against. */
@@ -143,6 +147,7 @@
   CrashTable crashes_;
   Requests requests_;
   std::map<std::uint64_t, RequestId> proposals_;
+  Time nextExpiry_;
 };
 
 } // namespace figchute::entry
--- a/modules/entry/CoordinatorLedger.cpp
+++ b/modules/entry/CoordinatorLedger.cpp
@@ -177,6 +177,10 @@
 
 void Coordinator::expireWaits(Time now)
 {
+  if (now < nextExpiry_) {
+    return;
+  }
+  nextExpiry_ = now + kExpiryInterval;
   std::vector<RequestId> expired;
   for (const auto& [id, request] : requests_) {
     const bool waits = request.phase == Phase::claiming || request.phase == Phase::recording;
--- a/modules/entry/CoordinatorRun.cpp
+++ b/modules/entry/CoordinatorRun.cpp
@@ -321,7 +321,6 @@
   if (!request.chat) {
     return;
   }
-  ++request.crashes;
   crashes_.count(now, request.content);
   parts_.metrics.count("endpoint_crashes_seen");
   parts_.proposer.propose(
--- a/modules/entry/Request.h
+++ b/modules/entry/Request.h
@@ -74,8 +74,6 @@
   std::uint32_t attempt = 0;
   EndpointId endpoint;
   std::string address;
-  /** Endpoints that crashed while they ran this request. */
-  unsigned crashes = 0;
   bool firstTextSeen = false;
   bool answerBegun = false;
   bool callerGone = false;
