--- /dev/null
+++ b/modules/fleet/Endpoint.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/core.h"
+#include "wire/Codec.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace figchute::fleet {
+
+/** What an endpoint says of itself. */
+enum class EndpointState : std::uint8_t
+{
+  ready = 0,
+  draining = 1,
+};
+
+} // namespace figchute::fleet
+
+MSGPACK_ADD_ENUM(figchute::fleet::EndpointState)
+
+namespace figchute::fleet {
+
+/** What an endpoint announces about each second. */
+struct Announcement
+{
+  EndpointId id;
+  ServiceName service;
+  /** IP:port. */
+  std::string address;
+  ZoneId zone;
+  std::string softwareVersion;
+  int slots = 0;
+  EndpointState state = EndpointState::ready;
+  /** How much longer the endpoint is slow after its start. */
+  std::int64_t warmupMs = 0;
+  /** Grows with each announcement of one incarnation. */
+  std::uint64_t sequence = 0;
+  /** Start of the incarnation, in ms since the Unix epoch by the endpoint's clock. */
+  std::int64_t born = 0;
+  MSGPACK_DEFINE(id,
+                 service,
+                 address,
+                 zone,
+                 softwareVersion,
+                 slots,
+                 state,
+                 warmupMs,
+                 sequence,
+                 born)
+};
+
+/** One endpoint as the registry holds it. */
+struct EndpointRecord
+{
+  EndpointId id;
+  ServiceName service;
+  std::string address;
+  ZoneId zone;
+  int slots = 0;
+  EndpointState state = EndpointState::ready;
+  std::int64_t warmupMs = 0;
+  std::uint64_t sequence = 0;
+  std::int64_t born = 0;
+  /** Index of the log entry that changed the record last. */
+  std::uint64_t revision = 0;
+  bool operator==(const EndpointRecord&) const = default;
+  MSGPACK_DEFINE(id, service, address, zone, slots, state, warmupMs, sequence, born, revision)
+};
+
+} // namespace figchute::fleet
--- /dev/null
+++ b/modules/fleet/Messages.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/core.h"
+#include "fleet/Endpoint.h"
+#include "wire/Codec.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/** The messages between entry and control processes about the state of the fleet. Loss, duplication
+    and reordering of any of them is tolerated. */
+namespace figchute::fleet {
+
+/** A request fingerprint with the number of endpoints that went down under it. */
+struct CrashCount
+{
+  std::uint64_t fingerprint = 0;
+  std::uint64_t crashes = 0;
+  MSGPACK_DEFINE(fingerprint, crashes)
+};
+
+/** Sent by an entry process to its control process at once and each second. */
+struct Subscribe
+{
+  ZoneId zone;
+  /** Version in force at the sender; 0 for none. */
+  std::uint64_t configurationVersion = 0;
+  /** Revision of the endpoint registry that the sender has; 0 for none. */
+  std::uint64_t endpointRevision = 0;
+  /** Crashes seen since the last message. */
+  std::vector<CrashCount> crashes;
+  MSGPACK_DEFINE(zone, configurationVersion, endpointRevision, crashes)
+};
+
+/** Ends a subscription; the sender stops. */
+struct Unsubscribe
+{
+  bool stopping = true;
+  MSGPACK_DEFINE(stopping)
+};
+
+/** Sent by a control process to its subscribers, and between control processes. */
+struct FleetUpdate
+{
+  /** 0 when the subscriber has the newest. */
+  std::uint64_t configurationVersion = 0;
+  /** The bytes as the operator sent them. */
+  std::string configuration;
+  /** The revision that the receiver has after this update. */
+  std::uint64_t endpointRevision = 0;
+  /** The revision that the receiver must have for a partial update; 0 for a whole one. */
+  std::uint64_t sinceRevision = 0;
+  /** Changed or all endpoints. */
+  std::vector<EndpointRecord> endpoints;
+  /** Endpoints that were removed since @ref sinceRevision. */
+  std::vector<EndpointId> removed;
+  std::vector<ProcessId> controls;
+  /** The sender is in contact with a leader that has a majority. */
+  bool leaderContact = false;
+  /** Number of live entry processes as far as the sender knows. */
+  std::uint32_t entryProcesses = 0;
+  /** Requests that crashed endpoints, over all processes. */
+  std::vector<CrashCount> crashes;
+  MSGPACK_DEFINE(configurationVersion,
+                 configuration,
+                 endpointRevision,
+                 sinceRevision,
+                 endpoints,
+                 removed,
+                 controls,
+                 leaderContact,
+                 entryProcesses,
+                 crashes)
+};
+
+/** When a control process last heard an endpoint; sent to the other control processes in batches.
+ */
+struct Heard
+{
+  EndpointId endpoint;
+  std::int64_t born = 0;
+  /** Age of the last announcement when the message was sent, in ms. */
+  std::int64_t ageMs = 0;
+  MSGPACK_DEFINE(endpoint, born, ageMs)
+};
+
+/** Sent between control processes once a second. */
+struct HeardBatch
+{
+  std::vector<Heard> heard;
+  /** Entry processes that subscribe at the sender. */
+  std::vector<ProcessId> subscribers;
+  std::vector<CrashCount> crashes;
+  MSGPACK_DEFINE(heard, subscribers, crashes)
+};
+
+/** A message of the fleet channel. */
+using Message = std::variant<Subscribe, Unsubscribe, FleetUpdate, HeardBatch>;
+
+/** A message to send. */
+struct Outgoing
+{
+  ProcessId to;
+  Message message;
+};
+
+} // namespace figchute::fleet
--- /dev/null
+++ b/modules/mesh/mesh.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** Messages between processes on one event loop. */
+
+#include "mesh/Mesh.h"
--- a/modules/wire/Envelope.h
+++ b/modules/wire/Envelope.h
@@ -22,6 +22,8 @@
   membership = 3,
   routing = 4,
   report = 5,
+  fleet = 6,
+  join = 7,
 };
 
 } // namespace figchute::wire
