--- /dev/null
+++ b/modules/router/ControlRole.cpp
@@ -0,0 +1,330 @@
+#include "router/ControlRole.h"
+
+#include "router/BootClock.h"
+#include "router/ErrorAnswer.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace figchute::router {
+namespace {
+
+constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr Duration kExpiryInterval = std::chrono::seconds(1);
+/** Operators turn to another control process after a second. */
+constexpr Duration kProposalLimit = std::chrono::milliseconds(900);
+constexpr std::uint64_t kMaxConfigurationBytes = 16U * 1024 * 1024;
+constexpr Duration kServeAfterStop = std::chrono::seconds(1);
+
+http::ServerLimits operatorLimits()
+{
+  http::ServerLimits limits;
+  limits.bodyBytes = kMaxConfigurationBytes;
+  limits.totalBodyBytes = 3 * kMaxConfigurationBytes;
+  limits.headTimeout = std::chrono::seconds(5);
+  limits.idleTimeout = std::chrono::seconds(30);
+  return limits;
+}
+
+std::vector<ledger::PrepaidBudget> budgetsOf(const fleet::Configuration& configuration)
+{
+  std::vector<ledger::PrepaidBudget> budgets;
+  for (const auto& workspace : configuration.workspaces) {
+    if (workspace.prepaid) {
+      budgets.push_back({ BudgetId("w:" + workspace.name), *workspace.prepaid });
+    }
+  }
+  return budgets;
+}
+
+std::string_view pathOf(std::string_view target)
+{
+  return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+ControlRole::ControlRole(const RoleContext& context)
+  : context_(context)
+  , operators_(context.io,
+               operatorLimits(),
+               [this](const RequestPointer& request) { handle(request); })
+  , timer_(context.io)
+{
+}
+
+Expected<void> ControlRole::start()
+{
+  control::NodeSettings settings;
+  settings.self = ProcessId(settings::toString(context_.settings.peers));
+  settings.dataFolder = *context_.settings.dataDir;
+  settings.seeds = context_.settings.seedProcesses();
+  settings.bootstrap = context_.settings.bootstrap;
+  settings.seed = context_.incarnation.number;
+  const Time now = bootTime();
+  auto node = control::ControlNode::create(std::move(settings), now);
+  if (!node) {
+    return tl::unexpected(node.error());
+  }
+  node_ = std::move(*node);
+  publisher_ = std::make_unique<fleet::FleetPublisher>();
+  desk_ = std::make_unique<fleet::AnnouncementDesk>();
+  if (auto listening = operators_.listen(toEndpoint(*context_.settings.operators)); !listening) {
+    return listening;
+  }
+  settle(now);
+  schedule();
+  return {};
+}
+
+void ControlRole::schedule()
+{
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      settle(bootTime());
+      schedule();
+    }
+  });
+}
+
+void ControlRole::handle(const RequestPointer& request)
+{
+  const auto& paths = context_.dialect.paths();
+  const auto path = pathOf(request->head().target);
+  const auto& method = request->head().method;
+  if (stopping_) {
+    request->closeAfter();
+  }
+  if (path == paths.configuration && method == "PUT") {
+    putConfiguration(request);
+  } else if (path == paths.configuration && method == "GET") {
+    getConfiguration(request);
+  } else if (path.starts_with(paths.endpoints) && path.size() > paths.endpoints.size()) {
+    const EndpointId id(path.substr(paths.endpoints.size()));
+    if (method == "PUT") {
+      announce(request, id);
+    } else if (method == "DELETE") {
+      removeEndpoint(request, id);
+    } else {
+      answerError(*request, Error{ ErrorKind::notFound, "no such call" }, Duration{ 0 });
+    }
+  } else {
+    answerError(*request, Error{ ErrorKind::notFound, "no such call" }, Duration{ 0 });
+  }
+  settle(bootTime());
+}
+
+void ControlRole::putConfiguration(const RequestPointer& request)
+{
+  const Time now = bootTime();
+  const auto& body = request->body();
+  auto parsed = context_.dialect.parseConfiguration(body ? *body : std::string());
+  if (!parsed) {
+    context_.log.line(now, "configuration_refused", { { "detail", parsed.error().detail } });
+    answerError(*request, parsed.error(), Duration{ 0 });
+    return;
+  }
+  context_.log.line(now,
+                    "configuration_received",
+                    { { "version", std::to_string(parsed->version) },
+                      { "bytes", std::to_string(body->size()) } });
+  propose(request, ledger::PutConfiguration{ parsed->version, *body, budgetsOf(*parsed) });
+}
+
+void ControlRole::getConfiguration(const RequestPointer& request)
+{
+  node_->readBarrier(bootTime(), kProposalLimit, [this, request](const Expected<void>& current) {
+    if (!current) {
+      answerError(*request, current.error(), std::chrono::milliseconds(200));
+      return;
+    }
+    const auto& configuration = node_->state().configuration();
+    if (configuration.version() == 0) {
+      answerError(*request,
+                  Error{ ErrorKind::overloaded, "no configuration is stored" },
+                  std::chrono::milliseconds(200));
+      return;
+    }
+    answerJson(*request, *configuration.bytes());
+  });
+}
+
+void ControlRole::announce(const RequestPointer& request, const EndpointId& id)
+{
+  const Time now = bootTime();
+  const auto& body = request->body();
+  const auto announcement =
+    context_.dialect.parseAnnouncement(id, body ? *body : std::string());
+  if (!announcement) {
+    context_.log.line(now,
+                      "announcement_refused",
+                      { { "endpoint", id.value }, { "detail", announcement.error().detail } });
+    answerError(*request, announcement.error(), Duration{ 0 });
+    return;
+  }
+  if (!services_.empty() && services_.count(announcement->service.value) == 0) {
+    context_.log.line(now,
+                      "announcement_refused",
+                      { { "endpoint", id.value },
+                        { "detail", "unknown service " + announcement->service.value } });
+    answerError(*request,
+                Error{ ErrorKind::badRequest, "the service is not in the configuration" },
+                Duration{ 0 });
+    return;
+  }
+  const auto command = desk_->announce(now, *announcement);
+  if (!command) {
+    answerJson(*request, "{}");
+    return;
+  }
+  context_.log.line(now,
+                    "announcement",
+                    { { "endpoint", id.value },
+                      { "service", announcement->service.value },
+                      { "address", announcement->address },
+                      { "state",
+                        announcement->state == fleet::EndpointState::ready ? "ready" : "draining" },
+                      { "sequence", std::to_string(announcement->sequence) } });
+  propose(request, *command);
+}
+
+void ControlRole::removeEndpoint(const RequestPointer& request, const EndpointId& id)
+{
+  const Time now = bootTime();
+  const auto command = desk_->remove(now, id);
+  context_.log.line(now, "endpoint_leaves", { { "endpoint", id.value } });
+  if (!command) {
+    answerJson(*request, "{}");
+    return;
+  }
+  propose(request, *command);
+}
+
+void ControlRole::propose(const RequestPointer& request, const ledger::Command& command)
+{
+  const Time begun = bootTime();
+  node_->proposeLocal(
+    begun, command, kProposalLimit, [this, request, begun](const Expected<ledger::Result>& result) {
+      const auto age = std::to_string((bootTime() - begun).count() / 1000);
+      if (!result) {
+        context_.log.line(bootTime(),
+                          "proposal_failed",
+                          { { "detail", result.error().detail }, { "age_ms", age } });
+        answerError(*request, result.error(), std::chrono::milliseconds(200));
+        return;
+      }
+      context_.log.line(bootTime(), "acknowledged", { { "age_ms", age } });
+      answerJson(*request, "{}");
+    });
+}
+
+void ControlRole::receive(const ProcessId& from,
+                          Incarnation incarnation,
+                          wire::Channel channel,
+                          std::string body)
+{
+  const Time now = bootTime();
+  if (channel == wire::Channel::fleet) {
+    if (const auto message = wire::decode<fleet::Message>(body)) {
+      publisher_->receive(now, from, *message);
+      if (const auto* batch = std::get_if<fleet::HeardBatch>(&*message)) {
+        desk_->receive(now, *batch);
+      }
+    }
+  } else {
+    node_->receive(now, from, incarnation, channel, body);
+  }
+  settle(now);
+}
+
+void ControlRole::settle(Time now)
+{
+  // Callbacks of the node answer requests and come back here.
+  if (settling_) {
+    return;
+  }
+  settling_ = true;
+  settleNode(now);
+  expireEndpoints(now);
+  publisher_->tick(now);
+  for (auto& message : publisher_->takeOutgoing()) {
+    context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
+  }
+  logLeader(now);
+  settling_ = false;
+}
+
+void ControlRole::settleNode(Time now)
+{
+  const auto before = node_->appliedIndex();
+  node_->tick(now);
+  for (auto& message : node_->takeOutgoing()) {
+    context_.mesh.send(message.to, message.channel, std::move(message.body));
+  }
+  if (node_->appliedIndex() != before) {
+    onApplied(now);
+  }
+}
+
+void ControlRole::onApplied(Time now)
+{
+  const auto& configuration = node_->state().configuration();
+  if (configuration.version() != configurationVersion_) {
+    configurationVersion_ = configuration.version();
+    services_.clear();
+    if (const auto parsed = context_.dialect.parseConfiguration(*configuration.bytes())) {
+      for (const auto& service : parsed->services) {
+        services_.insert(service.name.value);
+      }
+    }
+    context_.log.line(
+      now, "configuration", { { "version", std::to_string(configurationVersion_) } });
+  }
+  publisher_->changed(now);
+}
+
+void ControlRole::expireEndpoints(Time now)
+{
+  if (now < nextExpiry_) {
+    return;
+  }
+  nextExpiry_ = now + kExpiryInterval;
+  for (const auto& command : desk_->expired(now)) {
+    context_.log.line(now, "endpoint_expired", { { "endpoint", command.id.value } });
+    node_->proposeLocal(
+      now, command, kProposalLimit, [](const Expected<ledger::Result>& /*result*/) {});
+  }
+}
+
+void ControlRole::logLeader(Time now)
+{
+  const auto leader = node_->leaderHint().value_or(ProcessId());
+  if (leader == leader_) {
+    return;
+  }
+  leader_ = leader;
+  context_.log.line(now,
+                    leader.empty() ? "leader_lost" : "leader",
+                    { { "leader", leader.value }, { "term", std::to_string(node_->term()) } });
+}
+
+void ControlRole::setSeeds(const std::vector<ProcessId>& seeds)
+{
+  node_->setSeeds(seeds);
+}
+
+void ControlRole::beginStop()
+{
+  stopping_ = true;
+  stopStartedAt_ = bootTime();
+  operators_.drain();
+}
+
+bool ControlRole::stopped() const
+{
+  return stopping_ && bootTime() - stopStartedAt_ > kServeAfterStop &&
+         operators_.openRequests() == 0;
+}
+
+} // namespace figchute::router
--- /dev/null
+++ b/modules/router/ControlRole.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "control/ControlNode.h"
+#include "fleet/fleet.h"
+#include "http/http.h"
+#include "router/Role.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+namespace figchute::router {
+
+/** A member of the log that serves operators, endpoints and the subscriptions of entry processes.
+    Thread safety: use it on the thread of the event loop only. */
+class ControlRole final : public Role
+{
+public:
+  explicit ControlRole(const RoleContext& context);
+
+  Expected<void> start() override;
+  void receive(const ProcessId& from,
+               Incarnation incarnation,
+               wire::Channel channel,
+               std::string body) override;
+  void setSeeds(const std::vector<ProcessId>& seeds) override;
+  void beginStop() override;
+  [[nodiscard]] bool stopped() const override;
+
+private:
+  using RequestPointer = std::shared_ptr<http::ServerRequest>;
+
+  void handle(const RequestPointer& request);
+  void putConfiguration(const RequestPointer& request);
+  void getConfiguration(const RequestPointer& request);
+  void announce(const RequestPointer& request, const EndpointId& id);
+  void removeEndpoint(const RequestPointer& request, const EndpointId& id);
+  void propose(const RequestPointer& request, const ledger::Command& command);
+  void settle(Time now);
+  void settleNode(Time now);
+  void onApplied(Time now);
+  void expireEndpoints(Time now);
+  void logLeader(Time now);
+  void schedule();
+
+  RoleContext context_;
+  std::unique_ptr<control::ControlNode> node_;
+  std::unique_ptr<fleet::FleetPublisher> publisher_;
+  std::unique_ptr<fleet::AnnouncementDesk> desk_;
+  http::Server operators_;
+  boost::asio::steady_timer timer_;
+  /** Services of the configuration in force; empty before the first one. */
+  std::unordered_set<std::string> services_;
+  std::uint64_t configurationVersion_ = 0;
+  ProcessId leader_;
+  bool stopping_ = false;
+  bool settling_ = false;
+  Time stopStartedAt_;
+  Time nextExpiry_;
+};
+
+} // namespace figchute::router
--- /dev/null
+++ b/modules/router/Daemon.cpp
@@ -0,0 +1,318 @@
+#include "router/Daemon.h"
+
+#include "router/BootClock.h"
+#include "router/ControlRole.h"
+#include "router/EntryRole.h"
+#include "router/MetricsPage.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <popt.h>
+#include <random>
+#include <sstream>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace figchute::router {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitUsage = 1;
+constexpr int kExitSettings = 2;
+constexpr int kExitStart = 3;
+/** How often the settings file is looked at, and a stop is checked. */
+constexpr auto kHousekeepingInterval = std::chrono::milliseconds(500);
+constexpr auto kStopCheckInterval = std::chrono::milliseconds(50);
+/** The process ends this long before the grace time, whatever is open. */
+constexpr Duration kGraceMargin = std::chrono::milliseconds(500);
+
+/** The command line of the daemon. */
+struct CommandLine
+{
+  std::string config;
+  bool check = false;
+};
+
+Expected<CommandLine> readCommandLine(int argc, const char** argv)
+{
+  char* config = nullptr;
+  int check = 0;
+  const poptOption options[] = {
+    { "config", 'c', POPT_ARG_STRING, &config, 0, "settings file", "FILE" },
+    { "check", 0, POPT_ARG_NONE, &check, 0, "check the settings, print them and exit", nullptr },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
+  poptContext context = poptGetContext("figchute-routerd", argc, argv, options, 0);
+  const int status = poptGetNextOpt(context);
+  CommandLine line;
+  line.config = config != nullptr ? config : "";
+  line.check = check != 0;
+  std::string fault;
+  if (status < -1) {
+    fault = std::string(poptBadOption(context, 0)) + ": " + poptStrerror(status);
+  } else if (line.config.empty()) {
+    fault = "--config FILE is required";
+  } else if (poptPeekArg(context) != nullptr) {
+    fault = std::string("unexpected argument: ") + poptPeekArg(context);
+  }
+  std::free(config);
+  poptFreeContext(context);
+  if (!fault.empty()) {
+    return fail(ErrorKind::badRequest, fault);
+  }
+  return line;
+}
+
+Expected<std::string> readFile(const std::string& path)
+{
+  std::ifstream file(path);
+  if (!file) {
+    return fail(ErrorKind::notFound, "cannot read " + path);
+  }
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+/** Returns a number that is larger at each start of the process, and differs between processes that
+    start in the same moment. */
+Incarnation newIncarnation()
+{
+  std::random_device device;
+  const auto micros = static_cast<std::uint64_t>(bootTime().micros);
+  return Incarnation{ (micros << 8U) | (device() & 0xffU) };
+}
+
+/** The event loop with what all roles share. */
+class Process
+{
+public:
+  Process(RouterSettings settings, std::string path, const Dialect& dialect)
+    : settings_(std::move(settings))
+    , path_(std::move(path))
+    , log_(STDOUT_FILENO, settings_.name)
+    , incarnation_(newIncarnation())
+    , mesh_(io_,
+            { ProcessId(settings::toString(settings_.peers)), incarnation_, settings_.peerKey })
+    , signals_(io_, SIGTERM, SIGINT, SIGHUP)
+    , timer_(io_)
+  {
+    const RoleContext context{ io_, settings_, dialect, mesh_, log_, metrics_, incarnation_ };
+    if (settings_.roles.entry) {
+      role_ = std::make_unique<EntryRole>(context);
+    } else {
+      role_ = std::make_unique<ControlRole>(context);
+    }
+  }
+
+  Expected<void> start()
+  {
+    mesh_.onMessage([this](const ProcessId& from,
+                           Incarnation incarnation,
+                           wire::Channel channel,
+                           std::string body) {
+      role_->receive(from, incarnation, channel, std::move(body));
+    });
+    if (auto listening = mesh_.listen(); !listening) {
+      return listening;
+    }
+    if (auto started = role_->start(); !started) {
+      return started;
+    }
+    startMetrics();
+    modified_ = modifiedAt();
+    awaitSignal();
+    schedule();
+    log_.line(bootTime(),
+              "start",
+              { { "role", settings::toString(settings_.roles) },
+                { "zone", settings_.zone.value },
+                { "incarnation", std::to_string(incarnation_.number) },
+                { "bootstrap", settings_.bootstrap ? "true" : "false" } });
+    return {};
+  }
+
+  void run()
+  {
+    while (!ended_) {
+      if (io_.run_one() == 0) {
+        break;
+      }
+      // Everything that is ready is handled before the lines are written.
+      while (!ended_ && io_.poll_one() > 0) {
+      }
+      log_.flush();
+    }
+    log_.line(bootTime(), "stop", { { "clean", role_->stopped() ? "true" : "false" } });
+    log_.flush();
+  }
+
+private:
+  void startMetrics()
+  {
+    if (!settings_.metrics) {
+      return;
+    }
+    metricsServer_ = std::make_unique<http::Server>(
+      io_, http::ServerLimits{}, [this](const std::shared_ptr<http::ServerRequest>& request) {
+        answerMetrics(*request, metrics_);
+      });
+    if (const auto listening = metricsServer_->listen(toEndpoint(*settings_.metrics)); !listening) {
+      log_.line(bootTime(), "metrics_unavailable", { { "detail", listening.error().detail } });
+      metricsServer_.reset();
+    }
+  }
+
+  void awaitSignal()
+  {
+    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        reload();
+      } else if (!stopping_) {
+        stopping_ = true;
+        stopBy_ = bootTime() + settings_.bounds.grace - kGraceMargin;
+        log_.line(bootTime(), "stopping", {});
+        role_->beginStop();
+        schedule();
+      }
+      awaitSignal();
+    });
+  }
+
+  void schedule()
+  {
+    timer_.expires_after(stopping_ ? kStopCheckInterval : kHousekeepingInterval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) {
+        return;
+      }
+      if (stopping_ && (role_->stopped() || bootTime() >= stopBy_)) {
+        ended_ = true;
+        return;
+      }
+      if (!stopping_ && modifiedAt() != modified_) {
+        reload();
+      }
+      schedule();
+    });
+  }
+
+  [[nodiscard]] std::int64_t modifiedAt() const
+  {
+    struct stat status{};
+    if (::stat(path_.c_str(), &status) != 0) {
+      return 0;
+    }
+    return status.st_mtim.tv_sec * 1'000'000'000L + status.st_mtim.tv_nsec;
+  }
+
+  void reload()
+  {
+    modified_ = modifiedAt();
+    const auto text = readFile(path_);
+    if (!text) {
+      log_.line(bootTime(), "reload_failed", { { "detail", text.error().detail } });
+      return;
+    }
+    auto parsed = parseRouterSettings(*text);
+    if (!parsed) {
+      log_.line(bootTime(), "reload_failed", { { "detail", ini::toString(parsed.error()) } });
+      return;
+    }
+    // Addresses and roles stay as they were at the start.
+    settings_.seeds = parsed->seeds;
+    settings_.bounds = parsed->bounds;
+    role_->setSeeds(settings_.seedProcesses());
+    log_.line(
+      bootTime(), "reload", { { "seeds", std::to_string(settings_.seeds.size()) } });
+  }
+
+  RouterSettings settings_;
+  std::string path_;
+  boost::asio::io_context io_{ 1 };
+  LogWriter log_;
+  Metrics metrics_;
+  Incarnation incarnation_;
+  mesh::Mesh mesh_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<Role> role_;
+  std::unique_ptr<http::Server> metricsServer_;
+  std::int64_t modified_ = 0;
+  bool stopping_ = false;
+  bool ended_ = false;
+  Time stopBy_;
+};
+
+void printSettings(const RouterSettings& settings)
+{
+  const auto text = [](const std::optional<settings::Address>& address) {
+    return address ? settings::toString(*address) : std::string("-");
+  };
+  std::printf("name = %s\nzone = %s\nrole = %s\ndata_dir = %s\n",
+              settings.name.c_str(),
+              settings.zone.value.c_str(),
+              settings::toString(settings.roles).c_str(),
+              settings.dataDir.value_or("-").c_str());
+  std::printf("callers = %s\nreadiness = %s\noperators = %s\npeers = %s\nmetrics = %s\n",
+              text(settings.callers).c_str(),
+              text(settings.readiness).c_str(),
+              text(settings.operators).c_str(),
+              settings::toString(settings.peers).c_str(),
+              text(settings.metrics).c_str());
+  for (const auto& seed : settings.seeds) {
+    std::printf("seed = %s\n", settings::toString(seed).c_str());
+  }
+  std::printf("bootstrap = %s\ngrace_s = %g\nrepeat_ratio = %g\nrepeat_slack = %g\n",
+              settings.bootstrap ? "true" : "false",
+              static_cast<double>(settings.bounds.grace.count()) / 1e6,
+              settings.bounds.repeatRatio,
+              settings.bounds.repeatSlack);
+}
+
+} // namespace
+
+boost::asio::ip::tcp::endpoint toEndpoint(const settings::Address& address)
+{
+  return { boost::asio::ip::make_address(address.ip), address.port };
+}
+
+int runDaemon(int argc, const char** argv, const Dialect& dialect)
+{
+  const auto line = readCommandLine(argc, argv);
+  if (!line) {
+    std::fprintf(stderr, "figchute-routerd: %s\n", line.error().detail.c_str());
+    return kExitUsage;
+  }
+  const auto text = readFile(line->config);
+  if (!text) {
+    std::fprintf(stderr, "figchute-routerd: %s\n", text.error().detail.c_str());
+    return kExitUsage;
+  }
+  auto settings = parseRouterSettings(*text);
+  if (!settings) {
+    std::fprintf(stderr, "%s\n", ini::toString(settings.error()).c_str());
+    return kExitSettings;
+  }
+  if (line->check) {
+    printSettings(*settings);
+    return kExitOk;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  Process process(std::move(*settings), line->config, dialect);
+  if (const auto started = process.start(); !started) {
+    std::fprintf(stderr, "figchute-routerd: %s\n", started.error().detail.c_str());
+    return kExitStart;
+  }
+  process.run();
+  return kExitOk;
+}
+
+} // namespace figchute::router
--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -13,35 +13,35 @@
 
 namespace figchute::router {
 
-/** Names of the header fields that the router reads or sets. */
+/** Names of the header fields that the router reads or sets; the defaults are the project's own. */
 struct FieldNames
 {
   /** Identifies one attempt of a caller; echoed by endpoints. */
-  std::string requestId;
+  std::string requestId = "X-Request-Id";
   /** Milliseconds that the caller, or the router, waits. */
-  std::string deadlineMs;
+  std::string deadlineMs = "X-Deadline-Ms";
   /** The workspace of the key, for endpoints. */
-  std::string workspace;
+  std::string workspace = "X-Workspace";
   /** The endpoint id that a request is meant for. */
-  std::string expectEndpoint;
+  std::string expectEndpoint = "X-Expect-Endpoint";
   /** Urgency of a request for endpoints, 0 to 9. */
-  std::string priority;
+  std::string priority = "X-Priority";
   /** Marks an answer as the endpoint's own. */
-  std::string answerMark;
+  std::string answerMark = "X-Endpoint-Answer";
   /** Marks an answer of an endpoint that did not run the request. */
-  std::string notExecuted;
+  std::string notExecuted = "X-Not-Executed";
   /** Load of the endpoint: running, waiting and slots, separated by commas. */
-  std::string load;
+  std::string load = "X-Endpoint-Load";
   /** Fields that only the router may set; removed from callers' requests. */
   std::vector<std::string> reserved;
 };
 
-/** Paths of the calls to the router itself. A trailing slash means that an id follows. */
+/** Paths of the calls to the router itself; the defaults are the project's own. A trailing slash means that an id follows. */
 struct CallPaths
 {
-  std::string configuration;
-  std::string endpoints;
-  std::string readiness;
+  std::string configuration = "/v1/configuration";
+  std::string endpoints = "/v1/endpoints/";
+  std::string readiness = "/v1/ready";
 };
 
 /** The prompt facts of a request that is sent to a model service. */
--- /dev/null
+++ b/modules/router/EntryRole.cpp
@@ -0,0 +1,292 @@
+#include "router/EntryRole.h"
+
+#include "router/BootClock.h"
+#include "router/ErrorAnswer.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace figchute::router {
+namespace {
+
+constexpr auto kBusyTick = std::chrono::milliseconds(50);
+constexpr auto kIdleTick = std::chrono::milliseconds(250);
+/** After SIGTERM new connections are still served for this time, because the load balancer needs
+    two missed readiness checks to notice. */
+constexpr Duration kServeAfterStop = std::chrono::seconds(3);
+
+ledger::WalletSettings walletSettings(const RoleContext& context)
+{
+  ledger::WalletSettings settings;
+  settings.self = { ProcessId(settings::toString(context.settings.peers)), context.incarnation };
+  settings.zone = context.settings.zone;
+  settings.witnesses = false;
+  settings.proposalIdBase = context.incarnation.number;
+  return settings;
+}
+
+dispatch::DispatcherSettings dispatcherSettings(const RoleContext& context)
+{
+  dispatch::DispatcherSettings settings;
+  settings.zone = context.settings.zone;
+  settings.seed = context.incarnation.number;
+  settings.repeatRatio = context.settings.bounds.repeatRatio;
+  settings.repeatSlack = context.settings.bounds.repeatSlack;
+  settings.repeatWindow = context.settings.bounds.repeatWindow;
+  return settings;
+}
+
+http::ServerLimits serverLimits(const fleet::RequestLimits& limits)
+{
+  http::ServerLimits server;
+  server.headBytes = limits.headBytes;
+  server.bodyBytes = limits.bodyBytes;
+  server.headTimeout = limits.headTimeout;
+  server.idleTimeout = limits.idleTimeout;
+  return server;
+}
+
+} // namespace
+
+EntryRole::EntryRole(const RoleContext& context)
+  : context_(context)
+  , subscriber_({ context.settings.zone, context.settings.seedProcesses() })
+  , wallet_(walletSettings(context))
+  , dispatcher_(dispatcherSettings(context))
+  , pool_(context.io)
+  , services_{ context.dialect, dispatcher_, wallet_, pool_, context.log, context.metrics, {}, 0 }
+  , callers_(context.io,
+             http::ServerLimits{},
+             [this](std::shared_ptr<http::ServerRequest> request) { handle(std::move(request)); })
+  , readiness_(context.io,
+               http::ServerLimits{},
+               [this](const std::shared_ptr<http::ServerRequest>& request) {
+                 answerReadiness(*request);
+               })
+  , timer_(context.io)
+{
+}
+
+Expected<void> EntryRole::start()
+{
+  if (auto listening = callers_.listen(toEndpoint(*context_.settings.callers)); !listening) {
+    return listening;
+  }
+  if (auto listening = readiness_.listen(toEndpoint(*context_.settings.readiness)); !listening) {
+    return listening;
+  }
+  settle(bootTime());
+  schedule();
+  return {};
+}
+
+void EntryRole::schedule()
+{
+  timer_.expires_after(exchanges_.empty() && !stopping_ ? kIdleTick : kBusyTick);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      onTimer();
+      schedule();
+    }
+  });
+}
+
+void EntryRole::onTimer()
+{
+  const Time now = bootTime();
+  std::vector<std::shared_ptr<Exchange>> open;
+  open.reserve(exchanges_.size());
+  for (const auto& [id, exchange] : exchanges_) {
+    open.push_back(exchange);
+  }
+  for (const auto& exchange : open) {
+    exchange->sweep(now);
+  }
+  dispatcher_.tick(now);
+  if (stopping_ && accepting_ && now - stopStartedAt_ > kServeAfterStop) {
+    accepting_ = false;
+    callers_.stopAccepting();
+    callers_.drain();
+    wallet_.drain(now);
+  }
+  settle(now);
+}
+
+void EntryRole::handle(std::shared_ptr<http::ServerRequest> request)
+{
+  const Time now = bootTime();
+  if (stopping_) {
+    request->closeAfter();
+  }
+  const auto id = ++lastExchange_;
+  const auto exchange = std::make_shared<Exchange>(
+    services_, std::move(request), id, [this](std::uint64_t ended) { exchanges_.erase(ended); });
+  const bool first = exchanges_.empty();
+  exchanges_.emplace(id, exchange);
+  exchange->begin(now);
+  settle(now);
+  if (first) {
+    timer_.cancel();
+    schedule();
+  }
+}
+
+void EntryRole::answerReadiness(http::ServerRequest& request) const
+{
+  if (ready()) {
+    answerJson(request, R"({"ready":true})");
+    return;
+  }
+  answerError(request,
+              Error{ stopping_ ? ErrorKind::shuttingDown : ErrorKind::overloaded, "not ready" },
+              std::chrono::seconds(1));
+}
+
+bool EntryRole::ready() const
+{
+  return !stopping_ && services_.table != nullptr && endpointCount_ > 0;
+}
+
+void EntryRole::receive(const ProcessId& from,
+                        Incarnation /*incarnation*/,
+                        wire::Channel channel,
+                        std::string body)
+{
+  const Time now = bootTime();
+  if (channel == wire::Channel::fleet) {
+    if (const auto message = wire::decode<fleet::Message>(body)) {
+      if (const auto* update = std::get_if<fleet::FleetUpdate>(&*message)) {
+        subscriber_.receive(now, from, *update);
+      }
+    }
+  } else if (channel == wire::Channel::ledger) {
+    if (const auto message = wire::decode<ledger::Message>(body)) {
+      wallet_.receive(now, from, *message);
+    }
+  }
+  settle(now);
+}
+
+void EntryRole::settle(Time now)
+{
+  // Decisions of the wallet may end exchanges, which come back here.
+  if (settling_) {
+    return;
+  }
+  settling_ = true;
+  subscriber_.tick(now);
+  applyUpdates(now);
+  settleWallet(now);
+  for (auto& message : subscriber_.takeOutgoing()) {
+    context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
+  }
+  logEvents(now);
+  settling_ = false;
+}
+
+void EntryRole::applyUpdates(Time now)
+{
+  if (subscriber_.takeConfigurationChange()) {
+    applyConfiguration(now);
+  }
+  if (subscriber_.takeEndpointChange()) {
+    applyEndpoints(now);
+  }
+  if (subscriber_.takeControlChange()) {
+    std::vector<ledger::Peer> peers;
+    for (const auto& control : subscriber_.controls()) {
+      peers.push_back({ { control, {} }, {}, false, true, true });
+    }
+    wallet_.setPeers(now, peers);
+  }
+  dispatcher_.setPeers(std::max<std::size_t>(1, subscriber_.entryProcesses()));
+}
+
+void EntryRole::applyConfiguration(Time now)
+{
+  const auto version = subscriber_.configurationVersion();
+  auto parsed = context_.dialect.parseConfiguration(*subscriber_.configuration());
+  if (!parsed) {
+    context_.log.line(now,
+                      "configuration_unreadable",
+                      { { "version", std::to_string(version) },
+                        { "detail", parsed.error().detail } });
+    return;
+  }
+  services_.table = std::make_shared<const fleet::RouteTable>(std::move(*parsed));
+  const auto& configuration = services_.table->configuration();
+  dispatcher_.setServices(now, configuration.services);
+  callers_.setLimits(serverLimits(configuration.limits));
+  context_.log.line(now,
+                    "configuration",
+                    { { "version", std::to_string(version) },
+                      { "routes", std::to_string(configuration.routes.size()) },
+                      { "workspaces", std::to_string(configuration.workspaces.size()) } });
+}
+
+void EntryRole::applyEndpoints(Time now)
+{
+  const auto& endpoints = subscriber_.endpoints();
+  endpointCount_ = endpoints.size();
+  services_.endpointRevision = subscriber_.endpointRevision();
+  dispatcher_.setEndpoints(now, endpoints);
+  context_.log.line(now,
+                    "endpoints",
+                    { { "revision", std::to_string(services_.endpointRevision) },
+                      { "count", std::to_string(endpointCount_) } });
+}
+
+void EntryRole::settleWallet(Time now)
+{
+  wallet_.tick(now);
+  for (const auto& decision : wallet_.takeDecisions()) {
+    std::uint64_t id = 0;
+    const auto& text = decision.request.value;
+    std::from_chars(text.data(), text.data() + text.size(), id);
+    if (const auto found = exchanges_.find(id); found != exchanges_.end()) {
+      const auto exchange = found->second;
+      exchange->decided(now, decision);
+    }
+  }
+  // Charges need no witness here, so the list of recorded ones is not used.
+  static_cast<void>(wallet_.takeRecorded());
+  for (auto& message : wallet_.takeOutgoing()) {
+    context_.mesh.send(message.to, wire::Channel::ledger, wire::encode(message.message));
+  }
+}
+
+void EntryRole::logEvents(Time now)
+{
+  for (const auto& event : dispatcher_.takeEvents()) {
+    context_.log.line(now, "endpoint_state", { { "detail", event } });
+  }
+  if (subscriber_.hasContact() != contact_) {
+    contact_ = !contact_;
+    context_.log.line(now,
+                      contact_ ? "control_regained" : "control_lost",
+                      { { "control", subscriber_.control().value } });
+  }
+  for (const auto fingerprint : dispatcher_.takeCrashes()) {
+    subscriber_.addCrash(fingerprint);
+    context_.log.line(now, "endpoint_crash", { { "fingerprint", fmt::format("{:x}", fingerprint) } });
+  }
+}
+
+void EntryRole::setSeeds(const std::vector<ProcessId>& seeds)
+{
+  subscriber_.setSeeds(seeds);
+}
+
+void EntryRole::beginStop()
+{
+  stopping_ = true;
+  stopStartedAt_ = bootTime();
+}
+
+bool EntryRole::stopped() const
+{
+  return stopping_ && !accepting_ && exchanges_.empty() && callers_.openRequests() == 0 &&
+         wallet_.drained();
+}
+
+} // namespace figchute::router
--- /dev/null
+++ b/modules/router/Exchange.cpp
@@ -0,0 +1,561 @@
+#include "router/Exchange.h"
+
+#include "router/BootClock.h"
+#include "router/ErrorAnswer.h"
+#include "ini/ini.h"
+#include "settings/settings.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace figchute::router {
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+/** Answer bytes that may wait for a slow caller before the endpoint is no longer read. */
+constexpr std::size_t kMaxPendingBytes = 64U * 1024;
+/** Connections that fail before a byte is sent reach no endpoint; more of them in a row point to a
+    cut of this VM. */
+constexpr int kMaxConnectFailures = 3;
+/** A repeatable request without an answer is sent elsewhere after this multiple of its target. */
+constexpr int kStallTargets = 3;
+constexpr Duration kMinStall = std::chrono::milliseconds(250);
+
+std::optional<std::int64_t> parseInteger(std::string_view text)
+{
+  std::int64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || text.empty()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/** Reads "running,waiting,slots". */
+std::optional<dispatch::LoadReport> parseLoad(std::string_view text)
+{
+  std::vector<int> numbers;
+  for (const auto& part : ini::splitList(text)) {
+    const auto number = parseInteger(part);
+    if (!number) {
+      return std::nullopt;
+    }
+    numbers.push_back(static_cast<int>(*number));
+  }
+  if (numbers.size() != 3) {
+    return std::nullopt;
+  }
+  return dispatch::LoadReport{ numbers[0], numbers[1], numbers[2] };
+}
+
+std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
+{
+  const auto address = settings::parseAddress(text);
+  if (!address) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(address->ip, error);
+  if (error) {
+    return std::nullopt;
+  }
+  return boost::asio::ip::tcp::endpoint(ip, address->port);
+}
+
+std::uint64_t fingerprintOf(const http::RequestHead& head,
+                            std::string_view caller,
+                            std::string_view body)
+{
+  const auto path = XXH3_64bits(head.target.data(), head.target.size());
+  const auto withCaller = XXH3_64bits_withSeed(caller.data(), caller.size(), path);
+  return XXH3_64bits_withSeed(body.data(), body.size(), withCaller);
+}
+
+std::int64_t millis(Duration duration)
+{
+  return duration.count() / 1000;
+}
+
+} // namespace
+
+BudgetId budgetOf(std::string_view workspace)
+{
+  return BudgetId("w:" + std::string(workspace));
+}
+
+Exchange::Exchange(EntryServices& services,
+                   std::shared_ptr<http::ServerRequest> request,
+                   std::uint64_t id,
+                   std::function<void(std::uint64_t)> ended)
+  : services_(services)
+  , request_(std::move(request))
+  , id_(id)
+  , ended_(std::move(ended))
+  , ledgerId_(std::to_string(id))
+{
+}
+
+Exchange::~Exchange()
+{
+  if (call_) {
+    call_->cancel();
+  }
+}
+
+void Exchange::begin(Time now)
+{
+  arrival_ = now;
+  limit_ = now + std::chrono::seconds(30);
+  request_->onGone([this] { callerGone(); });
+  request_->onWritable([this] {
+    if (call_) {
+      call_->resume();
+    }
+  });
+  if (const auto resolved = resolve(now); !resolved) {
+    answerError(now, resolved.error(), std::chrono::milliseconds(300));
+    return;
+  }
+  reserve(now);
+}
+
+Expected<void> Exchange::resolve(Time now)
+{
+  table_ = services_.table;
+  if (!table_) {
+    return fail(ErrorKind::overloaded, "no configuration is known yet");
+  }
+  const auto& head = request_->head();
+  const auto& names = services_.dialect.fields();
+  requestId_ = head.fields.get(names.requestId);
+  if (requestId_.empty() || head.fields.count(names.requestId) != 1) {
+    return fail(ErrorKind::badRequest, "a request id is required exactly once");
+  }
+  route_ = table_->match(head.fields.get("Host"), head.target);
+  if (route_ == nullptr) {
+    return fail(ErrorKind::notFound, "no route matches host and path");
+  }
+  if (auto known = authenticate(*route_); !known) {
+    return known;
+  }
+  return describeWork(now, *route_);
+}
+
+Expected<void> Exchange::authenticate(const fleet::Route& route)
+{
+  if (!table_->configuration().hasWorkspaces) {
+    return {};
+  }
+  const auto& fields = request_->head().fields;
+  const auto authorization = fields.get("Authorization");
+  if (fields.count("Authorization") == 1 && authorization.size() > kBearer.size() &&
+      http::equalsIgnoreCase(authorization.substr(0, kBearer.size()), kBearer)) {
+    workspace_ = table_->workspaceOf(authorization.substr(kBearer.size()));
+  }
+  if (workspace_ == nullptr && !route.open) {
+    return fail(ErrorKind::unauthenticated, "the key is unknown");
+  }
+  return {};
+}
+
+Expected<void> Exchange::describeWork(Time now, const fleet::Route& route)
+{
+  const auto& head = request_->head();
+  const auto prompt = services_.dialect.parsePrompt(head.fields);
+  if (!prompt) {
+    return tl::unexpected(prompt.error());
+  }
+  Duration wait = route.timeout;
+  if (const auto* text = head.fields.find(services_.dialect.fields().deadlineMs)) {
+    const auto value = parseInteger(*text);
+    if (!value || *value < 0) {
+      return fail(ErrorKind::badRequest, "the deadline is no number of milliseconds");
+    }
+    wait = std::min(wait, Duration(std::chrono::milliseconds(std::min<std::int64_t>(
+                            *value, millis(route.timeout)))));
+  }
+  limit_ = now + wait;
+  work_.id = id_;
+  work_.service = fleet::RouteTable::pickService(route, requestId_);
+  work_.kind = route.kind;
+  work_.resumable = route.resumable;
+  work_.priority =
+    std::clamp(workspace_ != nullptr ? workspace_->priority.value_or(route.priority) : route.priority,
+               0,
+               9);
+  work_.workspace = workspace_ != nullptr ? workspace_->name : std::string();
+  work_.model = prompt->model;
+  work_.parts = prompt->parts;
+  work_.promptTokens = prompt->promptTokens;
+  work_.maxOutputTokens = prompt->maxOutputTokens;
+  work_.outputHint = prompt->outputHint;
+  work_.arrival = now;
+  work_.deadline = limit_;
+  work_.target = route.target;
+  work_.maxAttempts = route.maxAttempts;
+  work_.fingerprint =
+    fingerprintOf(head, work_.workspace, request_->body() ? *request_->body() : std::string());
+  const auto* service = table_->service(work_.service);
+  modelService_ = service != nullptr && service->engine.has_value();
+  stride_ = modelService_ ? std::max(1, service->engine->stride) : 1;
+  return {};
+}
+
+void Exchange::reserve(Time now)
+{
+  const bool billed = workspace_ != nullptr && workspace_->prepaid.has_value() &&
+                      work_.promptTokens + work_.maxOutputTokens > 0;
+  if (!billed) {
+    sendNext(now);
+    return;
+  }
+  const BudgetId budget = budgetOf(workspace_->name);
+  stage_ = Stage::waitingForGrant;
+  reserved_ = true;
+  decided(now,
+          services_.wallet.reserve(now,
+                                   ledgerId_,
+                                   std::nullopt,
+                                   { &budget, 1 },
+                                   Tokens{ work_.promptTokens + work_.maxOutputTokens }));
+}
+
+void Exchange::decided(Time now, const ledger::Decision& decision)
+{
+  if (stage_ != Stage::waitingForGrant || decision.status == ledger::ReserveStatus::waiting) {
+    return;
+  }
+  if (decision.status == ledger::ReserveStatus::admitted) {
+    sendNext(now);
+    return;
+  }
+  reserved_ = false;
+  answerError(now,
+              decision.error.value_or(Error{ ErrorKind::budgetExhausted, "the budget is used up" }),
+              std::chrono::milliseconds(500));
+}
+
+bool Exchange::mayRunAgain() const
+{
+  return work_.kind == fleet::RouteKind::repeatable ||
+         (work_.kind == fleet::RouteKind::stream && work_.resumable);
+}
+
+bool Exchange::mayRepeat() const
+{
+  return sends_ < work_.maxAttempts && (!mayHaveRun_ || mayRunAgain());
+}
+
+void Exchange::sendNext(Time now)
+{
+  stage_ = Stage::waitingForHead;
+  const auto choice = services_.dispatcher.choose(now, work_, tried_);
+  placed_ = true;
+  if (!choice) {
+    refuse(now, choice.error());
+    return;
+  }
+  const auto address = parseEndpoint(choice->address);
+  if (!address) {
+    services_.dispatcher.finished(now, id_, dispatch::Outcome::notConnected);
+    refuse(now, dispatch::Refusal{ ErrorKind::noEndpoint, std::chrono::milliseconds(200), "" });
+    return;
+  }
+  endpoint_ = choice->endpoint;
+  address_ = choice->address;
+  tried_.push_back(endpoint_);
+  sent_ = false;
+  sendStartedAt_ = now;
+  http::CallOptions options;
+  const auto connectLimit = std::min<Duration>(std::chrono::milliseconds(500), (limit_ - now) / 2);
+  options.connectTimeout = std::max<Duration>(connectLimit, std::chrono::milliseconds(50));
+  options.correlationName = services_.dialect.fields().requestId;
+  options.correlationValue = requestId_;
+  options.maxConnections = choice->maxConnections;
+  call_ = services_.pool.start(
+    *address, forwardedHead(now, *choice), request_->body(), std::move(options), *this);
+}
+
+http::RequestHead Exchange::forwardedHead(Time now, const dispatch::Choice& choice) const
+{
+  const auto& names = services_.dialect.fields();
+  http::RequestHead head = request_->head();
+  for (const auto& name : names.reserved) {
+    head.fields.remove(name);
+  }
+  head.fields.remove(names.workspace);
+  head.fields.remove(names.priority);
+  if (table_->configuration().hasWorkspaces) {
+    head.fields.remove("Authorization");
+  }
+  if (workspace_ != nullptr) {
+    head.fields.set(names.workspace, workspace_->name);
+  }
+  if (modelService_) {
+    head.fields.set(names.priority, std::to_string(work_.priority));
+  }
+  head.fields.set(names.expectEndpoint, choice.endpoint.value);
+  head.fields.set(names.deadlineMs, std::to_string(std::max<std::int64_t>(1, millis(limit_ - now))));
+  return head;
+}
+
+void Exchange::onSent()
+{
+  sent_ = true;
+  ++sends_;
+}
+
+void Exchange::onHead(const http::ResponseHead& head)
+{
+  const Time now = bootTime();
+  const auto& names = services_.dialect.fields();
+  if (const auto* load = head.fields.find(names.load)) {
+    if (const auto report = parseLoad(*load)) {
+      services_.dispatcher.load(now, endpoint_, *report);
+    }
+  }
+  const bool marked = head.fields.find(names.answerMark) != nullptr;
+  const bool notExecuted = head.fields.find(names.notExecuted) != nullptr;
+  if (head.status == 421) {
+    failedSend(now, dispatch::Outcome::wrongEndpoint, false, "another endpoint answers there");
+    return;
+  }
+  if (notExecuted && (head.status >= 500 || head.status == 429 || head.status == 408)) {
+    failedSend(now, dispatch::Outcome::notExecuted, false, fmt::format("status {}", head.status));
+    return;
+  }
+  mayHaveRun_ = mayHaveRun_ || !notExecuted;
+  if (!notExecuted && (promisesNotRun(head.status) || (!marked && head.status < 400))) {
+    failedSend(
+      now, dispatch::Outcome::malformed, true, fmt::format("unmarked status {}", head.status));
+    return;
+  }
+  if (head.status >= 500 && mayRunAgain() && sends_ < work_.maxAttempts) {
+    failedSend(now, dispatch::Outcome::serverError, true, fmt::format("status {}", head.status));
+    return;
+  }
+  startRelay(head);
+}
+
+void Exchange::startRelay(const http::ResponseHead& head)
+{
+  const Time now = bootTime();
+  stage_ = Stage::relaying;
+  status_ = head.status;
+  firstByteAt_ = now;
+  services_.dispatcher.firstByte(now, id_);
+  services_.metrics.record("first_byte", now - arrival_);
+  request_->start(head);
+}
+
+void Exchange::onBody(std::string_view bytes)
+{
+  if (stage_ != Stage::relaying) {
+    return;
+  }
+  deliveredBytes_ += static_cast<std::int64_t>(bytes.size());
+  if (modelService_ && status_ < 300) {
+    const auto tokens = events_.feed(bytes) * stride_;
+    deliveredTokens_ += tokens;
+    if (tokens > 0) {
+      services_.dispatcher.progress(bootTime(), id_, tokens);
+    }
+  }
+  request_->write(bytes);
+  if (stage_ == Stage::relaying && request_->pendingBytes() > kMaxPendingBytes) {
+    call_->pause();
+  }
+}
+
+void Exchange::onComplete()
+{
+  if (stage_ != Stage::relaying) {
+    return;
+  }
+  const Time now = bootTime();
+  finishSend(now,
+             status_ >= 500 ? dispatch::Outcome::serverError : dispatch::Outcome::answered);
+  request_->finish();
+  end(now, "answered", status_, "");
+}
+
+void Exchange::onFailure(const http::CallFailure& failure)
+{
+  using Kind = http::CallFailureKind;
+  const Time now = bootTime();
+  call_.reset();
+  dispatch::Outcome outcome = dispatch::Outcome::broken;
+  if (!failure.sent) {
+    outcome = dispatch::Outcome::notConnected;
+  } else if (failure.kind == Kind::malformed) {
+    outcome = dispatch::Outcome::malformed;
+  }
+  const auto detail =
+    fmt::format("{}{}", toString(failure.kind), failure.reused ? " on a kept connection" : "");
+  if (stage_ == Stage::relaying) {
+    finishSend(now, outcome);
+    cut(now, detail);
+    return;
+  }
+  mayHaveRun_ = mayHaveRun_ || failure.sent;
+  failedSend(now, outcome, failure.sent, detail);
+}
+
+void Exchange::finishSend(Time now, dispatch::Outcome outcome)
+{
+  services_.dispatcher.finished(now, id_, outcome);
+  call_.reset();
+}
+
+void Exchange::failedSend(Time now,
+                          dispatch::Outcome outcome,
+                          bool mayHaveRun,
+                          const std::string& detail)
+{
+  if (call_) {
+    call_->cancel();
+  }
+  finishSend(now, outcome);
+  services_.log.line(now,
+                     "send_failed",
+                     { { "request", requestId_ },
+                       { "endpoint", endpoint_.value },
+                       { "outcome", std::string(dispatch::toString(outcome)) },
+                       { "detail", detail },
+                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+  const bool unsent = outcome == dispatch::Outcome::notConnected;
+  const bool again =
+    unsent ? ++connectFailures_ < kMaxConnectFailures && (!mayHaveRun_ || mayRunAgain())
+           : mayRepeat();
+  if (again && now < limit_) {
+    sendNext(now);
+    return;
+  }
+  if (mayHaveRun_ || mayHaveRun) {
+    answerError(now, Error{ ErrorKind::endpointFailed, detail }, Duration{ 0 });
+    return;
+  }
+  answerError(
+    now, Error{ ErrorKind::overloaded, "no endpoint took it" }, std::chrono::milliseconds(100));
+}
+
+void Exchange::refuse(Time now, const dispatch::Refusal& refusal)
+{
+  if (mayHaveRun_) {
+    answerError(now, Error{ ErrorKind::endpointFailed, refusal.detail }, Duration{ 0 });
+    return;
+  }
+  answerError(now, Error{ refusal.kind, refusal.detail }, refusal.retryAfter);
+}
+
+void Exchange::sweep(Time now)
+{
+  if (stage_ == Stage::ended || stage_ == Stage::created) {
+    return;
+  }
+  if (now >= limit_) {
+    const bool running = call_ && sent_;
+    if (call_) {
+      call_->cancel();
+      finishSend(now, running ? dispatch::Outcome::timedOut : dispatch::Outcome::cancelled);
+    }
+    if (stage_ == Stage::relaying) {
+      cut(now, "time-out");
+    } else if (running || mayHaveRun_) {
+      mayHaveRun_ = true;
+      answerError(now, Error{ ErrorKind::endpointTimeout, "no answer in time" }, Duration{ 0 });
+    } else {
+      answerError(now, Error{ ErrorKind::overloaded, "not sent in time" }, Duration{ 0 });
+    }
+    return;
+  }
+  const auto stall = std::max<Duration>(kMinStall, work_.target * kStallTargets);
+  if (stage_ == Stage::waitingForHead && call_ && sent_ && mayRunAgain() &&
+      sends_ < work_.maxAttempts && now - sendStartedAt_ > stall) {
+    mayHaveRun_ = true;
+    failedSend(now, dispatch::Outcome::timedOut, true, "no answer after several targets");
+  }
+}
+
+void Exchange::callerGone()
+{
+  if (stage_ == Stage::ended) {
+    return;
+  }
+  const Time now = bootTime();
+  if (call_) {
+    mayHaveRun_ = mayHaveRun_ || sent_;
+    call_->cancel();
+    finishSend(now, dispatch::Outcome::cancelled);
+  }
+  end(now, "caller_gone", 0, "");
+}
+
+void Exchange::cut(Time now, std::string_view outcome)
+{
+  request_->abort();
+  end(now, "cut", status_, outcome);
+}
+
+void Exchange::answerError(Time now, const Error& error, Duration retryAfter)
+{
+  const auto status =
+    router::answerError(*request_, error, std::min(retryAfter, (limit_ - now) / 3));
+  end(now, errorTraits(error.kind).name, status, error.detail);
+}
+
+void Exchange::bill(Time now)
+{
+  if (!reserved_) {
+    return;
+  }
+  reserved_ = false;
+  if (!mayHaveRun_) {
+    services_.wallet.release(now, ledgerId_);
+    return;
+  }
+  const auto output = std::min(deliveredTokens_, work_.maxOutputTokens);
+  // The reservation was made by this exchange, so the charge cannot fail.
+  static_cast<void>(
+    services_.wallet.charge(now, ledgerId_, Tokens{ work_.promptTokens + output }));
+}
+
+void Exchange::end(Time now, std::string_view outcome, int status, std::string_view detail)
+{
+  stage_ = Stage::ended;
+  if (placed_) {
+    services_.dispatcher.forget(id_);
+  }
+  bill(now);
+  const bool answered = firstByteAt_.micros > 0;
+  services_.metrics.count(fmt::format("requests_{}", outcome));
+  services_.metrics.record("request", now - arrival_);
+  services_.log.line(
+    now,
+    "request",
+    { { "request", requestId_ },
+      { "route", route_ != nullptr ? route_->name : std::string() },
+      { "workspace", work_.workspace },
+      { "service", work_.service.value },
+      { "endpoint", endpoint_.value },
+      { "outcome", std::string(outcome) },
+      { "status", std::to_string(status) },
+      { "sends", std::to_string(sends_) },
+      { "first_byte_ms", answered ? std::to_string(millis(firstByteAt_ - arrival_)) : "-" },
+      { "total_ms", std::to_string(millis(now - arrival_)) },
+      { "limit_ms", std::to_string(millis(limit_ - arrival_)) },
+      { "prompt", std::to_string(work_.promptTokens) },
+      { "output", std::to_string(deliveredTokens_) },
+      { "bytes", std::to_string(deliveredBytes_) },
+      { "configuration", std::to_string(table_ ? table_->configuration().version : 0) },
+      { "registry", std::to_string(services_.endpointRevision) },
+      { "detail", std::string(detail) } });
+  const auto keep = shared_from_this();
+  auto ended = std::move(ended_);
+  ended(id_);
+}
+
+} // namespace figchute::router
--- /dev/null
+++ b/modules/router/Exchange.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "core/core.h"
+#include "dispatch/dispatch.h"
+#include "fleet/RouteTable.h"
+#include "http/http.h"
+#include "ledger/ledger.h"
+#include "router/Dialect.h"
+#include "router/EventCounter.h"
+#include "router/LogWriter.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace figchute::router {
+
+/** What all exchanges of an entry process share. */
+struct EntryServices
+{
+  const Dialect& dialect;
+  dispatch::Dispatcher& dispatcher;
+  ledger::Wallet& wallet;
+  http::ClientPool& pool;
+  LogWriter& log;
+  Metrics& metrics;
+  /** The configuration in force; null before the first one. */
+  std::shared_ptr<const fleet::RouteTable> table;
+  /** Revision of the endpoint registry in use, for logs. */
+  std::uint64_t endpointRevision = 0;
+};
+
+/** Returns the budget of a workspace. Safe from any thread. */
+BudgetId budgetOf(std::string_view workspace);
+
+/** One request from its arrival to the end of its answer: route, key, budget, choice of an endpoint,
+    call, relay. It decides which status an end may have: 503 and its like promise that no endpoint
+    ran the request.
+    Thread safety: use it on the thread of the event loop only. */
+class Exchange final
+  : public http::CallListener
+  , public std::enable_shared_from_this<Exchange>
+{
+public:
+  /** @param services  outlives the exchange
+      @param request   the request, completely read
+      @param id        unique in this process
+      @param ended     called once, when the exchange needs no more calls; it may drop it */
+  Exchange(EntryServices& services,
+           std::shared_ptr<http::ServerRequest> request,
+           std::uint64_t id,
+           std::function<void(std::uint64_t)> ended);
+
+  ~Exchange() override;
+
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  /** Starts the exchange. Call it once. */
+  void begin(Time now);
+
+  /** Takes the wallet's decision on a request that waited for a grant. */
+  void decided(Time now, const ledger::Decision& decision);
+
+  /** Applies the time limits. Call it about every 50 ms. */
+  void sweep(Time now);
+
+  void onSent() override;
+  void onHead(const http::ResponseHead& head) override;
+  void onBody(std::string_view bytes) override;
+  void onComplete() override;
+  void onFailure(const http::CallFailure& failure) override;
+
+private:
+  enum class Stage : std::uint8_t
+  {
+    created,
+    waitingForGrant,
+    waitingForHead,
+    relaying,
+    ended,
+  };
+
+  Expected<void> resolve(Time now);
+  Expected<void> authenticate(const fleet::Route& route);
+  Expected<void> describeWork(Time now, const fleet::Route& route);
+  void reserve(Time now);
+  void sendNext(Time now);
+  http::RequestHead forwardedHead(Time now, const dispatch::Choice& choice) const;
+  [[nodiscard]] bool mayRepeat() const;
+  [[nodiscard]] bool mayRunAgain() const;
+  void failedSend(Time now, dispatch::Outcome outcome, bool sent, const std::string& detail);
+  void finishSend(Time now, dispatch::Outcome outcome);
+  void refuse(Time now, const dispatch::Refusal& refusal);
+  void answerError(Time now, const Error& error, Duration retryAfter);
+  void cut(Time now, std::string_view outcome);
+  void callerGone();
+  void startRelay(const http::ResponseHead& head);
+  void bill(Time now);
+  void end(Time now, std::string_view outcome, int status, std::string_view detail);
+
+  EntryServices& services_;
+  std::shared_ptr<http::ServerRequest> request_;
+  std::uint64_t id_;
+  std::function<void(std::uint64_t)> ended_;
+
+  std::shared_ptr<const fleet::RouteTable> table_;
+  const fleet::Route* route_ = nullptr;
+  const fleet::WorkspaceSettings* workspace_ = nullptr;
+  std::string requestId_;
+  RequestId ledgerId_;
+  dispatch::Work work_;
+  int stride_ = 1;
+  bool modelService_ = false;
+  Time arrival_;
+  /** When the caller stops waiting or the route's time-out ends, whichever is first. */
+  Time limit_;
+
+  Stage stage_ = Stage::created;
+  bool reserved_ = false;
+  bool placed_ = false;
+  std::shared_ptr<http::Call> call_;
+  std::vector<EndpointId> tried_;
+  EndpointId endpoint_;
+  std::string address_;
+  Time sendStartedAt_;
+  bool sent_ = false;
+  /** A send of the request reached an endpoint that did not say that it did not run it. */
+  bool mayHaveRun_ = false;
+  int sends_ = 0;
+  int connectFailures_ = 0;
+  EventCounter events_;
+  std::int64_t deliveredTokens_ = 0;
+  std::int64_t deliveredBytes_ = 0;
+  Time firstByteAt_;
+  int status_ = 0;
+};
+
+} // namespace figchute::router
--- /dev/null
+++ b/modules/router/JsonDialect.cpp
@@ -0,0 +1,252 @@
+#include "router/JsonDialect.h"
+
+#include "router/JsonReader.h"
+
+#include <charconv>
+#include <limits>
+#include <xxhash.h>
+
+namespace figchute::router {
+namespace {
+
+
+std::optional<std::int64_t> parseCount(std::string_view text)
+{
+  while (!text.empty() && text.front() == ' ') {
+    text.remove_prefix(1);
+  }
+  std::int64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/** Reads "PROMPT,OUTPUT". */
+bool parseTokenCounts(std::string_view text, PromptFacts& facts)
+{
+  const auto comma = text.find(',');
+  if (comma == std::string_view::npos) {
+    return false;
+  }
+  const auto prompt = parseCount(text.substr(0, comma));
+  const auto output = parseCount(text.substr(comma + 1));
+  if (!prompt || !output) {
+    return false;
+  }
+  facts.promptTokens = *prompt;
+  facts.maxOutputTokens = *output;
+  return true;
+}
+
+/** Reads "ID:TOKENS,ID:TOKENS". */
+bool parsePrefix(std::string_view text, PromptFacts& facts)
+{
+  while (!text.empty()) {
+    const auto comma = text.find(',');
+    const auto entry = text.substr(0, comma);
+    const auto colon = entry.find(':');
+    if (colon == std::string_view::npos) {
+      return false;
+    }
+    const auto tokens = parseCount(entry.substr(colon + 1));
+    if (!tokens) {
+      return false;
+    }
+    facts.parts.push_back({ XXH3_64bits(entry.data(), colon), *tokens });
+    text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+  }
+  return true;
+}
+
+fleet::RouteKind kindOf(const JsonNames& names, JsonReader& reader, const std::string& word)
+{
+  if (word == names.repeatableWord) {
+    return fleet::RouteKind::repeatable;
+  }
+  if (word == names.streamWord) {
+    return fleet::RouteKind::stream;
+  }
+  if (word != names.onceWord) {
+    reader.fault(names.kind, "is no known kind of route");
+  }
+  return fleet::RouteKind::once;
+}
+
+std::vector<fleet::WeightedService> readSplit(const JsonNames& names, JsonReader& route)
+{
+  std::vector<fleet::WeightedService> split;
+  if (route.has(names.split)) {
+    route.each(names.split, [&](JsonReader& part) {
+      const auto weight = part.integer(names.weight, 0, std::numeric_limits<std::int32_t>::max());
+      split.push_back({ ServiceName(part.text(names.service)), static_cast<std::uint32_t>(weight) });
+    });
+    return split;
+  }
+  split.push_back({ ServiceName(route.text(names.service)), 1 });
+  return split;
+}
+
+fleet::Route readRoute(const JsonNames& names, JsonReader& reader)
+{
+  fleet::Route route;
+  route.name = reader.text(names.name, "");
+  route.host = reader.text(names.host);
+  route.pathPrefix = reader.text(names.pathPrefix);
+  route.kind = kindOf(names, reader, reader.text(names.kind));
+  route.timeout = reader.millis(names.timeoutMs);
+  route.target = reader.millis(names.targetMs, route.timeout);
+  route.gapTarget = reader.millis(names.gapTargetMs, std::chrono::milliseconds(500));
+  route.priority = static_cast<int>(reader.integerOr(names.priority, 5));
+  route.maxAttempts = static_cast<int>(reader.integerOr(names.maxAttempts, 1));
+  route.open = reader.flag(names.open);
+  route.sticky = reader.flag(names.sticky);
+  route.resumable = reader.flag(names.resumable);
+  route.split = readSplit(names, reader);
+  return route;
+}
+
+fleet::ServiceSettings readService(const JsonNames& names, JsonReader& reader)
+{
+  fleet::ServiceSettings service;
+  service.name = ServiceName(reader.text(names.name));
+  service.healthPath = reader.text(names.healthPath, "");
+  service.maxConnections = static_cast<int>(reader.integerOr(names.maxConnections, 100));
+  reader.object(names.engine, [&](JsonReader& engine) {
+    fleet::EngineTraits traits;
+    traits.slots = static_cast<int>(engine.integerOr(names.slots, 0));
+    traits.kvCapacity = engine.integerOr(names.kvCapacity, 0);
+    traits.kvTokenBytes = engine.integerOr(names.kvTokenBytes, 0);
+    traits.stride = static_cast<int>(engine.integerOr(names.stride, 1));
+    service.engine = traits;
+  });
+  return service;
+}
+
+fleet::WorkspaceSettings readWorkspace(const JsonNames& names, JsonReader& reader)
+{
+  fleet::WorkspaceSettings workspace;
+  workspace.name = reader.text(names.name);
+  workspace.keys = reader.texts(names.keys);
+  if (reader.has(names.priority)) {
+    workspace.priority = static_cast<int>(reader.integerOr(names.priority, 5));
+  }
+  if (reader.has(names.prepaid)) {
+    workspace.prepaid = Tokens{ reader.integer(names.prepaid, 0, kMaxJsonInteger) };
+  }
+  return workspace;
+}
+
+fleet::RequestLimits readLimits(const JsonNames& names, JsonReader& reader)
+{
+  fleet::RequestLimits limits;
+  reader.object(names.limits, [&](JsonReader& part) {
+    limits.headBytes = static_cast<std::uint64_t>(part.integerOr(names.headBytes, 16384));
+    limits.bodyBytes = static_cast<std::uint64_t>(part.integerOr(names.bodyBytes, 4194304));
+    limits.headTimeout = part.millis(names.headTimeoutMs, limits.headTimeout);
+    limits.idleTimeout = part.millis(names.idleTimeoutMs, limits.idleTimeout);
+  });
+  return limits;
+}
+
+} // namespace
+
+JsonDialect::JsonDialect(FieldNames fields, CallPaths paths, PromptNames prompt, JsonNames names)
+  : fields_(std::move(fields))
+  , paths_(std::move(paths))
+  , prompt_(std::move(prompt))
+  , names_(std::move(names))
+{
+}
+
+Expected<fleet::Configuration> JsonDialect::parseConfiguration(std::string_view bytes) const
+{
+  JsonDocument document;
+  if (auto parsed = document.parse(bytes); !parsed) {
+    return fail(ErrorKind::documentInvalid, parsed.error().detail);
+  }
+  const auto& names = names_;
+  JsonReader reader = document.root();
+  fleet::Configuration configuration;
+  configuration.version =
+    static_cast<std::uint64_t>(reader.integer(names.version, 0, kMaxJsonInteger));
+  reader.each(names.routes, [&](JsonReader& route) { configuration.routes.push_back(readRoute(names, route)); });
+  reader.each(names.services,
+              [&](JsonReader& part) { configuration.services.push_back(readService(names, part)); });
+  configuration.hasWorkspaces = reader.has(names.workspaces);
+  if (configuration.hasWorkspaces) {
+    reader.each(names.workspaces, [&](JsonReader& part) {
+      configuration.workspaces.push_back(readWorkspace(names, part));
+    });
+  }
+  configuration.limits = readLimits(names, reader);
+  auto faults = document.takeFaults();
+  if (faults.empty()) {
+    faults = fleet::validate(configuration);
+  }
+  if (!faults.empty()) {
+    return fail(ErrorKind::documentInvalid, joinFaults(faults));
+  }
+  return configuration;
+}
+
+Expected<fleet::Announcement> JsonDialect::parseAnnouncement(const EndpointId& id,
+                                                                 std::string_view bytes) const
+{
+  JsonDocument document;
+  if (auto parsed = document.parse(bytes); !parsed) {
+    return fail(ErrorKind::badRequest, parsed.error().detail);
+  }
+  const auto& names = names_;
+  JsonReader reader = document.root();
+  fleet::Announcement announcement;
+  announcement.id = id;
+  announcement.service = ServiceName(reader.text(names.service));
+  announcement.address = reader.text(names.address);
+  announcement.zone = ZoneId(reader.text(names.zone));
+  announcement.softwareVersion = reader.text(names.version, "");
+  announcement.slots = static_cast<int>(reader.integer(names.slots, 0, 1'000'000));
+  announcement.warmupMs = reader.integerOr(names.warmupMs, 0);
+  announcement.sequence =
+    static_cast<std::uint64_t>(reader.integer(names.sequence, 0, kMaxJsonInteger));
+  announcement.born = reader.integer(names.born, 0, kMaxJsonInteger);
+  const auto state = reader.text(names.state);
+  if (state != names.readyWord && state != names.drainingWord) {
+    reader.fault(names.state, "is no known state");
+  }
+  announcement.state =
+    state == names.drainingWord ? fleet::EndpointState::draining : fleet::EndpointState::ready;
+  const auto faults = document.takeFaults();
+  if (!faults.empty()) {
+    return fail(ErrorKind::badRequest, joinFaults(faults));
+  }
+  return announcement;
+}
+
+Expected<PromptFacts> JsonDialect::parsePrompt(const http::Fields& fields) const
+{
+  PromptFacts facts;
+  facts.model = ModelName(fields.get(prompt_.model));
+  if (const auto* counts = fields.find(prompt_.tokenCounts)) {
+    if (!parseTokenCounts(*counts, facts)) {
+      return fail(ErrorKind::badRequest, "the token counts cannot be read");
+    }
+  }
+  if (const auto* prefix = fields.find(prompt_.parts)) {
+    if (!parsePrefix(*prefix, facts)) {
+      return fail(ErrorKind::badRequest, "the prompt prefix cannot be read");
+    }
+  }
+  if (const auto* hint = fields.find(prompt_.outputHint)) {
+    facts.outputHint = parseCount(*hint).value_or(0);
+  }
+  return facts;
+}
+
+std::unique_ptr<Dialect> ownDialect()
+{
+  return std::make_unique<JsonDialect>(FieldNames{}, CallPaths{}, PromptNames{}, JsonNames{});
+}
+
+} // namespace figchute::router
--- /dev/null
+++ b/modules/router/JsonDialect.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "router/Dialect.h"
+
+#include <string>
+
+namespace figchute::router {
+
+/** Names of JSON fields and words; the defaults are the project's own. */
+struct JsonNames
+{
+  std::string split = "split";
+  std::string weight = "weight";
+  std::string service = "service";
+  std::string name = "name";
+  std::string host = "host";
+  std::string pathPrefix = "pathPrefix";
+  std::string kind = "kind";
+  std::string timeoutMs = "timeoutMs";
+  std::string targetMs = "targetMs";
+  std::string gapTargetMs = "gapTargetMs";
+  std::string priority = "priority";
+  std::string maxAttempts = "maxAttempts";
+  std::string open = "open";
+  std::string sticky = "sticky";
+  std::string resumable = "resumable";
+  std::string healthPath = "healthPath";
+  std::string maxConnections = "maxConnections";
+  std::string engine = "engine";
+  std::string slots = "slots";
+  std::string kvCapacity = "kvCapacity";
+  std::string kvTokenBytes = "kvTokenBytes";
+  std::string stride = "stride";
+  std::string keys = "keys";
+  std::string prepaid = "prepaid";
+  std::string limits = "limits";
+  std::string headBytes = "headBytes";
+  std::string bodyBytes = "bodyBytes";
+  std::string headTimeoutMs = "headTimeoutMs";
+  std::string idleTimeoutMs = "idleTimeoutMs";
+  std::string version = "version";
+  std::string routes = "routes";
+  std::string services = "services";
+  std::string workspaces = "workspaces";
+  std::string address = "address";
+  std::string zone = "zone";
+  std::string warmupMs = "warmupMs";
+  std::string sequence = "sequence";
+  std::string born = "born";
+  std::string state = "state";
+  std::string repeatableWord = "repeatable";
+  std::string streamWord = "stream";
+  std::string onceWord = "once";
+  std::string readyWord = "ready";
+  std::string drainingWord = "draining";
+};
+
+/** Names of the header fields with the prompt facts of a request; the defaults are the project's
+    own. */
+struct PromptNames
+{
+  std::string model = "X-Model";
+  /** Prompt tokens and most output tokens, separated by a comma. */
+  std::string tokenCounts = "X-Token-Counts";
+  /** The parts of the prompt in order, as ID:TOKENS separated by commas. */
+  std::string parts = "X-Prompt-Parts";
+  /** An estimate of the output tokens. */
+  std::string outputHint = "X-Output-Hint";
+};
+
+/** A dialect whose bodies are JSON and whose names are given. The default names are the project's
+    own interface.
+    Thread safety: const methods are safe from any thread. */
+class JsonDialect final : public Dialect
+{
+public:
+  JsonDialect(FieldNames fields, CallPaths paths, PromptNames prompt, JsonNames names);
+
+  [[nodiscard]] const FieldNames& fields() const override { return fields_; }
+  [[nodiscard]] const CallPaths& paths() const override { return paths_; }
+  [[nodiscard]] Expected<fleet::Configuration> parseConfiguration(
+    std::string_view bytes) const override;
+  [[nodiscard]] Expected<fleet::Announcement> parseAnnouncement(
+    const EndpointId& id,
+    std::string_view bytes) const override;
+  [[nodiscard]] Expected<PromptFacts> parsePrompt(const http::Fields& fields) const override;
+
+private:
+  FieldNames fields_;
+  CallPaths paths_;
+  PromptNames prompt_;
+  JsonNames names_;
+};
+
+/** Returns the project's own dialect. Safe from any thread. */
+std::unique_ptr<Dialect> ownDialect();
+
+} // namespace figchute::router
--- /dev/null
+++ b/modules/router/RouterSettings.cpp
@@ -0,0 +1,176 @@
+#include "router/RouterSettings.h"
+
+#include <algorithm>
+#include <array>
+
+namespace figchute::router {
+namespace {
+
+using ini::Presence;
+using ini::SectionReader;
+
+constexpr std::string_view kAddressRule = "a numeric address IP:port with a port from 1 to 65535";
+constexpr std::string_view kDefaultPeerKey = "figchute";
+constexpr std::array<std::string_view, 4> kSections{ "process", "listen", "fleet", "bounds" };
+
+/** Reads the sections into one RouterSettings and collects faults. */
+class Builder
+{
+public:
+  explicit Builder(ini::ParseResult parsed)
+    : file_(std::move(parsed.file))
+    , faults_(std::move(parsed.faults))
+  {
+  }
+
+  tl::expected<RouterSettings, ini::Faults> build()
+  {
+    readProcess();
+    readListen();
+    readFleet();
+    readBounds();
+    rejectUnknownSections();
+    if (!faults_.empty()) {
+      ini::sortByLine(faults_);
+      return tl::unexpected<ini::Faults>(std::move(faults_));
+    }
+    return std::move(settings_);
+  }
+
+private:
+  // A missing section is read as an empty one, so that its required keys are listed as faults.
+  const ini::Section& section(std::string_view name)
+  {
+    const auto* present = file_.find(name);
+    if (present != nullptr) {
+      return *present;
+    }
+    empty_.push_back(std::make_unique<ini::Section>(ini::Section{ std::string(name), 0, {} }));
+    return *empty_.back();
+  }
+
+  static Presence requiredIf(bool condition)
+  {
+    return condition ? Presence::required : Presence::optional;
+  }
+
+  void readProcess()
+  {
+    SectionReader reader(section("process"), faults_);
+    if (const auto* entry = reader.entry("name", Presence::required)) {
+      settings_.name = entry->value;
+    }
+    if (const auto* entry = reader.entry("zone", Presence::required)) {
+      settings_.zone = ZoneId(entry->value);
+    }
+    if (const auto role = reader.choice("role", { "entry", "control" }, Presence::required)) {
+      settings_.roles.entry = *role == 0;
+      settings_.roles.control = *role == 1;
+    }
+    if (const auto* entry = reader.entry("data_dir", requiredIf(settings_.roles.control))) {
+      settings_.dataDir = entry->value;
+    }
+    reader.rejectUnknownKeys();
+  }
+
+  std::optional<settings::Address> address(SectionReader& reader,
+                                           std::string_view key,
+                                           Presence presence)
+  {
+    const auto* entry = reader.entry(key, presence);
+    if (entry == nullptr) {
+      return std::nullopt;
+    }
+    auto parsed = settings::parseAddress(entry->value);
+    if (!parsed) {
+      reader.fault(*entry, std::string(kAddressRule));
+    }
+    return parsed;
+  }
+
+  void readListen()
+  {
+    SectionReader reader(section("listen"), faults_);
+    settings_.callers = address(reader, "callers", requiredIf(settings_.roles.entry));
+    settings_.readiness = address(reader, "readiness", requiredIf(settings_.roles.entry));
+    settings_.operators = address(reader, "operators", requiredIf(settings_.roles.control));
+    settings_.metrics = address(reader, "metrics", Presence::optional);
+    if (const auto peers = address(reader, "peers", Presence::required)) {
+      settings_.peers = *peers;
+    }
+    reader.rejectUnknownKeys();
+  }
+
+  void readFleet()
+  {
+    SectionReader reader(section("fleet"), faults_);
+    if (const auto* entry = reader.entry("seeds", Presence::required)) {
+      for (const auto& text : ini::splitList(entry->value)) {
+        if (const auto parsed = settings::parseAddress(text)) {
+          settings_.seeds.push_back(*parsed);
+        } else {
+          reader.fault(*entry, "addresses IP:port separated by commas");
+          break;
+        }
+      }
+    }
+    if (const auto flag = reader.choice("bootstrap", { "false", "true" }, Presence::optional)) {
+      settings_.bootstrap = *flag == 1;
+    }
+    const auto* key = reader.entry("peer_key", Presence::optional);
+    settings_.peerKey = key != nullptr ? key->value : std::string(kDefaultPeerKey);
+    reader.rejectUnknownKeys();
+  }
+
+  void readBounds()
+  {
+    SectionReader reader(section("bounds"), faults_);
+    if (const auto seconds = reader.real("grace_s", { 0.5, 3600 }, Presence::optional)) {
+      settings_.bounds.grace = Duration(static_cast<std::int64_t>(*seconds * 1e6));
+    }
+    if (const auto ratio = reader.real("repeat_ratio", { 0, 10 }, Presence::optional)) {
+      settings_.bounds.repeatRatio = *ratio;
+    }
+    if (const auto slack = reader.real("repeat_slack", { 0, 1e6 }, Presence::optional)) {
+      settings_.bounds.repeatSlack = *slack;
+    }
+    if (const auto window = reader.real("repeat_window_s", { 0.1, 3600 }, Presence::optional)) {
+      settings_.bounds.repeatWindow = Duration(static_cast<std::int64_t>(*window * 1e6));
+    }
+    reader.rejectUnknownKeys();
+  }
+
+  void rejectUnknownSections()
+  {
+    for (const auto& section : file_.sections) {
+      if (std::find(kSections.begin(), kSections.end(), section.name) == kSections.end()) {
+        faults_.push_back(ini::Fault{
+          section.name, "", "unknown section", "process, listen, fleet or bounds", section.line });
+      }
+    }
+  }
+
+  ini::IniFile file_;
+  ini::Faults faults_;
+  std::vector<std::unique_ptr<ini::Section>> empty_;
+  RouterSettings settings_;
+};
+
+} // namespace
+
+std::vector<ProcessId> RouterSettings::seedProcesses() const
+{
+  std::vector<ProcessId> processes;
+  processes.reserve(seeds.size());
+  for (const auto& seed : seeds) {
+    processes.emplace_back(settings::toString({ seed.ip, peers.port }));
+  }
+  return processes;
+}
+
+tl::expected<RouterSettings, ini::Faults> parseRouterSettings(std::string_view text)
+{
+  return Builder(ini::parseAll(text)).build();
+}
+
+} // namespace figchute::router
--- /dev/null
+++ b/tests/router_fleet.py
@@ -0,0 +1,401 @@
+"""Starts real router daemons and stand-in endpoints on loopback for process tests and the demo.
+
+Each process has a loopback IP of its own, because all processes share the peer port. Everything that
+is started is stopped by process id when the fleet is closed; nothing outlives it.
+"""
+
+import http.client
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+START_LIMIT_S = 15
+EVENT_GAP_S = 0.02
+
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {"name": "chat", "host": "chat.example", "pathPrefix": "/chat/", "kind": "stream",
+         "timeoutMs": 8000, "targetMs": 500, "priority": 0, "maxAttempts": 2,
+         "resumable": True, "service": "engines"},
+        {"name": "book", "host": "app.example", "pathPrefix": "/book/", "kind": "once",
+         "timeoutMs": 2000, "targetMs": 300, "priority": 1, "maxAttempts": 1, "service": "app"},
+        {"name": "look", "host": "app.example", "pathPrefix": "/look/", "kind": "repeatable",
+         "timeoutMs": 2000, "targetMs": 300, "priority": 1, "maxAttempts": 2, "service": "app"},
+        {"name": "open", "host": "app.example", "pathPrefix": "/open/", "kind": "repeatable",
+         "timeoutMs": 2000, "targetMs": 300, "priority": 1, "maxAttempts": 2, "open": True,
+         "service": "app"},
+    ],
+    "services": [
+        {"name": "engines", "maxConnections": 50,
+         "engine": {"slots": 8, "kvCapacity": 100000, "stride": 1}},
+        {"name": "app", "maxConnections": 50},
+    ],
+    "workspaces": [
+        {"name": "north", "keys": ["key-north"], "prepaid": 100000},
+        {"name": "south", "keys": ["key-south"], "prepaid": 500},
+    ],
+    "limits": {"headBytes": 16384, "bodyBytes": 1048576, "headTimeoutMs": 1000,
+               "idleTimeoutMs": 5000},
+}
+
+
+def check(condition, text):
+    if not condition:
+        raise AssertionError(text)
+
+
+def wait_until(condition, text, limit=START_LIMIT_S):
+    """Waits until condition() is true and returns how long that took."""
+    started = time.monotonic()
+    while time.monotonic() - started < limit:
+        if condition():
+            return time.monotonic() - started
+        time.sleep(0.02)
+    raise AssertionError(f"not within {limit} s: {text}")
+
+
+class Answer:
+    """One HTTP answer, read whole."""
+
+    def __init__(self, response):
+        self.status = response.status
+        self.headers = {name.lower(): value for name, value in response.getheaders()}
+        self.body = response.read().decode()
+
+
+def call(address, method, path, body=None, headers=None, timeout=10):
+    """Sends one HTTP request on a connection of its own."""
+    connection = http.client.HTTPConnection(*address, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        return Answer(connection.getresponse())
+    finally:
+        connection.close()
+
+
+class Endpoint:
+    """A stand-in endpoint. It records what it ran and follows the instructions in a request's path:
+    /fail/ answers 500, /refuse/ answers 503 as not run, /hang/ never answers, /cut/ closes before the
+    body is complete, /unmarked/ leaves the answer mark out."""
+
+    def __init__(self, fleet, name, service, ip, events=5):
+        self.fleet = fleet
+        self.name = name
+        self.service = service
+        self.events = events
+        self.runs = []
+        self.left_early = 0
+        self.state = "ready"
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.announcing = True
+        self.lock = threading.Lock()
+        endpoint = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_arguments):
+                pass
+
+            def do_GET(self):
+                endpoint.serve(self)
+
+            do_POST = do_PUT = do_DELETE = do_GET
+
+        class Server(ThreadingHTTPServer):
+            daemon_threads = True
+
+            def handle_error(self, _request, _address):
+                pass
+
+        self.server = Server((ip, 0), Handler)
+        self.address = f"{ip}:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.thread = threading.Thread(target=self.announce_loop, daemon=True)
+        self.thread.start()
+
+    def announcement(self):
+        self.sequence += 1
+        return {"service": self.service, "address": self.address, "zone": "a", "version": "v1",
+                "slots": 8, "state": self.state, "warmupMs": 0, "sequence": self.sequence,
+                "born": self.born}
+
+    def announce(self):
+        """Announces the endpoint at any control process that takes it. Returns the status."""
+        body = json.dumps(self.announcement())
+        for control in random.sample(self.fleet.controls, len(self.fleet.controls)):
+            try:
+                answer = call(control.operators, "PUT", f"/v1/endpoints/{self.name}", body,
+                              timeout=1)
+            except OSError:
+                continue
+            if answer.status == 200:
+                return 200
+        return 0
+
+    def announce_loop(self):
+        while self.announcing:
+            self.announce()
+            time.sleep(0.4)
+
+    def leave(self):
+        self.state = "draining"
+        wait_until(lambda: self.announce() == 200, "the leave is acknowledged")
+
+    def close(self):
+        self.announcing = False
+        self.server.shutdown()
+        self.server.server_close()
+
+    def serve(self, handler):
+        length = int(handler.headers.get("Content-Length") or 0)
+        body = handler.rfile.read(length) if length else b""
+        if handler.headers.get("Transfer-Encoding") == "chunked":
+            body = read_chunks(handler.rfile)
+        expected = handler.headers.get("X-Expect-Endpoint")
+        if expected != self.name:
+            self.answer(handler, 421, b"", {"X-Not-Executed": "1"})
+            return
+        if "/refuse/" in handler.path:
+            self.answer(handler, 503, b"", {"X-Not-Executed": "1"})
+            return
+        with self.lock:
+            self.runs.append({"id": handler.headers.get("X-Request-Id"), "path": handler.path,
+                              "method": handler.command, "body": body,
+                              "headers": {k.lower(): v for k, v in handler.headers.items()}})
+        self.run(handler, body)
+
+    def run(self, handler, body):
+        marks = {"X-Endpoint-Answer": f"{self.name}.{len(self.runs)}",
+                 "X-Endpoint-Load": "1,0,8"}
+        if "/unmarked/" in handler.path:
+            marks = {}
+        if "/hang/" in handler.path:
+            time.sleep(5)
+            handler.close_connection = True
+        elif "/fail/" in handler.path:
+            self.answer(handler, 500, b"failed", marks)
+        elif self.service == "engines":
+            self.stream(handler, marks)
+        else:
+            self.answer(handler, 200, b"done:" + body, marks)
+
+    def answer(self, handler, status, body, headers):
+        handler.send_response(status)
+        handler.send_header("X-Request-Id", handler.headers.get("X-Request-Id") or "")
+        for name, value in headers.items():
+            handler.send_header(name, value)
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
+
+    def stream(self, handler, marks):
+        handler.send_response(200)
+        handler.send_header("X-Request-Id", handler.headers.get("X-Request-Id") or "")
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        for name, value in marks.items():
+            handler.send_header(name, value)
+        handler.end_headers()
+        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        try:
+            for number in range(first, self.events + 1):
+                if "/cut/" in handler.path and number == 3:
+                    handler.close_connection = True
+                    handler.connection.shutdown(socket.SHUT_RDWR)
+                    return
+                event = f"id: {number}\ndata: {self.name}\n\n".encode()
+                handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                handler.wfile.flush()
+                time.sleep(EVENT_GAP_S)
+            handler.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            self.left_early += 1
+            handler.close_connection = True
+
+
+def read_chunks(stream):
+    body = b""
+    while True:
+        size = int(stream.readline().split(b";")[0], 16)
+        body += stream.read(size)
+        stream.readline()
+        if size == 0:
+            return body
+
+
+class Daemon:
+    """One router daemon with its settings file and log."""
+
+    def __init__(self, fleet, name, role, ip):
+        self.fleet = fleet
+        self.name = name
+        self.role = role
+        self.ip = ip
+        self.process = None
+        self.bootstrap = True
+        self.folder = os.path.join(fleet.folder, name)
+        self.log_path = os.path.join(fleet.folder, name + ".log")
+        self.settings_path = os.path.join(fleet.folder, name + ".ini")
+        self.operators = (ip, fleet.ports["operators"])
+        self.callers = (ip, fleet.ports["callers"])
+        self.readiness = (ip, fleet.ports["readiness"])
+        self.metrics = (ip, fleet.ports["metrics"])
+
+    def write_settings(self, seeds):
+        listen = (f"callers = {self.ip}:{self.callers[1]}\n"
+                  f"readiness = {self.ip}:{self.readiness[1]}\n"
+                  if self.role == "entry" else f"operators = {self.ip}:{self.operators[1]}\n")
+        folder = f"data_dir = {self.folder}\n" if self.role == "control" else ""
+        text = (f"[process]\nname = {self.name}\nzone = a\nrole = {self.role}\n{folder}"
+                f"[listen]\n{listen}peers = {self.ip}:{self.fleet.ports['peers']}\n"
+                f"metrics = {self.ip}:{self.metrics[1]}\n"
+                f"[fleet]\nseeds = {seeds}\n"
+                f"bootstrap = {'true' if self.bootstrap else 'false'}\n"
+                f"[bounds]\ngrace_s = 5\n")
+        with open(self.settings_path, "w", encoding="utf-8") as file:
+            file.write(text)
+
+    def start(self):
+        os.makedirs(self.folder, exist_ok=True)
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [self.fleet.program, "--config", self.settings_path], stdout=log, stderr=log)
+
+    def send(self, number):
+        self.process.send_signal(number)
+
+    def kill(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as file:
+            return file.read()
+
+    def ready(self):
+        try:
+            return call(self.readiness, "GET", "/v1/ready", timeout=1).status == 200
+        except OSError:
+            return False
+
+
+class RouterFleet:
+    """Daemons and endpoints of one test."""
+
+    def __init__(self, build, controls=1, entries=1):
+        self.program = os.path.join(build, "figchute-routerd")
+        self.folder = tempfile.mkdtemp(prefix="figchute-router-")
+        self.ports = {name: free_port() for name in
+                      ("operators", "callers", "readiness", "metrics", "peers")}
+        net = random.randint(1, 250)
+        self.net = f"127.77.{net}"
+        self.controls = [Daemon(self, f"control{i}", "control", f"{self.net}.{10 + i}")
+                         for i in range(controls)]
+        self.entries = [Daemon(self, f"entry{i}", "entry", f"{self.net}.{100 + i}")
+                        for i in range(entries)]
+        self.endpoints = []
+        self.requests = 0
+
+    def __enter__(self):
+        for daemon in self.controls + self.entries:
+            daemon.write_settings(self.seeds())
+            daemon.start()
+        return self
+
+    def __exit__(self, kind, *_rest):
+        for endpoint in self.endpoints:
+            endpoint.close()
+        for daemon in self.controls + self.entries:
+            daemon.kill()
+        if kind is not None:
+            for daemon in self.controls + self.entries:
+                print(f"--- {daemon.name}")
+                print(daemon.log()[-3000:])
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def seeds(self):
+        return ",".join(f"{c.ip}:{c.operators[1]}" for c in self.controls[:3])
+
+    def add_endpoint(self, name, service, **options):
+        endpoint = Endpoint(self, name, service, f"{self.net}.{200 + len(self.endpoints)}", **options)
+        self.endpoints.append(endpoint)
+        return endpoint
+
+    def put(self, configuration, control=0):
+        return call(self.controls[control].operators, "PUT", "/v1/configuration",
+                    json.dumps(configuration), timeout=5)
+
+    def get(self, control=0):
+        return call(self.controls[control].operators, "GET", "/v1/configuration", timeout=5)
+
+    def apply(self, configuration=None):
+        """Puts a configuration until a control process acknowledges it."""
+        configuration = configuration or CONFIGURATION
+
+        def accepted():
+            for index in range(len(self.controls)):
+                try:
+                    if self.put(configuration, index).status == 200:
+                        return True
+                except OSError:
+                    pass
+            return False
+
+        wait_until(accepted, "the configuration is acknowledged")
+
+    def wait_ready(self):
+        for entry in self.entries:
+            wait_until(entry.ready, f"{entry.name} is ready")
+
+    def headers(self, host, key="key-north", tokens=None, **more):
+        self.requests += 1
+        headers = {"Host": host, "X-Request-Id": f"r{self.requests}",
+                   "X-Deadline-Ms": "4000", **more}
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        if tokens:
+            headers["X-Token-Counts"] = tokens
+        return headers
+
+    def call(self, method, host, path, body=None, entry=0, key="key-north", tokens=None, **more):
+        return call(self.entries[entry].callers, method, path, body,
+                    self.headers(host, key, tokens, **more))
+
+
+def free_port():
+    """Returns a port that nothing listens on, below the ports of outgoing connections."""
+    while True:
+        port = random.randint(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
+
+
+def run_cases(cases, build):
+    """Runs each case and prints one line for it. Returns the exit code."""
+    failed = 0
+    for case in cases:
+        started = time.monotonic()
+        try:
+            case(build)
+            print(f"ok   {case.__name__} ({time.monotonic() - started:.1f} s)", flush=True)
+        except Exception as error:  # each failure is reported with its case
+            failed += 1
+            print(f"FAIL {case.__name__}: {type(error).__name__}: {error}", flush=True)
+    print(f"{len(cases) - failed} passed, {failed} failed")
+    return 1 if failed else 0
--- /dev/null
+++ b/tests/router_parts_test.cpp
@@ -0,0 +1,182 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "router/EventCounter.h"
+#include "router/JsonDialect.h"
+#include "router/LogWriter.h"
+#include "router/RouterSettings.h"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+using namespace figchute;
+using namespace figchute::router;
+
+namespace {
+
+struct SettingsText
+{
+  std::string text = "[process]\nname = e1\nzone = a\nrole = entry\n"
+                     "[listen]\ncallers = 127.0.0.1:1000\nreadiness = 127.0.0.1:1001\n"
+                     "peers = 127.0.0.1:1002\n"
+                     "[fleet]\nseeds = 127.0.0.2:2000,127.0.0.3:2000\nbootstrap = true\n";
+};
+
+struct OwnConfiguration
+{
+  std::unique_ptr<Dialect> dialect = ownDialect();
+  std::string text =
+    R"({"version":3,"routes":[{"name":"r","host":"h.example","pathPrefix":"/a/","kind":"stream",)"
+    R"("timeoutMs":1200,"targetMs":500,"priority":1,"maxAttempts":2,"resumable":true,)"
+    R"("split":[{"service":"s","weight":3}]}],)"
+    R"("services":[{"name":"s","maxConnections":7,"engine":{"slots":64,"stride":6}}],)"
+    R"("workspaces":[{"name":"w","keys":["k1","k2"],"prepaid":1000}],)"
+    R"("limits":{"headBytes":1000,"bodyBytes":2000,"headTimeoutMs":30,"idleTimeoutMs":40}})";
+};
+
+struct PipePair
+{
+  int ends[2] = { -1, -1 };
+  PipePair() { REQUIRE(::pipe(ends) == 0); }
+  ~PipePair()
+  {
+    ::close(ends[0]);
+    ::close(ends[1]);
+  }
+};
+
+} // namespace
+
+// Guards against a seed being reached at the operators' port in place of the peer port.
+TEST_CASE_FIXTURE(SettingsText, "settings_withSeeds_namePeerProcesses")
+{
+  const auto settings = parseRouterSettings(text);
+  REQUIRE(settings.has_value());
+  REQUIRE(settings->seedProcesses().size() == 2);
+  CHECK(settings->seedProcesses()[0].value == "127.0.0.2:1002");
+  CHECK(settings->bootstrap);
+}
+
+// Guards against a wrong settings file that is noticed only at run time, or without its line.
+TEST_CASE_FIXTURE(SettingsText, "settings_withFaults_listEachWithItsLine")
+{
+  text += "unknown = 1\n[bounds]\ngrace_s = soon\n";
+  const auto settings = parseRouterSettings(text);
+  REQUIRE_FALSE(settings.has_value());
+  REQUIRE(settings.error().size() == 2);
+  CHECK(settings.error()[0].line == 12);
+  CHECK(settings.error()[1].line == 14);
+}
+
+// Guards against a control process that starts without its data folder.
+TEST_CASE_FIXTURE(SettingsText, "settings_ofControlWithoutFolder_areRefused")
+{
+  text.replace(text.find("role = entry"), 12, "role = control");
+  CHECK_FALSE(parseRouterSettings(text).has_value());
+}
+
+// Guards against fields of a configuration that are read as another type or lost.
+TEST_CASE_FIXTURE(OwnConfiguration, "dialect_withConfiguration_readsEveryField")
+{
+  const auto read = dialect->parseConfiguration(text);
+  REQUIRE(read.has_value());
+  CHECK(read->version == 3);
+  const auto& route = read->routes.at(0);
+  CHECK(route.kind == fleet::RouteKind::stream);
+  CHECK(route.timeout == std::chrono::milliseconds(1200));
+  CHECK(route.resumable);
+  CHECK(route.split.at(0).weight == 3);
+  CHECK(read->services.at(0).engine->stride == 6);
+  CHECK(read->workspaces.at(0).prepaid->count == 1000);
+  CHECK(read->limits.idleTimeout == std::chrono::milliseconds(40));
+}
+
+// Guards against a configuration that is accepted although it was cut short or has wrong types.
+TEST_CASE_FIXTURE(OwnConfiguration, "dialect_withBrokenConfiguration_refusesIt")
+{
+  CHECK_FALSE(dialect->parseConfiguration(text.substr(0, text.size() - 5)).has_value());
+  std::string wrongType = text;
+  wrongType.replace(wrongType.find("1200"), 4, "\"x\"");
+  const auto read = dialect->parseConfiguration(wrongType);
+  REQUIRE_FALSE(read.has_value());
+  CHECK(read.error().detail.find("routes[0].timeoutMs") != std::string::npos);
+}
+
+// Guards against an announcement by another program that displaces a sound one.
+TEST_CASE_FIXTURE(OwnConfiguration, "dialect_withIncompleteAnnouncement_refusesIt")
+{
+  const std::string sound = R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",)"
+                            R"("slots":6,"state":"ready","sequence":2,"born":1000})";
+  CHECK(dialect->parseAnnouncement(EndpointId("e"), sound).has_value());
+  for (const std::string field : { "service", "address", "zone", "slots", "state", "born" }) {
+    std::string broken = sound;
+    broken.replace(broken.find("\"" + field + "\""), field.size() + 2, "\"other\"");
+    CHECK_FALSE(dialect->parseAnnouncement(EndpointId("e"), broken).has_value());
+  }
+  std::string unknownState = sound;
+  unknownState.replace(unknownState.find("\"ready\""), 7, "\"lost\"");
+  CHECK_FALSE(dialect->parseAnnouncement(EndpointId("e"), unknownState).has_value());
+}
+
+// Guards against prompt facts that are read wrongly, which would bill a wrong amount.
+TEST_CASE_FIXTURE(OwnConfiguration, "dialect_withPromptFields_readsCountsAndParts")
+{
+  http::Fields fields;
+  fields.add("x-token-counts", "1460,80");
+  fields.add("X-Prompt-Parts", "5c1e:800,91bd:410,e440:250");
+  const auto facts = dialect->parsePrompt(fields);
+  REQUIRE(facts.has_value());
+  CHECK(facts->promptTokens == 1460);
+  CHECK(facts->maxOutputTokens == 80);
+  REQUIRE(facts->parts.size() == 3);
+  CHECK(facts->parts[1].tokens == 410);
+  fields.set("X-Token-Counts", "1460");
+  CHECK_FALSE(dialect->parsePrompt(fields).has_value());
+}
+
+// Guards against events that are counted twice or lost when they are split between reads.
+TEST_CASE("eventCounter_withSplitEvents_countsEachOnce")
+{
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n\nid: 3\ndata: c\n";
+  for (std::size_t size = 1; size <= stream.size(); ++size) {
+    EventCounter counter;
+    std::int64_t events = 0;
+    for (std::size_t at = 0; at < stream.size(); at += size) {
+      events += counter.feed(std::string_view(stream).substr(at, size));
+    }
+    CHECK(events == 2);
+  }
+}
+
+// Guards against a full pipe that blocks the daemon, and against lines that vanish uncounted.
+TEST_CASE_FIXTURE(PipePair, "logWriter_withFullPipe_dropsAndCounts")
+{
+  LogWriter log(ends[1], "p");
+  const std::string value(1000, 'x');
+  for (int i = 0; i < 200; ++i) {
+    log.line(Time{ 1 }, "event", { { "value", value } });
+    log.flush();
+  }
+  CHECK(log.dropped() > 50);
+  std::string buffer(1U << 20U, '\0');
+  CHECK(::read(ends[0], buffer.data(), buffer.size()) > 0);
+  log.line(Time{ 2 }, "after", {});
+  log.flush();
+  const auto count = ::read(ends[0], buffer.data(), buffer.size());
+  REQUIRE(count > 0);
+  CHECK(buffer.substr(0, static_cast<std::size_t>(count)).find("dropped_lines=") !=
+        std::string::npos);
+}
+
+// Guards against a value with spaces or line ends that breaks a line into several.
+TEST_CASE_FIXTURE(PipePair, "logWriter_withSpacesInValue_quotesIt")
+{
+  LogWriter log(ends[1], "p");
+  log.line(Time{ 1'500'000 }, "event", { { "detail", "a \"b\"\nc" } });
+  log.flush();
+  std::string buffer(1000, '\0');
+  const auto count = ::read(ends[0], buffer.data(), buffer.size());
+  REQUIRE(count > 0);
+  CHECK(buffer.substr(0, static_cast<std::size_t>(count)) ==
+        "time=1.500000 process=p event=event detail=\"a \\\"b\\\" c\"\n");
+}
--- /dev/null
+++ b/tests/router_process_test.py
@@ -0,0 +1,305 @@
+#!/usr/bin/env python3
+"""Router daemons with stand-in endpoints. Usage: router_process_test.py BUILD_DIR"""
+
+import copy
+import http.client
+import json
+import os
+import signal
+import socket
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from router_fleet import CONFIGURATION, RouterFleet, call, check, run_cases, wait_until  # noqa: E402
+
+
+def started(build, controls=1, entries=1, engines=2, apps=2):
+    fleet = RouterFleet(build, controls, entries)
+    fleet.__enter__()
+    try:
+        for index in range(engines):
+            fleet.add_endpoint(f"engine{index}", "engines")
+        for index in range(apps):
+            fleet.add_endpoint(f"app{index}", "app")
+        fleet.apply()
+        fleet.wait_ready()
+        wait_until(lambda: fleet.call("GET", "app.example", "/look/start").status == 200,
+                   "a first lookup is served")
+        wait_until(lambda: fleet.call("POST", "chat.example", "/chat/start", "x").status == 200,
+                   "a first chat is served")
+    except BaseException:
+        fleet.__exit__(*sys.exc_info())
+        raise
+    return fleet
+
+
+class Started:
+    """Runs a case with a fleet and closes it."""
+
+    def __init__(self, *arguments, **options):
+        self.fleet = started(*arguments, **options)
+
+    def __enter__(self):
+        return self.fleet
+
+    def __exit__(self, *details):
+        self.fleet.__exit__(*details)
+
+
+def runs_of(fleet, request_id):
+    return [run for endpoint in fleet.endpoints for run in endpoint.runs if run["id"] == request_id]
+
+
+def request_forwarded_unchanged(build):
+    """Guards against changed bytes, a key that reaches an endpoint, and a workspace set by a caller."""
+    with Started(build) as fleet:
+        answer = fleet.call("POST", "app.example", "/book/a%20b?x=1&y=%2F", b"\x01body" * 1000,
+                            **{"X-Workspace": "forged", "X-Other": "kept"})
+        check(answer.status == 200, f"status {answer.status}: {answer.body}")
+        check(answer.body.startswith("done:"), "the endpoint's body comes back")
+        run = runs_of(fleet, f"r{fleet.requests}")[0]
+        check(run["path"] == "/book/a%20b?x=1&y=%2F", "path and query are unchanged")
+        check(run["body"] == b"\x01body" * 1000, "the body is unchanged")
+        check("authorization" not in run["headers"], "the key is not passed on")
+        check(run["headers"]["x-workspace"] == "north", "the workspace is that of the key")
+        check(run["headers"]["x-other"] == "kept", "other fields are passed on")
+        check(0 < int(run["headers"]["x-deadline-ms"]) <= 2000, "the deadline is the route's")
+
+
+def stream_relayed_event_by_event(build):
+    """Guards against a stream that is buffered until its end."""
+    with Started(build) as fleet:
+        connection = http.client.HTTPConnection(*fleet.entries[0].callers, timeout=5)
+        connection.request("POST", "/chat/x", b"hello", fleet.headers("chat.example"))
+        response = connection.getresponse()
+        started_at = time.monotonic()
+        first = response.read(10)
+        first_after = time.monotonic() - started_at
+        rest = response.read()
+        whole_after = time.monotonic() - started_at
+        check((first + rest).count(b"data:") == 5, "all events arrive")
+        check(whole_after > first_after + 0.05, "the first event does not wait for the last")
+
+
+def refusals_have_the_right_status(build):
+    """Guards against a wrong promise: a refusal that is no 4xx, or a request that runs all the same."""
+    with Started(build) as fleet:
+        check(fleet.call("GET", "app.example", "/none/").status == 404, "no route")
+        check(fleet.call("GET", "app.example", "/look/x", key="wrong").status == 401, "no key")
+        check(fleet.call("GET", "app.example", "/open/x", key="").status == 200, "an open route")
+        headers = fleet.headers("app.example")
+        del headers["X-Request-Id"]
+        check(call(fleet.entries[0].callers, "GET", "/look/x", headers=headers).status == 400,
+              "no request id")
+
+
+def once_request_refused_by_endpoint_is_promised_not_run(build):
+    """Guards against 502 for a request that certainly did not run, and against a second send."""
+    with Started(build) as fleet:
+        answer = fleet.call("POST", "app.example", "/book/refuse/x", "b")
+        check(answer.status == 503, f"status {answer.status}")
+        check(0 < float(answer.headers["retry-after"]) <= 1.4, "it tells when to come back")
+        check(runs_of(fleet, f"r{fleet.requests}") == [], "nothing ran")
+
+
+def once_request_without_answer_promises_nothing(build):
+    """Guards against 503 for a request that may have run."""
+    with Started(build) as fleet:
+        answer = fleet.call("POST", "app.example", "/book/hang/x", "b")
+        check(answer.status in (502, 504), f"status {answer.status}")
+        check(len(runs_of(fleet, f"r{fleet.requests}")) == 1, "it ran once")
+
+
+def failed_lookup_is_repeated_elsewhere(build):
+    """Guards against a repeatable request that fails with the first endpoint's 500."""
+    with Started(build) as fleet:
+        answer = fleet.call("GET", "app.example", "/look/fail/x")
+        check(answer.status == 500, "both endpoints fail, and the last answer is passed on")
+        check(len(runs_of(fleet, f"r{fleet.requests}")) == 2, "two endpoints were tried")
+
+
+def unmarked_success_is_no_success(build):
+    """Guards against bytes of something else that pass as an endpoint's answer."""
+    with Started(build) as fleet:
+        answer = fleet.call("POST", "app.example", "/book/unmarked/x", "b")
+        check(answer.status == 502, f"status {answer.status}")
+
+
+def cut_stream_never_looks_complete(build):
+    """Guards against a stream that ends early with a proper end."""
+    with Started(build) as fleet:
+        try:
+            answer = fleet.call("POST", "chat.example", "/chat/cut/x", "b")
+            check(answer.body.count("data:") == 5, "it may only be complete when it was resumed")
+        except (http.client.IncompleteRead, ConnectionError):
+            pass
+
+
+def caller_leaving_ends_the_work(build):
+    """Guards against work that goes on for a caller who has left."""
+    with Started(build) as fleet:
+        for endpoint in fleet.endpoints:
+            endpoint.events = 500
+        with socket.create_connection(fleet.entries[0].callers) as connection:
+            lines = [f"{name}: {value}" for name, value in fleet.headers("chat.example").items()]
+            head = "\r\n".join(["POST /chat/long HTTP/1.1", *lines, "Content-Length: 1", "", "x"])
+            connection.sendall(head.encode())
+            connection.recv(1000)
+        wait_until(lambda: sum(endpoint.left_early for endpoint in fleet.endpoints) == 1,
+                   "the endpoint is left", limit=1)
+
+
+def budget_is_never_exceeded(build):
+    """Guards against overspend over several entry processes, and a refusal before the end."""
+    with Started(build, entries=2) as fleet:
+        statuses = [fleet.call("POST", "chat.example", "/chat/x", "b", entry=i % 2,
+                               key="key-south", tokens="95,5").status for i in range(8)]
+        check(statuses.count(200) <= 5, f"at most 500 tokens are spent: {statuses}")
+        check(statuses.count(200) >= 4, f"most of the budget is usable: {statuses}")
+        check(set(statuses) <= {200, 402}, f"the rest is refused: {statuses}")
+        raised = copy.deepcopy(CONFIGURATION)
+        raised["version"] = 2
+        raised["workspaces"][1]["prepaid"] = 5000
+        fleet.apply(raised)
+        wait_until(lambda: fleet.call("POST", "chat.example", "/chat/x", "b", key="key-south",
+                                      tokens="95,5").status == 200, "a raised budget is used", 3)
+
+
+def configuration_is_in_force_everywhere_and_read_back(build):
+    """Guards against an accepted configuration that is lost, late or reverted by an older one."""
+    with Started(build, controls=3, entries=2) as fleet:
+        changed = copy.deepcopy(CONFIGURATION)
+        changed["version"] = 7
+        changed["routes"][2]["pathPrefix"] = "/moved/"
+        fleet.apply(changed)
+        for index in range(2):
+            took = wait_until(lambda i=index: fleet.call("GET", "app.example", "/moved/x",
+                                                         entry=i).status == 200,
+                              "the new route is in force", 2)
+            check(took < 2, "in time")
+        check(fleet.put(CONFIGURATION, 1).status == 200, "an older version is acknowledged")
+        check(json.loads(fleet.get(2).body) == changed, "and changes nothing")
+        broken = copy.deepcopy(changed)
+        broken["version"] = 9
+        broken["routes"][0]["service"] = "unknown"
+        check(400 <= fleet.put(broken, 0).status < 500, "an invalid one is refused")
+        check(json.loads(fleet.get(1).body) == changed, "and not in force")
+
+
+def control_processes_killed_together_keep_the_configuration(build):
+    """Guards against an acknowledged configuration that a restart of all loses."""
+    with Started(build, controls=3) as fleet:
+        changed = copy.deepcopy(CONFIGURATION)
+        changed["version"] = 5
+        fleet.apply(changed)
+        for control in fleet.controls:
+            control.kill()
+        check(fleet.call("GET", "app.example", "/look/x").status == 200, "service goes on")
+        for control in fleet.controls:
+            control.bootstrap = False
+            control.write_settings(fleet.seeds())
+            control.start()
+
+        def read_back():
+            try:
+                answer = fleet.get(0)
+            except OSError:
+                return False
+            return answer.status == 200 and json.loads(answer.body) == changed
+
+        wait_until(read_back, "the configuration is read back")
+
+
+def wiped_control_process_joins_again(build):
+    """Guards against a member that lost its disk and votes, or that never comes back."""
+    with Started(build, controls=3) as fleet:
+        wiped = fleet.controls[0]
+        wiped.kill()
+        for name in os.listdir(wiped.folder):
+            os.unlink(os.path.join(wiped.folder, name))
+        wiped.bootstrap = False
+        wiped.write_settings(fleet.seeds())
+        wiped.start()
+
+        def answers():
+            try:
+                return fleet.get(0).status == 200
+            except OSError:
+                return False
+
+        wait_until(answers, "the wiped process answers reads again")
+        time.sleep(2)
+        fleet.controls[1].kill()
+        changed = copy.deepcopy(CONFIGURATION)
+        changed["version"] = 3
+        fleet.apply(changed)
+
+
+def draining_endpoint_gets_no_new_work(build):
+    """Guards against new work on an endpoint that said that it leaves."""
+    with Started(build) as fleet:
+        leaving = fleet.endpoints[2]
+        leaving.leave()
+        time.sleep(1)
+        before = len(leaving.runs)
+        for _ in range(10):
+            check(fleet.call("GET", "app.example", "/look/x").status == 200, "the other serves")
+        check(len(leaving.runs) == before, "no new work")
+
+
+def stop_ends_open_requests(build):
+    """Guards against a planned stop that cuts a stream, or that never ends."""
+    with Started(build) as fleet:
+        for endpoint in fleet.endpoints:
+            endpoint.events = 60
+        results = []
+        thread = threading.Thread(target=lambda: results.append(
+            fleet.call("POST", "chat.example", "/chat/long", "b")))
+        thread.start()
+        time.sleep(0.3)
+        entry = fleet.entries[0]
+        entry.send(signal.SIGTERM)
+        wait_until(lambda: not entry.ready(), "readiness falls", 1)
+        thread.join()
+        check(results[0].body.count("data:") == 60, "the open stream is complete")
+        check(entry.process.wait(timeout=6) == 0, "the process ends by itself")
+
+
+def changed_settings_are_reloaded(build):
+    """Guards against seeds that are exchanged without effect, and a bad file that ends a process."""
+    with Started(build) as fleet:
+        entry = fleet.entries[0]
+        with open(entry.settings_path, "a", encoding="utf-8") as file:
+            file.write("nonsense\n")
+        entry.send(signal.SIGHUP)
+        wait_until(lambda: "event=reload_failed" in entry.log(), "a bad file is reported")
+        entry.write_settings(fleet.seeds())
+        wait_until(lambda: "event=reload " in entry.log(), "a changed file is read without a signal")
+        check(fleet.call("GET", "app.example", "/look/x").status == 200, "service goes on")
+
+
+CASES = [
+    request_forwarded_unchanged,
+    stream_relayed_event_by_event,
+    refusals_have_the_right_status,
+    once_request_refused_by_endpoint_is_promised_not_run,
+    once_request_without_answer_promises_nothing,
+    failed_lookup_is_repeated_elsewhere,
+    unmarked_success_is_no_success,
+    cut_stream_never_looks_complete,
+    caller_leaving_ends_the_work,
+    budget_is_never_exceeded,
+    configuration_is_in_force_everywhere_and_read_back,
+    control_processes_killed_together_keep_the_configuration,
+    wiped_control_process_joins_again,
+    draining_endpoint_gets_no_new_work,
+    stop_ends_open_requests,
+    changed_settings_are_reloaded,
+]
+
+if __name__ == "__main__":
+    wanted = sys.argv[2:]
+    chosen = [case for case in CASES if not wanted or case.__name__ in wanted]
+    sys.exit(run_cases(chosen, sys.argv[1]))
