http: server and client pool on Boost.Asio with Beast's parsers

Cause: the router daemon forwards requests; the module had headers only. Ruled out: Beast's streams and message types; they allocate a buffer for each connection and copy each field and body once more. Change: connections that read into one buffer of 64 KB shared by all, parse with a basic_parser fed by hand, and write once at the end of each event handler. One timer for the deadlines of a server or pool.

--- /dev/null
+++ b/modules/http/ClientPool.cpp
@@ -0,0 +1,289 @@
+#include "http/ClientPool.h"
+
+#include "http/ClientConnection.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace figchute::http {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using detail::ClientConnection;
+using detail::Exchange;
+
+class CallHandle final : public Call
+{
+public:
+  explicit CallHandle(std::shared_ptr<Exchange> exchange)
+    : exchange_(std::move(exchange))
+  {
+  }
+
+  ~CallHandle() override { stop(); }
+
+  CallHandle(const CallHandle&) = delete;
+  CallHandle& operator=(const CallHandle&) = delete;
+
+  void cancel() override { stop(); }
+
+  void pause() override { exchange_->paused = true; }
+
+  void resume() override
+  {
+    if (std::exchange(exchange_->paused, false) && exchange_->connection)
+      exchange_->connection->resume();
+  }
+
+private:
+  void stop()
+  {
+    exchange_->listener = nullptr;
+    if (exchange_->connection) {
+      const auto connection = exchange_->connection->shared_from_this();
+      connection->close();
+    }
+  }
+
+  std::shared_ptr<Exchange> exchange_;
+};
+
+/** Returns the length to announce: none for a request that has no body and needs no length. */
+std::optional<std::uint64_t> announcedLength(const RequestHead& head,
+                                             const std::shared_ptr<const std::string>& body)
+{
+  if (body && !body->empty())
+    return body->size();
+  const bool expectsBody = head.method == "POST" || head.method == "PUT" ||
+                           head.method == "PATCH" || head.length || head.chunked;
+  return expectsBody ? std::optional<std::uint64_t>(0) : std::nullopt;
+}
+
+std::string hostOf(const tcp::endpoint& address)
+{
+  const auto text = address.address().to_string();
+  return address.address().is_v6() ? fmt::format("[{}]:{}", text, address.port())
+                                   : fmt::format("{}:{}", text, address.port());
+}
+
+} // namespace
+
+std::string_view toString(CallFailureKind kind)
+{
+  switch (kind) {
+    case CallFailureKind::connectRefused:
+      return "connect_refused";
+    case CallFailureKind::connectTimeout:
+      return "connect_timeout";
+    case CallFailureKind::connectionLimit:
+      return "connection_limit";
+    case CallFailureKind::reset:
+      return "reset";
+    case CallFailureKind::closed:
+      return "closed";
+    case CallFailureKind::malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+class ClientPool::Impl final : public detail::PoolShared
+{
+public:
+  explicit Impl(boost::asio::io_context& context)
+    : PoolShared(context)
+  {
+    timer = std::make_shared<detail::DeadlineTimer>(
+      context, [this](Duration now) { return checkDeadlines(now); });
+  }
+
+  void assign(const std::shared_ptr<Exchange>& exchange) override
+  {
+    const auto now = detail::bootTime();
+    while (!exchange->options.fresh) {
+      const auto found = addresses_.find(exchange->address);
+      if (found == addresses_.end() || found->second.idle.empty())
+        break;
+      auto& idle = found->second.idle;
+      const auto connection = idle.back()->shared_from_this();
+      idle.pop_back();
+      // A suspended process may see the deadline before its timer does.
+      if (connection->deadline() > now) {
+        connection->begin(exchange);
+        return;
+      }
+      connection->close();
+    }
+    open(exchange);
+  }
+
+  void idle(ClientConnection& connection) override
+  {
+    addresses_[connection.address()].idle.push_back(&connection);
+  }
+
+  void closed(ClientConnection& connection) override
+  {
+    const auto found = addresses_.find(connection.address());
+    if (found == addresses_.end())
+      return;
+    auto& [all, idle] = found->second;
+    std::erase(idle, &connection);
+    auto& last = all.back();
+    last->index = connection.index;
+    std::swap(all[connection.index], last);
+    all.pop_back();
+    if (all.empty())
+      addresses_.erase(found);
+  }
+
+  void closeIdle(const tcp::endpoint& address)
+  {
+    const auto found = addresses_.find(address);
+    if (found == addresses_.end())
+      return;
+    const auto all = found->second.all;
+    for (const auto& connection : all)
+      if (connection->isIdle())
+        connection->close();
+  }
+
+  [[nodiscard]] std::size_t connections(const tcp::endpoint& address) const
+  {
+    const auto found = addresses_.find(address);
+    return found == addresses_.end() ? 0 : found->second.all.size();
+  }
+
+  [[nodiscard]] std::uint64_t opened() const { return opened_; }
+
+  void shutDown()
+  {
+    timer->stop();
+    for (const auto& connection : everyConnection())
+      connection->close();
+  }
+
+private:
+  using Connections = std::vector<std::shared_ptr<ClientConnection>>;
+
+  struct Address
+  {
+    Connections all;
+    /** The most recently used one is last. */
+    std::vector<ClientConnection*> idle;
+  };
+
+  void open(const std::shared_ptr<Exchange>& exchange)
+  {
+    if (connections(exchange->address) >= exchange->options.maxConnections &&
+        !closeOldestIdle(exchange->address)) {
+      failLater(exchange, CallFailureKind::connectionLimit, "all connections are busy");
+      return;
+    }
+    const auto connection = std::make_shared<ClientConnection>(*this, exchange->address);
+    auto error = connection->connect(exchange);
+    if (!error.empty()) {
+      failLater(exchange, CallFailureKind::connectRefused, std::move(error));
+      return;
+    }
+    ++opened_;
+    auto& all = addresses_[exchange->address].all;
+    connection->index = all.size();
+    all.push_back(connection);
+  }
+
+  bool closeOldestIdle(const tcp::endpoint& address)
+  {
+    const auto found = addresses_.find(address);
+    if (found == addresses_.end() || found->second.idle.empty())
+      return false;
+    const auto connection = found->second.idle.front()->shared_from_this();
+    connection->close();
+    return true;
+  }
+
+  void failLater(const std::shared_ptr<Exchange>& exchange,
+                 CallFailureKind kind,
+                 std::string detail)
+  {
+    boost::asio::post(io, [exchange, kind, detail = std::move(detail)] {
+      auto* const listener = std::exchange(exchange->listener, nullptr);
+      if (!listener)
+        return;
+      CallFailure failure;
+      failure.kind = kind;
+      failure.detail = detail;
+      listener->onFailure(failure);
+    });
+  }
+
+  [[nodiscard]] Connections everyConnection() const
+  {
+    Connections every;
+    for (const auto& [address, entry] : addresses_)
+      every.insert(every.end(), entry.all.begin(), entry.all.end());
+    return every;
+  }
+
+  Duration checkDeadlines(Duration now)
+  {
+    const detail::Turn::Scope scope(turn);
+    auto next = detail::kNever;
+    for (const auto& connection : everyConnection())
+      next = std::min(next, connection->checkDeadline(now));
+    return next;
+  }
+
+  std::map<tcp::endpoint, Address> addresses_;
+  std::uint64_t opened_ = 0;
+};
+
+ClientPool::ClientPool(boost::asio::io_context& io)
+  : impl_(std::make_shared<Impl>(io))
+{
+}
+
+ClientPool::~ClientPool()
+{
+  impl_->shutDown();
+}
+
+std::shared_ptr<Call> ClientPool::start(const tcp::endpoint& address,
+                                        RequestHead head,
+                                        std::shared_ptr<const std::string> body,
+                                        CallOptions options,
+                                        CallListener& listener)
+{
+  auto exchange = std::make_shared<Exchange>();
+  exchange->listener = &listener;
+  exchange->address = address;
+  exchange->options = std::move(options);
+  exchange->method = head.method;
+  const auto length = announcedLength(head, body);
+  detail::appendHead(exchange->head, head, length, hostOf(address));
+  exchange->body = std::move(body);
+  impl_->assign(exchange);
+  return std::make_shared<CallHandle>(std::move(exchange));
+}
+
+void ClientPool::closeIdle(const tcp::endpoint& address)
+{
+  impl_->closeIdle(address);
+}
+
+std::size_t ClientPool::connections(const tcp::endpoint& address) const
+{
+  return impl_->connections(address);
+}
+
+std::uint64_t ClientPool::opened() const
+{
+  return impl_->opened();
+}
+
+} // namespace figchute::http
--- a/modules/http/Head.h
+++ b/modules/http/Head.h
@@ -43,6 +43,13 @@
       @returns how many there were */
   std::size_t remove(std::string_view name);
 
+  /** Removes the fields for which @p predicate returns true. */
+  template<typename Predicate>
+  void removeIf(Predicate predicate)
+  {
+    std::erase_if(fields_, std::move(predicate));
+  }
+
   [[nodiscard]] auto begin() const { return fields_.begin(); }
   [[nodiscard]] auto end() const { return fields_.end(); }
   [[nodiscard]] bool empty() const { return fields_.empty(); }
--- /dev/null
+++ b/modules/http/Server.cpp
@@ -0,0 +1,238 @@
+#include "http/Server.h"
+
+#include "http/ServerConnection.h"
+#include "http/Sockets.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace figchute::http {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr int kBacklog = 4096;
+
+/** Most connections accepted before others get their turn. */
+constexpr int kAcceptsPerEvent = 64;
+
+/** How many connections beyond the maximum are kept for the time that their 503 takes. */
+constexpr std::size_t kRefusalRoom = 64;
+
+/** How long accepting rests when the process has no descriptor or memory for a connection. */
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+class Server::Impl final
+  : public detail::ServerShared
+  , public std::enable_shared_from_this<Impl>
+{
+public:
+  Impl(boost::asio::io_context& context, ServerLimits bounds, Handler function)
+    : ServerShared(context, bounds, std::move(function))
+    , acceptor_(context)
+  {
+    timer = std::make_shared<detail::DeadlineTimer>(
+      context, [this](Duration now) { return checkDeadlines(now); });
+  }
+
+  Expected<void> listen(const tcp::endpoint& address)
+  {
+    boost::system::error_code error;
+    acceptor_.open(address.protocol(), error);
+    if (!error)
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+      acceptor_.bind(address, error);
+    // Accepted sockets inherit these options. The kernel also counts the time that a caller does
+    // not read, so the bound is the one for writes.
+    if (!error)
+      detail::setTcpOptions(acceptor_.native_handle(), limits.writeTimeout);
+    if (!error)
+      acceptor_.listen(kBacklog, error);
+    if (!error) {
+      boost::system::error_code unknown;
+      port_ = acceptor_.local_endpoint(unknown).port();
+      waitForConnections();
+      return {};
+    }
+    stopAccepting();
+    return fail(ErrorKind::internal,
+                fmt::format("cannot listen on {}:{}: {}",
+                            address.address().to_string(),
+                            address.port(),
+                            error.message()));
+  }
+
+  [[nodiscard]] std::uint16_t port() const { return port_; }
+
+  void stopAccepting()
+  {
+    acceptPausedUntil_ = detail::kNever;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+  }
+
+  void drain()
+  {
+    draining = true;
+    const auto all = connections_;
+    for (const auto& connection : all)
+      connection->closeIfIdle();
+  }
+
+  [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+
+  void shutDown()
+  {
+    stopAccepting();
+    timer->stop();
+    const auto all = connections_;
+    for (const auto& connection : all)
+      connection->close();
+  }
+
+  void closed(detail::ServerConnection& connection) override
+  {
+    auto& last = connections_.back();
+    last->index = connection.index;
+    std::swap(connections_[connection.index], last);
+    connections_.pop_back();
+  }
+
+private:
+  void waitForConnections()
+  {
+    acceptor_.async_wait(tcp::acceptor::wait_read,
+                         [weak = weak_from_this()](const boost::system::error_code& error) {
+                           const auto self = weak.lock();
+                           if (error || !self || !self->acceptor_.is_open())
+                             return;
+                           const detail::Turn::Scope scope(self->turn);
+                           if (self->acceptSome())
+                             self->waitForConnections();
+                         });
+  }
+
+  /** @returns false when accepting has to rest */
+  bool acceptSome()
+  {
+    for (int count = 0; count < kAcceptsPerEvent; ++count) {
+      tcp::endpoint peer;
+      auto size = static_cast<socklen_t>(peer.capacity());
+      const int socket = ::accept4(acceptor_.native_handle(), peer.data(), &size, SOCK_CLOEXEC);
+      if (socket >= 0) {
+        peer.resize(size);
+        add(socket, peer);
+      } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+        break;
+      } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        acceptPausedUntil_ = detail::bootTime() + kAcceptPause;
+        timer->need(acceptPausedUntil_);
+        return false;
+      }
+      // All other errors concern one connection that failed before it was accepted.
+    }
+    return true;
+  }
+
+  void add(int descriptor, const tcp::endpoint& peer)
+  {
+    if (connections_.size() >= limits.maxConnections + kRefusalRoom) {
+      ::close(descriptor);
+      return;
+    }
+    tcp::socket socket(io);
+    boost::system::error_code error;
+    socket.assign(peer.protocol(), descriptor, error);
+    if (error) {
+      ::close(descriptor);
+      return;
+    }
+    const bool full = connections_.size() >= limits.maxConnections;
+    auto connection = std::make_shared<detail::ServerConnection>(*this, std::move(socket), peer);
+    connection->index = connections_.size();
+    connections_.push_back(connection);
+    if (full)
+      connection->refuse(503);
+    else
+      connection->start();
+  }
+
+  Duration checkDeadlines(Duration now)
+  {
+    const detail::Turn::Scope scope(turn);
+    if (acceptPausedUntil_ <= now) {
+      acceptPausedUntil_ = detail::kNever;
+      waitForConnections();
+    }
+    auto next = acceptPausedUntil_;
+    // From the last to the first, because a connection that closes is replaced by the last one.
+    for (auto i = connections_.size(); i-- > 0;) {
+      if (i >= connections_.size())
+        continue;
+      const auto connection = connections_[i];
+      next = std::min(next, connection->checkDeadline(now));
+    }
+    return next;
+  }
+
+  tcp::acceptor acceptor_;
+  std::uint16_t port_ = 0;
+  std::vector<std::shared_ptr<detail::ServerConnection>> connections_;
+  Duration acceptPausedUntil_ = detail::kNever;
+};
+
+Server::Server(boost::asio::io_context& io, ServerLimits limits, Handler handler)
+  : impl_(std::make_shared<Impl>(io, limits, std::move(handler)))
+{
+}
+
+Server::~Server()
+{
+  impl_->shutDown();
+}
+
+Expected<void> Server::listen(const tcp::endpoint& address)
+{
+  return impl_->listen(address);
+}
+
+std::uint16_t Server::port() const
+{
+  return impl_->port();
+}
+
+void Server::setLimits(const ServerLimits& limits)
+{
+  impl_->limits = limits;
+}
+
+void Server::stopAccepting()
+{
+  impl_->stopAccepting();
+}
+
+void Server::drain()
+{
+  impl_->drain();
+}
+
+std::size_t Server::connections() const
+{
+  return impl_->connections();
+}
+
+std::size_t Server::openRequests() const
+{
+  return impl_->openRequests;
+}
+
+} // namespace figchute::http
--- /dev/null
+++ b/modules/http/Sockets.cpp
@@ -0,0 +1,86 @@
+#include "http/Sockets.h"
+
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <system_error>
+
+namespace figchute::http::detail {
+
+namespace {
+
+Transfer failure(int error)
+{
+  if (error == EAGAIN || error == EWOULDBLOCK)
+    return {};
+  return { Transfer::State::failed, 0, error };
+}
+
+} // namespace
+
+Transfer receive(int socket, std::span<char> buffer)
+{
+  while (true) {
+    const auto size = ::recv(socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size > 0)
+      return { Transfer::State::done, static_cast<std::size_t>(size), 0 };
+    if (size == 0)
+      return { Transfer::State::ended, 0, 0 };
+    if (errno != EINTR)
+      return failure(errno);
+  }
+}
+
+Transfer send(int socket, std::span<const iovec> parts)
+{
+  msghdr message{};
+  message.msg_iov = const_cast<iovec*>(parts.data());
+  message.msg_iovlen = parts.size();
+  while (true) {
+    const auto size = ::sendmsg(socket, &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (size >= 0)
+      return { Transfer::State::done, static_cast<std::size_t>(size), 0 };
+    if (errno != EINTR)
+      return failure(errno);
+  }
+}
+
+bool hasInput(int socket)
+{
+  char byte = 0;
+  const auto size = ::recv(socket, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool hasEnd(int socket)
+{
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    return true;
+  return info.tcpi_state != TCP_ESTABLISHED && info.tcpi_state != TCP_FIN_WAIT1 &&
+         info.tcpi_state != TCP_FIN_WAIT2;
+}
+
+void setTcpOptions(int socket, Duration timeout)
+{
+  const int noDelay = 1;
+  ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
+  const auto millis =
+    static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+  ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
+}
+
+void setResetOnClose(int socket)
+{
+  const linger option{ 1, 0 };
+  ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
+std::string errorText(int error)
+{
+  return std::generic_category().message(error);
+}
+
+} // namespace figchute::http::detail
