fleet: validate configurations and match routes

Cause: the daemon, the dialect and the dispatcher build against RouteTable. Ruled out: a scan of a host's routes by length (1,500 comparisons for each request); a hash lookup for each slash of the path (a long path of slashes costs its length squared). Change: validate(), RouteTable with routes sorted by prefix and linked to the next shorter prefix, pickService(), umbrella header. Conclusion: other modules can build against it.

--- a/modules/fleet/RouteTable.h
+++ b/modules/fleet/RouteTable.h
@@ -2,6 +2,8 @@
 
 #include "fleet/Configuration.h"
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -10,6 +12,10 @@
 
 namespace figchute::fleet {
 
+/** Returns a host in lower case and without its port, as routes are matched.
+    Thread safety: safe from any thread. */
+[[nodiscard]] std::string normalizedHost(std::string_view host);
+
 /** A configuration with indexes for requests. It never changes after its creation.
     Thread safety: safe from any thread. */
 class RouteTable
@@ -40,11 +46,34 @@
                                                       std::string_view requestId);
 
 private:
+  /** A route in the list of its host, which is sorted by prefix. */
+  struct Place
+  {
+    const Route* route = nullptr;
+    /** Index of the route with the longest prefix that begins this one's prefix, or kNone. */
+    std::size_t parent = 0;
+  };
+
+  struct TextHash
+  {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const
+    {
+      return std::hash<std::string_view>{}(text);
+    }
+  };
+
+  template<typename Value>
+  using ByText = std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
+
+  static constexpr std::size_t kNone = static_cast<std::size_t>(-1);
+
+  static void linkParents(std::vector<Place>& places);
+
   Configuration configuration_;
-  /** Routes of a host, longest prefix first. */
-  std::unordered_map<std::string, std::vector<const Route*>> byHost_;
-  std::unordered_map<std::string, const WorkspaceSettings*> byKey_;
-  std::unordered_map<std::string, const ServiceSettings*> byService_;
+  ByText<std::vector<Place>> byHost_;
+  ByText<const WorkspaceSettings*> byKey_;
+  ByText<const ServiceSettings*> byService_;
 };
 
 } // namespace figchute::fleet
--- /dev/null
+++ b/modules/fleet/fleet.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/** Configurations, routes and the endpoint registry of the router daemon: types, replicated state
+   and the protocol between entry and control processes. The module does no I/O and reads no clock.
+ */
+
+#include "fleet/Configuration.h"
+#include "fleet/Endpoint.h"
+#include "fleet/Messages.h"
+#include "fleet/RouteTable.h"
