ledger: hold configuration and endpoint registry in the replicated state

Cause: the router daemon needs one configuration and one endpoint registry that survive the loss of a control VM. Ruled out: the books in ledger (the announcement desk of fleet decides by them, and fleet must not depend on ledger). Change: commands PutConfiguration, PutEndpoint, RemoveEndpoint, ExpireEndpoint at the end of the variant; ConfigurationBook and EndpointBook in fleet; ControlState::fleet(), valid over restore(); one marked call site for budgets.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -4,7 +4,11 @@
    and the protocol between entry and control processes. The module does no I/O and reads no clock.
  */
 
+#include "fleet/Commands.h"
 #include "fleet/Configuration.h"
+#include "fleet/ConfigurationBook.h"
 #include "fleet/Endpoint.h"
+#include "fleet/EndpointBook.h"
+#include "fleet/FleetState.h"
 #include "fleet/Messages.h"
 #include "fleet/RouteTable.h"
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "fleet/Commands.h"
 #include "wire/wire.h"
 
 #include <cstdint>
@@ -437,6 +438,52 @@
   MSGPACK_DEFINE(verdict)
 };
 
+/** The budget of a workspace, as a configuration gives it. */
+struct PrepaidBudget
+{
+  BudgetId budget;
+  Tokens prepaid;
+
+  MSGPACK_DEFINE(budget, prepaid)
+};
+
+/** Puts a configuration in force unless its version is not above the one in force. The proposer has
+    validated it. Idempotent by its version. */
+struct PutConfiguration
+{
+  std::uint64_t version = 0;
+  /** The configuration as the operator sent it. */
+  std::string bytes;
+  /** The budgets of all workspaces that have one. */
+  std::vector<PrepaidBudget> budgets;
+
+  MSGPACK_DEFINE(version, bytes, budgets)
+};
+
+/** The outcome of PutConfiguration. */
+struct ConfigurationResult
+{
+  Verdict verdict;
+  /** The version in force after the command. */
+  std::uint64_t version = 0;
+
+  MSGPACK_DEFINE(verdict, version)
+};
+
+using fleet::ExpireEndpoint;
+using fleet::PutEndpoint;
+using fleet::RemoveEndpoint;
+
+/** The outcome of the three endpoint commands. */
+struct EndpointResult
+{
+  Verdict verdict;
+  /** Whether the registry changed; a late or repeated command changes nothing. */
+  bool changed = false;
+
+  MSGPACK_DEFINE(verdict, changed)
+};
+
 /** A command of the log. */
 using Command = std::variant<ApplyDocument,
                              Grant,
@@ -448,7 +495,11 @@
                              CrashReport,
                              AddMember,
                              PromoteMember,
-                             RemoveMember>;
+                             RemoveMember,
+                             PutConfiguration,
+                             PutEndpoint,
+                             RemoveEndpoint,
+                             ExpireEndpoint>;
 
 /** The result of a command. */
 using Result = std::variant<DocumentResult,
@@ -459,6 +510,8 @@
                             RegisterResult,
                             RetireResult,
                             CrashResult,
-                            MemberResult>;
+                            MemberResult,
+                            ConfigurationResult,
+                            EndpointResult>;
 
 } // namespace figchute::ledger
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -66,8 +66,9 @@
   detail::ClaimBook claims;
   detail::QuarantineBook quarantine;
   std::map<ProcessId, Member> members;
+  fleet::FleetState fleet;
 
-  MSGPACK_DEFINE(index, time, escrow, documents, claims, quarantine, members)
+  MSGPACK_DEFINE(index, time, escrow, documents, claims, quarantine, members, fleet)
 
   Result run(const ApplyDocument& command, std::vector<Outgoing>& /*outgoing*/)
   {
@@ -142,12 +143,29 @@
     return MemberResult{};
   }
 
+  Result run(const PutConfiguration& command, std::vector<Outgoing>& /*outgoing*/)
+  {
+    fleet.configuration.put(command.version, command.bytes);
+    return ConfigurationResult{ Verdict{}, fleet.configuration.version() };
+  }
+
+  template<typename EndpointCommand>
+  requires requires(fleet::EndpointBook& book, const EndpointCommand& command)
+  {
+    book.apply(std::uint64_t{}, Time{}, command);
+  }
+  Result run(const EndpointCommand& command, std::vector<Outgoing>& /*outgoing*/)
+  {
+    return EndpointResult{ Verdict{}, fleet.endpoints.apply(index, time, command) };
+  }
+
   void expire()
   {
     escrow.expire(time);
     documents.expire(time);
     claims.expire(time);
     quarantine.expire(time);
+    fleet.endpoints.forget(time);
   }
 };
 
@@ -164,11 +182,15 @@
 {
   invariant(index > state_->index, "log entries are applied in order");
   const auto revision = state_->documents.revision();
+  const auto configuration = state_->fleet.configuration.version();
   state_->index = index;
   state_->time = std::max(state_->time, time);
   state_->expire();
   auto result =
     std::visit([this](const auto& typed) { return state_->run(typed, outgoing_); }, command);
+  if (state_->fleet.configuration.version() > configuration) {
+    setBudgets(std::get<PutConfiguration>(command).budgets);
+  }
   for (const auto& holder : state_->escrow.takeRetiring()) {
     state_->claims.abandonHolder(holder);
   }
@@ -206,7 +228,9 @@
   }
   state->escrow.rebuildIndex();
   state->claims.rebuildIndex();
-  state_ = std::move(state);
+  state->fleet.endpoints.rebuildIndex();
+  // Assigned in place, because fleet() promises a reference that outlives this call.
+  *state_ = std::move(*state);
   outgoing_.clear();
   return {};
 }
@@ -355,6 +379,16 @@
   return views;
 }
 
+const fleet::FleetState& ControlState::fleet() const
+{
+  return state_->fleet;
+}
+
+void ControlState::setBudgets(std::span<const PrepaidBudget> /*budgets*/)
+{
+  // MERGE: state_->escrow.setPrepaid(budgets);
+}
+
 std::vector<MemberView> ControlState::members() const
 {
   std::vector<MemberView> views;
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "fleet/FleetState.h"
 #include "ledger/Message.h"
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -187,8 +189,16 @@
   /** Returns the members of the log. */
   [[nodiscard]] std::vector<MemberView> members() const;
 
+  /** Returns configuration and endpoint registry. The reference stays valid, also over restore(),
+      until this object is assigned to or destroyed. */
+  [[nodiscard]] const fleet::FleetState& fleet() const;
+
 private:
   struct State;
+
+  /** Passes the budgets of a configuration on to the escrow. */
+  void setBudgets(std::span<const PrepaidBudget> budgets);
+
   std::unique_ptr<State> state_;
   std::vector<Outgoing> outgoing_;
 };
--- a/tools/figchute-random/Network.cpp
+++ b/tools/figchute-random/Network.cpp
@@ -20,9 +20,11 @@
                                     "WitnessRecord",   "WitnessAck",   "WitnessReportRequest",
                                     "WitnessReport",   "DocumentPoll", "DocumentPush",
                                     "WitnessForget" };
-constexpr std::array kCommandNames{ "ApplyDocument", "Grant",          "Settle",      "Claim",
-                                    "Outcome",       "RegisterHolder", "Retire",      "CrashReport",
-                                    "AddMember",     "PromoteMember",  "RemoveMember" };
+constexpr std::array kCommandNames{ "ApplyDocument", "Grant",          "Settle",
+                                    "Claim",         "Outcome",        "RegisterHolder",
+                                    "Retire",        "CrashReport",    "AddMember",
+                                    "PromoteMember", "RemoveMember",   "PutConfiguration",
+                                    "PutEndpoint",   "RemoveEndpoint", "ExpireEndpoint" };
 static_assert(kMessageNames.size() == std::variant_size_v<ledger::Message>);
 static_assert(kCommandNames.size() == std::variant_size_v<ledger::Command>);
 
