dispatch: first version of the endpoint choice

Cause: the exchange needs a Dispatcher to build against. Ruled out: routing's Router as it is; it queues, and it knows no plain services, connection shares or trials of single endpoints. Its LoadEstimate and rendezvous hashing are used; the estimate takes the lag of its reports now. Change: endpoint table, placement of subjects, predicted time to first token, circuit breaker, repeat budget, crash table and early refusal behind the given headers; takeStalled() is new. Conclusion: others can link it; the policy is not measured yet.

--- /dev/null
+++ b/modules/dispatch/CrashTable.cpp
@@ -0,0 +1,73 @@
+#include "dispatch/CrashTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figchute::dispatch {
+namespace {
+
+/** A crashed endpoint is noticed by the next connection or by its missing announcements, which
+    takes up to 6 s. */
+constexpr Duration kSuspicion = std::chrono::seconds(7);
+constexpr std::size_t kMostSuspects = 1024;
+constexpr std::size_t kMostEntries = 4096;
+
+} // namespace
+
+void CrashTable::suspect(Time now, std::size_t endpoint, Fingerprint fingerprint)
+{
+  if (suspects_.size() < kMostSuspects) {
+    suspects_.push_back({ endpoint, fingerprint, now });
+  }
+}
+
+void CrashTable::endpointAnswered(std::size_t endpoint, Time sentAt)
+{
+  std::erase_if(suspects_, [&](const Suspect& suspect) {
+    return suspect.endpoint == endpoint && suspect.at <= sentAt;
+  });
+}
+
+void CrashTable::endpointDown(Time now, std::size_t endpoint)
+{
+  for (const auto& suspect : suspects_) {
+    if (suspect.endpoint == endpoint) {
+      add(now, suspect.fingerprint, 1);
+      untold_.push_back(suspect.fingerprint);
+    }
+  }
+  std::erase_if(suspects_, [&](const Suspect& suspect) { return suspect.endpoint == endpoint; });
+}
+
+void CrashTable::add(Time now, Fingerprint fingerprint, std::uint64_t crashes)
+{
+  const auto found = entries_.find(fingerprint);
+  if (found == entries_.end() && entries_.size() >= kMostEntries) {
+    return;
+  }
+  auto& entry = entries_[fingerprint];
+  entry.crashes += crashes;
+  entry.last = now;
+}
+
+Duration CrashTable::refusedFor(Time now, Fingerprint fingerprint) const
+{
+  const auto found = entries_.find(fingerprint);
+  if (found == entries_.end() || found->second.crashes < kCrashLimit) {
+    return Duration(0);
+  }
+  return std::max(found->second.last + kRefusal - now, Duration(0));
+}
+
+void CrashTable::expire(Time now)
+{
+  std::erase_if(suspects_, [&](const Suspect& suspect) { return now - suspect.at > kSuspicion; });
+  std::erase_if(entries_, [&](const auto& entry) { return now - entry.second.last > kRefusal; });
+}
+
+std::vector<Fingerprint> CrashTable::takeCrashes()
+{
+  return std::exchange(untold_, {});
+}
+
+} // namespace figchute::dispatch
--- /dev/null
+++ b/modules/dispatch/Dispatcher.cpp
@@ -0,0 +1,697 @@
+#include "dispatch/Dispatcher.h"
+
+#include "dispatch/Admission.h"
+#include "dispatch/CrashTable.h"
+#include "dispatch/EndpointTable.h"
+#include "dispatch/Placement.h"
+#include "dispatch/RepeatBudget.h"
+#include "dispatch/SendTable.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace figchute::dispatch {
+namespace {
+
+/** The page allows this part of the common repeat budget to the requests of the processes, so that
+    the sum stays below it when they do not get equal shares of the traffic. */
+constexpr double kRatioPart = 0.75;
+constexpr double kSlackPart = 0.5;
+
+/** A subject stays at an engine up to this part of the target in predicted time. */
+constexpr double kStayPart = 0.6;
+/** Another zone must be faster by this part of the target for a request without a subject. */
+constexpr double kZonePart = 0.25;
+
+/** Without any bytes for this long from an endpoint that has work of this process, the endpoint is
+    silent. The largest pause between events that is on time is 0.5 s. */
+constexpr Duration kSilence = std::chrono::milliseconds(1200);
+/** A single request is overdue after this many times its prediction, at least its target. */
+constexpr int kOverdueFactor = 4;
+constexpr Duration kOverdueMargin = std::chrono::milliseconds(500);
+
+/** A trial waits this long for a request that may be repeated before it takes one that may not. */
+constexpr Duration kTrialPatience = std::chrono::seconds(2);
+
+constexpr Duration kInitialServiceTime = std::chrono::milliseconds(500);
+constexpr double kServiceTimeSmoothing = 0.05;
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(50);
+constexpr Duration kLongestRetryAfter = std::chrono::seconds(2);
+
+/** What this process knows of a service. */
+struct ServiceState
+{
+  fleet::ServiceSettings settings;
+  RepeatBudget repeats;
+  /** Mean time from send to end of answered requests. */
+  Duration serviceTime = kInitialServiceTime;
+};
+
+/** An endpoint that may take the request, with what is predicted of it. */
+struct Candidate
+{
+  Endpoint* endpoint = nullptr;
+  double load = 0;
+  bool ownZone = false;
+  Duration reading{};
+  Duration expected{};
+  Duration predicted{};
+  std::int64_t newTokens = 0;
+};
+
+std::optional<Fault> faultOf(Outcome outcome)
+{
+  switch (outcome) {
+    case Outcome::serverError:
+    case Outcome::notExecuted:
+      return Fault::weak;
+    case Outcome::broken:
+    case Outcome::timedOut:
+    case Outcome::malformed:
+      return Fault::strong;
+    case Outcome::wrongEndpoint:
+    case Outcome::notConnected:
+      return Fault::absent;
+    case Outcome::answered:
+    case Outcome::cancelled:
+      break;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+class Dispatcher::Impl
+{
+public:
+  explicit Impl(DispatcherSettings settings)
+    : settings_(std::move(settings))
+    , random_(settings_.seed)
+    , allRepeats_(settings_.repeatWindow)
+  {
+  }
+
+  void setServices(std::span<const fleet::ServiceSettings> services)
+  {
+    std::map<ServiceName, ServiceState> next;
+    for (const auto& service : services) {
+      const auto known = services_.find(service.name);
+      auto state =
+        known == services_.end()
+          ? ServiceState{ service, RepeatBudget(settings_.repeatWindow), kInitialServiceTime }
+          : known->second;
+      state.settings = service;
+      next.emplace(service.name, std::move(state));
+    }
+    services_ = std::move(next);
+  }
+
+  void setEndpoints(Time now, std::span<const fleet::EndpointRecord> records)
+  {
+    for (const auto place : endpoints_.replace(now, records)) {
+      crashes_.endpointDown(now, place);
+    }
+  }
+
+  void setPeers(std::size_t entryProcesses) { peers_ = std::max<std::size_t>(entryProcesses, 1); }
+
+  tl::expected<Choice, Refusal> choose(Time now,
+                                       const Work& work,
+                                       std::span<const EndpointId> excluded)
+  {
+    now_ = now;
+    const auto service = services_.find(work.service);
+    if (service == services_.end()) {
+      return refuse(now, work, ErrorKind::noEndpoint, kLongestRetryAfter, "unknown service");
+    }
+    const auto quarantine =
+      work.fingerprint == 0 ? Duration(0) : crashes_.refusedFor(now, work.fingerprint);
+    if (quarantine > Duration(0)) {
+      return tl::unexpected<Refusal>(
+        Refusal{ ErrorKind::quarantined, quarantine, "the request crashed several endpoints" });
+    }
+    if (auto refusal = admitAttempt(now, work, service->second)) {
+      return tl::unexpected<Refusal>(*refusal);
+    }
+    auto choice = service->second.settings.engine
+                    ? chooseEngine(now, work, service->second, excluded)
+                    : choosePlain(now, work, service->second, excluded);
+    return choice;
+  }
+
+  void firstByte(Time now, std::uint64_t workId)
+  {
+    auto* request = requests_.find(workId);
+    if (request == nullptr || !request->send || request->send->answering) {
+      return;
+    }
+    auto& send = *request->send;
+    send.answering = true;
+    send.heardAt = now;
+    if (auto* endpoint = endpoints_.find(send.place)) {
+      endpoint->heardAt = now;
+      endpoint->firstToken.ended(request->priority, send.reading);
+      endpoint->firstToken.observe(now, send.expected, now - send.sentAt);
+      crashes_.endpointAnswered(send.place, send.sentAt);
+    }
+  }
+
+  void progress(Time now, std::uint64_t workId)
+  {
+    auto* request = requests_.find(workId);
+    if (request == nullptr || !request->send) {
+      return;
+    }
+    request->send->heardAt = now;
+    if (auto* endpoint = endpoints_.find(request->send->place)) {
+      endpoint->heardAt = now;
+    }
+  }
+
+  void finished(Time now, std::uint64_t workId, Outcome outcome)
+  {
+    auto* request = requests_.find(workId);
+    if (request == nullptr || !request->send) {
+      return;
+    }
+    now_ = std::max(now_, now);
+    const auto send = requests_.end(*request);
+    auto* endpoint = endpoints_.find(send.place);
+    if (endpoint == nullptr) {
+      return;
+    }
+    endpoint->load.change(now, -1);
+    endpoint->heldTokens -= request->promptTokens;
+    if (!send.answering) {
+      endpoint->firstToken.ended(request->priority, send.reading);
+    }
+    judge(now, *request, send, *endpoint, outcome);
+  }
+
+  void forget(Time now, std::uint64_t workId)
+  {
+    finished(now, workId, Outcome::cancelled);
+    requests_.forget(workId);
+  }
+
+  void load(Time now, const EndpointId& id, const LoadReport& report)
+  {
+    auto* endpoint = endpoints_.find(id);
+    if (endpoint == nullptr) {
+      return;
+    }
+    endpoint->heardAt = now;
+    endpoint->load.report(now,
+                          static_cast<std::uint32_t>(std::max(report.running, 0)) +
+                            static_cast<std::uint32_t>(std::max(report.waiting, 0)));
+    if (report.slots > 0) {
+      endpoint->slots = report.slots;
+    }
+  }
+
+  void tick(Time now)
+  {
+    now_ = now;
+    crashes_.expire(now);
+    for (auto& [id, request] : requests_.all()) {
+      if (request.send && !request.send->overdue && isOverdue(now, request)) {
+        request.send->overdue = true;
+        stalled_.push_back(id);
+        if (auto* endpoint = endpoints_.find(request.send->place)) {
+          fail(now, *endpoint, *request.send, Fault::strong, "silent");
+        }
+      }
+    }
+  }
+
+  [[nodiscard]] Time now() const { return now_; }
+
+  CrashTable& crashes() { return crashes_; }
+  std::vector<std::string> takeEvents() { return std::exchange(events_, {}); }
+  std::vector<std::uint64_t> takeStalled() { return std::exchange(stalled_, {}); }
+
+private:
+  static tl::unexpected<Refusal> refuse(Time now,
+                                        const Work& work,
+                                        ErrorKind kind,
+                                        Duration after,
+                                        std::string detail)
+  {
+    const auto bounded = std::clamp(after, kShortestRetryAfter, kLongestRetryAfter);
+    const auto third = std::max((work.deadline - now) / 3, Duration(0));
+    return tl::unexpected<Refusal>(Refusal{ kind, std::min(bounded, third), std::move(detail) });
+  }
+
+  /** Counts the attempt; returns a refusal when it is one too many. */
+  std::optional<Refusal> admitAttempt(Time now, const Work& work, ServiceState& service)
+  {
+    const bool isNew = requests_.find(work.id) == nullptr;
+    auto& request = requests_.of(work);
+    if (isNew) {
+      service.repeats.countRequest(now);
+      allRepeats_.countRequest(now);
+    }
+    if (request.send) {
+      finished(now, work.id, Outcome::cancelled);
+    }
+    if (request.sends == 0) {
+      return std::nullopt;
+    }
+    if (request.sends >= work.maxAttempts) {
+      return Refusal{ ErrorKind::endpointFailed, kShortestRetryAfter, "no attempt left" };
+    }
+    const double ratio = kRatioPart * settings_.repeatRatio;
+    const double slack = kSlackPart * settings_.repeatSlack / static_cast<double>(peers_);
+    if (!service.repeats.allows(now, ratio, slack) || !allRepeats_.allows(now, ratio, slack)) {
+      return Refusal{ ErrorKind::overloaded, kLongestRetryAfter, "the repeat budget is used up" };
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] std::size_t connectionShare(const ServiceState& service) const
+  {
+    const auto all = static_cast<std::size_t>(std::max(service.settings.maxConnections, 1));
+    return std::max<std::size_t>(all / peers_, 1);
+  }
+
+  /** Returns the endpoints that may take the request, closed breakers only. */
+  std::vector<Candidate> candidatesFor(const Work& work,
+                                       const ServiceState& service,
+                                       std::span<const EndpointId> excluded)
+  {
+    std::vector<Candidate> candidates;
+    for (const auto place : endpoints_.ofService(work.service)) {
+      auto& endpoint = *endpoints_.find(place);
+      if (!endpoint.breaker.isOpen() && mayTake(endpoint, service, excluded)) {
+        candidates.push_back(candidateOf(endpoint));
+      }
+    }
+    return candidates;
+  }
+
+  [[nodiscard]] bool mayTake(const Endpoint& endpoint,
+                             const ServiceState& service,
+                             std::span<const EndpointId> excluded) const
+  {
+    return endpoint.record.state == fleet::EndpointState::ready &&
+           endpoint.load.own() < connectionShare(service) &&
+           std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end();
+  }
+
+  [[nodiscard]] Candidate candidateOf(Endpoint& endpoint) const
+  {
+    Candidate candidate;
+    candidate.endpoint = &endpoint;
+    candidate.load = endpoint.load.current();
+    candidate.ownZone = endpoint.record.zone == settings_.zone;
+    return candidate;
+  }
+
+  /** Returns an endpoint that is out and waits for a trial that this request may be. */
+  std::optional<Candidate> trialFor(Time now,
+                                    const Work& work,
+                                    const ServiceState& service,
+                                    std::span<const EndpointId> excluded)
+  {
+    const bool repeatable = work.kind == fleet::RouteKind::repeatable || work.resumable;
+    const bool safe = repeatable && work.maxAttempts > static_cast<int>(excluded.size()) + 1;
+    for (const auto place : endpoints_.ofService(work.service)) {
+      auto& endpoint = *endpoints_.find(place);
+      if (!endpoint.breaker.isTrialDue(now) || !mayTake(endpoint, service, excluded)) {
+        continue;
+      }
+      if (safe || now >= endpoint.breaker.trialAt() + kTrialPatience) {
+        return candidateOf(endpoint);
+      }
+    }
+    return std::nullopt;
+  }
+
+  tl::expected<Choice, Refusal> chooseEngine(Time now,
+                                             const Work& work,
+                                             ServiceState& service,
+                                             std::span<const EndpointId> excluded)
+  {
+    const auto keys = prefixKeys(work);
+    if (auto trial = trialFor(now, work, service, excluded)) {
+      predict(now, work, service, keys, *trial);
+      return send(now, work, service, keys, *trial);
+    }
+    auto candidates = candidatesFor(work, service, excluded);
+    if (candidates.empty()) {
+      return noCandidate(now, work);
+    }
+    const Admission admission{ work.priority, requests_.isSmall(work.service, work.workspace) };
+    auto after = kLongestRetryAfter;
+    bool full = true;
+    for (auto& candidate : candidates) {
+      const auto slots = candidate.endpoint->slots;
+      const auto limit = admission.engineLimit(slots);
+      if (candidate.load < limit) {
+        full = false;
+      }
+      after =
+        std::min(after, Admission::roomAfter(candidate.load, limit, slots, service.serviceTime));
+      predict(now, work, service, keys, candidate);
+    }
+    if (full) {
+      return refuse(now, work, ErrorKind::overloaded, after, "all engines are full");
+    }
+    const auto chosen = pickEngine(work, keys, candidates);
+    return send(now, work, service, keys, candidates[chosen]);
+  }
+
+  /** Fills in what is predicted of an engine. */
+  void predict(Time now,
+               const Work& work,
+               const ServiceState& service,
+               std::span<const Fingerprint> keys,
+               Candidate& candidate) const
+  {
+    const auto& endpoint = *candidate.endpoint;
+    const auto held = endpoint.heldTokens * static_cast<std::int64_t>(peers_);
+    const auto free = std::max<std::int64_t>(service.settings.engine->kvCapacity - held, 0);
+    const auto retention = endpoint.cache.retention(now, static_cast<double>(free), peers_);
+    const auto cached = endpoint.cache.cachedTokens(now, work.parts, keys, retention);
+    candidate.newTokens = std::max<std::int64_t>(work.promptTokens - cached, 1);
+    TimeToFirstTokenModel::Input input;
+    input.newTokens = candidate.newTokens;
+    input.promptTokens = work.promptTokens;
+    input.priority = work.priority;
+    input.load = candidate.load;
+    input.slots = endpoint.slots;
+    input.serviceTime = service.serviceTime;
+    candidate.reading = prefillTime(input.newTokens, input.promptTokens);
+    candidate.expected = endpoint.firstToken.base(input);
+    candidate.predicted = candidate.expected + endpoint.firstToken.excess(now);
+    // Failures cost more than a wait: the request has to go to another endpoint afterwards.
+    const auto penalty = endpoint.breaker.failureShare(now) * 3e6;
+    candidate.predicted += Duration(static_cast<std::int64_t>(penalty));
+    if (now < endpoint.warmUntil) {
+      candidate.predicted += work.target / 2;
+    }
+  }
+
+  [[nodiscard]] std::size_t pickEngine(const Work& work,
+                                       std::span<const Fingerprint> keys,
+                                       std::span<const Candidate> candidates) const
+  {
+    if (const auto subject = subjectOf(work, keys)) {
+      std::vector<Endpoint*> endpoints;
+      for (const auto& candidate : candidates) {
+        endpoints.push_back(candidate.endpoint);
+      }
+      const auto stay =
+        Duration(static_cast<std::int64_t>(kStayPart * static_cast<double>(work.target.count())));
+      for (const auto i : placementOrder(*subject, endpoints, settings_.zone)) {
+        if (candidates[i].predicted <= stay) {
+          return i;
+        }
+      }
+    }
+    const auto margin =
+      Duration(static_cast<std::int64_t>(kZonePart * static_cast<double>(work.target.count())));
+    const auto cost = [&](const Candidate& candidate) {
+      return candidate.predicted + (candidate.ownZone ? Duration(0) : margin);
+    };
+    std::size_t best = 0;
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+      if (cost(candidates[i]) < cost(candidates[best])) {
+        best = i;
+      }
+    }
+    return best;
+  }
+
+  tl::expected<Choice, Refusal> choosePlain(Time now,
+                                            const Work& work,
+                                            ServiceState& service,
+                                            std::span<const EndpointId> excluded)
+  {
+    const std::vector<Fingerprint> keys;
+    if (const auto trial = trialFor(now, work, service, excluded)) {
+      return send(now, work, service, keys, *trial);
+    }
+    const auto candidates = candidatesFor(work, service, excluded);
+    if (candidates.empty()) {
+      return noCandidate(now, work);
+    }
+    const auto cost = [&](const Candidate& candidate) {
+      const auto& endpoint = *candidate.endpoint;
+      double value = candidate.load / std::max(endpoint.slots, 1);
+      value += now < endpoint.fullUntil ? 1 : 0;
+      value += now < endpoint.warmUntil ? 0.5 : 0;
+      value += 3 * endpoint.breaker.failureShare(now);
+      return value;
+    };
+    std::size_t best = 0;
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+      const double difference = cost(candidates[i]) - cost(candidates[best]);
+      const bool tie = difference == 0;
+      if (difference < 0 || (tie && candidates[i].ownZone && !candidates[best].ownZone)) {
+        best = i;
+      }
+    }
+    return send(now, work, service, keys, candidates[best]);
+  }
+
+  tl::unexpected<Refusal> noCandidate(Time now, const Work& work)
+  {
+    bool busy = false;
+    auto after = kLongestRetryAfter;
+    for (const auto place : endpoints_.ofService(work.service)) {
+      const auto& endpoint = *endpoints_.find(place);
+      if (endpoint.breaker.isOpen()) {
+        after = std::min(after, endpoint.breaker.trialAt() - now);
+      } else if (endpoint.load.own() > 0) {
+        busy = true;
+      }
+    }
+    if (busy) {
+      const auto service = services_.find(work.service);
+      return refuse(now,
+                    work,
+                    ErrorKind::overloaded,
+                    service->second.serviceTime / 4,
+                    "all connections are in use");
+    }
+    return refuse(now, work, ErrorKind::noEndpoint, after, "no endpoint is left");
+  }
+
+  Choice send(Time now,
+              const Work& work,
+              ServiceState& service,
+              std::span<const Fingerprint> keys,
+              const Candidate& candidate)
+  {
+    auto& endpoint = *candidate.endpoint;
+    auto& request = requests_.of(work);
+    if (request.sends > 0) {
+      service.repeats.countRepeat(now);
+      allRepeats_.countRepeat(now);
+    }
+    Send entry;
+    entry.place = endpoint.place;
+    entry.sentAt = now;
+    entry.heardAt = now;
+    entry.trial = endpoint.breaker.isOpen();
+    entry.reading = candidate.reading;
+    entry.expected = candidate.expected;
+    entry.predicted = candidate.predicted;
+    requests_.begin(request, entry);
+    if (entry.trial) {
+      endpoint.breaker.beginTrial();
+    }
+    endpoint.load.change(now, 1);
+    endpoint.heldTokens += work.promptTokens;
+    endpoint.firstToken.sent(work.priority, entry.reading);
+    endpoint.cache.use(now, keys, candidate.newTokens);
+    return Choice{ endpoint.record.id, endpoint.record.address, connectionShare(service) };
+  }
+
+  [[nodiscard]] bool isOverdue(Time now, const RequestState& request)
+  {
+    const auto& send = *request.send;
+    const auto* endpoint = endpoints_.find(send.place);
+    if (endpoint == nullptr) {
+      return false;
+    }
+    const auto patience =
+      std::max(request.target, kOverdueFactor * send.predicted) + kOverdueMargin;
+    if (!send.answering && now - send.sentAt > patience) {
+      return true;
+    }
+    return send.answering && now - std::max(send.heardAt, endpoint->heardAt) > kSilence;
+  }
+
+  void judge(Time now,
+             const RequestState& request,
+             const Send& send,
+             Endpoint& endpoint,
+             Outcome outcome)
+  {
+    const bool answered = outcome == Outcome::answered;
+    if (answered || outcome == Outcome::serverError || outcome == Outcome::notExecuted) {
+      endpoint.heardAt = now;
+      crashes_.endpointAnswered(endpoint.place, send.sentAt);
+    }
+    if (answered) {
+      auto& service = services_.at(request.service);
+      const auto micros = static_cast<double>((now - send.sentAt - service.serviceTime).count());
+      service.serviceTime += Duration(static_cast<std::int64_t>(kServiceTimeSmoothing * micros));
+      // An endpoint that is out is judged by its trials; earlier requests may end well at a grey
+      // one.
+      const bool counts = send.trial || !endpoint.breaker.isOpen();
+      if (counts && endpoint.breaker.recordSuccess(now)) {
+        events_.push_back(fmt::format("endpoint {} is back", endpoint.record.id.value));
+      }
+      return;
+    }
+    if (outcome == Outcome::notExecuted && isFull(endpoint, request)) {
+      const auto& service = services_.at(request.service);
+      endpoint.fullUntil = now + service.serviceTime / std::max(endpoint.slots, 1);
+      endTrial(send, endpoint);
+      return;
+    }
+    if (outcome == Outcome::broken && request.fingerprint != 0) {
+      crashes_.suspect(now, endpoint.place, request.fingerprint);
+    }
+    if (outcome == Outcome::notConnected) {
+      crashes_.endpointDown(now, endpoint.place);
+    }
+    const auto fault = faultOf(outcome);
+    if (!fault || send.overdue) {
+      endTrial(send, endpoint);
+      return;
+    }
+    fail(now, endpoint, send, *fault, toString(outcome));
+  }
+
+  static void endTrial(const Send& send, Endpoint& endpoint)
+  {
+    if (send.trial) {
+      endpoint.breaker.endTrial();
+    }
+  }
+
+  /** Returns whether a refusal by the endpoint is explained by its load. */
+  [[nodiscard]] bool isFull(const Endpoint& endpoint, const RequestState& request) const
+  {
+    constexpr double kNearlyFull = 0.8;
+    const bool engine = services_.at(request.service).settings.engine.has_value();
+    const double places = endpoint.slots * (engine ? 4.0 : 1.0);
+    return endpoint.load.current() + 1 >= kNearlyFull * places;
+  }
+
+  void fail(Time now, Endpoint& endpoint, const Send& send, Fault fault, std::string_view reason)
+  {
+    const bool wasOpen = endpoint.breaker.isOpen();
+    if (wasOpen && !send.trial) {
+      return;
+    }
+    endpoint.breaker.recordFailure(now, fault);
+    if (!wasOpen) {
+      const auto& service = endpoint.record.service;
+      const auto most = endpoints_.ofService(service).size() / 2;
+      if (!endpoint.breaker.wantsOpen(now) || endpoints_.openBreakers(service) >= most) {
+        return;
+      }
+      events_.push_back(fmt::format("endpoint {} is out: {}", endpoint.record.id.value, reason));
+    }
+    endpoint.breaker.open(now);
+  }
+
+  DispatcherSettings settings_;
+  Random random_;
+  Time now_;
+  std::size_t peers_ = 1;
+  std::map<ServiceName, ServiceState> services_;
+  EndpointTable endpoints_;
+  SendTable requests_;
+  RepeatBudget allRepeats_;
+  CrashTable crashes_;
+  std::vector<std::string> events_;
+  std::vector<std::uint64_t> stalled_;
+};
+
+Dispatcher::Dispatcher(DispatcherSettings settings)
+  : impl_(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::setServices(Time /*now*/, std::span<const fleet::ServiceSettings> services)
+{
+  impl_->setServices(services);
+}
+
+void Dispatcher::setEndpoints(Time now, std::span<const fleet::EndpointRecord> endpoints)
+{
+  impl_->setEndpoints(now, endpoints);
+}
+
+void Dispatcher::setPeers(std::size_t entryProcesses)
+{
+  impl_->setPeers(entryProcesses);
+}
+
+tl::expected<Choice, Refusal> Dispatcher::choose(Time now,
+                                                 const Work& work,
+                                                 std::span<const EndpointId> excluded)
+{
+  return impl_->choose(now, work, excluded);
+}
+
+void Dispatcher::firstByte(Time now, std::uint64_t workId)
+{
+  impl_->firstByte(now, workId);
+}
+
+void Dispatcher::progress(Time now, std::uint64_t workId, std::int64_t /*tokens*/)
+{
+  impl_->progress(now, workId);
+}
+
+void Dispatcher::finished(Time now, std::uint64_t workId, Outcome outcome)
+{
+  impl_->finished(now, workId, outcome);
+}
+
+void Dispatcher::forget(std::uint64_t workId)
+{
+  impl_->forget(impl_->now(), workId);
+}
+
+void Dispatcher::load(Time now, const EndpointId& endpoint, const LoadReport& report)
+{
+  impl_->load(now, endpoint, report);
+}
+
+void Dispatcher::addCrashes(Time now, std::uint64_t fingerprint, std::uint64_t crashes)
+{
+  impl_->crashes().add(now, fingerprint, crashes);
+}
+
+std::vector<std::uint64_t> Dispatcher::takeCrashes()
+{
+  return impl_->crashes().takeCrashes();
+}
+
+void Dispatcher::tick(Time now)
+{
+  impl_->tick(now);
+}
+
+std::vector<std::string> Dispatcher::takeEvents()
+{
+  return impl_->takeEvents();
+}
+
+std::vector<std::uint64_t> Dispatcher::takeStalled()
+{
+  return impl_->takeStalled();
+}
+
+} // namespace figchute::dispatch
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -76,6 +76,11 @@
       They are to be told to the other processes. */
   std::vector<std::uint64_t> takeCrashes();
 
+  /** Returns the ids of requests whose endpoint gave no sign of life for far longer than predicted,
+      each once per send. They were counted as failures of the endpoint. The caller may cancel such
+     a send and repeat a request that may run more than once. */
+  std::vector<std::uint64_t> takeStalled();
+
   /** Advances time: half-open trials, expiry. Call it about every 100 ms. */
   void tick(Time now);
 
--- /dev/null
+++ b/modules/dispatch/PromptCacheModel.cpp
@@ -0,0 +1,73 @@
+#include "dispatch/PromptCacheModel.h"
+
+#include "routing/Rendezvous.h"
+
+#include <algorithm>
+
+namespace figchute::dispatch {
+namespace {
+
+constexpr Duration kShortestRetention = std::chrono::seconds(5);
+constexpr Duration kLongestRetention = std::chrono::seconds(60);
+constexpr std::size_t kEntriesToPrune = 2048;
+
+} // namespace
+
+std::vector<Fingerprint> prefixKeys(const Work& work)
+{
+  std::vector<Fingerprint> keys;
+  keys.reserve(work.parts.size());
+  Fingerprint key = fingerprintOf(work.model.value);
+  for (const auto& part : work.parts) {
+    key = routing::rendezvousWeight(key * 0x9e3779b97f4a7c15ULL, part.hash);
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+std::int64_t PromptCacheModel::cachedTokens(Time now,
+                                            std::span<const PromptPart> parts,
+                                            std::span<const Fingerprint> keys,
+                                            Duration retention) const
+{
+  std::int64_t tokens = 0;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    const auto found = lastUse_.find(keys[i]);
+    if (found == lastUse_.end() || now - found->second > retention) {
+      break;
+    }
+    tokens += parts[i].tokens;
+  }
+  return tokens;
+}
+
+void PromptCacheModel::use(Time now, std::span<const Fingerprint> keys, std::int64_t newTokens)
+{
+  for (const auto key : keys) {
+    lastUse_[key] = now;
+  }
+  newTokens_.add(now, static_cast<double>(newTokens));
+  if (lastUse_.size() > kEntriesToPrune) {
+    prune(now);
+  }
+}
+
+void PromptCacheModel::prune(Time now)
+{
+  auto age = kLongestRetention;
+  while (lastUse_.size() > kEntriesToPrune / 2) {
+    std::erase_if(lastUse_, [&](const auto& entry) { return now - entry.second >= age; });
+    age /= 2;
+  }
+}
+
+Duration PromptCacheModel::retention(Time now, double freeTokens, std::size_t processes) const
+{
+  const double perSecond = newTokens_.perSecond(now) * static_cast<double>(processes);
+  const double seconds = freeTokens / std::max(perSecond, 1.0);
+  const double longest = std::chrono::duration<double>(kLongestRetention).count();
+  const auto micros = static_cast<std::int64_t>(std::min(seconds, longest) * 1e6);
+  return std::max(Duration(micros), kShortestRetention);
+}
+
+} // namespace figchute::dispatch
--- a/modules/routing/EndpointChooser.cpp
+++ b/modules/routing/EndpointChooser.cpp
@@ -1,13 +1,13 @@
 #include "routing/EndpointChooser.h"
 
+#include "routing/Rendezvous.h"
+
 #include <algorithm>
 #include <vector>
 
 namespace figchute::routing {
 namespace {
 
-/** Engines publish figures that are up to this old when they announce them. */
-constexpr Duration kReportLag = std::chrono::milliseconds(300);
 constexpr Duration kHistory = std::chrono::seconds(8);
 constexpr std::size_t kHistoryToPrune = 64;
 
@@ -19,16 +19,6 @@
     hash order takes over. */
 constexpr double kLoadBound = 1.25;
 
-std::uint64_t mix(std::uint64_t value)
-{
-  value ^= value >> 33U;
-  value *= 0xff51afd7ed558ccdULL;
-  value ^= value >> 33U;
-  value *= 0xc4ceb9fe1a85ec53ULL;
-  value ^= value >> 33U;
-  return value;
-}
-
 double loadRatio(const ChoiceCandidate& candidate)
 {
   return candidate.load / candidate.limit;
@@ -72,7 +62,7 @@
   reported_ = load;
   ownAtReport_ = 0;
   for (const auto& change : history_) {
-    if (change.at + kReportLag > reportedAt) {
+    if (change.at + lag_ > reportedAt) {
       break;
     }
     ownAtReport_ = change.ownAfter;
@@ -127,7 +117,7 @@
   std::uint64_t bestHash = 0;
   for (const auto i : open) {
     const double bound = mean * kLoadBound + 1 / candidates[i].limit;
-    const std::uint64_t hash = mix(candidates[i].hash ^ prefix);
+    const std::uint64_t hash = rendezvousWeight(candidates[i].hash, prefix);
     if (loadRatio(candidates[i]) <= bound && (!best || hash > bestHash)) {
       best = i;
       bestHash = hash;
--- a/modules/routing/EndpointChooser.h
+++ b/modules/routing/EndpointChooser.h
@@ -37,6 +37,16 @@
 class LoadEstimate
 {
 public:
+  /** Creates an estimate for figures that engines announce; they are up to 300 ms old then. */
+  LoadEstimate() = default;
+
+  /** Creates an estimate without a report.
+      @param lag  how old figures are when they are reported */
+  explicit LoadEstimate(Duration lag)
+    : lag_(lag)
+  {
+  }
+
   /** Counts a request of this VM that starts (+1) or ends (-1). */
   void change(Time now, int amount);
 
@@ -61,6 +71,7 @@
     int ownAfter = 0;
   };
 
+  Duration lag_ = std::chrono::milliseconds(300);
   int own_ = 0;
   int ownAtReport_ = 0;
   std::uint32_t reported_ = 0;
