ledger: prepaid budgets and wallets without witnesses

Cause: entry processes of the router daemon have no disk and no witness, and a configuration may lower or drop a budget. The ledger accepted only rising purchases and witnessed holders.

Ruled out: a flag in RegisterHolder; an empty witness list already says that nobody can report, and freeing what such a holder held could overspend.

Change: EscrowBook::setPrepaid with PrepaidBudget; a holder without witnesses is retired at once and is charged for everything it held; transfers between such holders count at the receiver until both are retired. WalletSettings::witnesses, routerWalletSettings(), Wallet::setBudgets and budgetLowered; start grants, refusal after recallWait, transfers over all entry processes.

Sizes of grants are not measured yet.

Conclusion: usable through reserve/charge/release as before.

--- a/modules/ledger/Budget.cpp
+++ b/modules/ledger/Budget.cpp
@@ -93,6 +93,11 @@
   return free;
 }
 
+Tokens Budget::grantable() const
+{
+  return closed ? Tokens{ 0 } : std::max(Tokens{ 0 }, free());
+}
+
 void Budget::close(const HolderId& holder)
 {
   const auto at = std::lower_bound(accounts.begin(), accounts.end(), holder, kByHolder);
--- a/modules/ledger/Budget.h
+++ b/modules/ledger/Budget.h
@@ -56,6 +56,12 @@
   Time recalledAt;
   std::vector<HolderAccount> accounts;
   std::vector<Flow> flows;
+  /** Set by a configuration, so that `bought` may be lowered and free() may be negative. */
+  bool prepaid = false;
+  /** The latest configuration does not name the budget: nothing is granted. */
+  bool closed = false;
+  /** The largest `bought` so far of a prepaid budget. */
+  Tokens largest;
 
   HolderAccount* find(const HolderId& holder);
   [[nodiscard]] const HolderAccount* find(const HolderId& holder) const;
@@ -65,10 +71,21 @@
   [[nodiscard]] Tokens held(const HolderAccount& account) const;
   [[nodiscard]] Tokens held() const;
   [[nodiscard]] Tokens settled() const;
+  /** Negative when a prepaid budget was lowered below what is settled and held. */
   [[nodiscard]] Tokens free() const;
+  /** Returns what may be granted: nothing of a closed or lowered budget, else what is free. */
+  [[nodiscard]] Tokens grantable() const;
   void close(const HolderId& holder);
 
-  MSGPACK_DEFINE(bought, closedSettled, closedNet, recalledAt, accounts, flows)
+  MSGPACK_DEFINE(bought,
+                 closedSettled,
+                 closedNet,
+                 recalledAt,
+                 accounts,
+                 flows,
+                 prepaid,
+                 closed,
+                 largest)
 };
 
 } // namespace figchute::ledger::detail
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -83,6 +83,16 @@
   MSGPACK_DEFINE(budget, bought)
 };
 
+/** The amount of one router budget, as a configuration gives it. Unlike a purchase it may be lower
+    than an earlier one. */
+struct PrepaidBudget
+{
+  BudgetId budget;
+  Tokens prepaid;
+
+  MSGPACK_DEFINE(budget, prepaid)
+};
+
 /** Replaces the document of a team. The proposer has validated the text and extracted the budgets.
     Idempotent by (team, change). */
 struct ApplyDocument
@@ -328,7 +338,8 @@
   ZoneId zone;
   /** A larger sequence replaces the witness set. */
   std::uint64_t sequence = 0;
-  /** Contains the holder itself when it has a journal. */
+  /** Contains the holder itself when it has a journal. Empty for a holder without witnesses: when
+      it is retired, all it held counts as spent. */
   std::vector<HolderId> witnesses;
 
   MSGPACK_DEFINE(holder, zone, sequence, witnesses)
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 #include <type_traits>
 
 namespace figchute::ledger {
@@ -190,6 +191,13 @@
   return wire::encode(apply(index, time, *decoded));
 }
 
+void ControlState::setPrepaid(std::span<const PrepaidBudget> budgets)
+{
+  auto recalls = state_->escrow.setPrepaid(budgets);
+  std::move(recalls.begin(), recalls.end(), std::back_inserter(outgoing_));
+  state_->escrow.checkTouched();
+}
+
 std::string ControlState::snapshot() const
 {
   return wire::encode(*state_);
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -131,6 +132,10 @@
       @returns codec_error when the bytes are no snapshot; the state is then unchanged */
   Expected<void> restore(std::string_view bytes);
 
+  /** Sets the amounts of the prepaid budgets without an entry of the log, for tests and
+      measurements; processes propose a configuration. */
+  void setPrepaid(std::span<const PrepaidBudget> budgets);
+
   /** Returns the messages that applied entries caused (recalls) and forgets them. The leader sends
       them, followers drop them. They are no part of a snapshot. */
   std::vector<Outgoing> takeOutgoing();
--- a/modules/ledger/EscrowBook.cpp
+++ b/modules/ledger/EscrowBook.cpp
@@ -11,6 +11,9 @@
 /** Holders of one budget are recalled at most once in this time. */
 constexpr Duration kRecallInterval{ 10'000 };
 
+/** The holders of a prepaid budget together get at most this share of what is left for demand. */
+constexpr double kPrepaidShare = 0.67;
+
 /** A budget runs low when this many shares do not cover what one holder asks for. */
 constexpr std::int64_t kScarceShare = 4;
 
@@ -126,14 +129,14 @@
   const auto last = known == nullptr ? holder.closedGrant : known->lastGrant;
   if (item.sequence <= last) {
     granted.granted = known == nullptr ? Tokens{ 0 } : known->granted;
-    granted.free = budget.free();
+    granted.free = budget.grantable();
     return granted;
   }
   auto& account = openAccount(id, at);
   account.lastGrant = item.sequence;
   account.lastGrantAt = time;
-  const auto free = budget.free();
-  const Tokens share{ free.count / (2 * activeHolders(budget, time)) };
+  const auto free = budget.grantable();
+  const auto share = demandShare(time, budget, account);
   auto amount = std::max(item.want, std::min(item.demand, share));
   if (item.want > free) {
     amount = item.minimum <= free ? item.minimum : Tokens{ 0 };
@@ -141,13 +144,31 @@
   }
   account.granted += std::max(amount, Tokens{ 0 });
   granted.granted = account.granted;
-  granted.free = budget.free();
-  granted.scarce =
-    item.want > free || share.count * kScarceShare < std::max(item.want, item.demand).count;
+  granted.free = budget.grantable();
+  granted.scarce = item.want > free || budget.closed;
+  // A prepaid budget stays spread over its holders to the end, because they may be cut off from
+  // control at any moment.
+  if (!budget.prepaid) {
+    granted.scarce =
+      granted.scarce || share.count * kScarceShare < std::max(item.want, item.demand).count;
+  }
   touched_.push_back(&at->first);
   return granted;
 }
 
+Tokens EscrowBook::demandShare(Time time, const Budget& budget, const HolderAccount& account)
+{
+  const auto free = budget.grantable();
+  const auto active = activeHolders(budget, time);
+  if (!budget.prepaid) {
+    return Tokens{ free.count / (2 * active) };
+  }
+  const auto left = std::max(Tokens{ 0 }, budget.bought - budget.settled());
+  const auto most = static_cast<double>(left.count) * kPrepaidShare / static_cast<double>(active);
+  const auto share = Tokens{ static_cast<std::int64_t>(most) } - budget.held(account);
+  return std::clamp(share, Tokens{ 0 }, free);
+}
+
 void EscrowBook::recall(Time time,
                         const HolderId& asker,
                         const BudgetId& id,
@@ -174,6 +195,9 @@
   if (at == budgets_.end()) {
     return false;
   }
+  if (holders_.at(id).witnesses.empty()) {
+    return mergeUnwitnessed(id, totals);
+  }
   auto& budget = at->second;
   openAccount(id, at);
   for (const auto& [peer, total] : totals.transferredOut) {
@@ -356,8 +380,9 @@
     }
     const auto settled = budget.settled();
     const auto free = budget.free();
-    invariant(free >= Tokens{ 0 }, "free is never negative");
-    invariant(settled <= budget.bought, "settled never exceeds bought");
+    const auto most = budget.prepaid ? budget.largest : budget.bought;
+    invariant(budget.prepaid || free >= Tokens{ 0 }, "free is never negative");
+    invariant(settled + held <= most, "settled and held never exceed what was prepaid");
     invariant(budget.bought == settled + held + free, "bought = settled + held + free");
   }
 }
--- a/modules/ledger/EscrowBook.h
+++ b/modules/ledger/EscrowBook.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -76,6 +77,12 @@
                                                     const std::vector<Purchase>& purchases) const;
   void applyPurchases(const std::vector<Purchase>& purchases);
 
+  /** Replaces the amounts of all prepaid budgets. Budgets that are not named any more grant
+     nothing, and keep what was spent in case they are named again.
+      @param budgets  every budget of the configuration, without duplicates
+      @returns the recalls to the holders of lowered and closed budgets */
+  std::vector<Outgoing> setPrepaid(std::span<const PrepaidBudget> budgets);
+
   GrantResult grant(Time time, const Grant& command, std::vector<Outgoing>& outgoing);
   SettleResult settle(Time time, const Settle& command);
   RegisterResult registerHolder(Time time,
@@ -120,7 +127,12 @@
                      Budget& budget,
                      const std::map<HolderId, Holder>& holders,
                      std::vector<Outgoing>& outgoing);
+  /** Returns how much a holder may get for its demand, beyond what its requests need now. */
+  static Tokens demandShare(Time time, const Budget& budget, const HolderAccount& account);
+  void recallAll(const BudgetId& id, const Budget& budget, std::vector<Outgoing>& outgoing) const;
   bool mergeTotals(const HolderId& id, const AccountTotals& totals);
+  bool mergeUnwitnessed(const HolderId& id, const AccountTotals& totals);
+  bool addHolder(const HolderId& peer);
   std::optional<KeyedBill> settleKeyed(Time time, const HolderId& id, const KeyedCharge& charge);
   bool closeAccount(const HolderId& id, Holder& holder, const BudgetId& name);
   std::vector<FinalTransfer> finalsFor(const HolderId& id, Holder& holder);
@@ -138,6 +150,7 @@
                   const BudgetId& name,
                   Budget& budget,
                   std::vector<Outgoing>& outgoing);
+  static void closeUnwitnessed(const HolderId& id, Budget& budget);
   void tellFinal(const HolderId& live, const BudgetId& name, std::vector<Outgoing>& outgoing);
   [[nodiscard]] Tokens heldBy(const HolderId& id) const;
   HolderAccount& openAccount(const HolderId& id, std::map<BudgetId, Budget>::iterator budget);
--- a/modules/ledger/EscrowRetirement.cpp
+++ b/modules/ledger/EscrowRetirement.cpp
@@ -199,6 +199,11 @@
     const auto names = index->second;
     for (const auto* name : names) {
       auto& budget = budgets_.at(*name);
+      if (holder.witnesses.empty()) {
+        closeUnwitnessed(id, budget);
+        touched_.push_back(name);
+        continue;
+      }
       closeFlows(id, *name, budget, outgoing);
       if (auto* account = budget.find(id)) {
         account->returned += budget.held(*account);
--- a/modules/ledger/Wallet.cpp
+++ b/modules/ledger/Wallet.cpp
@@ -7,6 +7,22 @@
 
 namespace figchute::ledger {
 
+WalletSettings routerWalletSettings(HolderId self, ZoneId zone)
+{
+  WalletSettings settings;
+  settings.self = std::move(self);
+  settings.zone = std::move(zone);
+  settings.witnesses = false;
+  settings.electionWait = Duration{ 200'000 };
+  settings.recallWait = Duration{ 100'000 };
+  settings.demandWindow = Duration{ 5'000'000 };
+  settings.grantHorizon = Duration{ 12'000'000 };
+  settings.idleReturn = Duration{ 5'000'000 };
+  settings.startShare = 0.1;
+  settings.transferHorizon = Duration{ 3'000'000 };
+  return settings;
+}
+
 Wallet::Impl::Impl(WalletSettings settings)
   : settings_(std::move(settings))
   , proposer_(settings_.proposalIdBase)
@@ -54,7 +70,7 @@
     askGrants(now, wanted.budgets);
     return { request, ReserveStatus::admitted, std::nullopt };
   }
-  waiting_.push_back({ request, wanted, now + settings_.grantWait });
+  waiting_.push_back({ request, wanted, now + settings_.grantWait, std::nullopt });
   askGrants(now, wanted.budgets);
   askTransfers(now);
   return { request, ReserveStatus::waiting, std::nullopt };
@@ -129,6 +145,27 @@
   }
 }
 
+void Wallet::Impl::refuseUncovered(Time now, const BudgetId& id)
+{
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    const auto& budgets = at->wanted.budgets;
+    const bool concerned = std::find(budgets.begin(), budgets.end(), id) != budgets.end();
+    const bool uncovered = concerned && accounts_.at(id).available() < at->wanted.bound;
+    if (uncovered && !at->shortSince) {
+      at->shortSince = now;
+    }
+    if (!uncovered || now < *at->shortSince + settings_.recallWait) {
+      ++at;
+      continue;
+    }
+    decisions_.push_back(
+      refuse(at->request,
+             ErrorKind::budgetExhausted,
+             fmt::format("the budget does not cover {} tokens", at->wanted.bound.count)));
+    at = waiting_.erase(at);
+  }
+}
+
 void Wallet::Impl::freeReservation(Time now, const Reservation& reservation)
 {
   for (const auto& id : reservation.budgets) {
@@ -233,7 +270,7 @@
   if (retired_) {
     return;
   }
-  if (draining_ && registered_.empty() && registerProposal_ == 0) {
+  if (draining_ && !registered() && registerProposal_ == 0) {
     retired_ = true;
     return;
   }
@@ -265,7 +302,9 @@
 {
   const bool quiet = reservations_.empty() && unrecorded_.empty() && keyed_.empty() &&
                      dirty_.empty() && !settle_ && retirements_.empty();
-  return quiet && std::all_of(accounts_.begin(), accounts_.end(), [](const auto& item) {
+  // A receiver that never hears of a transfer would leave its tokens held by nobody.
+  const bool passedOn = settings_.witnesses || transfers_.empty();
+  return quiet && passedOn && std::all_of(accounts_.begin(), accounts_.end(), [](const auto& item) {
            return item.second.held() == Tokens{ 0 } && item.second.grantProposal == 0;
          });
 }
@@ -345,6 +384,16 @@
   impl_->setPeers(now, peers);
 }
 
+void Wallet::setBudgets(Time now, std::span<const PrepaidBudget> budgets)
+{
+  impl_->setBudgets(now, budgets);
+}
+
+void Wallet::budgetLowered(Time now, const BudgetId& budget)
+{
+  impl_->budgetLowered(now, budget);
+}
+
 Decision Wallet::reserve(Time now,
                          const RequestId& request,
                          const std::optional<RequestKey>& key,
--- a/modules/ledger/Wallet.h
+++ b/modules/ledger/Wallet.h
@@ -37,8 +37,22 @@
   Duration controlTimeout{ 120'000 };
   /** Start of the range of proposal ids of this wallet. */
   std::uint64_t proposalIdBase = 0;
+  /** False for processes without disk whose charges need no copy: a charge is final at once, no
+      witness is needed, and what this incarnation holds when it dies counts as spent. */
+  bool witnesses = true;
+  /** A waiting request is refused when control still has too little this long after its first
+      insufficient answer, by which time recalled tokens have come back. */
+  Duration recallWait{ 400'000 };
+  /** The share of a budget that all holders together ask for when setBudgets() names it. */
+  double startShare = 0;
+  /** A holder that passes tokens on, or that asks for some, plans for the demand of this time. */
+  Duration transferHorizon{ 0 };
 };
 
+/** Returns the settings of an entry process of the router daemon: no witnesses, and grants for the
+    time that a fleet may be cut off from control. */
+WalletSettings routerWalletSettings(HolderId self, ZoneId zone);
+
 /** Another process as the membership knows it. */
 struct Peer
 {
@@ -163,6 +177,14 @@
       from it. */
   void setPeers(Time now, std::span<const Peer> peers);
 
+  /** Tells the wallet the budgets of a configuration, without duplicates. It asks for a start grant
+      of those that are new or raised, and returns what is not reserved of those that are lowered
+      or not named any more. */
+  void setBudgets(Time now, std::span<const PrepaidBudget> budgets);
+
+  /** Returns everything of a budget that is not reserved, because its amount was lowered. */
+  void budgetLowered(Time now, const BudgetId& budget);
+
   /** Reserves the upper bound of a request against all its budgets at once.
       @param request  unique to this wallet while the reservation lasts
       @param key      set for a request with an idempotency key
@@ -217,7 +239,8 @@
       must restart. */
   [[nodiscard]] bool retired() const;
 
-  /** Tells whether control has confirmed the registration and a witness is usable. */
+  /** Tells whether control has confirmed the registration and a witness is usable. Without
+      witnesses, a wallet is ready until it is retired. */
   [[nodiscard]] bool ready() const;
 
   /** Tells whether control answered the recent proposals. */
--- a/modules/ledger/WalletAccount.h
+++ b/modules/ledger/WalletAccount.h
@@ -53,6 +53,11 @@
   Time demandAt;
   Time lastReserve;
   Tokens lastBound;
+  /** The amount of the budget in the latest configuration. */
+  Tokens prepaid;
+  /** What was available after a grant below the demand; asking again at once would bring nothing.
+   */
+  Tokens ceiling;
   /** Rotates over the peers that are asked for transfers. */
   std::size_t transferPeer = 0;
   /** The peer whose answer is awaited. */
--- a/modules/ledger/WalletControl.cpp
+++ b/modules/ledger/WalletControl.cpp
@@ -57,11 +57,19 @@
   return { budgets.begin(), budgets.end() };
 }
 
+Tokens Wallet::Impl::startOf(const Account& account) const
+{
+  const auto share = static_cast<double>(account.prepaid.count) * settings_.startShare /
+                     static_cast<double>(entries_);
+  return Tokens{ static_cast<std::int64_t>(share) };
+}
+
 Tokens Wallet::Impl::expectedDemand(Time now, const Account& account) const
 {
   const auto rate = account.demandAtTime(now, settings_.demandWindow);
-  return std::max(expected(rate, settings_.grantHorizon),
-                  Tokens{ kSpareRequests * account.lastBound.count });
+  const auto ahead = std::max(expected(rate, settings_.grantHorizon),
+                              Tokens{ kSpareRequests * account.lastBound.count });
+  return std::max(ahead, startOf(account));
 }
 
 std::optional<GrantItem> Wallet::Impl::grantItemFor(Time now,
@@ -93,7 +101,8 @@
   if (!account.scarce(now) && (smallest > Tokens{ 0 } || now >= account.demandAskAt)) {
     const auto ahead = expectedDemand(now, account);
     // Asks when half of the expected demand is left, so that a busy holder seldom waits.
-    if (want > Tokens{ 0 } || 2 * available.count < ahead.count) {
+    const auto reached = account.ceiling > Tokens{ 0 } ? std::min(ahead, account.ceiling) : ahead;
+    if (want > Tokens{ 0 } || 2 * available.count < reached.count) {
       demand = std::max(Tokens{ 0 }, ahead - available);
     }
   }
@@ -107,7 +116,7 @@
 
 void Wallet::Impl::askGrants(Time now, std::span<const BudgetId> budgets)
 {
-  if (registered_.empty() || draining_ || retired_) {
+  if (!registered() || draining_ || retired_) {
     return;
   }
   Grant command{ settings_.self, {} };
@@ -163,6 +172,7 @@
   }
   if (*verdict.error == ErrorKind::notFound) {
     registered_.clear();
+    registeredAlone_ = false;
     registerAt_ = now;
     registerIfNeeded(now);
   }
@@ -183,6 +193,10 @@
     auto& account = open(item.budget);
     account.granted = std::max(account.granted, item.granted);
     account.scarceUntil = item.scarce ? now + kScarceTime : Time{};
+    if (!settings_.witnesses) {
+      const auto ahead = expectedDemand(now, account);
+      account.ceiling = account.available() < ahead ? account.available() : Tokens{ 0 };
+    }
   }
   admitWaiting(now);
   for (const auto& item : result.items) {
@@ -194,6 +208,9 @@
     } else {
       account.askPause = Duration{ 0 };
     }
+    if (!settings_.witnesses) {
+      refuseUncovered(now, item.budget);
+    }
     giveBack(now, item.budget, account);
   }
   askTransfers(now);
@@ -229,21 +246,75 @@
   if (account.closing) {
     return;
   }
+  returnUnreserved(now, message.budget);
+}
+
+void Wallet::Impl::returnUnreserved(Time now, const BudgetId& id)
+{
+  auto& account = open(id);
   account.scarceUntil = now + kScarceTime;
-  urgent_.insert(message.budget);
-  dirty_.insert(message.budget);
+  urgent_.insert(id);
+  dirty_.insert(id);
   settleSoon_ = true;
   // Waiting requests do not keep a part: two holders that each keep a part of what both need would
   // both refuse.
   if (account.available() > Tokens{ 0 }) {
-    returnTokens(message.budget, account, account.available());
+    returnTokens(id, account, account.available());
   }
   sendSettle(now);
 }
 
+void Wallet::Impl::budgetLowered(Time now, const BudgetId& budget)
+{
+  const auto found = accounts_.find(budget);
+  const bool holds = found != accounts_.end() && !found->second.closing && !retired_;
+  if (holds && found->second.available() > Tokens{ 0 }) {
+    returnUnreserved(now, budget);
+  }
+}
+
+void Wallet::Impl::setBudgets(Time now, std::span<const PrepaidBudget> budgets)
+{
+  std::map<BudgetId, Tokens> named;
+  std::vector<BudgetId> raised;
+  for (const auto& [id, prepaid] : budgets) {
+    named[id] = prepaid;
+    if (prepaid > open(id).prepaid) {
+      raised.push_back(id);
+    }
+  }
+  std::vector<BudgetId> lowered;
+  for (auto& [id, account] : accounts_) {
+    const auto found = named.find(id);
+    const auto prepaid = found == named.end() ? Tokens{ 0 } : found->second;
+    if (prepaid < account.prepaid) {
+      lowered.push_back(id);
+    }
+    account.prepaid = prepaid;
+    account.ceiling = Tokens{ 0 };
+  }
+  for (const auto& id : lowered) {
+    budgetLowered(now, id);
+  }
+  if (settings_.startShare > 0) {
+    askGrants(now, raised);
+  }
+}
+
+void Wallet::Impl::askStartGrants(Time now)
+{
+  std::vector<BudgetId> budgets;
+  for (const auto& [id, account] : accounts_) {
+    if (startOf(account) > Tokens{ 0 }) {
+      budgets.push_back(id);
+    }
+  }
+  askGrants(now, budgets);
+}
+
 void Wallet::Impl::sendSettle(Time now)
 {
-  if (settle_ || registered_.empty() || retired_) {
+  if (settle_ || !registered() || retired_) {
     return;
   }
   const bool batch = now >= nextSettle_ || draining_;
@@ -375,10 +446,26 @@
   return peers;
 }
 
+std::vector<HolderId> Wallet::Impl::transferPeers() const
+{
+  if (settings_.witnesses) {
+    return zonePeers();
+  }
+  std::vector<HolderId> peers;
+  for (const auto& peer : peers_) {
+    if (peer.entry && peer.live && peer.id.process != settings_.self.process) {
+      peers.push_back(peer.id);
+    }
+  }
+  return peers;
+}
+
 void Wallet::Impl::askTransfers(Time now)
 {
-  // Control treats a transfer to a holder that it does not know as one that never arrived.
-  if (waiting_.empty() || registered_.empty() || controlReachable(now)) {
+  // With witnesses, control treats a transfer to a holder that it does not know as one that never
+  // arrived.
+  const bool mayReceive = registered() || !settings_.witnesses;
+  if (waiting_.empty() || !mayReceive || controlReachable(now)) {
     return;
   }
   for (const auto& id : waitingBudgets()) {
@@ -402,10 +489,12 @@
     }
   }
   shortfall -= account.available();
-  const auto peers = zonePeers();
+  const auto peers = transferPeers();
   if (shortfall <= Tokens{ 0 } || peers.empty()) {
     return;
   }
+  const auto rate = account.demandAtTime(now, settings_.demandWindow);
+  shortfall += expected(rate, settings_.transferHorizon);
   account.transferAskedAt = now;
   const auto& peer = peers[++account.transferPeer % peers.size()];
   account.transferAsked = peer;
@@ -414,7 +503,7 @@
 
 void Wallet::Impl::handle(Time now, const ProcessId& from, const TransferRequest& message)
 {
-  const auto peers = zonePeers();
+  const auto peers = transferPeers();
   if (retired_ || std::find(peers.begin(), peers.end(), message.holder) == peers.end()) {
     return;
   }
@@ -429,8 +518,7 @@
     // Of two holders that need tokens, the one with the lower name gets them; if both kept a part,
     // both would refuse.
     const bool give = !hasWaiting(message.budget) || message.holder < settings_.self;
-    const auto most = give ? found->second.transferable() : Tokens{ 0 };
-    amount = std::min(most, message.want);
+    amount = give ? transferAmount(now, message, found->second) : Tokens{ 0 };
   }
   if (amount <= Tokens{ 0 }) {
     outgoing_.push_back(
@@ -445,6 +533,19 @@
   popRecorded(now);
 }
 
+Tokens Wallet::Impl::transferAmount(Time now,
+                                    const TransferRequest& message,
+                                    const Account& account) const
+{
+  const auto most = account.transferable();
+  // A holder with demand keeps what it needs soon, but never more than half.
+  const auto rate = account.demandAtTime(now, settings_.demandWindow);
+  const auto kept =
+    std::min(expected(rate, settings_.transferHorizon), Tokens{ account.available().count / 2 });
+  const auto spare = std::max(Tokens{ 0 }, account.available() - kept);
+  return std::min({ most, spare, message.want });
+}
+
 void Wallet::Impl::sendTransfer(Time now, const TransferName& name, OutTransfer& transfer)
 {
   transfer.sentAt = now;
@@ -457,6 +558,15 @@
 
 void Wallet::Impl::resendTransfers(Time now)
 {
+  if (!settings_.witnesses) {
+    // An incarnation that is gone takes nothing any more; its tokens count as spent.
+    std::erase_if(transfers_, [this](const auto& item) {
+      const auto& receiver = item.first.peer;
+      return std::any_of(peers_.begin(), peers_.end(), [&receiver](const Peer& peer) {
+        return peer.id.process == receiver.process && peer.id.incarnation > receiver.incarnation;
+      });
+    });
+  }
   for (auto& [name, transfer] : transfers_) {
     if (transfer.recorded && transfer.sentAt + kTransferResend <= now) {
       sendTransfer(now, name, transfer);
@@ -502,7 +612,7 @@
   // Each peer is asked once per round; repeated answers must not start further requests.
   auto& account = found->second;
   account.transferAsked = HolderId{};
-  if (++account.transferRefusals < zonePeers().size()) {
+  if (++account.transferRefusals < transferPeers().size()) {
     account.transferAskedAt = Time{};
     askTransfers(now);
   }
@@ -542,7 +652,7 @@
   }
   const bool idle = account.lastReserve + settings_.idleReturn <= now;
   const auto keep =
-    idle ? Tokens{ 0 } : Tokens{ kExcessFactor * expectedDemand(now, account).count };
+    idle ? startOf(account) : Tokens{ kExcessFactor * expectedDemand(now, account).count };
   if (account.available().count > 2 * keep.count && account.available() > Tokens{ 0 }) {
     returnTokens(id, account, account.available() - keep);
   }
@@ -555,8 +665,8 @@
                      account.grantProposal == 0 && account.recordedAt.empty() &&
                      account.changed <= account.confirmed;
   const bool empty = account.held() == Tokens{ 0 } && account.reserved == Tokens{ 0 } &&
-                     account.keyedPending == Tokens{ 0 } && account.in.empty() &&
-                     account.out.empty();
+                     account.keyedPending == Tokens{ 0 } && account.prepaid == Tokens{ 0 } &&
+                     account.in.empty() && account.out.empty();
   return idle && quiet && empty && !hasWaiting(id);
 }
 
--- a/modules/ledger/WalletImpl.h
+++ b/modules/ledger/WalletImpl.h
@@ -22,6 +22,8 @@
 
   void recover(Time now, std::span<const JournalRecord> records);
   void setPeers(Time now, std::span<const Peer> peers);
+  void setBudgets(Time now, std::span<const PrepaidBudget> budgets);
+  void budgetLowered(Time now, const BudgetId& budget);
   Decision reserve(Time now,
                    const RequestId& request,
                    const std::optional<RequestKey>& key,
@@ -62,6 +64,8 @@
     RequestId request;
     Reservation wanted;
     Time deadline;
+    /** The time of the first grant that did not cover the request. */
+    std::optional<Time> shortSince;
   };
 
   struct PendingKeyed
@@ -129,6 +133,7 @@
   void admitWaiting(Time now);
   void refuseWaiting(ErrorKind kind, const std::string& detail);
   void expireWaiting(Time now);
+  void refuseUncovered(Time now, const BudgetId& id);
   void freeReservation(Time now, const Reservation& reservation);
   void becomeRetired();
   [[nodiscard]] bool quiet() const;
@@ -138,7 +143,10 @@
 
   // Grants, settlement and transfers.
   void askGrants(Time now, std::span<const BudgetId> budgets);
+  /** Returns what an idle holder keeps, so that requests can start while control is away. */
+  [[nodiscard]] Tokens startOf(const Account& account) const;
   [[nodiscard]] Tokens expectedDemand(Time now, const Account& account) const;
+  void askStartGrants(Time now);
   std::optional<GrantItem> grantItemFor(Time now, const BudgetId& id, const Account& account);
   [[nodiscard]] std::vector<BudgetId> waitingBudgets() const;
   [[nodiscard]] bool hasWaiting(const BudgetId& id) const;
@@ -170,7 +178,13 @@
   void handleNoTransfer(Time now, const Transfer& message);
   void sendTransfer(Time now, const TransferName& name, OutTransfer& transfer);
   void resendTransfers(Time now);
+  void returnUnreserved(Time now, const BudgetId& id);
   [[nodiscard]] std::vector<HolderId> zonePeers() const;
+  [[nodiscard]] std::vector<HolderId> transferPeers() const;
+  [[nodiscard]] Tokens transferAmount(Time now,
+                                      const TransferRequest& message,
+                                      const Account& account) const;
+  [[nodiscard]] bool registered() const { return !registered_.empty() || registeredAlone_; }
 
   // Witnesses and the journal.
   void touch(const BudgetId& id, Account& account);
@@ -195,6 +209,8 @@
   WalletSettings settings_;
   Proposer proposer_;
   std::vector<Peer> peers_;
+  /** The number of entry processes, including this one. */
+  std::int64_t entries_ = 1;
   bool draining_ = false;
   bool retired_ = false;
   Time lastMaintenance_;
@@ -231,6 +247,8 @@
   std::optional<HolderId> active_;
   /** The witness set that control has confirmed. */
   std::vector<HolderId> registered_;
+  /** Control has confirmed a holder without witnesses. */
+  bool registeredAlone_ = false;
   /** The witness set of the registration in flight. */
   std::vector<HolderId> proposed_;
   std::uint64_t registration_ = 0;
--- a/modules/ledger/WalletRecords.cpp
+++ b/modules/ledger/WalletRecords.cpp
@@ -81,7 +81,8 @@
 
 bool Wallet::Impl::canRecord() const
 {
-  return !registered_.empty() && (active_.has_value() || settings_.hasJournal);
+  return !settings_.witnesses ||
+         (!registered_.empty() && (active_.has_value() || settings_.hasJournal));
 }
 
 std::vector<HolderId> Wallet::Impl::witnessCandidates() const
@@ -163,8 +164,8 @@
   if (registerProposal_ != 0 || now < registerAt_ || !journalReady || retired_ || draining_) {
     return;
   }
-  auto desired = desiredWitnesses();
-  if (desired.empty() || desired == registered_) {
+  auto desired = settings_.witnesses ? desiredWitnesses() : std::vector<HolderId>();
+  if (settings_.witnesses ? desired.empty() || desired == registered_ : registeredAlone_) {
     return;
   }
   proposed_ = std::move(desired);
@@ -183,6 +184,7 @@
     return;
   }
   registered_ = proposed_;
+  registeredAlone_ = !settings_.witnesses;
   for (auto link = links_.begin(); link != links_.end();) {
     if (contains(registered_, link->first)) {
       ++link;
@@ -196,6 +198,7 @@
   chooseWitness(now);
   admitWaiting(now);
   askGrants(now, waitingBudgets());
+  askStartGrants(now);
   flushRecords(now);
 }
 
@@ -210,6 +213,7 @@
     }
   }
   proposer_.setControls(std::move(controls));
+  entries_ = static_cast<std::int64_t>(transferPeers().size()) + 1;
   chooseWitness(now);
   registerIfNeeded(now);
   flushRecords(now);
@@ -342,7 +346,8 @@
   while (!unrecorded_.empty()) {
     const auto& first = unrecorded_.front();
     const bool synced = !settings_.hasJournal || journalSynced_ >= first.journal;
-    const bool witnessed = covered >= first.clock || (settings_.hasJournal && !active_);
+    const bool witnessed =
+      !settings_.witnesses || covered >= first.clock || (settings_.hasJournal && !active_);
     if (!synced || !witnessed) {
       return;
     }
--- a/tests/LedgerCluster.h
+++ b/tests/LedgerCluster.h
@@ -60,11 +60,8 @@
     entry.zone = ZoneId(zone);
     entry.alive = true;
     entry.synced = 0;
-    WalletSettings settings;
-    settings.self = holder(name);
-    settings.zone = entry.zone;
+    auto settings = makeSettings(holder(name), entry.zone);
     settings.hasJournal = hasJournal;
-    settings.idleReturn = 5 * kSecond;
     entry.wallet = std::make_unique<Wallet>(settings);
     entry.witness = std::make_unique<Witness>(settings.self);
     entry.wallet->recover(now, entry.journal);
@@ -195,6 +192,15 @@
     return *control.budget(BudgetId(name));
   }
 
+  /** Makes the settings of a wallet; a test of another mode replaces it before start(). */
+  std::function<WalletSettings(const HolderId&, const ZoneId&)> makeSettings =
+    [](const HolderId& self, const ZoneId& zone) {
+      WalletSettings settings;
+      settings.self = self;
+      settings.zone = zone;
+      settings.idleReturn = 5 * kSecond;
+      return settings;
+    };
   Random random;
   Time now = kStart;
   std::uint64_t index = 0;
--- /dev/null
+++ b/tests/router_budget_test.cpp
@@ -0,0 +1,239 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "LedgerCluster.h"
+
+#include <doctest/doctest.h>
+
+using namespace figchute;
+using namespace figchute::ledger;
+using figchute::ledger::test::Cluster;
+using figchute::ledger::test::kMs;
+using figchute::ledger::test::kSecond;
+
+namespace {
+
+/** Entry processes without disk and witnesses, in three zones, and one prepaid budget. */
+struct Router : Cluster
+{
+  explicit Router(std::uint64_t seed = 1)
+    : Cluster(seed)
+  {
+    makeSettings = [](const HolderId& self, const ZoneId& zone) {
+      return routerWalletSettings(self, zone);
+    };
+  }
+
+  void begin(int processes, std::int64_t amount)
+  {
+    for (int i = 0; i < processes; ++i) {
+      start(std::string(1, static_cast<char>('a' + i)), false, "z" + std::to_string(i % 3));
+    }
+    prepay(amount);
+    advance(kSecond);
+  }
+
+  /** Sets the budget at control and tells the wallets that control reaches. */
+  void prepay(std::int64_t amount)
+  {
+    configuration = { { BudgetId("w:t/x"), Tokens{ amount } } };
+    configure();
+  }
+
+  void configure()
+  {
+    control.setPrepaid(configuration);
+    for (auto& [name, entry] : entries) {
+      if (entry.wallet && linked(name, "ctl")) {
+        entry.wallet->setBudgets(now, configuration);
+      }
+    }
+  }
+
+  void restart(const std::string& name)
+  {
+    start(name, false, entries.at(name).zone.value);
+    entries.at(name).wallet->setBudgets(now, configuration);
+  }
+
+  void cutControl()
+  {
+    for (const auto& [name, entry] : entries) {
+      cut.insert({ name, "ctl" });
+    }
+  }
+
+  Wallet& wallet(const std::string& name) { return *entries.at(name).wallet; }
+
+  /** Serves requests one after the other at one process and returns how many were refused. */
+  int serve(const std::string& name, int requests, std::int64_t bound, Duration pause)
+  {
+    int refused = 0;
+    for (int i = 0; i < requests; ++i) {
+      const auto id = "s" + std::to_string(++served);
+      const bool admitted = decide(name, id, bound).status == ReserveStatus::admitted;
+      refused += admitted ? 0 : 1;
+      if (admitted) {
+        CHECK(charge(name, id, bound));
+      }
+      advance(pause);
+    }
+    return refused;
+  }
+
+  std::vector<PrepaidBudget> configuration;
+  int served = 0;
+};
+
+struct NineRouters : Router
+{
+  NineRouters() { begin(9, 100'000); }
+};
+
+} // namespace
+
+// Guards against a process that is not ready without witnesses, and against a last byte that waits
+// for a record nobody keeps.
+TEST_CASE_FIXTURE(Router, "RouterWallet_noWitness_isReadyAndRecordsAtOnce")
+{
+  begin(1, 10'000);
+  CHECK(wallet("a").ready());
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  CHECK(wallet("a").charge(now, RequestId("r1"), Tokens{ 300 }).has_value());
+  CHECK(wallet("a").chargeRecorded(RequestId("r1")));
+  advance(3 * kSecond);
+  CHECK(budget().settled == Tokens{ 300 });
+}
+
+// Guards against tokens that a dead process may have spent and that are granted again.
+TEST_CASE_FIXTURE(NineRouters, "RouterWallet_processDies_countsWhatItHeldAsSpent")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  CHECK(charge("a", "r1", 300));
+  advance(100 * kMs);
+  const auto held = wallet("a").account(BudgetId("w:t/x"))->available + Tokens{ 300 };
+  crash("a");
+  restart("a");
+  advance(kSecond);
+  CHECK(budget().settled == held);
+  CHECK(control.stranded().empty());
+}
+
+// Guards against tokens that a clean stop leaves behind.
+TEST_CASE_FIXTURE(NineRouters, "RouterWallet_drained_returnsEverything")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  wallet("a").drain(now);
+  advance(kSecond);
+  CHECK_FALSE(wallet("a").drained());
+  CHECK(charge("a", "r1", 300));
+  advance(kSecond);
+  CHECK(wallet("a").drained());
+  CHECK(budget().settled == Tokens{ 300 });
+}
+
+// Guards against a budget that stays spread over its holders after it was lowered.
+TEST_CASE_FIXTURE(NineRouters, "RouterWallet_budgetLowered_returnsWhatIsNotReserved")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  prepay(400);
+  advance(100 * kMs);
+  CHECK(budget().held == Tokens{ 500 });
+  CHECK(budget().free == Tokens{ -100 });
+  CHECK(decide("b", "r2", 1).error->kind == ErrorKind::budgetExhausted);
+  CHECK(charge("a", "r1", 300));
+  advance(2 * kSecond);
+  CHECK(decide("b", "r3", 100).status == ReserveStatus::admitted);
+}
+
+// Guards against a budget that starts from zero because a configuration left it out for a while.
+TEST_CASE_FIXTURE(NineRouters, "SetPrepaid_budgetRemovedAndNamedAgain_keepsWhatWasSpent")
+{
+  CHECK(serve("a", 10, 900, 10 * kMs) == 0);
+  configuration.clear();
+  configure();
+  advance(2 * kSecond);
+  CHECK(budget().held == Tokens{ 0 });
+  CHECK(decide("a", "r1", 1).error->kind == ErrorKind::budgetExhausted);
+  ControlState copy;
+  REQUIRE(copy.restore(control.snapshot()).has_value());
+  control = std::move(copy);
+  prepay(10'000);
+  advance(2 * kSecond);
+  CHECK(budget().settled == Tokens{ 9000 });
+  CHECK(decide("b", "r2", 1001).status == ReserveStatus::refused);
+  CHECK(decide("b", "r3", 1000).status == ReserveStatus::admitted);
+}
+
+// Guards against a workspace that is refused at a process that it never used before a cut.
+TEST_CASE_FIXTURE(NineRouters, "RouterWallet_firstRequestDuringCut_isServedAtOnce")
+{
+  cutControl();
+  CHECK(reserve("i", "r1", 500).status == ReserveStatus::admitted);
+}
+
+// Guards against tokens of the fleet that a cut-off process cannot reach.
+TEST_CASE_FIXTURE(NineRouters, "RouterWallet_grantUsedUpDuringCut_getsTokensFromAllZones")
+{
+  cutControl();
+  CHECK(serve("a", 16, 500, 20 * kMs) == 0);
+  cut.clear();
+  advance(3 * kSecond);
+  CHECK(budget().settled == Tokens{ 8000 });
+}
+
+// Guards against tokens created by a transfer whose sender dies before control hears of it.
+TEST_CASE_FIXTURE(NineRouters, "RouterTransfer_senderDies_receiverKeepsItsPart")
+{
+  cutControl();
+  CHECK(serve("a", 8, 500, 10 * kMs) == 0);
+  for (const auto* name : { "b", "c", "d" }) {
+    crash(name);
+  }
+  cut.clear();
+  for (const auto* name : { "b", "c", "d" }) {
+    restart(name);
+  }
+  advance(5 * kSecond);
+  const auto view = budget();
+  CHECK((view.settled + view.held + view.free) == view.bought);
+  CHECK(view.settled >= Tokens{ 4000 });
+  wallet("a").drain(now);
+  advance(2 * kSecond);
+  CHECK(wallet("a").drained());
+}
+
+// Guards against tokens that return to a sender after their receiver has spent them and died.
+TEST_CASE_FIXTURE(NineRouters, "RouterTransfer_receiverDies_itsPartCountsAsSpent")
+{
+  cutControl();
+  CHECK(serve("a", 8, 500, 10 * kMs) == 0);
+  crash("a");
+  cut.clear();
+  restart("a");
+  advance(5 * kSecond);
+  const auto view = budget();
+  CHECK(view.settled >= Tokens{ 4000 });
+  CHECK((view.settled + view.held + view.free) == view.bought);
+}
+
+// Guards against a caller that waits although control has nothing left.
+TEST_CASE_FIXTURE(Router, "RouterWallet_budgetExhausted_refusesBeforeGrantWait")
+{
+  begin(2, 1000);
+  CHECK(serve("a", 1, 1000, 10 * kMs) == 0);
+  const auto asked = now;
+  const auto decision = decide("b", "r1", 100);
+  CHECK(decision.error->kind == ErrorKind::budgetExhausted);
+  CHECK((now - asked) <= 200 * kMs);
+}
+
+// Guards against a caller that waits long, or is told that its budget is spent, while no control
+// process answers.
+TEST_CASE_FIXTURE(NineRouters, "RouterWallet_controlSilent_refusesAsNoQuorumAfter600Ms")
+{
+  cutControl();
+  const auto asked = now;
+  const auto decision = decide("a", "r1", 90'000);
+  CHECK(decision.error->kind == ErrorKind::noQuorum);
+  CHECK((now - asked) >= 600 * kMs);
+  CHECK((now - asked) <= 620 * kMs);
+}
