--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -449,15 +449,6 @@
   MSGPACK_DEFINE(verdict)
 };
 
-/** The budget of a workspace, as a configuration gives it. */
-struct PrepaidBudget
-{
-  BudgetId budget;
-  Tokens prepaid;
-
-  MSGPACK_DEFINE(budget, prepaid)
-};
-
 /** Puts a configuration in force unless its version is not above the one in force. The proposer has
     validated it. Idempotent by its version. */
 struct PutConfiguration
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -190,7 +190,7 @@
   auto result =
     std::visit([this](const auto& typed) { return state_->run(typed, outgoing_); }, command);
   if (state_->fleet.configuration.version() > configuration) {
-    setBudgets(std::get<PutConfiguration>(command).budgets);
+    setPrepaid(std::get<PutConfiguration>(command).budgets);
   }
   for (const auto& holder : state_->escrow.takeRetiring()) {
     state_->claims.abandonHolder(holder);
@@ -392,11 +392,6 @@
   return state_->fleet;
 }
 
-void ControlState::setBudgets(std::span<const PrepaidBudget> /*budgets*/)
-{
-  // MERGE: state_->escrow.setPrepaid(budgets);
-}
-
 std::vector<MemberView> ControlState::members() const
 {
   std::vector<MemberView> views;
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -200,8 +200,6 @@
 private:
   struct State;
 
-  /** Passes the budgets of a configuration on to the escrow. */
-  void setBudgets(std::span<const PrepaidBudget> budgets);
 
   std::unique_ptr<State> state_;
   std::vector<Outgoing> outgoing_;
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -9,10 +9,12 @@
 namespace figchute::router {
 namespace {
 
-constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr Duration kShortestTick = std::chrono::milliseconds(5);
+constexpr Duration kLongestTick = std::chrono::milliseconds(100);
 constexpr Duration kExpiryInterval = std::chrono::seconds(1);
 /** Operators turn to another control process after a second. */
 constexpr Duration kProposalLimit = std::chrono::milliseconds(900);
+constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
 constexpr std::uint64_t kMaxConfigurationBytes = 16U * 1024 * 1024;
 constexpr Duration kServeAfterStop = std::chrono::seconds(1);
 
@@ -26,15 +28,14 @@
   return limits;
 }
 
-std::vector<ledger::PrepaidBudget> budgetsOf(const fleet::Configuration& configuration)
+Error noQuorum()
 {
-  std::vector<ledger::PrepaidBudget> budgets;
-  for (const auto& workspace : configuration.workspaces) {
-    if (workspace.prepaid) {
-      budgets.push_back({ BudgetId("w:" + workspace.name), *workspace.prepaid });
-    }
-  }
-  return budgets;
+  return Error{ ErrorKind::noQuorum, "no leader with a majority answers" };
+}
+
+ledger::Command toCommand(const fleet::EndpointCommand& command)
+{
+  return std::visit([](const auto& typed) { return ledger::Command(typed); }, command);
 }
 
 std::string_view pathOf(std::string_view target)
@@ -55,20 +56,14 @@
 
 Expected<void> ControlRole::start()
 {
-  control::NodeSettings settings;
+  control::ControlNodeSettings settings;
   settings.self = ProcessId(settings::toString(context_.settings.peers));
   settings.dataFolder = *context_.settings.dataDir;
   settings.seeds = context_.settings.seedProcesses();
   settings.bootstrap = context_.settings.bootstrap;
   settings.seed = context_.incarnation.number;
   const Time now = bootTime();
-  auto node = control::ControlNode::create(std::move(settings), now);
-  if (!node) {
-    return tl::unexpected(node.error());
-  }
-  node_ = std::move(*node);
-  publisher_ = std::make_unique<fleet::FleetPublisher>();
-  desk_ = std::make_unique<fleet::AnnouncementDesk>();
+  node_ = std::make_unique<control::ControlNode>(std::move(settings), now);
   if (auto listening = operators_.listen(toEndpoint(*context_.settings.operators)); !listening) {
     return listening;
   }
@@ -79,7 +74,9 @@
 
 void ControlRole::schedule()
 {
-  timer_.expires_after(kTick);
+  const Time now = bootTime();
+  const Duration wait = std::clamp<Duration>(node_->nextTick() - now, kShortestTick, kLongestTick);
+  timer_.expires_after(wait);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       settle(bootTime());
@@ -134,20 +131,48 @@
 
 void ControlRole::getConfiguration(const RequestPointer& request)
 {
-  node_->readBarrier(bootTime(), kProposalLimit, [this, request](const Expected<void>& current) {
-    if (!current) {
-      answerError(*request, current.error(), std::chrono::milliseconds(200));
-      return;
+  const Time now = bootTime();
+  node_->proposeLocal(now,
+                      ledger::ReadBarrier{},
+                      kProposalLimit,
+                      [this, request, until = now + kProposalLimit](
+                        const Expected<ledger::Result>& result) {
+                        const auto* barrier =
+                          result ? std::get_if<ledger::BarrierResult>(&*result) : nullptr;
+                        if (barrier == nullptr) {
+                          answerError(*request, noQuorum(), kRetryAfter);
+                          return;
+                        }
+                        reads_.push_back({ barrier->index, until, request });
+                      });
+}
+
+void ControlRole::answerReads(Time now)
+{
+  const auto applied = node_->appliedIndex();
+  const auto done = [&](const Read& read) {
+    if (read.index <= applied) {
+      answerConfiguration(*read.request);
+      return true;
     }
-    const auto& configuration = node_->state().configuration();
-    if (configuration.version() == 0) {
-      answerError(*request,
-                  Error{ ErrorKind::overloaded, "no configuration is stored" },
-                  std::chrono::milliseconds(200));
-      return;
+    if (now >= read.until) {
+      answerError(*read.request, noQuorum(), kRetryAfter);
+      return true;
     }
-    answerJson(*request, *configuration.bytes());
-  });
+    return false;
+  };
+  reads_.erase(std::remove_if(reads_.begin(), reads_.end(), done), reads_.end());
+}
+
+void ControlRole::answerConfiguration(http::ServerRequest& request)
+{
+  const auto& configuration = node_->state().fleet().configuration;
+  if (configuration.version() == 0) {
+    answerError(
+      request, Error{ ErrorKind::overloaded, "no configuration is stored" }, kRetryAfter);
+    return;
+  }
+  answerJson(request, *configuration.bytes());
 }
 
 void ControlRole::announce(const RequestPointer& request, const EndpointId& id)
@@ -186,19 +211,21 @@
                       { "state",
                         announcement->state == fleet::EndpointState::ready ? "ready" : "draining" },
                       { "sequence", std::to_string(announcement->sequence) } });
-  propose(request, *command);
+  propose(request, toCommand(*command));
 }
 
 void ControlRole::removeEndpoint(const RequestPointer& request, const EndpointId& id)
 {
   const Time now = bootTime();
-  const auto command = desk_->remove(now, id);
+  const auto* record = node_->state().fleet().endpoints.find(id);
+  const auto command = desk_->withdraw(
+    { id, record != nullptr ? record->born : 0, node_->state().fleet().endpoints.sequenceOf(id) });
   context_.log.line(now, "endpoint_leaves", { { "endpoint", id.value } });
   if (!command) {
     answerJson(*request, "{}");
     return;
   }
-  propose(request, *command);
+  propose(request, toCommand(*command));
 }
 
 void ControlRole::propose(const RequestPointer& request, const ledger::Command& command)
@@ -211,7 +238,7 @@
         context_.log.line(bootTime(),
                           "proposal_failed",
                           { { "detail", result.error().detail }, { "age_ms", age } });
-        answerError(*request, result.error(), std::chrono::milliseconds(200));
+        answerError(*request, result.error(), kRetryAfter);
         return;
       }
       context_.log.line(bootTime(), "acknowledged", { { "age_ms", age } });
@@ -228,9 +255,6 @@
   if (channel == wire::Channel::fleet) {
     if (const auto message = wire::decode<fleet::Message>(body)) {
       publisher_->receive(now, from, *message);
-      if (const auto* batch = std::get_if<fleet::HeardBatch>(&*message)) {
-        desk_->receive(now, *batch);
-      }
     }
   } else {
     node_->receive(now, from, incarnation, channel, body);
@@ -246,12 +270,16 @@
   }
   settling_ = true;
   settleNode(now);
+  followState();
+  publisher_->setControls(now, memberProcesses(), node_->leaderHint().value_or(ProcessId()));
+  publisher_->setLeaderContact(now, node_->hasLeaderContact(now));
+  desk_->setLeader(now, node_->isLeader(now));
   expireEndpoints(now);
   publisher_->tick(now);
   for (auto& message : publisher_->takeOutgoing()) {
     context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
   }
-  logLeader(now);
+  logChanges(now);
   settling_ = false;
 }
 
@@ -265,11 +293,34 @@
   if (node_->appliedIndex() != before) {
     onApplied(now);
   }
+  answerReads(now);
+}
+
+void ControlRole::followState()
+{
+  // The state is another object after the data folder was recovered in this process.
+  const auto* state = &node_->state().fleet();
+  if (state == state_) {
+    return;
+  }
+  state_ = state;
+  desk_ = std::make_unique<fleet::AnnouncementDesk>(*state_);
+  publisher_ = std::make_unique<fleet::FleetPublisher>(
+    ProcessId(settings::toString(context_.settings.peers)), *state_, *desk_);
+}
+
+std::vector<ProcessId> ControlRole::memberProcesses() const
+{
+  std::vector<ProcessId> processes;
+  for (const auto& member : node_->members().members) {
+    processes.push_back(member.id.process);
+  }
+  return processes;
 }
 
 void ControlRole::onApplied(Time now)
 {
-  const auto& configuration = node_->state().configuration();
+  const auto& configuration = node_->state().fleet().configuration;
   if (configuration.version() != configurationVersion_) {
     configurationVersion_ = configuration.version();
     services_.clear();
@@ -281,6 +332,7 @@
     context_.log.line(
       now, "configuration", { { "version", std::to_string(configurationVersion_) } });
   }
+  followState();
   publisher_->changed(now);
 }
 
@@ -297,16 +349,30 @@
   }
 }
 
-void ControlRole::logLeader(Time now)
+void ControlRole::logChanges(Time now)
 {
   const auto leader = node_->leaderHint().value_or(ProcessId());
-  if (leader == leader_) {
-    return;
+  if (leader != leader_) {
+    leader_ = leader;
+    context_.log.line(
+      now, leader.empty() ? "leader_lost" : "leader", { { "leader", leader.value } });
+  }
+  const auto members = memberProcesses();
+  if (members != members_) {
+    members_ = members;
+    std::string text;
+    for (const auto& member : node_->members().members) {
+      text += (text.empty() ? "" : ",") + member.id.process.value + (member.voter ? "" : "(learner)");
+    }
+    context_.log.line(now, "members", { { "members", text } });
+  }
+  const bool failed = node_->storageError().has_value();
+  if (failed != storageFailed_) {
+    storageFailed_ = failed;
+    context_.log.line(now,
+                      failed ? "storage_lost" : "storage_regained",
+                      { { "detail", failed ? node_->storageError()->detail : "" } });
   }
-  leader_ = leader;
-  context_.log.line(now,
-                    leader.empty() ? "leader_lost" : "leader",
-                    { { "leader", leader.value }, { "term", std::to_string(node_->term()) } });
 }
 
 void ControlRole::setSeeds(const std::vector<ProcessId>& seeds)
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -3,6 +3,7 @@
 #include "control/ControlNode.h"
 #include "fleet/fleet.h"
 #include "http/http.h"
+#include "router/Exchange.h"
 #include "router/Role.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -31,6 +32,14 @@
 private:
   using RequestPointer = std::shared_ptr<http::ServerRequest>;
 
+  /** A read that waits until an entry of the log is applied here. */
+  struct Read
+  {
+    std::uint64_t index = 0;
+    Time until;
+    RequestPointer request;
+  };
+
   void handle(const RequestPointer& request);
   void putConfiguration(const RequestPointer& request);
   void getConfiguration(const RequestPointer& request);
@@ -41,19 +50,28 @@
   void settleNode(Time now);
   void onApplied(Time now);
   void expireEndpoints(Time now);
-  void logLeader(Time now);
+  void answerReads(Time now);
+  void answerConfiguration(http::ServerRequest& request);
+  void followState();
+  [[nodiscard]] std::vector<ProcessId> memberProcesses() const;
+  void logChanges(Time now);
   void schedule();
 
   RoleContext context_;
   std::unique_ptr<control::ControlNode> node_;
-  std::unique_ptr<fleet::FleetPublisher> publisher_;
+  /** What desk and publisher refer to. */
+  const fleet::FleetState* state_ = nullptr;
   std::unique_ptr<fleet::AnnouncementDesk> desk_;
+  std::unique_ptr<fleet::FleetPublisher> publisher_;
   http::Server operators_;
   boost::asio::steady_timer timer_;
   /** Services of the configuration in force; empty before the first one. */
   std::unordered_set<std::string> services_;
   std::uint64_t configurationVersion_ = 0;
   ProcessId leader_;
+  std::vector<ProcessId> members_;
+  bool storageFailed_ = false;
+  std::vector<Read> reads_;
   bool stopping_ = false;
   bool settling_ = false;
   Time stopStartedAt_;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -4,6 +4,7 @@
 #include "router/ErrorAnswer.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace figchute::router {
@@ -17,10 +18,9 @@
 
 ledger::WalletSettings walletSettings(const RoleContext& context)
 {
-  ledger::WalletSettings settings;
-  settings.self = { ProcessId(settings::toString(context.settings.peers)), context.incarnation };
-  settings.zone = context.settings.zone;
-  settings.witnesses = false;
+  auto settings = ledger::routerWalletSettings(
+    { ProcessId(settings::toString(context.settings.peers)), context.incarnation },
+    context.settings.zone);
   settings.proposalIdBase = context.incarnation.number;
   return settings;
 }
@@ -50,7 +50,10 @@
 
 EntryRole::EntryRole(const RoleContext& context)
   : context_(context)
-  , subscriber_({ context.settings.zone, context.settings.seedProcesses() })
+  , subscriber_({ context.incarnation,
+                  context.settings.zone,
+                  context.settings.seedProcesses(),
+                  context.incarnation.number })
   , wallet_(walletSettings(context))
   , dispatcher_(dispatcherSettings(context))
   , pool_(context.io)
@@ -155,9 +158,7 @@
   const Time now = bootTime();
   if (channel == wire::Channel::fleet) {
     if (const auto message = wire::decode<fleet::Message>(body)) {
-      if (const auto* update = std::get_if<fleet::FleetUpdate>(&*message)) {
-        subscriber_.receive(now, from, *update);
-      }
+      subscriber_.receive(now, from, *message);
     }
   } else if (channel == wire::Channel::ledger) {
     if (const auto message = wire::decode<ledger::Message>(body)) {
@@ -186,20 +187,45 @@
 
 void EntryRole::applyUpdates(Time now)
 {
-  if (subscriber_.takeConfigurationChange()) {
+  const auto changes = subscriber_.takeChanges();
+  if (changes.configuration) {
     applyConfiguration(now);
   }
-  if (subscriber_.takeEndpointChange()) {
+  if (changes.endpoints) {
     applyEndpoints(now);
   }
-  if (subscriber_.takeControlChange()) {
-    std::vector<ledger::Peer> peers;
-    for (const auto& control : subscriber_.controls()) {
-      peers.push_back({ { control, {} }, {}, false, true, true });
-    }
-    wallet_.setPeers(now, peers);
+  if (changes.control) {
+    applyControl(now);
+  }
+  if (changes.entryProcesses) {
+    dispatcher_.setPeers(subscriber_.entryProcesses());
+  }
+  for (const auto& crash : changes.crashes) {
+    dispatcher_.addCrashes(now, crash.fingerprint, crash.crashes);
+  }
+}
+
+void EntryRole::applyControl(Time now)
+{
+  std::vector<ledger::Peer> peers;
+  for (const auto& control : subscriber_.controls()) {
+    peers.push_back({ { control, {} }, {}, false, true, true });
   }
-  dispatcher_.setPeers(std::max<std::size_t>(1, subscriber_.entryProcesses()));
+  wallet_.setPeers(now, peers);
+  const auto control = subscriber_.control();
+  if (control == control_) {
+    return;
+  }
+  if (control_) {
+    context_.mesh.release(*control_);
+  }
+  if (control) {
+    context_.mesh.keep(*control);
+  }
+  control_ = control;
+  context_.log.line(now,
+                    control ? "control" : "control_lost",
+                    { { "control", control.value_or(ProcessId()).value } });
 }
 
 void EntryRole::applyConfiguration(Time now)
@@ -216,6 +242,7 @@
   services_.table = std::make_shared<const fleet::RouteTable>(std::move(*parsed));
   const auto& configuration = services_.table->configuration();
   dispatcher_.setServices(now, configuration.services);
+  wallet_.setBudgets(now, budgetsOf(configuration));
   callers_.setLimits(serverLimits(configuration.limits));
   context_.log.line(now,
                     "configuration",
@@ -226,7 +253,10 @@
 
 void EntryRole::applyEndpoints(Time now)
 {
-  const auto& endpoints = subscriber_.endpoints();
+  std::vector<fleet::EndpointRecord> endpoints;
+  for (const auto& [id, record] : subscriber_.endpoints()) {
+    endpoints.push_back(record);
+  }
   endpointCount_ = endpoints.size();
   services_.endpointRevision = subscriber_.endpointRevision();
   dispatcher_.setEndpoints(now, endpoints);
@@ -260,21 +290,15 @@
   for (const auto& event : dispatcher_.takeEvents()) {
     context_.log.line(now, "endpoint_state", { { "detail", event } });
   }
-  if (subscriber_.hasContact() != contact_) {
-    contact_ = !contact_;
-    context_.log.line(now,
-                      contact_ ? "control_regained" : "control_lost",
-                      { { "control", subscriber_.control().value } });
-  }
   for (const auto fingerprint : dispatcher_.takeCrashes()) {
-    subscriber_.addCrash(fingerprint);
+    subscriber_.addCrash(now, fingerprint);
     context_.log.line(now, "endpoint_crash", { { "fingerprint", fmt::format("{:x}", fingerprint) } });
   }
 }
 
 void EntryRole::setSeeds(const std::vector<ProcessId>& seeds)
 {
-  subscriber_.setSeeds(seeds);
+  subscriber_.addControls(seeds);
 }
 
 void EntryRole::beginStop()
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -37,6 +37,7 @@
   void applyUpdates(Time now);
   void applyConfiguration(Time now);
   void applyEndpoints(Time now);
+  void applyControl(Time now);
   void settleWallet(Time now);
   void logEvents(Time now);
 
@@ -52,11 +53,11 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t lastExchange_ = 0;
   std::size_t endpointCount_ = 0;
+  /** The control process in use. */
+  std::optional<ProcessId> control_;
   bool stopping_ = false;
   bool accepting_ = true;
-  bool unsubscribed_ = false;
   bool settling_ = false;
-  bool contact_ = false;
   Time stopStartedAt_;
 };
 
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -86,6 +86,17 @@
   return BudgetId("w:" + std::string(workspace));
 }
 
+std::vector<ledger::PrepaidBudget> budgetsOf(const fleet::Configuration& configuration)
+{
+  std::vector<ledger::PrepaidBudget> budgets;
+  for (const auto& workspace : configuration.workspaces) {
+    if (workspace.prepaid) {
+      budgets.push_back({ budgetOf(workspace.name), *workspace.prepaid });
+    }
+  }
+  return budgets;
+}
+
 Exchange::Exchange(EntryServices& services,
                    std::shared_ptr<http::ServerRequest> request,
                    std::uint64_t id,
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -35,6 +35,9 @@
 /** Returns the budget of a workspace. Safe from any thread. */
 BudgetId budgetOf(std::string_view workspace);
 
+/** Returns the budgets of a configuration. Safe from any thread. */
+std::vector<ledger::PrepaidBudget> budgetsOf(const fleet::Configuration& configuration);
+
 /** One request from its arrival to the end of its answer: route, key, budget, choice of an endpoint,
     call, relay. It decides which status an end may have: 503 and its like promise that no endpoint
     ran the request.
