fleet: publisher, subscriber, announcement desk and tests of the registry

Cause: entry processes must learn configuration and endpoints within 2 s, and endpoints that die must leave the registry. Ruled out: crashes as counts since the last message (a repeated Subscribe would count twice); they are cumulative for each reporter now. Change: FleetPublisher, FleetSubscriber, AnnouncementDesk; messages grow by the reporter of a crash count, the incarnation of a subscriber and the sequence in Heard; endpoint_book_test.

--- /dev/null
+++ b/modules/fleet/FleetPublisher.cpp
@@ -0,0 +1,236 @@
+#include "fleet/FleetPublisher.h"
+
+#include <algorithm>
+
+namespace figchute::fleet {
+
+FleetPublisher::FleetPublisher(ProcessId self, const FleetState& state, AnnouncementDesk& desk)
+  : self_(std::move(self))
+  , state_(&state)
+  , desk_(&desk)
+{
+}
+
+void FleetPublisher::receive(Time now, const ProcessId& from, const Message& message)
+{
+  std::visit([&](const auto& typed) { handle(now, from, typed); }, message);
+}
+
+void FleetPublisher::handle(Time now, const ProcessId& from, const Subscribe& message)
+{
+  auto& subscriber = subscribers_[from];
+  if (message.incarnation < subscriber.incarnation) {
+    return;
+  }
+  if (message.incarnation > subscriber.incarnation) {
+    subscriber = {};
+  }
+  subscriber.incarnation = message.incarnation;
+  const bool crossed = message.configurationVersion < subscriber.configurationVersion &&
+                       now - subscriber.configurationSent < kConfigurationInFlight;
+  if (!crossed) {
+    subscriber.configurationVersion = message.configurationVersion;
+  }
+  subscriber.endpointRevision = message.endpointRevision;
+  subscriber.lastHeard = now;
+  bool increased = false;
+  for (const auto& crash : message.crashes) {
+    increased |= count(now, { from, message.incarnation }, crash, true);
+  }
+  if (increased) {
+    sendToAll(now);
+  } else {
+    send(now, from, subscriber);
+  }
+}
+
+void FleetPublisher::handle(Time /*now*/, const ProcessId& from, const Unsubscribe& /*message*/)
+{
+  subscribers_.erase(from);
+}
+
+void FleetPublisher::handle(Time /*now*/, const ProcessId& /*from*/, const FleetUpdate& /*message*/)
+{
+}
+
+void FleetPublisher::handle(Time now, const ProcessId& from, const HeardBatch& message)
+{
+  desk_->heard(now, message.heard);
+  auto& peer = peers_[from];
+  peer.lastHeard = now;
+  peer.subscribers = { message.subscribers.begin(), message.subscribers.end() };
+  bool increased = false;
+  for (const auto& crash : message.crashes) {
+    increased |= count(now, crash.reporter, crash, false);
+  }
+  if (increased) {
+    sendToAll(now);
+  }
+}
+
+bool FleetPublisher::count(Time now, const HolderId& reporter, const CrashCount& crash, bool direct)
+{
+  auto& counted = crashes_[{ crash.fingerprint, reporter }];
+  const bool increased = crash.crashes > counted.crashes;
+  counted.crashes = std::max(counted.crashes, crash.crashes);
+  counted.lastNamed = now;
+  counted.direct |= direct;
+  return increased;
+}
+
+void FleetPublisher::changed(Time now)
+{
+  const auto version = state_->configuration.version();
+  const auto revision = state_->endpoints.revision();
+  if (version != publishedVersion_ || revision != publishedRevision_) {
+    publishedVersion_ = version;
+    publishedRevision_ = revision;
+    sendToAll(now);
+  }
+}
+
+void FleetPublisher::setControls(Time now, std::vector<ProcessId> controls, ProcessId leader)
+{
+  leader_ = std::move(leader);
+  if (controls != controls_) {
+    controls_ = std::move(controls);
+    sendToAll(now);
+  }
+}
+
+void FleetPublisher::setLeaderContact(Time now, bool contact)
+{
+  if (contact != leaderContact_) {
+    leaderContact_ = contact;
+    sendToAll(now);
+  }
+}
+
+void FleetPublisher::tick(Time now)
+{
+  forget(now);
+  for (auto& [id, subscriber] : subscribers_) {
+    if (now - subscriber.lastSent >= kInterval) {
+      send(now, id, subscriber);
+    }
+  }
+  if (now >= nextBatch_) {
+    nextBatch_ = now + kInterval;
+    sendBatches(now);
+  }
+}
+
+void FleetPublisher::forget(Time now)
+{
+  const auto silent = [now](const auto& item) {
+    return now - item.second.lastHeard >= kForgetAfter;
+  };
+  std::erase_if(subscribers_, silent);
+  std::erase_if(peers_, silent);
+  std::erase_if(crashes_,
+                [now](const auto& item) { return now - item.second.lastNamed >= kCrashMemory; });
+}
+
+std::vector<ProcessId> FleetPublisher::subscribers() const
+{
+  std::vector<ProcessId> ids;
+  for (const auto& [id, subscriber] : subscribers_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+std::uint32_t FleetPublisher::entryProcesses() const
+{
+  std::set<ProcessId> known;
+  for (const auto& [id, subscriber] : subscribers_) {
+    known.insert(id);
+  }
+  for (const auto& [id, peer] : peers_) {
+    known.insert(peer.subscribers.begin(), peer.subscribers.end());
+  }
+  return static_cast<std::uint32_t>(known.size());
+}
+
+std::vector<CrashCount> FleetPublisher::crashesOfOthers(const ProcessId& receiver) const
+{
+  std::vector<CrashCount> sums;
+  for (const auto& [key, counted] : crashes_) {
+    if (key.second.process == receiver) {
+      continue;
+    }
+    if (sums.empty() || sums.back().fingerprint != key.first) {
+      sums.push_back({ key.first, 0, {} });
+    }
+    sums.back().crashes += counted.crashes;
+  }
+  return sums;
+}
+
+void FleetPublisher::addConfiguration(Time now, Subscriber& subscriber, FleetUpdate& update) const
+{
+  const auto& configuration = state_->configuration;
+  if (configuration.version() <= subscriber.configurationVersion) {
+    return;
+  }
+  update.configurationVersion = configuration.version();
+  update.configuration = *configuration.bytes();
+  subscriber.configurationVersion = configuration.version();
+  subscriber.configurationSent = now;
+}
+
+void FleetPublisher::addEndpoints(const Subscriber& subscriber, FleetUpdate& update) const
+{
+  const auto& endpoints = state_->endpoints;
+  // A subscriber that has more than this process gets an empty update.
+  const auto since = std::min(subscriber.endpointRevision, endpoints.revision());
+  auto changes = endpoints.changesSince(since);
+  update.endpointRevision = changes.revision;
+  update.sinceRevision = changes.whole ? 0 : since;
+  update.endpoints = std::move(changes.endpoints);
+  update.removed = std::move(changes.removed);
+}
+
+void FleetPublisher::send(Time now, const ProcessId& to, Subscriber& subscriber)
+{
+  FleetUpdate update;
+  addConfiguration(now, subscriber, update);
+  addEndpoints(subscriber, update);
+  update.controls = controls_;
+  update.leaderContact = leaderContact_;
+  update.entryProcesses = entryProcesses();
+  update.crashes = crashesOfOthers(to);
+  subscriber.lastSent = now;
+  subscriber.endpointRevision = std::max(subscriber.endpointRevision, update.endpointRevision);
+  outgoing_.push_back({ to, std::move(update) });
+}
+
+void FleetPublisher::sendToAll(Time now)
+{
+  for (auto& [id, subscriber] : subscribers_) {
+    send(now, id, subscriber);
+  }
+}
+
+void FleetPublisher::sendBatches(Time now)
+{
+  HeardBatch batch;
+  batch.subscribers = subscribers();
+  for (const auto& [key, counted] : crashes_) {
+    if (counted.direct) {
+      batch.crashes.push_back({ key.first, counted.crashes, key.second });
+    }
+  }
+  for (const auto& control : controls_) {
+    if (control == self_) {
+      continue;
+    }
+    auto own = batch;
+    if (control == leader_) {
+      own.heard = desk_->recent(now);
+    }
+    outgoing_.push_back({ control, std::move(own) });
+  }
+}
+
+} // namespace figchute::fleet
--- /dev/null
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -0,0 +1,272 @@
+#include "fleet/FleetSubscriber.h"
+
+#include <algorithm>
+
+namespace figchute::fleet {
+namespace {
+
+bool contains(const std::vector<ProcessId>& ids, const ProcessId& id)
+{
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+FleetSubscriber::FleetSubscriber(SubscriberSettings settings)
+  : settings_(std::move(settings))
+  , random_(settings_.seed)
+  , controls_(settings_.seeds)
+  , members_(controls_.size())
+{
+}
+
+void FleetSubscriber::receive(Time now, const ProcessId& from, const Message& message)
+{
+  const auto* update = std::get_if<FleetUpdate>(&message);
+  if (update == nullptr) {
+    return;
+  }
+  // State only grows, so it is taken from any control process, also from a former one.
+  applyConfiguration(*update);
+  applyEndpoints(now, from, *update);
+  applyCrashes(now, update->crashes);
+  learnControls(update->controls);
+  const auto processes = std::max<std::uint32_t>(update->entryProcesses, 1);
+  const bool inUse = !searching_ && current_ == from;
+  if ((inUse || searching_) && processes != entryProcesses_) {
+    entryProcesses_ = processes;
+    changes_.entryProcesses = true;
+  }
+  if (started_ && !stopped_) {
+    judgeSender(now, from, update->leaderContact);
+  }
+}
+
+void FleetSubscriber::applyConfiguration(const FleetUpdate& update)
+{
+  if (update.configurationVersion <= configurationVersion_) {
+    return;
+  }
+  configurationVersion_ = update.configurationVersion;
+  configuration_ = std::make_shared<const std::string>(update.configuration);
+  changes_.configuration = true;
+}
+
+void FleetSubscriber::applyEndpoints(Time now, const ProcessId& from, const FleetUpdate& update)
+{
+  if (update.endpointRevision <= endpointRevision_) {
+    return;
+  }
+  if (update.sinceRevision > endpointRevision_) {
+    // An update was lost. The sender answers with everything since the revision in this message.
+    const bool due = !askedAt_ || now - *askedAt_ >= kAskAgainAfter;
+    if (due && !stopped_) {
+      askedAt_ = now;
+      subscribe(now, from);
+    }
+    return;
+  }
+  if (update.sinceRevision == 0) {
+    endpoints_.clear();
+  }
+  for (const auto& id : update.removed) {
+    endpoints_.erase(id);
+  }
+  for (const auto& record : update.endpoints) {
+    endpoints_[record.id] = record;
+  }
+  endpointRevision_ = update.endpointRevision;
+  changes_.endpoints = true;
+}
+
+void FleetSubscriber::applyCrashes(Time now, const std::vector<CrashCount>& crashes)
+{
+  for (const auto& crash : crashes) {
+    auto& known = otherCrashes_[crash.fingerprint];
+    known.lastNamed = now;
+    if (crash.crashes > known.crashes) {
+      changes_.crashes.push_back({ crash.fingerprint, crash.crashes - known.crashes, {} });
+      known.crashes = crash.crashes;
+    }
+  }
+}
+
+void FleetSubscriber::learnControls(const std::vector<ProcessId>& members)
+{
+  if (members.empty()) {
+    return;
+  }
+  auto known = members;
+  const auto addMissing = [&known](const std::vector<ProcessId>& ids) {
+    for (const auto& id : ids) {
+      if (!contains(known, id) && known.size() < kMaxControls) {
+        known.push_back(id);
+      }
+    }
+  };
+  addMissing(settings_.seeds);
+  addMissing(controls_);
+  controls_ = std::move(known);
+  members_ = members.size();
+}
+
+void FleetSubscriber::judgeSender(Time now, const ProcessId& from, bool leaderContact)
+{
+  if (!searching_) {
+    if (current_ != from) {
+      return;
+    }
+    lastHeard_ = now;
+    if (!leaderContact) {
+      startSearch(now);
+    }
+    return;
+  }
+  if (!tried_.contains(from)) {
+    return;
+  }
+  if (leaderContact) {
+    adopt(now, from);
+  } else if (!untried_.empty()) {
+    tryNext(now);
+  }
+}
+
+void FleetSubscriber::startSearch(Time now)
+{
+  searching_ = true;
+  changes_.control = true;
+  tried_.clear();
+  startRound();
+  if (current_) {
+    // The former one may be the first to have a leader again; its updates still come for a while.
+    tried_.insert(*current_);
+    std::erase(untried_, *current_);
+  }
+  tryNext(now);
+}
+
+void FleetSubscriber::startRound()
+{
+  untried_.assign(controls_.begin(), controls_.end());
+  const auto members = std::min(members_, untried_.size());
+  if (members > 0) {
+    const auto first = static_cast<std::ptrdiff_t>(random_.below(members));
+    const auto begin = untried_.begin();
+    std::rotate(begin, begin + first, begin + static_cast<std::ptrdiff_t>(members));
+  }
+}
+
+void FleetSubscriber::tryNext(Time now)
+{
+  if (untried_.empty()) {
+    startRound();
+  }
+  if (untried_.empty()) {
+    return;
+  }
+  const auto next = untried_.front();
+  untried_.pop_front();
+  tried_.insert(next);
+  subscribe(now, next);
+  nextTry_ = now + (untried_.empty() ? kRoundPause : kTryNextAfter);
+}
+
+void FleetSubscriber::adopt(Time now, const ProcessId& control)
+{
+  searching_ = false;
+  current_ = control;
+  lastHeard_ = now;
+  nextSubscribe_ = now + kInterval;
+  changes_.control = true;
+  tried_.erase(control);
+  for (const auto& other : std::exchange(tried_, {})) {
+    outgoing_.push_back({ other, Unsubscribe{ false } });
+  }
+}
+
+void FleetSubscriber::subscribe(Time now, const ProcessId& to)
+{
+  Subscribe message{ settings_.zone, configurationVersion_, endpointRevision_, {}, {} };
+  message.incarnation = settings_.incarnation;
+  for (const auto& [fingerprint, own] : ownCrashes_) {
+    if (now - own.last <= kCrashReported) {
+      message.crashes.push_back({ fingerprint, own.crashes, {} });
+    }
+  }
+  outgoing_.push_back({ to, std::move(message) });
+}
+
+void FleetSubscriber::tick(Time now)
+{
+  if (stopped_) {
+    return;
+  }
+  forgetCrashes(now);
+  if (!started_) {
+    started_ = true;
+    startSearch(now);
+  } else if (searching_) {
+    if (now >= nextTry_) {
+      tryNext(now);
+    }
+  } else if (now - lastHeard_ >= kSilence) {
+    startSearch(now);
+  } else if (now >= nextSubscribe_) {
+    nextSubscribe_ = now + kInterval;
+    subscribe(now, *current_);
+  }
+}
+
+void FleetSubscriber::addCrash(Time now, std::uint64_t fingerprint)
+{
+  if (ownCrashes_.size() >= kMaxOwnCrashes && !ownCrashes_.contains(fingerprint)) {
+    const auto oldest =
+      std::min_element(ownCrashes_.begin(), ownCrashes_.end(), [](const auto& a, const auto& b) {
+        return a.second.last < b.second.last;
+      });
+    ownCrashes_.erase(oldest);
+  }
+  auto& own = ownCrashes_[fingerprint];
+  ++own.crashes;
+  own.last = now;
+  if (!searching_ && !stopped_) {
+    nextSubscribe_ = now + kInterval;
+    subscribe(now, *current_);
+  }
+}
+
+void FleetSubscriber::stop()
+{
+  if (stopped_) {
+    return;
+  }
+  stopped_ = true;
+  if (current_) {
+    tried_.insert(*current_);
+  }
+  for (const auto& control : tried_) {
+    outgoing_.push_back({ control, Unsubscribe{ true } });
+  }
+}
+
+std::uint64_t FleetSubscriber::crashesOfOthers(std::uint64_t fingerprint) const
+{
+  const auto found = otherCrashes_.find(fingerprint);
+  return found == otherCrashes_.end() ? 0 : found->second.crashes;
+}
+
+std::optional<ProcessId> FleetSubscriber::control() const
+{
+  return searching_ ? std::nullopt : current_;
+}
+
+void FleetSubscriber::forgetCrashes(Time now)
+{
+  std::erase_if(ownCrashes_,
+                [now](const auto& item) { return now - item.second.last >= kOwnCrashMemory; });
+  std::erase_if(otherCrashes_,
+                [now](const auto& item) { return now - item.second.lastNamed >= kCrashMemory; });
+}
+
+} // namespace figchute::fleet
--- a/modules/fleet/Messages.h
+++ b/modules/fleet/Messages.h
@@ -13,12 +13,15 @@
     and reordering of any of them is tolerated. */
 namespace figchute::fleet {
 
-/** A request fingerprint with the number of endpoints that went down under it. */
+/** A request fingerprint with the number of endpoints that went down under it. Counts are
+   cumulative and never fall, so that a lost or repeated message changes nothing. */
 struct CrashCount
 {
   std::uint64_t fingerprint = 0;
   std::uint64_t crashes = 0;
-  MSGPACK_DEFINE(fingerprint, crashes)
+  /** The entry process that counted, in HeardBatch; empty elsewhere. */
+  HolderId reporter{};
+  MSGPACK_DEFINE(fingerprint, crashes, reporter)
 };
 
 /** Sent by an entry process to its control process at once and each second. */
@@ -29,14 +32,17 @@
   std::uint64_t configurationVersion = 0;
   /** Revision of the endpoint registry that the sender has; 0 for none. */
   std::uint64_t endpointRevision = 0;
-  /** Crashes seen since the last message. */
+  /** All crashes that the sender has seen under fingerprints with a recent one. */
   std::vector<CrashCount> crashes;
-  MSGPACK_DEFINE(zone, configurationVersion, endpointRevision, crashes)
+  /** Start of the sender; its counts of crashes begin at 0. */
+  Incarnation incarnation{};
+  MSGPACK_DEFINE(zone, configurationVersion, endpointRevision, crashes, incarnation)
 };
 
-/** Ends a subscription; the sender stops. */
+/** Ends a subscription. */
 struct Unsubscribe
 {
+  /** False when the sender only turned to another control process. */
   bool stopping = true;
   MSGPACK_DEFINE(stopping)
 };
@@ -61,7 +67,7 @@
   bool leaderContact = false;
   /** Number of live entry processes as far as the sender knows. */
   std::uint32_t entryProcesses = 0;
-  /** Requests that crashed endpoints, over all processes. */
+  /** Requests that crashed endpoints, over all processes except the receiver. */
   std::vector<CrashCount> crashes;
   MSGPACK_DEFINE(configurationVersion,
                  configuration,
@@ -83,15 +89,19 @@
   std::int64_t born = 0;
   /** Age of the last announcement when the message was sent, in ms. */
   std::int64_t ageMs = 0;
-  MSGPACK_DEFINE(endpoint, born, ageMs)
+  /** Sequence of that announcement. */
+  std::uint64_t sequence = 0;
+  MSGPACK_DEFINE(endpoint, born, ageMs, sequence)
 };
 
 /** Sent between control processes once a second. */
 struct HeardBatch
 {
+  /** Sent to the leader only. */
   std::vector<Heard> heard;
   /** Entry processes that subscribe at the sender. */
   std::vector<ProcessId> subscribers;
+  /** What these processes counted. */
   std::vector<CrashCount> crashes;
   MSGPACK_DEFINE(heard, subscribers, crashes)
 };
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -4,11 +4,14 @@
    and the protocol between entry and control processes. The module does no I/O and reads no clock.
  */
 
+#include "fleet/AnnouncementDesk.h"
 #include "fleet/Commands.h"
 #include "fleet/Configuration.h"
 #include "fleet/ConfigurationBook.h"
 #include "fleet/Endpoint.h"
 #include "fleet/EndpointBook.h"
+#include "fleet/FleetPublisher.h"
 #include "fleet/FleetState.h"
+#include "fleet/FleetSubscriber.h"
 #include "fleet/Messages.h"
 #include "fleet/RouteTable.h"
