--- a/modules/fleet/AnnouncementDesk.cpp
+++ b/modules/fleet/AnnouncementDesk.cpp
@@ -104,16 +104,13 @@
     return !held && now - item.second.last > kForgetAfter;
   });
   std::vector<ExpireEndpoint> commands;
-  if (!leader_) {
-    return commands;
-  }
   for (const auto& record : state_->endpoints.records()) {
-    // A record that another process entered counts from the first look at it.
+    // A record that another process entered counts from the first look at it, also by a follower.
     auto& seen =
       seen_.try_emplace({ record.id, record.born }, Seen{ 0, false, now, {}, {} }).first->second;
     const bool silent = now - std::max(seen.last, countFrom_) >= kExpireAfter;
     const bool due = !seen.proposed || now - *seen.proposed >= kProposeAgainAfter;
-    if (silent && due) {
+    if (leader_ && silent && due) {
       seen.proposed = now;
       const auto sequence = std::max(seen.sequence, state_->endpoints.sequenceOf(record.id));
       commands.push_back({ record.id, record.born, sequence });
