dispatch: see other processes' prompts in the pauses of own streams

Change: EnginePace; two engines per subject in different zones, more for one whose requests would keep two busy; a subject also leaves an engine whose queue is above 250 ms; a lost connection is followed by a trial at once. EngineChoice, PlainChoice and EndpointHealth are classes of their own.

--- a/modules/dispatch/CircuitBreaker.cpp
+++ b/modules/dispatch/CircuitBreaker.cpp
@@ -26,13 +26,13 @@
 {
   successes_.add(now, 1);
   failuresInRow_ = 0;
-  absent_ = false;
+  last_ = Fault::weak;
   trialInFlight_ = false;
   if (!open_) {
     return false;
   }
   ++trialSuccesses_;
-  const auto needed = std::min(kTrialSuccesses + (openings_ - 1), kMostTrialSuccesses);
+  const auto needed = std::min(kTrialSuccesses * openings_, kMostTrialSuccesses);
   if (trialSuccesses_ < needed) {
     return false;
   }
@@ -45,13 +45,13 @@
 {
   failures_.add(now, fault == Fault::weak ? kWeakWeight : 1);
   ++failuresInRow_;
-  absent_ = fault == Fault::absent;
+  last_ = fault;
   trialInFlight_ = false;
 }
 
 bool CircuitBreaker::wantsOpen(Time now) const
 {
-  return absent_ || failuresInRow_ >= kFailuresInRow ||
+  return last_ == Fault::absent || last_ == Fault::broken || failuresInRow_ >= kFailuresInRow ||
          (failures_.at(now) >= kSmallestFailures && failureShare(now) >= kFailureShare);
 }
 
@@ -64,6 +64,12 @@
   open_ = true;
   trialInFlight_ = false;
   trialSuccesses_ = 0;
+  if (last_ == Fault::broken && failuresInRow_ == 1) {
+    // A lost connection is no reason to stay away, but the next request must not be one that may
+    // run only once.
+    trialAt_ = now;
+    return;
+  }
   trialAt_ = now + kFirstBackOff * (1U << doublings);
   ++openings_;
 }
@@ -72,7 +78,7 @@
 {
   open_ = false;
   trialInFlight_ = false;
-  absent_ = false;
+  last_ = Fault::weak;
   failuresInRow_ = 0;
   trialSuccesses_ = 0;
   failures_ = routing::DecayedSum(std::chrono::seconds(6));
--- a/modules/dispatch/CircuitBreaker.h
+++ b/modules/dispatch/CircuitBreaker.h
@@ -12,8 +12,11 @@
 {
   /** It answered, but badly; one of these may be the request's own fault. */
   weak,
-  /** The connection broke or nothing came in time. */
+  /** Nothing came in time, or nothing that makes sense. */
   strong,
+  /** The connection was lost under the request; the next connection tells whether the endpoint is
+      down. */
+  broken,
   /** Nobody or somebody else listens at the address. */
   absent,
 };
@@ -73,7 +76,7 @@
   std::uint32_t openings_ = 0;
   std::uint32_t failuresInRow_ = 0;
   std::uint32_t trialSuccesses_ = 0;
-  bool absent_ = false;
+  Fault last_ = Fault::weak;
   routing::DecayedSum successes_{ std::chrono::seconds(6) };
   routing::DecayedSum failures_{ std::chrono::seconds(6) };
 };
--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -1,9 +1,10 @@
 #include "dispatch/Dispatcher.h"
 
 #include "dispatch/Admission.h"
-#include "dispatch/CrashTable.h"
+#include "dispatch/EndpointHealth.h"
 #include "dispatch/EndpointTable.h"
-#include "dispatch/Placement.h"
+#include "dispatch/EngineChoice.h"
+#include "dispatch/PlainChoice.h"
 #include "dispatch/RepeatBudget.h"
 #include "dispatch/SendTable.h"
 
@@ -19,11 +20,6 @@
 constexpr double kRatioPart = 0.75;
 constexpr double kSlackPart = 0.5;
 
-/** A subject stays at an engine up to this part of the target in predicted time. */
-constexpr double kStayPart = 0.6;
-/** Another zone must be faster by this part of the target for a request without a subject. */
-constexpr double kZonePart = 0.25;
-
 /** Without any bytes for this long from an endpoint that has work of this process, the endpoint is
     silent. The largest pause between events that is on time is 0.5 s. */
 constexpr Duration kSilence = std::chrono::milliseconds(1200);
@@ -48,38 +44,6 @@
   Duration serviceTime = kInitialServiceTime;
 };
 
-/** An endpoint that may take the request, with what is predicted of it. */
-struct Candidate
-{
-  Endpoint* endpoint = nullptr;
-  double load = 0;
-  bool ownZone = false;
-  Duration reading{};
-  Duration expected{};
-  Duration predicted{};
-  std::int64_t newTokens = 0;
-};
-
-std::optional<Fault> faultOf(Outcome outcome)
-{
-  switch (outcome) {
-    case Outcome::serverError:
-    case Outcome::notExecuted:
-      return Fault::weak;
-    case Outcome::broken:
-    case Outcome::timedOut:
-    case Outcome::malformed:
-      return Fault::strong;
-    case Outcome::wrongEndpoint:
-    case Outcome::notConnected:
-      return Fault::absent;
-    case Outcome::answered:
-    case Outcome::cancelled:
-      break;
-  }
-  return std::nullopt;
-}
-
 } // namespace
 
 class Dispatcher::Impl
@@ -87,7 +51,7 @@
 public:
   explicit Impl(DispatcherSettings settings)
     : settings_(std::move(settings))
-    , random_(settings_.seed)
+    , engineChoice_(settings_.zone)
     , allRepeats_(settings_.repeatWindow)
   {
   }
@@ -110,7 +74,7 @@
   void setEndpoints(Time now, std::span<const fleet::EndpointRecord> records)
   {
     for (const auto place : endpoints_.replace(now, records)) {
-      crashes_.endpointDown(now, place);
+      health_.gone(now, place);
     }
   }
 
@@ -126,7 +90,7 @@
       return refuse(now, work, ErrorKind::noEndpoint, kLongestRetryAfter, "unknown service");
     }
     const auto quarantine =
-      work.fingerprint == 0 ? Duration(0) : crashes_.refusedFor(now, work.fingerprint);
+      work.fingerprint == 0 ? Duration(0) : health_.crashes().refusedFor(now, work.fingerprint);
     if (quarantine > Duration(0)) {
       return tl::unexpected<Refusal>(
         Refusal{ ErrorKind::quarantined, quarantine, "the request crashed several endpoints" });
@@ -153,20 +117,25 @@
       endpoint->heardAt = now;
       endpoint->firstToken.ended(request->priority, send.reading);
       endpoint->firstToken.observe(now, send.expected, now - send.sentAt);
-      crashes_.endpointAnswered(send.place, send.sentAt);
+      endpoint->pace.streamBegan(now);
+      health_.answering(send);
     }
   }
 
-  void progress(Time now, std::uint64_t workId)
+  void progress(Time now, std::uint64_t workId, std::int64_t tokens)
   {
     auto* request = requests_.find(workId);
     if (request == nullptr || !request->send) {
       return;
     }
-    request->send->heardAt = now;
-    if (auto* endpoint = endpoints_.find(request->send->place)) {
+    auto& send = *request->send;
+    if (auto* endpoint = endpoints_.find(send.place)) {
       endpoint->heardAt = now;
+      if (send.answering) {
+        endpoint->pace.tokensCame(now, now - send.heardAt, tokens);
+      }
     }
+    send.heardAt = now;
   }
 
   void finished(Time now, std::uint64_t workId, Outcome outcome)
@@ -185,8 +154,10 @@
     endpoint->heldTokens -= request->promptTokens;
     if (!send.answering) {
       endpoint->firstToken.ended(request->priority, send.reading);
+    } else {
+      endpoint->pace.streamEnded();
     }
-    judge(now, *request, send, *endpoint, outcome);
+    noteEnd(now, *request, send, *endpoint, outcome);
   }
 
   void forget(Time now, std::uint64_t workId)
@@ -213,13 +184,13 @@
   void tick(Time now)
   {
     now_ = now;
-    crashes_.expire(now);
+    health_.crashes().expire(now);
     for (auto& [id, request] : requests_.all()) {
       if (request.send && !request.send->overdue && isOverdue(now, request)) {
         request.send->overdue = true;
         stalled_.push_back(id);
         if (auto* endpoint = endpoints_.find(request.send->place)) {
-          fail(now, *endpoint, *request.send, Fault::strong, "silent");
+          health_.silent(now, *request.send, *endpoint);
         }
       }
     }
@@ -227,8 +198,8 @@
 
   [[nodiscard]] Time now() const { return now_; }
 
-  CrashTable& crashes() { return crashes_; }
-  std::vector<std::string> takeEvents() { return std::exchange(events_, {}); }
+  CrashTable& crashes() { return health_.crashes(); }
+  std::vector<std::string> takeEvents() { return health_.takeEvents(); }
   std::vector<std::uint64_t> takeStalled() { return std::exchange(stalled_, {}); }
 
 private:
@@ -334,8 +305,11 @@
                                              std::span<const EndpointId> excluded)
   {
     const auto keys = prefixKeys(work);
+    const EngineContext context{
+      now, service.settings.engine->kvCapacity, service.serviceTime, peers_
+    };
     if (auto trial = trialFor(now, work, service, excluded)) {
-      predict(now, work, service, keys, *trial);
+      EngineChoice::predict(context, work, keys, *trial);
       return send(now, work, service, keys, *trial);
     }
     auto candidates = candidatesFor(work, service, excluded);
@@ -353,77 +327,15 @@
       }
       after =
         std::min(after, Admission::roomAfter(candidate.load, limit, slots, service.serviceTime));
-      predict(now, work, service, keys, candidate);
+      EngineChoice::predict(context, work, keys, candidate);
     }
     if (full) {
       return refuse(now, work, ErrorKind::overloaded, after, "all engines are full");
     }
-    const auto chosen = pickEngine(work, keys, candidates);
+    const auto chosen = engineChoice_.pick(context, work, keys, candidates);
     return send(now, work, service, keys, candidates[chosen]);
   }
 
-  /** Fills in what is predicted of an engine. */
-  void predict(Time now,
-               const Work& work,
-               const ServiceState& service,
-               std::span<const Fingerprint> keys,
-               Candidate& candidate) const
-  {
-    const auto& endpoint = *candidate.endpoint;
-    const auto held = endpoint.heldTokens * static_cast<std::int64_t>(peers_);
-    const auto free = std::max<std::int64_t>(service.settings.engine->kvCapacity - held, 0);
-    const auto retention = endpoint.cache.retention(now, static_cast<double>(free), peers_);
-    const auto cached = endpoint.cache.cachedTokens(now, work.parts, keys, retention);
-    candidate.newTokens = std::max<std::int64_t>(work.promptTokens - cached, 1);
-    TimeToFirstTokenModel::Input input;
-    input.newTokens = candidate.newTokens;
-    input.promptTokens = work.promptTokens;
-    input.priority = work.priority;
-    input.load = candidate.load;
-    input.slots = endpoint.slots;
-    input.serviceTime = service.serviceTime;
-    candidate.reading = prefillTime(input.newTokens, input.promptTokens);
-    candidate.expected = endpoint.firstToken.base(input);
-    candidate.predicted = candidate.expected + endpoint.firstToken.excess(now);
-    // Failures cost more than a wait: the request has to go to another endpoint afterwards.
-    const auto penalty = endpoint.breaker.failureShare(now) * 3e6;
-    candidate.predicted += Duration(static_cast<std::int64_t>(penalty));
-    if (now < endpoint.warmUntil) {
-      candidate.predicted += work.target / 2;
-    }
-  }
-
-  [[nodiscard]] std::size_t pickEngine(const Work& work,
-                                       std::span<const Fingerprint> keys,
-                                       std::span<const Candidate> candidates) const
-  {
-    if (const auto subject = subjectOf(work, keys)) {
-      std::vector<Endpoint*> endpoints;
-      for (const auto& candidate : candidates) {
-        endpoints.push_back(candidate.endpoint);
-      }
-      const auto stay =
-        Duration(static_cast<std::int64_t>(kStayPart * static_cast<double>(work.target.count())));
-      for (const auto i : placementOrder(*subject, endpoints, settings_.zone)) {
-        if (candidates[i].predicted <= stay) {
-          return i;
-        }
-      }
-    }
-    const auto margin =
-      Duration(static_cast<std::int64_t>(kZonePart * static_cast<double>(work.target.count())));
-    const auto cost = [&](const Candidate& candidate) {
-      return candidate.predicted + (candidate.ownZone ? Duration(0) : margin);
-    };
-    std::size_t best = 0;
-    for (std::size_t i = 1; i < candidates.size(); ++i) {
-      if (cost(candidates[i]) < cost(candidates[best])) {
-        best = i;
-      }
-    }
-    return best;
-  }
-
   tl::expected<Choice, Refusal> choosePlain(Time now,
                                             const Work& work,
                                             ServiceState& service,
@@ -437,23 +349,7 @@
     if (candidates.empty()) {
       return noCandidate(now, work);
     }
-    const auto cost = [&](const Candidate& candidate) {
-      const auto& endpoint = *candidate.endpoint;
-      double value = candidate.load / std::max(endpoint.slots, 1);
-      value += now < endpoint.fullUntil ? 1 : 0;
-      value += now < endpoint.warmUntil ? 0.5 : 0;
-      value += 3 * endpoint.breaker.failureShare(now);
-      return value;
-    };
-    std::size_t best = 0;
-    for (std::size_t i = 1; i < candidates.size(); ++i) {
-      const double difference = cost(candidates[i]) - cost(candidates[best]);
-      const bool tie = difference == 0;
-      if (difference < 0 || (tie && candidates[i].ownZone && !candidates[best].ownZone)) {
-        best = i;
-      }
-    }
-    return send(now, work, service, keys, candidates[best]);
+    return send(now, work, service, keys, candidates[pickPlain(now, candidates)]);
   }
 
   tl::unexpected<Refusal> noCandidate(Time now, const Work& work)
@@ -525,93 +421,47 @@
     return send.answering && now - std::max(send.heardAt, endpoint->heardAt) > kSilence;
   }
 
-  void judge(Time now,
-             const RequestState& request,
-             const Send& send,
-             Endpoint& endpoint,
-             Outcome outcome)
+  void noteEnd(Time now,
+               const RequestState& request,
+               const Send& send,
+               Endpoint& endpoint,
+               Outcome outcome)
   {
-    const bool answered = outcome == Outcome::answered;
-    if (answered || outcome == Outcome::serverError || outcome == Outcome::notExecuted) {
-      endpoint.heardAt = now;
-      crashes_.endpointAnswered(endpoint.place, send.sentAt);
-    }
-    if (answered) {
-      auto& service = services_.at(request.service);
-      const auto micros = static_cast<double>((now - send.sentAt - service.serviceTime).count());
-      service.serviceTime += Duration(static_cast<std::int64_t>(kServiceTimeSmoothing * micros));
-      // An endpoint that is out is judged by its trials; earlier requests may end well at a grey
-      // one.
-      const bool counts = send.trial || !endpoint.breaker.isOpen();
-      if (counts && endpoint.breaker.recordSuccess(now)) {
-        events_.push_back(fmt::format("endpoint {} is back", endpoint.record.id.value));
-      }
+    const auto found = services_.find(request.service);
+    if (found == services_.end()) {
       return;
     }
-    if (outcome == Outcome::notExecuted && isFull(endpoint, request)) {
-      const auto& service = services_.at(request.service);
+    auto& service = found->second;
+    const bool full = outcome == Outcome::notExecuted && isFull(endpoint, service);
+    if (full) {
       endpoint.fullUntil = now + service.serviceTime / std::max(endpoint.slots, 1);
-      endTrial(send, endpoint);
-      return;
-    }
-    if (outcome == Outcome::broken && request.fingerprint != 0) {
-      crashes_.suspect(now, endpoint.place, request.fingerprint);
-    }
-    if (outcome == Outcome::notConnected) {
-      crashes_.endpointDown(now, endpoint.place);
-    }
-    const auto fault = faultOf(outcome);
-    if (!fault || send.overdue) {
-      endTrial(send, endpoint);
-      return;
     }
-    fail(now, endpoint, send, *fault, toString(outcome));
-  }
-
-  static void endTrial(const Send& send, Endpoint& endpoint)
-  {
-    if (send.trial) {
-      endpoint.breaker.endTrial();
+    if (outcome == Outcome::answered) {
+      endpoint.heardAt = now;
+      const auto micros = static_cast<double>((now - send.sentAt - service.serviceTime).count());
+      service.serviceTime += Duration(static_cast<std::int64_t>(kServiceTimeSmoothing * micros));
     }
+    health_.ended(now, request, send, endpoint, outcome, full);
   }
 
   /** Returns whether a refusal by the endpoint is explained by its load. */
-  [[nodiscard]] bool isFull(const Endpoint& endpoint, const RequestState& request) const
+  [[nodiscard]] static bool isFull(const Endpoint& endpoint, const ServiceState& service)
   {
     constexpr double kNearlyFull = 0.8;
-    const bool engine = services_.at(request.service).settings.engine.has_value();
-    const double places = endpoint.slots * (engine ? 4.0 : 1.0);
+    constexpr double kPlacesPerSlot = 4;
+    const double places = endpoint.slots * (service.settings.engine ? kPlacesPerSlot : 1);
     return endpoint.load.current() + 1 >= kNearlyFull * places;
   }
 
-  void fail(Time now, Endpoint& endpoint, const Send& send, Fault fault, std::string_view reason)
-  {
-    const bool wasOpen = endpoint.breaker.isOpen();
-    if (wasOpen && !send.trial) {
-      return;
-    }
-    endpoint.breaker.recordFailure(now, fault);
-    if (!wasOpen) {
-      const auto& service = endpoint.record.service;
-      const auto most = endpoints_.ofService(service).size() / 2;
-      if (!endpoint.breaker.wantsOpen(now) || endpoints_.openBreakers(service) >= most) {
-        return;
-      }
-      events_.push_back(fmt::format("endpoint {} is out: {}", endpoint.record.id.value, reason));
-    }
-    endpoint.breaker.open(now);
-  }
-
   DispatcherSettings settings_;
-  Random random_;
+  EngineChoice engineChoice_;
   Time now_;
   std::size_t peers_ = 1;
   std::map<ServiceName, ServiceState> services_;
   EndpointTable endpoints_;
   SendTable requests_;
   RepeatBudget allRepeats_;
-  CrashTable crashes_;
-  std::vector<std::string> events_;
+  EndpointHealth health_{ endpoints_ };
   std::vector<std::uint64_t> stalled_;
 };
 
@@ -649,9 +499,9 @@
   impl_->firstByte(now, workId);
 }
 
-void Dispatcher::progress(Time now, std::uint64_t workId, std::int64_t /*tokens*/)
+void Dispatcher::progress(Time now, std::uint64_t workId, std::int64_t tokens)
 {
-  impl_->progress(now, workId);
+  impl_->progress(now, workId, tokens);
 }
 
 void Dispatcher::finished(Time now, std::uint64_t workId, Outcome outcome)
--- a/modules/dispatch/EndpointTable.h
+++ b/modules/dispatch/EndpointTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/CircuitBreaker.h"
+#include "dispatch/EnginePace.h"
 #include "dispatch/PromptCacheModel.h"
 #include "dispatch/TimeToFirstTokenModel.h"
 #include "fleet/Endpoint.h"
@@ -36,6 +37,7 @@
   CircuitBreaker breaker;
   PromptCacheModel cache;
   TimeToFirstTokenModel firstToken;
+  EnginePace pace;
   /** Prompt tokens of this process's requests there. */
   std::int64_t heldTokens = 0;
 };
--- /dev/null
+++ b/modules/dispatch/EngineChoice.cpp
@@ -0,0 +1,114 @@
+#include "dispatch/EngineChoice.h"
+
+#include <algorithm>
+
+namespace figchute::dispatch {
+namespace {
+
+/** A subject leaves an engine when the prediction is above this part of the target. */
+constexpr double kStayPart = 0.6;
+/** It also leaves an engine with a longer queue of prompts: half a second of reading without a
+   break makes a pause of half a second in all streams there. */
+constexpr Duration kLongestQueue = std::chrono::milliseconds(250);
+/** The first engine of a subject goes before the others by this much. */
+constexpr Duration kFirstHome = std::chrono::milliseconds(100);
+/** Another zone must be faster by this much. */
+constexpr Duration kOwnZone = std::chrono::milliseconds(60);
+/** Wait that a failure costs: the request has to be repeated or is lost. */
+constexpr double kFailureMicros = 3e6;
+
+Duration cost(const Candidate& candidate)
+{
+  return candidate.predicted + (candidate.ownZone ? Duration(0) : kOwnZone);
+}
+
+bool hasRoom(const Work& work, const Candidate& candidate)
+{
+  const auto stay = kStayPart * static_cast<double>(work.target.count());
+  return static_cast<double>(candidate.predicted.count()) <= stay &&
+         candidate.predicted - candidate.reading <= kLongestQueue;
+}
+
+} // namespace
+
+void EngineChoice::predict(const EngineContext& context,
+                           const Work& work,
+                           std::span<const Fingerprint> keys,
+                           Candidate& candidate)
+{
+  const auto now = context.now;
+  const auto& endpoint = *candidate.endpoint;
+  const auto held = endpoint.heldTokens * static_cast<std::int64_t>(context.processes);
+  const auto free = std::max<std::int64_t>(context.kvCapacity - held, 0);
+  const auto retention =
+    endpoint.cache.retention(now, static_cast<double>(free), context.processes);
+  const auto cached = endpoint.cache.cachedTokens(now, work.parts, keys, retention);
+  candidate.newTokens = std::max<std::int64_t>(work.promptTokens - cached, 1);
+  TimeToFirstTokenModel::Input input;
+  input.newTokens = candidate.newTokens;
+  input.promptTokens = work.promptTokens;
+  input.priority = work.priority;
+  input.load = candidate.load;
+  input.slots = endpoint.slots;
+  input.serviceTime = context.serviceTime;
+  candidate.reading = prefillTime(input.newTokens, input.promptTokens);
+  candidate.expected = endpoint.firstToken.base(input);
+  candidate.predicted =
+    candidate.expected + endpoint.firstToken.excess(now) + endpoint.pace.backlog(now);
+  const double failures = endpoint.breaker.failureShare(now) * kFailureMicros;
+  candidate.predicted += Duration(static_cast<std::int64_t>(failures));
+  if (now < endpoint.warmUntil) {
+    candidate.predicted += work.target / 2;
+  }
+}
+
+std::size_t EngineChoice::pick(const EngineContext& context,
+                               const Work& work,
+                               std::span<const Fingerprint> keys,
+                               std::span<const Candidate> candidates)
+{
+  if (const auto subject = subjectOf(work, keys)) {
+    if (const auto chosen = pickForSubject(context, work, *subject, candidates)) {
+      return *chosen;
+    }
+  }
+  const auto best =
+    std::min_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+      return cost(a) < cost(b);
+    });
+  return static_cast<std::size_t>(best - candidates.begin());
+}
+
+std::optional<std::size_t> EngineChoice::pickForSubject(const EngineContext& context,
+                                                        const Work& work,
+                                                        const Subject& subject,
+                                                        std::span<const Candidate> candidates)
+{
+  const auto own = std::max<std::int64_t>(work.promptTokens - subject.tokens, 1);
+  rates_.add(context.now, subject.key, prefillTime(own, work.promptTokens));
+  std::vector<Endpoint*> endpoints;
+  for (const auto& candidate : candidates) {
+    endpoints.push_back(candidate.endpoint);
+  }
+  const auto order = placementOrder(subject, endpoints, zone_);
+  const auto homes =
+    std::min(rates_.homes(context.now, subject.key, context.processes), order.size());
+  std::optional<std::size_t> best;
+  Duration bestCost{};
+  for (std::size_t i = 0; i < homes; ++i) {
+    const auto& candidate = candidates[order[i]];
+    const auto total = cost(candidate) + (i == 0 ? Duration(0) : kFirstHome);
+    if (hasRoom(work, candidate) && (!best || total < bestCost)) {
+      best = order[i];
+      bestCost = total;
+    }
+  }
+  for (std::size_t i = homes; i < order.size() && !best; ++i) {
+    if (hasRoom(work, candidates[order[i]])) {
+      best = order[i];
+    }
+  }
+  return best;
+}
+
+} // namespace figchute::dispatch
--- a/modules/dispatch/Placement.cpp
+++ b/modules/dispatch/Placement.cpp
@@ -56,6 +56,13 @@
   const auto isOwn = [&](std::size_t i) { return endpoints[i]->record.zone == ownZone; };
   if (subject.tokens < kSmallSubject) {
     std::stable_partition(order.begin(), order.end(), isOwn);
+    return order;
+  }
+  const auto second = std::find_if(order.begin(), order.end(), [&](std::size_t i) {
+    return endpoints[i]->record.zone != endpoints[order.front()]->record.zone;
+  });
+  if (second != order.end()) {
+    std::rotate(order.begin() + 1, second, second + 1);
   }
   return order;
 }
--- a/modules/dispatch/Placement.h
+++ b/modules/dispatch/Placement.h
@@ -28,7 +28,8 @@
 
 /** Returns the indexes of endpoints in the order in which they take a subject. The order depends on
     the registry only, so all processes of a zone have the same one, and an endpoint that comes or
-    goes changes the places of its own subjects only. Safe from any thread.
+    goes changes the places of its own subjects only. The second engine of a large subject is in
+    another zone than the first. Safe from any thread.
     @param ownZone  zone of this process */
 std::vector<std::size_t> placementOrder(const Subject& subject,
                                         std::span<Endpoint* const> endpoints,
--- /dev/null
+++ b/modules/dispatch/SubjectRates.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/Fingerprint.h"
+#include "core/Types.h"
+#include "routing/DecayedSum.h"
+
+#include <cstddef>
+#include <unordered_map>
+
+namespace figchute::dispatch {
+
+/** How much reading the requests of each subject cause, as this process sees it.
+    Thread safety: use one instance from one thread only. */
+class SubjectRates
+{
+public:
+  /** Adds a request. @param reading  time to read what is not shared */
+  void add(Time now, Fingerprint subject, Duration reading);
+
+  /** Returns the engines that a subject needs: two, more for one whose requests would keep two
+     busy.
+      @param processes  number of entry processes, which get about equal shares of the requests */
+  [[nodiscard]] std::size_t homes(Time now, Fingerprint subject, std::size_t processes) const;
+
+private:
+  void prune(Time now);
+
+  /** Seconds of reading by subject. */
+  std::unordered_map<Fingerprint, routing::DecayedSum> readings_;
+};
+
+} // namespace figchute::dispatch
