--- a/modules/dispatch/CircuitBreaker.cpp
+++ b/modules/dispatch/CircuitBreaker.cpp
@@ -9,7 +9,7 @@
 /** An endpoint that fails 45% of its requests shows it within a few of them; healthy ones fail
     below 1%. */
 constexpr double kFailureShare = 0.2;
-constexpr double kSmallestFailures = 1.5;
+constexpr double kSmallestFailures = 1.3;
 constexpr double kWeakWeight = 0.7;
 
 constexpr Duration kFirstBackOff = std::chrono::milliseconds(500);
@@ -24,15 +24,20 @@
 
 bool CircuitBreaker::recordSuccess(Time now)
 {
+  const bool afterLostConnection = isAfterLostConnection();
   successes_.add(now, 1);
   failuresInRow_ = 0;
-  absent_ = false;
+  last_ = Fault::weak;
   trialInFlight_ = false;
   if (!open_) {
     return false;
   }
   ++trialSuccesses_;
-  const auto needed = std::min(kTrialSuccesses + (openings_ - 1), kMostTrialSuccesses);
+  if (afterLostConnection) {
+    open_ = false;
+    return true;
+  }
+  const auto needed = std::min(kTrialSuccesses * openings_, kMostTrialSuccesses);
   if (trialSuccesses_ < needed) {
     return false;
   }
@@ -45,13 +50,13 @@
 {
   failures_.add(now, fault == Fault::weak ? kWeakWeight : 1);
   ++failuresInRow_;
-  absent_ = fault == Fault::absent;
+  last_ = fault;
   trialInFlight_ = false;
 }
 
 bool CircuitBreaker::wantsOpen(Time now) const
 {
-  return absent_ || failuresInRow_ >= kFailuresInRow ||
+  return last_ == Fault::absent || last_ == Fault::broken || failuresInRow_ >= kFailuresInRow ||
          (failures_.at(now) >= kSmallestFailures && failureShare(now) >= kFailureShare);
 }
 
@@ -64,6 +69,11 @@
   open_ = true;
   trialInFlight_ = false;
   trialSuccesses_ = 0;
+  if (last_ == Fault::broken && failures_.at(now) < kSmallestFailures) {
+    // One lost connection is no reason to stay away; the next request finds out.
+    trialAt_ = now;
+    return;
+  }
   trialAt_ = now + kFirstBackOff * (1U << doublings);
   ++openings_;
 }
@@ -72,7 +82,7 @@
 {
   open_ = false;
   trialInFlight_ = false;
-  absent_ = false;
+  last_ = Fault::weak;
   failuresInRow_ = 0;
   trialSuccesses_ = 0;
   failures_ = routing::DecayedSum(std::chrono::seconds(6));
--- a/modules/dispatch/CircuitBreaker.h
+++ b/modules/dispatch/CircuitBreaker.h
@@ -12,8 +12,11 @@
 {
   /** It answered, but badly; one of these may be the request's own fault. */
   weak,
-  /** The connection broke or nothing came in time. */
+  /** Nothing came in time, or nothing that makes sense. */
   strong,
+  /** The connection was lost under the request; the next connection tells whether the endpoint is
+      down. */
+  broken,
   /** Nobody or somebody else listens at the address. */
   absent,
 };
@@ -52,6 +55,10 @@
     return open_ && !trialInFlight_ && now >= trialAt_;
   }
 
+  /** Returns whether it is open because of one lost connection. A trial is harmless then: either
+     the endpoint is down and refuses the connection, or it is well. */
+  [[nodiscard]] bool isAfterLostConnection() const { return open_ && last_ == Fault::broken; }
+
   /** Returns when the next trial is due; meaningful when open. */
   [[nodiscard]] Time trialAt() const { return trialAt_; }
 
@@ -73,7 +80,7 @@
   std::uint32_t openings_ = 0;
   std::uint32_t failuresInRow_ = 0;
   std::uint32_t trialSuccesses_ = 0;
-  bool absent_ = false;
+  Fault last_ = Fault::weak;
   routing::DecayedSum successes_{ std::chrono::seconds(6) };
   routing::DecayedSum failures_{ std::chrono::seconds(6) };
 };
