--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -437,6 +437,26 @@
   MSGPACK_DEFINE(verdict)
 };
 
+/** Changes nothing. A reader that has applied its index sees every command that was acknowledged
+    before the barrier was proposed. */
+struct ReadBarrier
+{
+  /** Ignored; msgpack needs one member. */
+  std::uint64_t unused = 0;
+
+  MSGPACK_DEFINE(unused)
+};
+
+/** The outcome of ReadBarrier. */
+struct BarrierResult
+{
+  Verdict verdict;
+  /** The log index of the barrier. */
+  std::uint64_t index = 0;
+
+  MSGPACK_DEFINE(verdict, index)
+};
+
 /** A command of the log. */
 using Command = std::variant<ApplyDocument,
                              Grant,
@@ -448,7 +468,8 @@
                              CrashReport,
                              AddMember,
                              PromoteMember,
-                             RemoveMember>;
+                             RemoveMember,
+                             ReadBarrier>;
 
 /** The result of a command. */
 using Result = std::variant<DocumentResult,
@@ -459,6 +480,7 @@
                             RegisterResult,
                             RetireResult,
                             CrashResult,
-                            MemberResult>;
+                            MemberResult,
+                            BarrierResult>;
 
 } // namespace figchute::ledger
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -142,6 +142,11 @@
     return MemberResult{};
   }
 
+  Result run(const ReadBarrier& /*command*/, std::vector<Outgoing>& /*outgoing*/)
+  {
+    return BarrierResult{ {}, index };
+  }
+
   void expire()
   {
     escrow.expire(time);
