replication: survive a failed sync, repeated starts on a full disk and a wiped candidate

Cause: the randomised run of ControlNode found 'bad record' in a segment that is not the last: a folder recovered in the same process after a failed sync has records that were read but never reached the disk, and a power loss then tears them behind a newer segment. Ruled out: a second sync at recovery; the system may report success for pages that it dropped after the first failure. Change: recovery writes the last segment anew. An empty last segment is reused, so starts on a full disk do not add a file each. A vote is not repeated for a candidate with another disk id. LogNode tells whether a leader or majority was heard within a given time, when tick() is due, and sends the commit index to one member at once.

--- a/modules/replication/LogNode.cpp
+++ b/modules/replication/LogNode.cpp
@@ -235,6 +235,15 @@
   return role_ == Role::leader && now - quorumHeardAt(now) < config_.electionMin;
 }
 
+Time LogNode::nextDeadline() const
+{
+  if (role_ != Role::leader) {
+    return electionDeadline_;
+  }
+  return std::min(heartbeatAt_ + config_.heartbeat,
+                  std::max(quorumHeardAt(now_), leaderSince_) + config_.electionMin);
+}
+
 LogState LogNode::state() const
 {
   LogState state;
--- a/modules/replication/LogNode.h
+++ b/modules/replication/LogNode.h
@@ -166,15 +166,39 @@
       @returns bad_request when the index is not applied yet or is not above the last snapshot */
   Expected<void> compact(LogIndex index, std::string snapshot);
 
+  /** Sends the commit index to one member now and not with the next heartbeat; without effect at a
+      node that is not a leader and for processes that are no members. */
+  void announceCommit(const ProcessId& to);
+
   /** Returns true while this node is leader and a majority answered messages that were sent in the
       last electionMin. No other node can be such a leader at the same time when the clocks of the
       processes run at the same speed.
       @param now  the current time */
   [[nodiscard]] bool isLeader(Time now) const;
 
+  /** Tells whether this node, as leader, got answers from a majority to messages that were sent in
+      the last @p window. */
+  [[nodiscard]] bool heardMajorityWithin(Time now, Duration window) const
+  {
+    return role_ == Role::leader && now - quorumHeardAt(now) < window;
+  }
+
+  /** Tells whether this node, as follower, knows its leader and heard from it in the last
+      @p window. */
+  [[nodiscard]] bool heardLeaderWithin(Time now, Duration window) const
+  {
+    return role_ == Role::follower && leader_.has_value() && now - leaderHeardAt_ < window;
+  }
+
+  /** Returns the time at which tick() next has something to do when no message comes before. */
+  [[nodiscard]] Time nextDeadline() const;
+
   /** Returns the leader of the current term as far as this node knows; empty when it knows none. */
   [[nodiscard]] std::optional<ProcessId> leaderHint() const { return leader_; }
 
+  /** Returns the id that was created with the data folder. */
+  [[nodiscard]] const std::string& diskId() const { return diskId_; }
+
   /** Returns the current term. */
   [[nodiscard]] Term term() const { return hard_.term; }
 
@@ -263,6 +287,8 @@
   std::string diskId_;
   Random random_;
   HardState hard_;
+  /** The disk id of the process that has this node's vote; empty after a restart. */
+  std::string voteDiskId_;
   bool hardChanged_ = false;
   Role role_ = Role::follower;
   std::optional<ProcessId> leader_;
--- a/modules/replication/LogNodeAppend.cpp
+++ b/modules/replication/LogNodeAppend.cpp
@@ -266,6 +266,14 @@
   return member == nullptr ? std::string() : member->id.diskId;
 }
 
+void LogNode::announceCommit(const ProcessId& to)
+{
+  const auto found = progress_.find(to);
+  if (role_ == Role::leader && found != progress_.end()) {
+    sendAppend(to, found->second, false);
+  }
+}
+
 void LogNode::broadcastHeartbeat()
 {
   heartbeatAt_ = now_;
--- a/modules/replication/LogNodeElection.cpp
+++ b/modules/replication/LogNodeElection.cpp
@@ -125,11 +125,13 @@
   if (request.term > hard_.term) {
     becomeFollower(request.term, std::nullopt);
   }
-  const bool free = hard_.vote.empty() || hard_.vote == from;
+  // A candidate that lost its disk after it was elected asks again in a term that has had a leader.
+  const bool free = hard_.vote.empty() || (hard_.vote == from && voteDiskId_ == request.diskId);
   const bool granted = request.term == hard_.term && free && isUpToDate(request);
   if (granted) {
     hardChanged_ = hardChanged_ || hard_.vote != from;
     hard_.vote = from;
+    voteDiskId_ = request.diskId;
     resetElectionDeadline();
   }
   send(from, VoteReply{ diskId_, hard_.term, false, granted });
--- a/modules/replication/LogStorage.h
+++ b/modules/replication/LogStorage.h
@@ -70,7 +70,10 @@
   Expected<void> readSnapshot(const std::vector<std::string>& names, RecoveredState& state);
   Expected<void> readSegments(const std::vector<std::string>& names, RecoveredState& state);
   Expected<void> readSegment(std::uint64_t number, bool last, RecoveredState& state);
-  Expected<void> cutTail(const std::string& name, std::uint64_t offset);
+  /** Writes the valid part of the last segment anew. What was read may be in the page cache only:
+      after a failed sync, the system may drop the pages without another error, and the segment
+      would be corrupt behind the next one. */
+  Expected<void> rewriteLast(const std::string& name, std::string_view bytes);
   Expected<void> writeWhole(std::string_view name, std::string_view bytes);
   Expected<void> saveParts(const Ready& ready);
   Expected<void> saveSnapshot(const Snapshot& snapshot);
@@ -216,7 +219,7 @@
     if (!payload) {
       const bool torn = last && !detail::findRecord(*file, offset + 1);
       if (torn) {
-        return cutTail(name, offset);
+        return rewriteLast(name, std::string_view(*file).substr(0, offset));
       }
       return fail(ErrorKind::storageCorrupt,
                   "file " + name + ", offset " + std::to_string(offset) + ": bad record");
@@ -238,14 +241,17 @@
     }
     offset += detail::recordBytes(payload->size());
   }
-  return {};
+  return last ? rewriteLast(name, *file) : Expected<void>();
 }
 
 template<Disk D>
-Expected<void> LogStorage<D>::cutTail(const std::string& name, std::uint64_t offset)
+Expected<void> LogStorage<D>::rewriteLast(const std::string& name, std::string_view bytes)
 {
-  segments_.back().bytes = offset;
-  return disk_.truncate(name, offset).and_then([&] { return disk_.sync(name); });
+  segments_.back().bytes = bytes.size();
+  if (bytes.empty()) {
+    return disk_.truncate(name, 0).and_then([&] { return disk_.sync(name); });
+  }
+  return writeWhole(name, bytes);
 }
 
 template<Disk D>
@@ -302,7 +308,12 @@
 template<Disk D>
 Expected<void> LogStorage<D>::startSegment(LogIndex resetIndex)
 {
-  segments_.push_back(Segment{ segments_.empty() ? 1 : segments_.back().number + 1, 0, 0 });
+  // A start on a full disk leaves an empty segment; further starts must not add one each.
+  if (segments_.empty()) {
+    segments_.push_back(Segment{ 1, 0, 0 });
+  } else if (segments_.back().bytes > 0) {
+    segments_.push_back(Segment{ segments_.back().number + 1, 0, 0 });
+  }
   detail::Batch first;
   first.hasHardState = true;
   first.hardState = hardState_;
--- a/modules/replication/MemoryDisk.h
+++ b/modules/replication/MemoryDisk.h
@@ -50,6 +50,9 @@
       the middle of its work. crash() ends this. */
   void failAfter(std::uint64_t count) { remaining_ = count; }
 
+  /** Ends failAfter() and keeps what was written, as when a full disk has space again. */
+  void endFailure() { remaining_.reset(); }
+
   /** Changes one byte of a file in place, as a failing medium does.
       Precondition: the file has more than @p offset bytes. */
   void corrupt(std::string_view name, std::uint64_t offset);
