--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -31,19 +31,22 @@
 
 } // namespace
 
-ControlCore::ControlCore(Storage& storage, replication::LogNode node)
-  : storage_(&storage)
+ControlCore::ControlCore(Save save, replication::LogNode node, CoreConfig config)
+  : save_(std::move(save))
+  , config_(config)
   , node_(std::move(node))
 {
 }
 
-Expected<ControlCore> ControlCore::create(Storage& storage,
-                                          replication::LogConfig config,
+Expected<ControlCore> ControlCore::create(Save save,
+                                          replication::LogConfig log,
                                           replication::RecoveredState recovered,
-                                          Time now)
+                                          Time now,
+                                          CoreConfig config)
 {
   const auto snapshot = recovered.snapshot;
-  ControlCore core(storage, replication::LogNode(std::move(config), std::move(recovered), now));
+  ControlCore core(
+    std::move(save), replication::LogNode(std::move(log), std::move(recovered), now), config);
   if (snapshot.meta.index > 0) {
     if (auto restored = core.state_.restore(snapshot.data); !restored) {
       return fail(ErrorKind::storageCorrupt, "snapshot: " + restored.error().detail);
@@ -192,14 +195,16 @@
     sendLedger(to, message);
   }
   sendReportRequests(now);
-  promoteLearners(now);
+  if (config_.promoteLearners) {
+    promoteLearners(now);
+  }
   return {};
 }
 
 Expected<void> ControlCore::handleReady(Time now, replication::Ready ready)
 {
   if (ready.needsSync()) {
-    if (auto saved = storage_->save(ready); !saved) {
+    if (auto saved = save_(ready); !saved) {
       return saved;
     }
     node_.persisted(now);
@@ -211,6 +216,10 @@
     const auto restored = state_.restore(ready.snapshot->data);
     invariant(restored.has_value(), "a snapshot from the leader can be decoded");
     applied_ = ready.snapshot->meta.index;
+    bytesSinceSnapshot_ = 0;
+    // The results of the entries that the snapshot covers are not known here. The proposers send
+    // again, which a waiter that stays would suppress.
+    std::erase_if(waiters_, [&](const auto& waiter) { return waiter.first <= applied_; });
   }
   for (const auto& entry : ready.committed) {
     applyEntry(now, entry);
@@ -222,6 +231,7 @@
 void ControlCore::applyEntry(Time /*now*/, const replication::Entry& entry)
 {
   applied_ = entry.index;
+  bytesSinceSnapshot_ += entry.payload.size();
   std::string result;
   if (entry.kind == replication::EntryKind::command) {
     const auto timed = wire::decode<TimedCommand>(entry.payload);
@@ -239,15 +249,20 @@
   answer.proposalId = waiter->second.proposalId;
   answer.accepted = own;
   answer.result = own ? std::move(result) : std::string();
+  // A proposer that is a member reads its own state when it has applied this entry.
+  node_.announceCommit(waiter->second.from);
   reply(waiter->second.from, std::move(answer));
   waiters_.erase(waiter);
 }
 
 void ControlCore::compactWhenDue()
 {
-  if (applied_ < node_.snapshotIndex() + kSnapshotInterval) {
+  const bool due = applied_ >= node_.snapshotIndex() + config_.snapshotEntries ||
+                   bytesSinceSnapshot_ >= config_.snapshotBytes;
+  if (!due || applied_ <= node_.snapshotIndex()) {
     return;
   }
+  bytesSinceSnapshot_ = 0;
   const auto compacted = node_.compact(applied_, state_.snapshot());
   invariant(compacted.has_value(), "an applied entry can be covered by a snapshot");
 }
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -50,26 +51,37 @@
   Time time;
 };
 
+/** What differs between the programs that run a ControlCore. */
+struct CoreConfig
+{
+  /** A snapshot is taken after this many applied entries, */
+  std::uint64_t snapshotEntries = 4096;
+  /** or when the applied entries since the last one have this many bytes. */
+  std::uint64_t snapshotBytes = std::numeric_limits<std::uint64_t>::max();
+  /** Promotes learners that have caught up; false when the owner decides on the members. */
+  bool promoteLearners = true;
+};
+
 /** Connects a LogNode, its storage and the ControlState of one control VM.
     Thread safety: use one instance from one thread only. */
 class ControlCore
 {
 public:
-  using Storage = replication::LogStorage<replication::FileDisk>;
-
-  /** A snapshot is taken after this many applied entries. */
-  static constexpr std::uint64_t kSnapshotInterval = 4096;
+  /** Makes a Ready durable, as LogStorage::save() does. */
+  using Save = std::function<Expected<void>(const replication::Ready&)>;
 
   /** Creates the core of a recovered node.
-      @param storage    recovered storage of the same data folder; outlives the core
-      @param config     the settings of the log
+      @param save       writes to the recovered storage of the same data folder
+      @param log        the settings of the log
       @param recovered  what the storage returned
       @param now        the time of the start
+      @param config     the settings of the core
       @returns storage_corrupt when the snapshot cannot be decoded */
-  static Expected<ControlCore> create(Storage& storage,
-                                      replication::LogConfig config,
+  static Expected<ControlCore> create(Save save,
+                                      replication::LogConfig log,
                                       replication::RecoveredState recovered,
-                                      Time now);
+                                      Time now,
+                                      CoreConfig config = {});
 
   /** Handles a message of the replication, ledger or report channel; others are ignored. */
   void receive(Time now,
@@ -96,6 +108,23 @@
   /** Returns the members of the log as the replicated log knows them. */
   [[nodiscard]] const replication::Membership& members() const { return node_.members(); }
 
+  /** Returns the log. */
+  [[nodiscard]] const replication::LogNode& log() const { return node_; }
+
+  /** Returns the index of the last applied entry. */
+  [[nodiscard]] replication::LogIndex appliedIndex() const { return applied_; }
+
+  /** Proposes a membership change. @see replication::LogNode::proposeMembership() */
+  Expected<replication::LogIndex> changeMembers(Time now,
+                                                const replication::MembershipChange& change)
+  {
+    return node_.proposeMembership(now, change);
+  }
+
+  /** Moves the applied state out.
+      Postcondition: only the destructor may be called. */
+  ledger::ControlState takeState() { return std::move(state_); }
+
   /** Returns the last poll of each process that polled this node. */
   [[nodiscard]] const std::map<ProcessId, LastPoll>& polls() const { return polls_; }
 
@@ -111,7 +140,7 @@
     replication::Term term = 0;
   };
 
-  ControlCore(Storage& storage, replication::LogNode node);
+  ControlCore(Save save, replication::LogNode node, CoreConfig config);
 
   void handle(Time now, const ProcessId& from, const ledger::Propose& propose);
   void handle(Time now, const ProcessId& from, const ledger::DocumentPoll& poll);
@@ -134,13 +163,15 @@
   void sendReportRequests(Time now);
   void promoteLearners(Time now);
 
-  Storage* storage_;
+  Save save_;
+  CoreConfig config_;
   replication::LogNode node_;
   ledger::ControlState state_;
   std::map<replication::LogIndex, Waiter> waiters_;
   std::map<ProcessId, LastPoll> polls_;
   std::vector<Outgoing> outgoing_;
   replication::LogIndex applied_ = 0;
+  std::uint64_t bytesSinceSnapshot_ = 0;
   Time lastStamp_;
   Time nextReportRequest_;
   Time nextPromotion_;
--- a/modules/control/ControlService.cpp
+++ b/modules/control/ControlService.cpp
@@ -51,8 +51,11 @@
     config.self = settings.self;
     config.initialMembers = memberIds(settings.initialMembers);
     config.seed = settings.seed;
-    auto core = ControlCore::create(
-      storage_, std::move(config), std::move(*recovered), kernel::currentTime());
+    auto core =
+      ControlCore::create([this](const replication::Ready& ready) { return storage_.save(ready); },
+                          std::move(config),
+                          std::move(*recovered),
+                          kernel::currentTime());
     if (!core) {
       return tl::unexpected(core.error());
     }
@@ -86,7 +89,7 @@
 
 private:
   replication::FileDisk disk_;
-  ControlCore::Storage storage_;
+  replication::LogStorage<replication::FileDisk> storage_;
   std::optional<ControlCore> core_;
   Sender send_;
   FailureHandler failed_;
--- a/modules/ledger/Proposer.h
+++ b/modules/ledger/Proposer.h
@@ -31,6 +31,9 @@
   /** Replaces the list of control VMs. Proposals wait while it is empty. */
   void setControls(std::vector<ProcessId> controls);
 
+  /** Names the leader that proposals go to first, when the process knows it from the log. */
+  void setLeader(const ProcessId& leader) { leader_ = leader; }
+
   /** Sends a command and keeps it until it is answered.
       @returns the proposal id that the Reply will carry */
   std::uint64_t propose(Time now, const Command& command);
