--- a/modules/fleet/FleetSubscriber.cpp
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -91,6 +91,17 @@
   }
 }
 
+void FleetSubscriber::setSeeds(std::vector<ProcessId> seeds)
+{
+  for (const auto& seed : seeds) {
+    if (!contains(controls_, seed) && controls_.size() < kMaxControls) {
+      controls_.push_back(seed);
+      changes_.control = true;
+    }
+  }
+  settings_.seeds = std::move(seeds);
+}
+
 void FleetSubscriber::learnControls(const std::vector<ProcessId>& members)
 {
   if (members.empty()) {
--- a/modules/fleet/FleetSubscriber.h
+++ b/modules/fleet/FleetSubscriber.h
@@ -74,6 +74,9 @@
   /** Tells the control processes of a crash that this process saw. */
   void addCrash(Time now, std::uint64_t fingerprint);
 
+  /** Replaces the control addresses of the settings; others that are known stay. */
+  void setSeeds(std::vector<ProcessId> seeds);
+
   /** Ends the subscription; nothing is sent from then on. */
   void stop();
 
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -486,6 +486,26 @@
   MSGPACK_DEFINE(verdict, changed)
 };
 
+/** Changes nothing. A reader that has applied its index sees every command that was acknowledged
+    before the barrier was proposed. */
+struct ReadBarrier
+{
+  /** Ignored; msgpack needs one member. */
+  std::uint64_t unused = 0;
+
+  MSGPACK_DEFINE(unused)
+};
+
+/** The outcome of ReadBarrier. */
+struct BarrierResult
+{
+  Verdict verdict;
+  /** The log index of the barrier. */
+  std::uint64_t index = 0;
+
+  MSGPACK_DEFINE(verdict, index)
+};
+
 /** A command of the log. */
 using Command = std::variant<ApplyDocument,
                              Grant,
@@ -501,7 +521,8 @@
                              PutConfiguration,
                              PutEndpoint,
                              RemoveEndpoint,
-                             ExpireEndpoint>;
+                             ExpireEndpoint,
+                             ReadBarrier>;
 
 /** The result of a command. */
 using Result = std::variant<DocumentResult,
@@ -514,6 +535,7 @@
                             CrashResult,
                             MemberResult,
                             ConfigurationResult,
-                            EndpointResult>;
+                            EndpointResult,
+                            BarrierResult>;
 
 } // namespace figchute::ledger
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -160,6 +160,11 @@
     return EndpointResult{ Verdict{}, fleet.endpoints.apply(index, time, command) };
   }
 
+  Result run(const ReadBarrier& /*command*/, std::vector<Outgoing>& /*outgoing*/)
+  {
+    return BarrierResult{ {}, index };
+  }
+
   void expire()
   {
     escrow.expire(time);
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -298,7 +298,7 @@
 
 void EntryRole::setSeeds(const std::vector<ProcessId>& seeds)
 {
-  subscriber_.addControls(seeds);
+  subscriber_.setSeeds(seeds);
 }
 
 void EntryRole::beginStop()
