http: keep no HTTP/1.0 connection to an endpoint; more cases

Change: the version decides first; a new write time-out also reaches the listening socket. Cases for it, for TCP_USER_TIMEOUT, no free descriptor, a taken address and a request that arrives while the process does not run.

--- a/modules/http/ClientConnection.cpp
+++ b/modules/http/ClientConnection.cpp
@@ -332,7 +332,7 @@
   }
   head.length = framing.length;
   head.chunked = framing.chunked;
-  keepAlive_ = framing.keepAlive && !parser_->need_eof();
+  keepAlive_ = framing.keepAlive && parser_->httpVersion() >= 11 && !parser_->need_eof();
   keepFor_ = keepAlive_ ? idleTime(framing) : Duration::zero();
   const auto& options = exchange_->options;
   const auto* echo =
--- a/modules/http/ClientPool.cpp
+++ b/modules/http/ClientPool.cpp
@@ -263,9 +263,9 @@
   exchange->listener = &listener;
   exchange->address = address;
   exchange->options = std::move(options);
-  exchange->method = head.method;
   const auto length = announcedLength(head, body);
   detail::appendHead(exchange->head, head, length, hostOf(address));
+  exchange->method = std::move(head.method);
   exchange->body = std::move(body);
   impl_->assign(exchange);
   return std::make_shared<CallHandle>(std::move(exchange));
--- a/modules/http/Server.cpp
+++ b/modules/http/Server.cpp
@@ -73,6 +73,13 @@
 
   [[nodiscard]] std::uint16_t port() const { return port_; }
 
+  void setLimits(const ServerLimits& bounds)
+  {
+    limits = bounds;
+    if (acceptor_.is_open())
+      detail::setTcpOptions(acceptor_.native_handle(), limits.writeTimeout);
+  }
+
   void stopAccepting()
   {
     acceptPausedUntil_ = detail::kNever;
@@ -212,7 +219,7 @@
 
 void Server::setLimits(const ServerLimits& limits)
 {
-  impl_->limits = limits;
+  impl_->setLimits(limits);
 }
 
 void Server::stopAccepting()
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -246,6 +246,7 @@
   const std::vector<std::string> responses = {
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
     "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nContent-Length: 0\r\nConnection: keep-alive\r\n\r\n",
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nX",
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nX",
@@ -745,3 +746,16 @@
   runFor(io, 5ms);
   CHECK_FALSE(recorder.ended());
 }
+
+// Guards against a call that hangs on a connection which carries no data any more: the bytes that
+// wait are given up by TCP_USER_TIMEOUT.
+TEST_CASE_FIXTURE(ClientFixture, "Client_endpointThatTakesNoBytes_failsCall")
+{
+  const auto call = send(recorder, "POST", std::make_shared<const std::string>(20000000, 'x'));
+  auto endpoint = listener.accept(io);
+  runFor(io, 1500ms);
+  CHECK_FALSE(recorder.ended());
+  CHECK(waitForEnd(recorder, 4s));
+  CHECK((recorder.failure.kind == CallFailureKind::reset));
+  CHECK(recorder.failure.sent);
+}
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -2,6 +2,7 @@
 #include "HttpSockets.h"
 
 #include <memory>
+#include <sys/resource.h>
 #include <vector>
 
 using namespace figchute;
@@ -810,3 +811,47 @@
   CHECK(caller.ended);
   CHECK(caller.received.size() > 8000000);
 }
+
+// Guards against a process that spins or never accepts again after it had no free descriptor.
+TEST_CASE_FIXTURE(ServerFixture, "Server_noFreeDescriptor_acceptsLater")
+{
+  auto caller = connect();
+  runFor(io, 5ms);
+  auto waiting = connect();
+  waiting.send(kGet);
+  rlimit usual{};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &usual) == 0);
+  rlimit none = usual;
+  none.rlim_cur = 0;
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
+  runFor(io, 20ms);
+  CHECK(io.poll() == 0);
+  CHECK(server->connections() == 1);
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &usual) == 0);
+  CHECK(waitForRequests(1));
+}
+
+// Guards against a process that seems to listen on an address which is taken.
+TEST_CASE_FIXTURE(ServerFixture, "Server_addressInUse_listenFails")
+{
+  listen();
+  Server other(io, limits, [](const std::shared_ptr<ServerRequest>&) {});
+  const auto result = other.listen({ boost::asio::ip::address_v4::loopback(), server->port() });
+  REQUIRE_FALSE(result);
+  CHECK(result.error().kind == ErrorKind::internal);
+  CHECK(result.error().detail.find("Address already in use") != std::string::npos);
+}
+
+// Guards against a head timer that ends a request which arrived in time while the process was
+// suspended.
+TEST_CASE_FIXTURE(ServerFixture, "Server_requestArrivedDuringSuspension_isServed")
+{
+  limits.headTimeout = 100ms;
+  auto caller = connect();
+  caller.send(kGet.substr(0, 10));
+  runFor(io, 20ms);
+  caller.send(kGet.substr(10));
+  // The event loop does not run meanwhile, as in a suspended process.
+  ::usleep(300000);
+  CHECK(waitForRequests(1));
+}
