dispatch: bound the engines that a subject falls back to

Cause: with both homes of a subject behind a queue of prompts, any engine with room was taken and read the shared parts again. Change: the cheapest of four engines along the order of the subject; queue limit 200 in place of 250 ms; a fixed exchange of crashes each second in the experiment.

--- a/modules/dispatch/EngineChoice.cpp
+++ b/modules/dispatch/EngineChoice.cpp
@@ -9,9 +9,15 @@
 constexpr double kStayPart = 0.6;
 /** It also leaves an engine with a longer queue of prompts: half a second of reading without a
    break makes a pause of half a second in all streams there. */
-constexpr Duration kLongestQueue = std::chrono::milliseconds(250);
+constexpr Duration kLongestQueue = std::chrono::milliseconds(200);
 /** The first engine of a subject goes before the others by this much. */
 constexpr Duration kFirstHome = std::chrono::milliseconds(100);
+/** When no engine at home has room, a subject may use this many engines; more of them would read
+   its shared parts without need. */
+constexpr std::size_t kFallbacks = 4;
+/** Reading shared parts on one more engine takes its time from all requests there, and more of it
+    later, because it evicts other parts. */
+constexpr int kRereadFactor = 2;
 /** Another zone must be faster by this much. */
 constexpr Duration kOwnZone = std::chrono::milliseconds(60);
 /** Wait that a failure costs: the request has to be repeated or is lost. */
@@ -103,11 +109,29 @@
       bestCost = total;
     }
   }
-  for (std::size_t i = homes; i < order.size() && !best; ++i) {
-    if (hasRoom(work, candidates[order[i]])) {
+  return best ? best : fallBack(work, subject, candidates, order, homes);
+}
+
+std::optional<std::size_t> EngineChoice::fallBack(const Work& work,
+                                                  const Subject& subject,
+                                                  std::span<const Candidate> candidates,
+                                                  std::span<const std::size_t> order,
+                                                  std::size_t homes)
+{
+  const auto reread = kRereadFactor * prefillTime(subject.tokens, subject.tokens);
+  std::optional<std::size_t> best;
+  Duration bestCost{};
+  for (std::size_t i = 0; i < std::min(order.size(), std::max(homes, kFallbacks)); ++i) {
+    const auto& candidate = candidates[order[i]];
+    const auto total = cost(candidate) + (i < homes ? Duration(0) : reread);
+    if (!best || total < bestCost) {
       best = order[i];
+      bestCost = total;
     }
   }
+  if (best && candidates[*best].predicted > work.target) {
+    return std::nullopt;
+  }
   return best;
 }
 
--- a/modules/dispatch/EngineChoice.h
+++ b/modules/dispatch/EngineChoice.h
@@ -53,6 +53,14 @@
                                             const Subject& subject,
                                             std::span<const Candidate> candidates);
 
+  /** Returns the cheapest engine along the order of a subject whose homes have no room; nullopt
+     when none is in time. */
+  static std::optional<std::size_t> fallBack(const Work& work,
+                                             const Subject& subject,
+                                             std::span<const Candidate> candidates,
+                                             std::span<const std::size_t> order,
+                                             std::size_t homes);
+
   ZoneId zone_;
   SubjectRates rates_;
 };
--- a/tools/figchute-measure/DispatchFleet.cpp
+++ b/tools/figchute-measure/DispatchFleet.cpp
@@ -24,8 +24,7 @@
 constexpr Duration kHopAcross = 1ms;
 constexpr Duration kConnectTimeout = 1s;
 constexpr Duration kTick = 100ms;
-const Duration kCrashExchange =
-  std::chrono::milliseconds((int)(std::getenv("CX") ? std::atof(std::getenv("CX")) : 1000));
+constexpr Duration kCrashExchange = 1s;
 
 constexpr Duration kCrashDelay = 50ms;
 constexpr Duration kRestart = 5s;
