dispatch: let old load reports of plain endpoints fade

Cause: all processes sent to the plain endpoint that a report of 100 ms ago showed free; a call takes 37 ms. Change: the load of other processes moves to its mean within one call's time. Conclusion: own requests, which are known exactly, decide more.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -185,6 +185,7 @@
       return;
     }
     endpoint->heardAt = now;
+    endpoint->reportedAt = now;
     endpoint->load.report(now,
                           static_cast<std::uint32_t>(std::max(report.running, 0)) +
                             static_cast<std::uint32_t>(std::max(report.waiting, 0)));
@@ -359,10 +360,11 @@
     if (const auto trial = trialFor(now, work, service, excluded)) {
       return send(now, work, service, keys, *trial);
     }
-    const auto candidates = candidatesFor(work, service, excluded);
+    auto candidates = candidatesFor(work, service, excluded);
     if (candidates.empty()) {
       return noCandidate(now, work);
     }
+    ageLoads(now, service.serviceTime, candidates);
     return send(now, work, service, keys, candidates[pickPlain(now, candidates)]);
   }
 
--- a/modules/dispatch/EndpointTable.h
+++ b/modules/dispatch/EndpointTable.h
@@ -30,6 +30,8 @@
   routing::LoadEstimate load{ Duration(std::chrono::milliseconds(2)) };
   /** From the last report, else from the record. */
   int slots = 1;
+  /** Last load report. */
+  Time reportedAt;
   /** Last byte of any answer. */
   Time heardAt;
   /** Until when it is probably full because it refused a request. */
