--- a/tools/figchute-random/Network.cpp
+++ b/tools/figchute-random/Network.cpp
@@ -24,7 +24,8 @@
                                     "Claim",         "Outcome",        "RegisterHolder",
                                     "Retire",        "CrashReport",    "AddMember",
                                     "PromoteMember", "RemoveMember",   "PutConfiguration",
-                                    "PutEndpoint",   "RemoveEndpoint", "ExpireEndpoint" };
+                                    "PutEndpoint",   "RemoveEndpoint", "ExpireEndpoint",
+                                    "ReadBarrier" };
 static_assert(kMessageNames.size() == std::variant_size_v<ledger::Message>);
 static_assert(kCommandNames.size() == std::variant_size_v<ledger::Command>);
 
