http: free the buffers of idle connections

Cause: assigning an empty text keeps the capacity in libstdc++, so an idle connection kept the buffer of its last response. Ruled out: shrink_to_fit(), which may do nothing. Change: buffers are swapped away; the peer's address and a missing Host are formatted only when they are used.

--- a/modules/http/ClientConnection.cpp
+++ b/modules/http/ClientConnection.cpp
@@ -408,7 +408,7 @@
 {
   parser_.reset();
   scanner_.reset();
-  in_ = {};
+  release(in_);
 }
 
 void ClientConnection::resume()
--- a/modules/http/ClientPool.cpp
+++ b/modules/http/ClientPool.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <fmt/format.h>
 #include <map>
 #include <utility>
 #include <vector>
@@ -64,13 +63,6 @@
   return expectsBody ? std::optional<std::uint64_t>(0) : std::nullopt;
 }
 
-std::string hostOf(const tcp::endpoint& address)
-{
-  const auto text = address.address().to_string();
-  return address.address().is_v6() ? fmt::format("[{}]:{}", text, address.port())
-                                   : fmt::format("{}:{}", text, address.port());
-}
-
 } // namespace
 
 std::string_view toString(CallFailureKind kind)
@@ -264,7 +256,7 @@
   exchange->address = address;
   exchange->options = std::move(options);
   const auto length = announcedLength(head, body);
-  detail::appendHead(exchange->head, head, length, hostOf(address));
+  detail::appendHead(exchange->head, head, length, address);
   exchange->method = std::move(head.method);
   exchange->body = std::move(body);
   impl_->assign(exchange);
--- a/modules/http/Message.cpp
+++ b/modules/http/Message.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
+#include <fmt/format.h>
 
 namespace figchute::http::detail {
 
@@ -245,6 +246,13 @@
   return {};
 }
 
+std::string addressText(const boost::asio::ip::tcp::endpoint& address)
+{
+  const auto ip = address.address();
+  return ip.is_v6() ? fmt::format("[{}]:{}", ip.to_string(), address.port())
+                    : fmt::format("{}:{}", ip.to_string(), address.port());
+}
+
 bool hasNoBody(int status, std::string_view method)
 {
   return method == "HEAD" || status / 100 == 1 || status == 204 || status == 304;
@@ -253,14 +261,14 @@
 void appendHead(std::string& out,
                 const RequestHead& head,
                 std::optional<std::uint64_t> length,
-                std::string_view host)
+                const boost::asio::ip::tcp::endpoint& address)
 {
   appendText(out, head.method);
   out.push_back(' ');
   appendText(out, head.target);
   out.append(" HTTP/1.1\r\n");
   if (!head.fields.find("host"))
-    appendField(out, "Host", host);
+    appendField(out, "Host", addressText(address));
   appendFields(out, head.fields);
   if (length)
     appendField(out, "Content-Length", std::to_string(*length));
--- a/modules/http/Message.h
+++ b/modules/http/Message.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 #include "http/Head.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -69,6 +70,15 @@
 /** Returns whether a response to such a request has no body whatever its fields say. */
 bool hasNoBody(int status, std::string_view method);
 
+/** Empties a text and frees its memory, which neither clear() nor assigning an empty text does. */
+inline void release(std::string& text)
+{
+  std::string().swap(text);
+}
+
+/** Returns an address as IP:port. */
+std::string addressText(const boost::asio::ip::tcp::endpoint& address);
+
 /** How a written body ends. */
 struct BodyFraming
 {
@@ -79,11 +89,11 @@
 };
 
 /** Appends a request head in the format of the wire.
-    @param host  the Host field when the head has none */
+    @param address  the Host field when the head has none */
 void appendHead(std::string& out,
                 const RequestHead& head,
                 std::optional<std::uint64_t> length,
-                std::string_view host);
+                const boost::asio::ip::tcp::endpoint& address);
 
 /** Appends a response head in the format of the wire. */
 void appendHead(std::string& out, const ResponseHead& head, const BodyFraming& framing);
--- a/modules/http/OpenRequest.cpp
+++ b/modules/http/OpenRequest.cpp
@@ -11,11 +11,11 @@
                          RequestHead head,
                          unsigned version,
                          std::shared_ptr<const std::string> body,
-                         std::string peer)
+                         const boost::asio::ip::tcp::endpoint& peer)
   : connection_(&connection)
   , head_(std::move(head))
   , body_(std::move(body))
-  , peer_(std::move(peer))
+  , address_(peer)
   , version_(version)
 {
 }
@@ -26,6 +26,13 @@
     std::exchange(connection_, nullptr)->abortRequest();
 }
 
+const std::string& OpenRequest::peer() const
+{
+  if (peer_.empty())
+    peer_ = addressText(address_);
+  return peer_;
+}
+
 void OpenRequest::respond(ResponseHead head, std::string_view body)
 {
   if (!connection_ || started_)
--- a/modules/http/ServerConnection.cpp
+++ b/modules/http/ServerConnection.cpp
@@ -22,14 +22,6 @@
 /** Largest buffer that a connection keeps for its next output. */
 constexpr std::size_t kKeptCapacity = 2048;
 
-std::string peerText(const boost::asio::ip::tcp::endpoint& peer)
-{
-  const auto address = peer.address();
-  if (address.is_v6())
-    return fmt::format("[{}]:{}", address.to_string(), peer.port());
-  return fmt::format("{}:{}", address.to_string(), peer.port());
-}
-
 /** A request body; returns its bytes to the common account when it is destroyed. */
 struct HeldBody
 {
@@ -356,7 +348,7 @@
 {
   setDeadline(kNever);
   auto request = std::make_shared<OpenRequest>(
-    *this, std::move(parser.head), parser.httpVersion(), std::move(body), peerText(peer_));
+    *this, std::move(parser.head), parser.httpVersion(), std::move(body), peer_);
   if (!framing.keepAlive)
     request->closeAfter();
   open_ = request.get();
@@ -367,7 +359,7 @@
 void ServerConnection::fail(int status, std::string_view reason)
 {
   reading_.reset();
-  in_ = {};
+  release(in_);
   phase_ = Phase::ending;
   setDeadline(kNever);
   const auto body = fmt::format("{}\n", reason);
@@ -428,7 +420,7 @@
 {
   out_.erase(0, std::exchange(sent_, 0));
   if (out_.empty() && out_.capacity() > kKeptCapacity)
-    out_ = {};
+    release(out_);
   if (phase_ == Phase::ending) {
     linger();
     return;
@@ -449,7 +441,7 @@
     in_.erase(0, used);
   }
   if (in_.empty())
-    in_ = {};
+    release(in_);
   armRead();
 }
 
@@ -457,8 +449,8 @@
 {
   phase_ = Phase::lingering;
   reading_.reset();
-  in_ = {};
-  out_ = {};
+  release(in_);
+  release(out_);
   sent_ = 0;
   boost::system::error_code ignored;
   socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
--- a/modules/http/ServerConnection.h
+++ b/modules/http/ServerConnection.h
@@ -50,12 +50,12 @@
               RequestHead head,
               unsigned version,
               std::shared_ptr<const std::string> body,
-              std::string peer);
+              const boost::asio::ip::tcp::endpoint& peer);
   ~OpenRequest() override;
 
   [[nodiscard]] const RequestHead& head() const override { return head_; }
   [[nodiscard]] const std::shared_ptr<const std::string>& body() const override { return body_; }
-  [[nodiscard]] const std::string& peer() const override { return peer_; }
+  [[nodiscard]] const std::string& peer() const override;
   void respond(ResponseHead head, std::string_view body) override;
   void start(ResponseHead head) override;
   void write(std::string_view bytes) override;
@@ -98,7 +98,9 @@
   ServerConnection* connection_;
   RequestHead head_;
   std::shared_ptr<const std::string> body_;
-  std::string peer_;
+  boost::asio::ip::tcp::endpoint address_;
+  /** The text of address_, made when it is asked for. */
+  mutable std::string peer_;
   Callbacks callbacks_;
   /** The bytes of a body with a length that are not written yet. */
   std::uint64_t remaining_ = 0;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "HttpSockets.h"
 
+#include <malloc.h>
 #include <memory>
 #include <sys/resource.h>
 #include <vector>
@@ -855,3 +856,34 @@
   ::usleep(300000);
   CHECK(waitForRequests(1));
 }
+
+// Guards against memory that idle connections keep for good: buffers of past requests and
+// responses.
+TEST_CASE_FIXTURE(ServerFixture, "Server_idleConnections_holdNoBuffers")
+{
+  constexpr std::size_t kCount = 50;
+  std::vector<RawSocket> callers;
+  callers.reserve(kCount);
+  const auto used = [] {
+    const auto info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+  };
+  echo = true;
+  connect();
+  runFor(io, 5ms);
+  const std::string body(100000, 'x');
+  const auto post = "POST / HTTP/1.1\r\nHost: b\r\nContent-Length: 100000\r\n\r\n" + body;
+  const auto before = used();
+  for (std::size_t i = 0; i < kCount; ++i) {
+    auto caller = connect();
+    caller.send(post);
+    REQUIRE(runUntil(io, [&] {
+      caller.read();
+      return caller.received.size() > body.size();
+    }));
+    std::string().swap(caller.received);
+    callers.push_back(std::move(caller));
+  }
+  CHECK(server->connections() == kCount);
+  CHECK(used() - before < 2 * kCount * 1024);
+}
