--- a/modules/dispatch/Admission.cpp
+++ b/modules/dispatch/Admission.cpp
@@ -11,6 +11,8 @@
     same time. */
 constexpr double kUrgentPart = 0.85;
 constexpr double kPartPerPriority = 0.05;
+/** The least urgent requests leave a fifth of the connections to others. */
+constexpr std::size_t kConnectionDivisor = 45;
 
 } // namespace
 
@@ -20,6 +22,12 @@
   return slots * (1 + kQueuePerSlot * (kUrgentPart - kPartPerPriority * steps));
 }
 
+std::size_t Admission::connectionLimit(std::size_t share) const
+{
+  const auto steps = static_cast<std::size_t>(smallWorkspace ? 0 : std::clamp(priority, 0, 9));
+  return share - share * steps / kConnectionDivisor;
+}
+
 Duration Admission::roomAfter(double load, double limit, int slots, Duration serviceTime)
 {
   const double beyond = std::max(load + 1 - limit, 1.0);
--- a/modules/dispatch/Admission.h
+++ b/modules/dispatch/Admission.h
@@ -20,6 +20,10 @@
   /** Returns the running and waiting requests from which on an engine counts as full. */
   [[nodiscard]] double engineLimit(int slots) const;
 
+  /** Returns the part of this process's connections to an endpoint that the request may use.
+      @param share  connections of this process, at least 1 */
+  [[nodiscard]] std::size_t connectionLimit(std::size_t share) const;
+
   /** Returns when an endpoint is likely to have room.
       @param load         its running and waiting requests
       @param limit        from engineLimit(), or the slots
--- a/modules/dispatch/CrashTable.cpp
+++ b/modules/dispatch/CrashTable.cpp
@@ -16,7 +16,10 @@
 
 void CrashTable::suspect(Time now, std::size_t endpoint, Fingerprint fingerprint)
 {
-  if (suspects_.size() < kMostSuspects) {
+  const bool known = std::any_of(suspects_.begin(), suspects_.end(), [&](const Suspect& suspect) {
+    return suspect.endpoint == endpoint && suspect.fingerprint == fingerprint;
+  });
+  if (!known && suspects_.size() < kMostSuspects) {
     suspects_.push_back({ endpoint, fingerprint, now });
   }
 }
@@ -32,13 +35,18 @@
 {
   for (const auto& suspect : suspects_) {
     if (suspect.endpoint == endpoint) {
-      add(now, suspect.fingerprint, 1);
-      untold_.push_back(suspect.fingerprint);
+      crashed(now, suspect.fingerprint);
     }
   }
   std::erase_if(suspects_, [&](const Suspect& suspect) { return suspect.endpoint == endpoint; });
 }
 
+void CrashTable::crashed(Time now, Fingerprint fingerprint)
+{
+  add(now, fingerprint, 1);
+  untold_.push_back(fingerprint);
+}
+
 void CrashTable::add(Time now, Fingerprint fingerprint, std::uint64_t crashes)
 {
   const auto found = entries_.find(fingerprint);
--- a/modules/dispatch/CrashTable.h
+++ b/modules/dispatch/CrashTable.h
@@ -22,7 +22,9 @@
   static constexpr std::uint64_t kCrashLimit = 3;
   static constexpr Duration kRefusal = std::chrono::seconds(60);
 
-  /** A connection broke under a request. @param endpoint  place of the endpoint */
+  /** A connection broke under a request. Requests with the same fingerprint count once for each
+      endpoint: equal requests of one caller may run side by side.
+      @param endpoint  place of the endpoint */
   void suspect(Time now, std::size_t endpoint, Fingerprint fingerprint);
 
   /** The endpoint answered a request that was sent at @p sentAt. */
@@ -31,6 +33,9 @@
   /** The endpoint is down or was started anew: its suspects become crashes. */
   void endpointDown(Time now, std::size_t endpoint);
 
+  /** Counts a crash that this process saw. */
+  void crashed(Time now, Fingerprint fingerprint);
+
   /** Counts crashes that another process saw. */
   void add(Time now, Fingerprint fingerprint, std::uint64_t crashes);
 
--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -160,6 +160,7 @@
     const auto send = requests_.end(*request);
     auto* endpoint = endpoints_.find(send.place);
     if (endpoint == nullptr) {
+      health_.endedAtGone(now, *request, outcome);
       return;
     }
     endpoint->load.change(now, -1);
@@ -268,19 +269,25 @@
     std::vector<Candidate> candidates;
     for (const auto place : endpoints_.ofService(work.service)) {
       auto& endpoint = *endpoints_.find(place);
-      if (!endpoint.breaker.isOpen() && mayTake(endpoint, service, excluded)) {
+      if (!endpoint.breaker.isOpen() && mayTake(endpoint, work, service, excluded)) {
         candidates.push_back(candidateOf(endpoint));
       }
     }
     return candidates;
   }
 
+  [[nodiscard]] Admission admissionOf(const Work& work) const
+  {
+    return { work.priority, requests_.isSmall(work.service, work.workspace) };
+  }
+
   [[nodiscard]] bool mayTake(const Endpoint& endpoint,
+                             const Work& work,
                              const ServiceState& service,
                              std::span<const EndpointId> excluded) const
   {
     return endpoint.record.state == fleet::EndpointState::ready &&
-           endpoint.load.own() < connectionShare(service) &&
+           endpoint.load.own() < admissionOf(work).connectionLimit(connectionShare(service)) &&
            std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end();
   }
 
@@ -303,7 +310,7 @@
     const bool safe = repeatable && work.maxAttempts > static_cast<int>(excluded.size()) + 1;
     for (const auto place : endpoints_.ofService(work.service)) {
       auto& endpoint = *endpoints_.find(place);
-      if (!endpoint.breaker.isTrialDue(now) || !mayTake(endpoint, service, excluded)) {
+      if (!endpoint.breaker.isTrialDue(now) || !mayTake(endpoint, work, service, excluded)) {
         continue;
       }
       const bool harmless = safe || endpoint.breaker.isAfterLostConnection();
@@ -331,7 +338,7 @@
     if (candidates.empty()) {
       return noCandidate(now, work);
     }
-    const Admission admission{ work.priority, requests_.isSmall(work.service, work.workspace) };
+    const auto admission = admissionOf(work);
     auto after = kLongestRetryAfter;
     bool full = true;
     for (auto& candidate : candidates) {
--- a/modules/dispatch/EndpointHealth.cpp
+++ b/modules/dispatch/EndpointHealth.cpp
@@ -60,6 +60,13 @@
   }
 }
 
+void EndpointHealth::endedAtGone(Time now, const RequestState& request, Outcome outcome)
+{
+  if (outcome == Outcome::broken && request.fingerprint != 0) {
+    crashes_.crashed(now, request.fingerprint);
+  }
+}
+
 void EndpointHealth::silent(Time now, const Send& send, Endpoint& endpoint)
 {
   fail(now, send, endpoint, Fault::strong, "silent");
--- a/modules/dispatch/EndpointHealth.h
+++ b/modules/dispatch/EndpointHealth.h
@@ -40,6 +40,9 @@
   /** An endpoint left the registry or was started anew. */
   void gone(Time now, std::size_t place) { crashes_.endpointDown(now, place); }
 
+  /** A send ended whose endpoint was gone before. */
+  void endedAtGone(Time now, const RequestState& request, Outcome outcome);
+
   /** Requests that crash endpoints. */
   [[nodiscard]] CrashTable& crashes() { return crashes_; }
 
