dispatch: tell slow engines by their steps

Cause: an engine that is five times slower was avoided only while prompts waited there; its streams had pauses above 0.5 s. Ruled out: opening its breaker; its first tokens of short prompts are in time, and a service whose engines are all busy would lose half of them. Change: a shortest step above 12 ms in two seconds counts as a queue of 300 ms for 6 s. Conclusion: a small gain; each process pays for its own look every 6 s.

--- a/modules/dispatch/EnginePace.cpp
+++ b/modules/dispatch/EnginePace.cpp
@@ -16,6 +16,14 @@
 constexpr double kMemoryMicros = 500'000;
 constexpr double kSmoothingMicros = 100'000;
 
+/** An engine whose shortest step of a window is above this is slow or reads without a break. */
+constexpr double kSlowStepMicros = 12'000;
+constexpr Duration kWindow = std::chrono::seconds(2);
+/** After this time it is tried again. */
+constexpr Duration kSlowMemory = std::chrono::seconds(6);
+/** Wait that a slow engine counts for; it is above the queue that a subject stays with. */
+constexpr double kSlowMicros = 300'000;
+
 /** Pause between two events of some stream that is usual without reading. */
 constexpr double kUsualPauseMicros = 40'000;
 
@@ -34,6 +42,15 @@
     return;
   }
   const double step = static_cast<double>(sinceLast.count()) / static_cast<double>(tokens);
+  shortestStep_ = std::min(shortestStep_, step);
+  if (now - windowFrom_ > kWindow) {
+    const bool complete = now - windowFrom_ < 2 * kWindow;
+    if (complete && shortestStep_ > kSlowStepMicros) {
+      slowUntil_ = now + kSlowMemory;
+    }
+    shortestStep_ = step;
+    windowFrom_ = now;
+  }
   const double busy = std::clamp((step - kIdleStepMicros) / kReadingStepMicros, 0.0, 1.0);
   const auto age = static_cast<double>((now - busyFrom_).count());
   const double weight = 1 - std::exp(-age / kSmoothingMicros);
@@ -49,6 +66,7 @@
 Duration EnginePace::backlog(Time now) const
 {
   double micros = kBusyBacklogMicros * busyAt(now);
+  micros += now < slowUntil_ ? kSlowMicros : 0;
   if (streams_ > 0) {
     const auto silent = static_cast<double>((now - heardAt_).count());
     micros += std::max(silent - kUsualPauseMicros, 0.0);
--- a/modules/dispatch/EnginePace.h
+++ b/modules/dispatch/EnginePace.h
@@ -32,6 +32,10 @@
 
   int streams_ = 0;
   Time heardAt_;
+  /** Shortest step time of the window that began at windowFrom_. */
+  double shortestStep_ = 0;
+  Time windowFrom_;
+  Time slowUntil_;
   /** Part of the step time spent on reading, 0 to 1, at busyFrom_. */
   double busy_ = 0;
   Time busyFrom_;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -249,6 +249,24 @@
   CHECK(run(guide(7)) != choice->endpoint.value);
 }
 
+TEST_CASE_FIXTURE(Fixture, "engine_slowSteps_isAvoidedForAWhile")
+{
+  // Guards against an engine that decodes several times slower than others but never fails.
+  const auto request = guide(7);
+  const auto choice = dispatcher->choose(now, request, {});
+  REQUIRE(choice);
+  dispatcher->firstByte(now, request.id);
+  for (int i = 0; i < 40; ++i) {
+    now = now + 120ms;
+    dispatcher->progress(now, request.id, 6);
+  }
+  dispatcher->finished(now, request.id, Outcome::answered);
+  now = now + 3s;
+  CHECK(run(guide(7)) != choice->endpoint.value);
+  now = now + 10s;
+  CHECK(run(guide(7)) == choice->endpoint.value);
+}
+
 TEST_CASE_FIXTURE(Fixture, "endpoint_draining_getsNoWork")
 {
   // Guards against new requests at an endpoint that leaves.
