dispatch: follow the linter

Cause: clang-tidy reports a narrowing conversion in RepeatBudget. Ruled out: nothing. Change: an explicit conversion. Conclusion: no change of behaviour.

--- a/modules/dispatch/RepeatBudget.cpp
+++ b/modules/dispatch/RepeatBudget.cpp
@@ -6,7 +6,8 @@
 
 std::int64_t RepeatBudget::sliceOf(Time now) const
 {
-  const auto length = std::max<std::int64_t>(window_.count() / kSlices, 1);
+  const auto length =
+    std::max<std::int64_t>(window_.count() / static_cast<std::int64_t>(kSlices), 1);
   return now.micros / length;
 }
 
