fleet: tell entry processes of each other

Cause: wallets size their start grants by the number of entry processes, but knew only themselves, so the first one took most of a budget; transfers had no partners. Change: FleetUpdate carries the entry processes when the receiver's digest differs; crash totals are passed on as increments; a model engine's first event, not its head, counts as first byte.

--- a/modules/fleet/FleetPublisher.cpp
+++ b/modules/fleet/FleetPublisher.cpp
@@ -26,6 +26,8 @@
     subscriber = {};
   }
   subscriber.incarnation = message.incarnation;
+  subscriber.zone = message.zone;
+  subscriber.entriesDigest = message.entriesDigest;
   const bool crossed = message.configurationVersion < subscriber.configurationVersion &&
                        now - subscriber.configurationSent < kConfigurationInFlight;
   if (!crossed) {
@@ -58,7 +60,7 @@
   desk_->heard(now, message.heard);
   auto& peer = peers_[from];
   peer.lastHeard = now;
-  peer.subscribers = { message.subscribers.begin(), message.subscribers.end() };
+  peer.subscribers = message.subscribers;
   bool increased = false;
   for (const auto& crash : message.crashes) {
     increased |= count(now, crash.reporter, crash, false);
@@ -131,25 +133,36 @@
                 [now](const auto& item) { return now - item.second.lastNamed >= kCrashMemory; });
 }
 
-std::vector<ProcessId> FleetPublisher::subscribers() const
+std::vector<EntryProcess> FleetPublisher::subscribers() const
 {
-  std::vector<ProcessId> ids;
+  std::vector<EntryProcess> entries;
   for (const auto& [id, subscriber] : subscribers_) {
-    ids.push_back(id);
+    entries.push_back({ { id, subscriber.incarnation }, subscriber.zone });
   }
-  return ids;
+  return entries;
 }
 
-std::uint32_t FleetPublisher::entryProcesses() const
+std::vector<EntryProcess> FleetPublisher::entryProcesses() const
 {
-  std::set<ProcessId> known;
-  for (const auto& [id, subscriber] : subscribers_) {
-    known.insert(id);
-  }
+  std::map<ProcessId, EntryProcess> known;
+  const auto add = [&known](const std::vector<EntryProcess>& entries) {
+    for (const auto& entry : entries) {
+      auto& place = known[entry.holder.process];
+      if (place.holder.incarnation < entry.holder.incarnation) {
+        place = entry;
+      }
+    }
+  };
+  add(subscribers());
   for (const auto& [id, peer] : peers_) {
-    known.insert(peer.subscribers.begin(), peer.subscribers.end());
+    add(peer.subscribers);
+  }
+  std::vector<EntryProcess> entries;
+  entries.reserve(known.size());
+  for (auto& [id, entry] : known) {
+    entries.push_back(std::move(entry));
   }
-  return static_cast<std::uint32_t>(known.size());
+  return entries;
 }
 
 std::vector<CrashCount> FleetPublisher::crashesOfOthers(const ProcessId& receiver) const
@@ -198,7 +211,12 @@
   addEndpoints(subscriber, update);
   update.controls = controls_;
   update.leaderContact = leaderContact_;
-  update.entryProcesses = entryProcesses();
+  auto entries = entryProcesses();
+  update.entryProcesses = static_cast<std::uint32_t>(entries.size());
+  if (const auto digest = digestOf(entries); digest != subscriber.entriesDigest) {
+    subscriber.entriesDigest = digest;
+    update.entries = std::move(entries);
+  }
   update.crashes = crashesOfOthers(to);
   subscriber.lastSent = now;
   subscriber.endpointRevision = std::max(subscriber.endpointRevision, update.endpointRevision);
--- a/modules/fleet/FleetPublisher.h
+++ b/modules/fleet/FleetPublisher.h
@@ -53,15 +53,18 @@
   std::vector<Outgoing> takeOutgoing() { return std::exchange(outgoing_, {}); }
 
   /** Returns the subscribers of this process. */
-  [[nodiscard]] std::vector<ProcessId> subscribers() const;
+  [[nodiscard]] std::vector<EntryProcess> subscribers() const;
 
-  /** Returns the number of entry processes that subscribe at any control process. */
-  [[nodiscard]] std::uint32_t entryProcesses() const;
+  /** Returns the entry processes that subscribe at any control process, ordered by id. */
+  [[nodiscard]] std::vector<EntryProcess> entryProcesses() const;
 
 private:
   struct Subscriber
   {
     Incarnation incarnation;
+    ZoneId zone;
+    /** Digest of the entry processes that the subscriber knows. */
+    std::uint64_t entriesDigest = 0;
     /** What it has when no update was lost since its last message; its next one tells. */
     std::uint64_t configurationVersion = 0;
     std::uint64_t endpointRevision = 0;
@@ -74,7 +77,7 @@
   struct Peer
   {
     Time lastHeard;
-    std::set<ProcessId> subscribers;
+    std::vector<EntryProcess> subscribers;
   };
 
   struct Counted
--- a/modules/fleet/FleetSubscriber.cpp
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -37,6 +37,10 @@
     entryProcesses_ = processes;
     changes_.entryProcesses = true;
   }
+  if ((inUse || searching_) && !update->entries.empty() && update->entries != entries_) {
+    entries_ = update->entries;
+    changes_.entryProcesses = true;
+  }
   if (started_ && !stopped_) {
     judgeSender(now, from, update->leaderContact);
   }
@@ -198,8 +202,9 @@
 
 void FleetSubscriber::subscribe(Time now, const ProcessId& to)
 {
-  Subscribe message{ settings_.zone, configurationVersion_, endpointRevision_, {}, {} };
+  Subscribe message{ settings_.zone, configurationVersion_, endpointRevision_, {}, {}, 0 };
   message.incarnation = settings_.incarnation;
+  message.entriesDigest = digestOf(entries_);
   for (const auto& [fingerprint, own] : ownCrashes_) {
     if (now - own.last <= kCrashReported) {
       message.crashes.push_back({ fingerprint, own.crashes, {} });
--- a/modules/fleet/FleetSubscriber.h
+++ b/modules/fleet/FleetSubscriber.h
@@ -100,6 +100,9 @@
   /** Returns the revision of endpoints(). */
   [[nodiscard]] std::uint64_t endpointRevision() const { return endpointRevision_; }
 
+  /** Returns the entry processes as the control process knows them, with this one. */
+  [[nodiscard]] const std::vector<EntryProcess>& entries() const { return entries_; }
+
   /** Returns the number of entry processes with this one; at least 1. */
   [[nodiscard]] std::uint32_t entryProcesses() const { return entryProcesses_; }
 
@@ -162,6 +165,7 @@
   std::uint64_t endpointRevision_ = 0;
   std::map<EndpointId, EndpointRecord> endpoints_;
   std::uint32_t entryProcesses_ = 1;
+  std::vector<EntryProcess> entries_;
   std::map<std::uint64_t, OwnCrashes> ownCrashes_;
   std::map<std::uint64_t, OtherCrashes> otherCrashes_;
   FleetChanges changes_;
--- a/modules/fleet/Messages.h
+++ b/modules/fleet/Messages.h
@@ -24,6 +24,18 @@
   MSGPACK_DEFINE(fingerprint, crashes, reporter)
 };
 
+/** One running entry process. */
+struct EntryProcess
+{
+  HolderId holder;
+  ZoneId zone;
+  bool operator==(const EntryProcess&) const = default;
+  MSGPACK_DEFINE(holder, zone)
+};
+
+/** Returns a digest of a list in its order; 0 for an empty one. Safe from any thread. */
+std::uint64_t digestOf(const std::vector<EntryProcess>& entries);
+
 /** Sent by an entry process to its control process at once and each second. */
 struct Subscribe
 {
@@ -36,7 +48,9 @@
   std::vector<CrashCount> crashes;
   /** Start of the sender; its counts of crashes begin at 0. */
   Incarnation incarnation{};
-  MSGPACK_DEFINE(zone, configurationVersion, endpointRevision, crashes, incarnation)
+  /** Digest of the entry processes that the sender knows; 0 for none. */
+  std::uint64_t entriesDigest = 0;
+  MSGPACK_DEFINE(zone, configurationVersion, endpointRevision, crashes, incarnation, entriesDigest)
 };
 
 /** Ends a subscription. */
@@ -67,6 +81,8 @@
   bool leaderContact = false;
   /** Number of live entry processes as far as the sender knows. */
   std::uint32_t entryProcesses = 0;
+  /** The live entry processes; empty when the receiver's digest of them is current. */
+  std::vector<EntryProcess> entries;
   /** Requests that crashed endpoints, over all processes except the receiver. */
   std::vector<CrashCount> crashes;
   MSGPACK_DEFINE(configurationVersion,
@@ -78,6 +94,7 @@
                  controls,
                  leaderContact,
                  entryProcesses,
+                 entries,
                  crashes)
 };
 
@@ -100,7 +117,7 @@
   /** Sent to the leader only. */
   std::vector<Heard> heard;
   /** Entry processes that subscribe at the sender. */
-  std::vector<ProcessId> subscribers;
+  std::vector<EntryProcess> subscribers;
   /** What these processes counted. */
   std::vector<CrashCount> crashes;
   MSGPACK_DEFINE(heard, subscribers, crashes)
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -200,7 +200,6 @@
 private:
   struct State;
 
-
   std::unique_ptr<State> state_;
   std::vector<Outgoing> outgoing_;
 };
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -122,29 +122,28 @@
     answerError(*request, parsed.error(), Duration{ 0 });
     return;
   }
-  context_.log.line(now,
-                    "configuration_received",
-                    { { "version", std::to_string(parsed->version) },
-                      { "bytes", std::to_string(body->size()) } });
+  context_.log.line(
+    now,
+    "configuration_received",
+    { { "version", std::to_string(parsed->version) }, { "bytes", std::to_string(body->size()) } });
   propose(request, ledger::PutConfiguration{ parsed->version, *body, budgetsOf(*parsed) });
 }
 
 void ControlRole::getConfiguration(const RequestPointer& request)
 {
   const Time now = bootTime();
-  node_->proposeLocal(now,
-                      ledger::ReadBarrier{},
-                      kProposalLimit,
-                      [this, request, until = now + kProposalLimit](
-                        const Expected<ledger::Result>& result) {
-                        const auto* barrier =
-                          result ? std::get_if<ledger::BarrierResult>(&*result) : nullptr;
-                        if (barrier == nullptr) {
-                          answerError(*request, noQuorum(), kRetryAfter);
-                          return;
-                        }
-                        reads_.push_back({ barrier->index, until, request });
-                      });
+  node_->proposeLocal(
+    now,
+    ledger::ReadBarrier{},
+    kProposalLimit,
+    [this, request, until = now + kProposalLimit](const Expected<ledger::Result>& result) {
+      const auto* barrier = result ? std::get_if<ledger::BarrierResult>(&*result) : nullptr;
+      if (barrier == nullptr) {
+        answerError(*request, noQuorum(), kRetryAfter);
+        return;
+      }
+      reads_.push_back({ barrier->index, until, request });
+    });
 }
 
 void ControlRole::answerReads(Time now)
@@ -168,8 +167,7 @@
 {
   const auto& configuration = node_->state().fleet().configuration;
   if (configuration.version() == 0) {
-    answerError(
-      request, Error{ ErrorKind::overloaded, "no configuration is stored" }, kRetryAfter);
+    answerError(request, Error{ ErrorKind::overloaded, "no configuration is stored" }, kRetryAfter);
     return;
   }
   answerJson(request, *configuration.bytes());
@@ -179,8 +177,7 @@
 {
   const Time now = bootTime();
   const auto& body = request->body();
-  const auto announcement =
-    context_.dialect.parseAnnouncement(id, body ? *body : std::string());
+  const auto announcement = context_.dialect.parseAnnouncement(id, body ? *body : std::string());
   if (!announcement) {
     context_.log.line(now,
                       "announcement_refused",
@@ -189,10 +186,10 @@
     return;
   }
   if (!services_.empty() && services_.count(announcement->service.value) == 0) {
-    context_.log.line(now,
-                      "announcement_refused",
-                      { { "endpoint", id.value },
-                        { "detail", "unknown service " + announcement->service.value } });
+    context_.log.line(
+      now,
+      "announcement_refused",
+      { { "endpoint", id.value }, { "detail", "unknown service " + announcement->service.value } });
     answerError(*request,
                 Error{ ErrorKind::badRequest, "the service is not in the configuration" },
                 Duration{ 0 });
@@ -203,14 +200,14 @@
     answerJson(*request, "{}");
     return;
   }
-  context_.log.line(now,
-                    "announcement",
-                    { { "endpoint", id.value },
-                      { "service", announcement->service.value },
-                      { "address", announcement->address },
-                      { "state",
-                        announcement->state == fleet::EndpointState::ready ? "ready" : "draining" },
-                      { "sequence", std::to_string(announcement->sequence) } });
+  context_.log.line(
+    now,
+    "announcement",
+    { { "endpoint", id.value },
+      { "service", announcement->service.value },
+      { "address", announcement->address },
+      { "state", announcement->state == fleet::EndpointState::ready ? "ready" : "draining" },
+      { "sequence", std::to_string(announcement->sequence) } });
   propose(request, toCommand(*command));
 }
 
@@ -362,7 +359,8 @@
     members_ = members;
     std::string text;
     for (const auto& member : node_->members().members) {
-      text += (text.empty() ? "" : ",") + member.id.process.value + (member.voter ? "" : "(learner)");
+      text +=
+        (text.empty() ? "" : ",") + member.id.process.value + (member.voter ? "" : "(learner)");
     }
     context_.log.line(now, "members", { { "members", text } });
   }
--- a/modules/router/Daemon.cpp
+++ b/modules/router/Daemon.cpp
@@ -111,12 +111,11 @@
 
   Expected<void> start()
   {
-    mesh_.onMessage([this](const ProcessId& from,
-                           Incarnation incarnation,
-                           wire::Channel channel,
-                           std::string body) {
-      role_->receive(from, incarnation, channel, std::move(body));
-    });
+    mesh_.onMessage(
+      [this](
+        const ProcessId& from, Incarnation incarnation, wire::Channel channel, std::string body) {
+        role_->receive(from, incarnation, channel, std::move(body));
+      });
     if (auto listening = mesh_.listen(); !listening) {
       return listening;
     }
@@ -206,7 +205,8 @@
 
   [[nodiscard]] std::int64_t modifiedAt() const
   {
-    struct stat status{};
+    struct stat status
+    {};
     if (::stat(path_.c_str(), &status) != 0) {
       return 0;
     }
@@ -230,8 +230,7 @@
     settings_.seeds = parsed->seeds;
     settings_.bounds = parsed->bounds;
     role_->setSeeds(settings_.seedProcesses());
-    log_.line(
-      bootTime(), "reload", { { "seeds", std::to_string(settings_.seeds.size()) } });
+    log_.line(bootTime(), "reload", { { "seeds", std::to_string(settings_.seeds.size()) } });
   }
 
   RouterSettings settings_;
--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -36,7 +36,8 @@
   std::vector<std::string> reserved;
 };
 
-/** Paths of the calls to the router itself; the defaults are the project's own. A trailing slash means that an id follows. */
+/** Paths of the calls to the router itself; the defaults are the project's own. A trailing slash
+ * means that an id follows. */
 struct CallPaths
 {
   std::string configuration = "/v1/configuration";
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -61,11 +61,10 @@
   , callers_(context.io,
              http::ServerLimits{},
              [this](std::shared_ptr<http::ServerRequest> request) { handle(std::move(request)); })
-  , readiness_(context.io,
-               http::ServerLimits{},
-               [this](const std::shared_ptr<http::ServerRequest>& request) {
-                 answerReadiness(*request);
-               })
+  , readiness_(
+      context.io,
+      http::ServerLimits{},
+      [this](const std::shared_ptr<http::ServerRequest>& request) { answerReadiness(*request); })
   , timer_(context.io)
 {
 }
@@ -199,19 +198,16 @@
   }
   if (changes.entryProcesses) {
     dispatcher_.setPeers(subscriber_.entryProcesses());
+    setWalletPeers(now);
   }
   for (const auto& crash : changes.crashes) {
-    dispatcher_.addCrashes(now, crash.fingerprint, crash.crashes);
+    addCrashes(now, crash);
   }
 }
 
 void EntryRole::applyControl(Time now)
 {
-  std::vector<ledger::Peer> peers;
-  for (const auto& control : subscriber_.controls()) {
-    peers.push_back({ { control, {} }, {}, false, true, true });
-  }
-  wallet_.setPeers(now, peers);
+  setWalletPeers(now);
   const auto control = subscriber_.control();
   if (control == control_) {
     return;
@@ -228,15 +224,37 @@
                     { { "control", control.value_or(ProcessId()).value } });
 }
 
+void EntryRole::setWalletPeers(Time now)
+{
+  std::vector<ledger::Peer> peers;
+  for (const auto& control : subscriber_.controls()) {
+    peers.push_back({ { control, {} }, {}, false, true, true });
+  }
+  for (const auto& entry : subscriber_.entries()) {
+    peers.push_back({ entry.holder, entry.zone, true, false, true });
+  }
+  wallet_.setPeers(now, peers);
+}
+
+void EntryRole::addCrashes(Time now, const fleet::CrashCount& crash)
+{
+  // Counts are totals over all other processes; the dispatcher adds what is new.
+  auto& known = knownCrashes_[crash.fingerprint];
+  if (crash.crashes > known) {
+    dispatcher_.addCrashes(now, crash.fingerprint, crash.crashes - known);
+    known = crash.crashes;
+  }
+}
+
 void EntryRole::applyConfiguration(Time now)
 {
   const auto version = subscriber_.configurationVersion();
   auto parsed = context_.dialect.parseConfiguration(*subscriber_.configuration());
   if (!parsed) {
-    context_.log.line(now,
-                      "configuration_unreadable",
-                      { { "version", std::to_string(version) },
-                        { "detail", parsed.error().detail } });
+    context_.log.line(
+      now,
+      "configuration_unreadable",
+      { { "version", std::to_string(version) }, { "detail", parsed.error().detail } });
     return;
   }
   services_.table = std::make_shared<const fleet::RouteTable>(std::move(*parsed));
@@ -292,7 +310,8 @@
   }
   for (const auto fingerprint : dispatcher_.takeCrashes()) {
     subscriber_.addCrash(now, fingerprint);
-    context_.log.line(now, "endpoint_crash", { { "fingerprint", fmt::format("{:x}", fingerprint) } });
+    context_.log.line(
+      now, "endpoint_crash", { { "fingerprint", fmt::format("{:x}", fingerprint) } });
   }
 }
 
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -1,8 +1,8 @@
 #include "router/Exchange.h"
 
+#include "ini/ini.h"
 #include "router/BootClock.h"
 #include "router/ErrorAnswer.h"
-#include "ini/ini.h"
 #include "settings/settings.h"
 
 #include <algorithm>
@@ -185,18 +185,17 @@
     if (!value || *value < 0) {
       return fail(ErrorKind::badRequest, "the deadline is no number of milliseconds");
     }
-    wait = std::min(wait, Duration(std::chrono::milliseconds(std::min<std::int64_t>(
-                            *value, millis(route.timeout)))));
+    wait = std::min(
+      wait,
+      Duration(std::chrono::milliseconds(std::min<std::int64_t>(*value, millis(route.timeout)))));
   }
   limit_ = now + wait;
   work_.id = id_;
   work_.service = fleet::RouteTable::pickService(route, requestId_);
   work_.kind = route.kind;
   work_.resumable = route.resumable;
-  work_.priority =
-    std::clamp(workspace_ != nullptr ? workspace_->priority.value_or(route.priority) : route.priority,
-               0,
-               9);
+  work_.priority = std::clamp(
+    workspace_ != nullptr ? workspace_->priority.value_or(route.priority) : route.priority, 0, 9);
   work_.workspace = workspace_ != nullptr ? workspace_->name : std::string();
   work_.model = prompt->model;
   work_.parts = prompt->parts;
@@ -309,7 +308,8 @@
     head.fields.set(names.priority, std::to_string(work_.priority));
   }
   head.fields.set(names.expectEndpoint, choice.endpoint.value);
-  head.fields.set(names.deadlineMs, std::to_string(std::max<std::int64_t>(1, millis(limit_ - now))));
+  head.fields.set(names.deadlineMs,
+                  std::to_string(std::max<std::int64_t>(1, millis(limit_ - now))));
   return head;
 }
 
@@ -356,10 +356,21 @@
   const Time now = bootTime();
   stage_ = Stage::relaying;
   status_ = head.status;
+  // A model engine answers with its head before it has read the prompt; its first event counts.
+  if (!modelService_ || head.status >= 300) {
+    noteFirstByte(now);
+  }
+  request_->start(head);
+}
+
+void Exchange::noteFirstByte(Time now)
+{
+  if (firstByteAt_.micros > 0) {
+    return;
+  }
   firstByteAt_ = now;
   services_.dispatcher.firstByte(now, id_);
   services_.metrics.record("first_byte", now - arrival_);
-  request_->start(head);
 }
 
 void Exchange::onBody(std::string_view bytes)
@@ -372,6 +383,7 @@
     const auto tokens = events_.feed(bytes) * stride_;
     deliveredTokens_ += tokens;
     if (tokens > 0) {
+      noteFirstByte(bootTime());
       services_.dispatcher.progress(bootTime(), id_, tokens);
     }
   }
@@ -387,8 +399,7 @@
     return;
   }
   const Time now = bootTime();
-  finishSend(now,
-             status_ >= 500 ? dispatch::Outcome::serverError : dispatch::Outcome::answered);
+  finishSend(now, status_ >= 500 ? dispatch::Outcome::serverError : dispatch::Outcome::answered);
   request_->finish();
   end(now, "answered", status_, "");
 }
@@ -438,9 +449,9 @@
                        { "detail", detail },
                        { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
   const bool unsent = outcome == dispatch::Outcome::notConnected;
-  const bool again =
-    unsent ? ++connectFailures_ < kMaxConnectFailures && (!mayHaveRun_ || mayRunAgain())
-           : mayRepeat();
+  const bool again = unsent
+                       ? ++connectFailures_ < kMaxConnectFailures && (!mayHaveRun_ || mayRunAgain())
+                       : mayRepeat();
   if (again && now < limit_) {
     sendNext(now);
     return;
@@ -530,8 +541,7 @@
   }
   const auto output = std::min(deliveredTokens_, work_.maxOutputTokens);
   // The reservation was made by this exchange, so the charge cannot fail.
-  static_cast<void>(
-    services_.wallet.charge(now, ledgerId_, Tokens{ work_.promptTokens + output }));
+  static_cast<void>(services_.wallet.charge(now, ledgerId_, Tokens{ work_.promptTokens + output }));
 }
 
 void Exchange::end(Time now, std::string_view outcome, int status, std::string_view detail)
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -38,10 +38,9 @@
 /** Returns the budgets of a configuration. Safe from any thread. */
 std::vector<ledger::PrepaidBudget> budgetsOf(const fleet::Configuration& configuration);
 
-/** One request from its arrival to the end of its answer: route, key, budget, choice of an endpoint,
-    call, relay. It decides which status an end may have: 503 and its like promise that no endpoint
-    ran the request.
-    Thread safety: use it on the thread of the event loop only. */
+/** One request from its arrival to the end of its answer: route, key, budget, choice of an
+   endpoint, call, relay. It decides which status an end may have: 503 and its like promise that no
+   endpoint ran the request. Thread safety: use it on the thread of the event loop only. */
 class Exchange final
   : public http::CallListener
   , public std::enable_shared_from_this<Exchange>
@@ -101,6 +100,7 @@
   void cut(Time now, std::string_view outcome);
   void callerGone();
   void startRelay(const http::ResponseHead& head);
+  void noteFirstByte(Time now);
   void bill(Time now);
   void end(Time now, std::string_view outcome, int status, std::string_view detail);
 
--- a/modules/router/JsonDialect.cpp
+++ b/modules/router/JsonDialect.cpp
@@ -9,7 +9,6 @@
 namespace figchute::router {
 namespace {
 
-
 std::optional<std::int64_t> parseCount(std::string_view text)
 {
   while (!text.empty() && text.front() == ' ') {
@@ -80,7 +79,8 @@
   if (route.has(names.split)) {
     route.each(names.split, [&](JsonReader& part) {
       const auto weight = part.integer(names.weight, 0, std::numeric_limits<std::int32_t>::max());
-      split.push_back({ ServiceName(part.text(names.service)), static_cast<std::uint32_t>(weight) });
+      split.push_back(
+        { ServiceName(part.text(names.service)), static_cast<std::uint32_t>(weight) });
     });
     return split;
   }
@@ -171,9 +171,11 @@
   fleet::Configuration configuration;
   configuration.version =
     static_cast<std::uint64_t>(reader.integer(names.version, 0, kMaxJsonInteger));
-  reader.each(names.routes, [&](JsonReader& route) { configuration.routes.push_back(readRoute(names, route)); });
-  reader.each(names.services,
-              [&](JsonReader& part) { configuration.services.push_back(readService(names, part)); });
+  reader.each(names.routes,
+              [&](JsonReader& route) { configuration.routes.push_back(readRoute(names, route)); });
+  reader.each(names.services, [&](JsonReader& part) {
+    configuration.services.push_back(readService(names, part));
+  });
   configuration.hasWorkspaces = reader.has(names.workspaces);
   if (configuration.hasWorkspaces) {
     reader.each(names.workspaces, [&](JsonReader& part) {
@@ -192,7 +194,7 @@
 }
 
 Expected<fleet::Announcement> JsonDialect::parseAnnouncement(const EndpointId& id,
-                                                                 std::string_view bytes) const
+                                                             std::string_view bytes) const
 {
   JsonDocument document;
   if (auto parsed = document.parse(bytes); !parsed) {
--- a/modules/router/LogWriter.h
+++ b/modules/router/LogWriter.h
@@ -16,10 +16,10 @@
   std::string value;
 };
 
-/** Writes log lines of key=value fields to a descriptor. A line that the descriptor does not take at
-    once is dropped and counted, so that writing never blocks; the next line that gets through tells
-    how many were dropped. Lines of one event loop turn are written together by flush().
-    Thread safety: use one instance from one thread only. */
+/** Writes log lines of key=value fields to a descriptor. A line that the descriptor does not take
+   at once is dropped and counted, so that writing never blocks; the next line that gets through
+   tells how many were dropped. Lines of one event loop turn are written together by flush(). Thread
+   safety: use one instance from one thread only. */
 class LogWriter
 {
 public:
--- a/modules/router/MetricsPage.cpp
+++ b/modules/router/MetricsPage.cpp
@@ -22,8 +22,10 @@
   for (const auto& [name, summary] : metrics.latencies()) {
     fmt::format_to(
       out, "figchute_{}_seconds{{quantile=\"0.5\"}} {}\n", name, seconds(summary.median));
-    fmt::format_to(out, "figchute_{}_seconds{{quantile=\"0.95\"}} {}\n", name, seconds(summary.p95));
-    fmt::format_to(out, "figchute_{}_seconds{{quantile=\"0.99\"}} {}\n", name, seconds(summary.p99));
+    fmt::format_to(
+      out, "figchute_{}_seconds{{quantile=\"0.95\"}} {}\n", name, seconds(summary.p95));
+    fmt::format_to(
+      out, "figchute_{}_seconds{{quantile=\"0.99\"}} {}\n", name, seconds(summary.p99));
     fmt::format_to(out, "figchute_{}_seconds_count {}\n", name, summary.count);
   }
   return text;
