--- a/modules/ledger/Wallet.cpp
+++ b/modules/ledger/Wallet.cpp
@@ -18,7 +18,7 @@
   settings.demandWindow = Duration{ 5'000'000 };
   settings.grantHorizon = Duration{ 12'000'000 };
   settings.demandPause = Duration{ 300'000 };
-  settings.startShare = 0.7;
+  settings.startShare = 0.3;
   settings.idleShare = 0.02;
   settings.transferHorizon = Duration{ 1'000'000 };
   return settings;
@@ -48,7 +48,7 @@
                                Tokens bound)
 {
   invariant(bound >= Tokens{ 0 }, "a reservation is not negative");
-  if (draining_ || retired_) {
+  if (draining_ || handingOver_ || retired_) {
     return refuse(request, ErrorKind::shuttingDown, "the process is shutting down");
   }
   const bool repeated =
@@ -299,6 +299,39 @@
   sendSettle(now);
 }
 
+void Wallet::Impl::handOver(Time now)
+{
+  if (!handingOver_) {
+    handingOver_ = true;
+    refuseWaiting(ErrorKind::shuttingDown, "the process is shutting down");
+  }
+  const auto peers = transferPeers();
+  if (peers.empty() || retired_) {
+    return;
+  }
+  for (auto& [id, account] : accounts_) {
+    const auto amount = account.available();
+    const TransferName name{ id, peers[++account.transferPeer % peers.size()] };
+    if (amount <= Tokens{ 0 } || account.closing || transfers_.count(name) != 0) {
+      continue;
+    }
+    detail::totalOf(account.out, name.peer) += amount;
+    touch(id, account);
+    transfers_[name].id = ++transferId_;
+    await(name);
+  }
+  flushRecords(now);
+  popRecorded(now);
+}
+
+bool Wallet::Impl::handedOver() const
+{
+  return handingOver_ && reservations_.empty() && transfers_.empty() &&
+         std::all_of(accounts_.begin(), accounts_.end(), [](const auto& item) {
+           return item.second.available() <= Tokens{ 0 };
+         });
+}
+
 bool Wallet::Impl::quiet() const
 {
   const bool quiet = reservations_.empty() && unrecorded_.empty() && keyed_.empty() &&
@@ -449,6 +482,16 @@
   impl_->drain(now);
 }
 
+void Wallet::handOver(Time now)
+{
+  impl_->handOver(now);
+}
+
+bool Wallet::handedOver() const
+{
+  return impl_->handedOver();
+}
+
 bool Wallet::drained() const
 {
   return impl_->drained();
--- a/modules/ledger/Wallet.h
+++ b/modules/ledger/Wallet.h
@@ -238,6 +238,15 @@
   /** Stops admission and returns everything that is not reserved, now and as reservations end. */
   void drain(Time now);
 
+  /** Stops admission and passes everything that is not reserved to other entry processes, for a
+     stop while control is out of reach. Call it again as reservations end. Precondition: a wallet
+     without witnesses. */
+  void handOver(Time now);
+
+  /** Tells whether a wallet that hands over has no reservation and no tokens left, and its peers
+     have acknowledged what they got. */
+  [[nodiscard]] bool handedOver() const;
+
   /** Tells whether a draining wallet has returned everything and control has retired it, so that
      the process may end without leaving tokens behind. */
   [[nodiscard]] bool drained() const;
--- a/modules/ledger/WalletControl.cpp
+++ b/modules/ledger/WalletControl.cpp
@@ -115,7 +115,7 @@
 
 void Wallet::Impl::askGrants(Time now, std::span<const BudgetId> budgets)
 {
-  if (!registered() || draining_ || retired_) {
+  if (!registered() || draining_ || handingOver_ || retired_) {
     return;
   }
   Grant command{ settings_.self, {} };
--- a/modules/ledger/WalletImpl.h
+++ b/modules/ledger/WalletImpl.h
@@ -37,6 +37,8 @@
   void release(Time now, const RequestId& request);
   void receive(Time now, const ProcessId& from, const Message& message);
   void tick(Time now);
+  void handOver(Time now);
+  [[nodiscard]] bool handedOver() const;
   void drain(Time now);
   [[nodiscard]] bool drained() const;
   [[nodiscard]] bool retired() const { return retired_; }
@@ -212,6 +214,7 @@
   /** The number of entry processes, including this one. */
   std::int64_t entries_ = 1;
   bool draining_ = false;
+  bool handingOver_ = false;
   bool retired_ = false;
   Time lastMaintenance_;
 
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -109,11 +109,23 @@
     accepting_ = false;
     callers_.stopAccepting();
     callers_.drain();
-    wallet_.drain(now);
+  }
+  if (stopping_ && !accepting_) {
+    giveTokensBack(now);
   }
   settle(now);
 }
 
+void EntryRole::giveTokensBack(Time now)
+{
+  if (!subscriber_.control()) {
+    wallet_.handOver(now);
+  } else if (!draining_) {
+    draining_ = true;
+    wallet_.drain(now);
+  }
+}
+
 void EntryRole::handle(std::shared_ptr<http::ServerRequest> request)
 {
   const Time now = bootTime();
@@ -329,7 +341,7 @@
 bool EntryRole::stopped() const
 {
   return stopping_ && !accepting_ && exchanges_.empty() && callers_.openRequests() == 0 &&
-         wallet_.drained();
+         (wallet_.drained() || wallet_.handedOver());
 }
 
 } // namespace figchute::router
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -33,6 +33,7 @@
   [[nodiscard]] bool ready() const;
   void schedule();
   void onTimer();
+  void giveTokensBack(Time now);
   void settle(Time now);
   void applyUpdates(Time now);
   void applyConfiguration(Time now);
@@ -62,6 +63,7 @@
   bool stopping_ = false;
   bool accepting_ = true;
   bool settling_ = false;
+  bool draining_ = false;
   Time stopStartedAt_;
 };
 
--- a/tests/router_budget_test.cpp
+++ b/tests/router_budget_test.cpp
@@ -117,6 +117,27 @@
   CHECK(control.stranded().empty());
 }
 
+// Guards against tokens that a clean stop during a cut from control strands for the day.
+TEST_CASE_FIXTURE(NineRouters, "RouterWallet_stoppedDuringCut_handsItsTokensToPeers")
+{
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  cutControl();
+  advance(kSecond);
+  const auto held = wallet("a").account(BudgetId("w:t/x"))->available;
+  REQUIRE(held > Tokens{ 0 });
+  wallet("a").handOver(now);
+  CHECK(decide("a", "r2", 1).status == ReserveStatus::refused);
+  CHECK(charge("a", "r1", 100));
+  wallet("a").handOver(now);
+  advance(500 * kMs);
+  CHECK(wallet("a").handedOver());
+  crash("a");
+  cut.clear();
+  restart("a");
+  advance(3 * kSecond);
+  CHECK(budget().settled <= Tokens{ 100 });
+}
+
 // Guards against tokens that a clean stop leaves behind.
 TEST_CASE_FIXTURE(NineRouters, "RouterWallet_drained_returnsEverything")
 {
