router: accept connections until a stopping process ends

Cause: in an incident of the three-zone site 133 requests failed without a connection at 18 to 22 s. The logs show that two of three entry processes of a zone were stopping: 3 s after SIGTERM they closed their listening socket, while the load balancer uses all processes of a zone when fewer than half are ready. Ruled out: refused connections by a full backlog (no process was short of processor time), killed processes (event=stop was written). Change: the listening socket stays open until the process ends.

--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -12,7 +12,7 @@
 
 constexpr auto kBusyTick = std::chrono::milliseconds(50);
 constexpr auto kIdleTick = std::chrono::milliseconds(250);
-/** After SIGTERM new connections are still served for this time, because the load balancer needs
+/** After SIGTERM requests are still served as before for this time, because the load balancer needs
     two missed readiness checks to notice. */
 constexpr Duration kServeAfterStop = std::chrono::seconds(3);
 
@@ -105,12 +105,11 @@
     exchange->sweep(now);
   }
   dispatcher_.tick(now);
-  if (stopping_ && accepting_ && now - stopStartedAt_ > kServeAfterStop) {
-    accepting_ = false;
-    callers_.stopAccepting();
+  if (stopping_ && now - stopStartedAt_ > kServeAfterStop) {
+    // New connections are accepted to the end: while most processes of a zone stop, the load
+    // balancer sends connections to those that are not ready as well.
+    servingEnded_ = true;
     callers_.drain();
-  }
-  if (stopping_ && !accepting_) {
     giveTokensBack(now);
   }
   settle(now);
@@ -340,7 +339,7 @@
 
 bool EntryRole::stopped() const
 {
-  return stopping_ && !accepting_ && exchanges_.empty() && callers_.openRequests() == 0 &&
+  return servingEnded_ && exchanges_.empty() && callers_.openRequests() == 0 &&
          (wallet_.drained() || wallet_.handedOver());
 }
 
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -61,7 +61,7 @@
   /** The control process in use. */
   std::optional<ProcessId> control_;
   bool stopping_ = false;
-  bool accepting_ = true;
+  bool servingEnded_ = false;
   bool settling_ = false;
   bool draining_ = false;
   Time stopStartedAt_;
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -267,6 +267,22 @@
         check(entry.process.wait(timeout=6) == 0, "the process ends by itself")
 
 
+def stopping_process_accepts_connections_to_its_end(build):
+    """Guards against refused connections while the load balancer still names a stopping process."""
+    with Started(build) as fleet:
+        for endpoint in fleet.endpoints:
+            endpoint.events = 220
+        thread = threading.Thread(target=lambda: fleet.call("POST", "chat.example", "/chat/long",
+                                                            "b"))
+        thread.start()
+        time.sleep(0.3)
+        fleet.entries[0].send(signal.SIGTERM)
+        time.sleep(3.6)
+        check(fleet.entries[0].process.poll() is None, "the open stream keeps the process up")
+        check(fleet.call("GET", "app.example", "/look/x").status == 200, "a new call is served")
+        thread.join()
+
+
 def changed_settings_are_reloaded(build):
     """Guards against seeds that are exchanged without effect, and a bad file that ends a process."""
     with Started(build) as fleet:
@@ -296,6 +312,7 @@
     wiped_control_process_joins_again,
     draining_endpoint_gets_no_new_work,
     stop_ends_open_requests,
+    stopping_process_accepts_connections_to_its_end,
     changed_settings_are_reloaded,
 ]
 
