--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 demo: build
 	scripts/demo $(BUILD)
+	scripts/demo_router $(BUILD)
 
 measure: build
 	$(BUILD)/figchute-measure
