ledger: refuse at once when control is known to be lost and no peer can help

Ruled out: a shorter wait in general; the loss of a leader is repaired within about a second and ends most waits well. Change: Wallet::setControlLost; the wait is then one round of the other entry processes, 200 ms.

--- a/modules/ledger/Wallet.cpp
+++ b/modules/ledger/Wallet.cpp
@@ -7,6 +7,13 @@
 
 namespace figchute::ledger {
 
+namespace {
+
+/** Eight peers are asked for tokens one after the other, 20 ms each at most. */
+constexpr Duration kTransferRound{ 200'000 };
+
+} // namespace
+
 WalletSettings routerWalletSettings(HolderId self, ZoneId zone)
 {
   WalletSettings settings;
@@ -122,12 +129,14 @@
 void Wallet::Impl::expireWaiting(Time now)
 {
   for (auto at = waiting_.begin(); at != waiting_.end();) {
-    if (at->deadline > now) {
+    const bool reachable = controlReachable(now);
+    const bool lost =
+      controlLost_ && !reachable && now >= at->deadline - settings_.grantWait + kTransferRound;
+    if (!lost && at->deadline > now) {
       ++at;
       continue;
     }
-    const bool reachable = controlReachable(now);
-    if (!reachable && now < at->deadline + settings_.electionWait) {
+    if (!lost && !reachable && now < at->deadline + settings_.electionWait) {
       ++at;
       continue;
     }
@@ -482,6 +491,11 @@
   impl_->drain(now);
 }
 
+void Wallet::setControlLost(bool lost)
+{
+  impl_->setControlLost(lost);
+}
+
 void Wallet::handOver(Time now)
 {
   impl_->handOver(now);
--- a/modules/ledger/Wallet.h
+++ b/modules/ledger/Wallet.h
@@ -184,6 +184,10 @@
       from it. */
   void setPeers(Time now, std::span<const Peer> peers);
 
+  /** Tells the wallet whether its process knows that control is out of reach. Requests that wait
+     then are refused once the other entry processes had time to pass tokens on. */
+  void setControlLost(bool lost);
+
   /** Tells the wallet the budgets of a configuration, without duplicates. It asks for a start grant
       of those that are new or raised, and returns what is not reserved of those that are lowered
       or not named any more. */
--- a/modules/ledger/WalletImpl.h
+++ b/modules/ledger/WalletImpl.h
@@ -38,6 +38,7 @@
   void receive(Time now, const ProcessId& from, const Message& message);
   void tick(Time now);
   void handOver(Time now);
+  void setControlLost(bool lost) { controlLost_ = lost; }
   [[nodiscard]] bool handedOver() const;
   void drain(Time now);
   [[nodiscard]] bool drained() const;
@@ -215,6 +216,7 @@
   std::int64_t entries_ = 1;
   bool draining_ = false;
   bool handingOver_ = false;
+  bool controlLost_ = false;
   bool retired_ = false;
   Time lastMaintenance_;
 
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -220,6 +220,7 @@
 {
   setWalletPeers(now);
   const auto control = subscriber_.control();
+  wallet_.setControlLost(!control);
   if (control == control_) {
     return;
   }
--- a/tests/router_budget_test.cpp
+++ b/tests/router_budget_test.cpp
@@ -117,6 +117,18 @@
   CHECK(control.stranded().empty());
 }
 
+// Guards against refusals that are held back although it is known that control cannot answer.
+TEST_CASE_FIXTURE(NineRouters, "RouterWallet_controlKnownLost_refusesAfterOneRoundOfPeers")
+{
+  cutControl();
+  advance(kSecond);
+  wallet("a").setControlLost(true);
+  const auto asked = now;
+  const auto decision = decide("a", "big", 90'000);
+  CHECK(decision.error->kind == ErrorKind::noQuorum);
+  CHECK((now - asked) <= 250 * kMs);
+}
+
 // Guards against tokens that a clean stop during a cut from control strands for the day.
 TEST_CASE_FIXTURE(NineRouters, "RouterWallet_stoppedDuringCut_handsItsTokensToPeers")
 {
