settings: one command line for both daemons; plainer own field names

Cause: the router daemon repeated 45 lines of figchuted's command line, and two of the project's own field names were those of the platform without its prefix.

--- a/apps/figchuted/main.cpp
+++ b/apps/figchuted/main.cpp
@@ -1,12 +1,10 @@
 #include "Log.h"
 #include "Process.h"
+#include "settings/CommandLine.h"
 
 #include <csignal>
 #include <cstdio>
-#include <fstream>
-#include <popt.h>
 #include <pthread.h>
-#include <sstream>
 #include <string>
 
 namespace figchuted {
@@ -19,55 +17,6 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitStart = 3;
 
-/** The command line of the daemon. */
-struct CommandLine
-{
-  std::string config;
-  bool check = false;
-};
-
-/** Reads the command line; popt answers --help and exits by itself. */
-Expected<CommandLine> readCommandLine(int argc, const char** argv)
-{
-  char* config = nullptr;
-  int check = 0;
-  const poptOption options[] = {
-    { "config", 'c', POPT_ARG_STRING, &config, 0, "settings file", "FILE" },
-    { "check", 0, POPT_ARG_NONE, &check, 0, "check the settings and exit", nullptr },
-    POPT_AUTOHELP POPT_TABLEEND
-  };
-  poptContext context = poptGetContext("figchuted", argc, argv, options, 0);
-  const int status = poptGetNextOpt(context);
-  CommandLine line;
-  line.config = config != nullptr ? config : "";
-  line.check = check != 0;
-  std::string fault;
-  if (status < -1) {
-    fault = std::string(poptBadOption(context, 0)) + ": " + poptStrerror(status);
-  } else if (line.config.empty()) {
-    fault = "--config FILE is required";
-  } else if (poptPeekArg(context) != nullptr) {
-    fault = std::string("unexpected argument: ") + poptPeekArg(context);
-  }
-  std::free(config);
-  poptFreeContext(context);
-  if (!fault.empty()) {
-    return fail(ErrorKind::badRequest, fault);
-  }
-  return line;
-}
-
-Expected<std::string> readFile(const std::string& path)
-{
-  std::ifstream file(path);
-  if (!file) {
-    return fail(ErrorKind::notFound, "cannot read " + path);
-  }
-  std::ostringstream content;
-  content << file.rdbuf();
-  return content.str();
-}
-
 sigset_t stopSignals()
 {
   sigset_t signals;
@@ -101,12 +50,12 @@
 
 int runMain(int argc, const char** argv)
 {
-  const auto line = readCommandLine(argc, argv);
+  const auto line = settings::readCommandLine("figchuted", argc, argv);
   if (!line) {
     std::fprintf(stderr, "figchuted: %s\n", line.error().detail.c_str());
     return kExitUsage;
   }
-  const auto text = readFile(line->config);
+  const auto text = settings::readTextFile(line->config);
   if (!text) {
     std::fprintf(stderr, "figchuted: %s\n", text.error().detail.c_str());
     return kExitUsage;
--- a/modules/router/Daemon.cpp
+++ b/modules/router/Daemon.cpp
@@ -4,16 +4,13 @@
 #include "router/ControlRole.h"
 #include "router/EntryRole.h"
 #include "router/MetricsPage.h"
+#include "settings/CommandLine.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
-#include <fstream>
-#include <popt.h>
 #include <random>
-#include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -30,54 +27,6 @@
 /** The process ends this long before the grace time, whatever is open. */
 constexpr Duration kGraceMargin = std::chrono::milliseconds(500);
 
-/** The command line of the daemon. */
-struct CommandLine
-{
-  std::string config;
-  bool check = false;
-};
-
-Expected<CommandLine> readCommandLine(int argc, const char** argv)
-{
-  char* config = nullptr;
-  int check = 0;
-  const poptOption options[] = {
-    { "config", 'c', POPT_ARG_STRING, &config, 0, "settings file", "FILE" },
-    { "check", 0, POPT_ARG_NONE, &check, 0, "check the settings, print them and exit", nullptr },
-    POPT_AUTOHELP POPT_TABLEEND
-  };
-  poptContext context = poptGetContext("figchute-routerd", argc, argv, options, 0);
-  const int status = poptGetNextOpt(context);
-  CommandLine line;
-  line.config = config != nullptr ? config : "";
-  line.check = check != 0;
-  std::string fault;
-  if (status < -1) {
-    fault = std::string(poptBadOption(context, 0)) + ": " + poptStrerror(status);
-  } else if (line.config.empty()) {
-    fault = "--config FILE is required";
-  } else if (poptPeekArg(context) != nullptr) {
-    fault = std::string("unexpected argument: ") + poptPeekArg(context);
-  }
-  std::free(config);
-  poptFreeContext(context);
-  if (!fault.empty()) {
-    return fail(ErrorKind::badRequest, fault);
-  }
-  return line;
-}
-
-Expected<std::string> readFile(const std::string& path)
-{
-  std::ifstream file(path);
-  if (!file) {
-    return fail(ErrorKind::notFound, "cannot read " + path);
-  }
-  std::ostringstream content;
-  content << file.rdbuf();
-  return content.str();
-}
-
 /** Returns a number that is larger at each start of the process, and differs between processes that
     start in the same moment. */
 Incarnation newIncarnation()
@@ -216,7 +165,7 @@
   void reload()
   {
     modified_ = modifiedAt();
-    const auto text = readFile(path_);
+    const auto text = settings::readTextFile(path_);
     if (!text) {
       log_.line(bootTime(), "reload_failed", { { "detail", text.error().detail } });
       return;
@@ -285,12 +234,12 @@
 
 int runDaemon(int argc, const char** argv, const Dialect& dialect)
 {
-  const auto line = readCommandLine(argc, argv);
+  const auto line = settings::readCommandLine("figchute-routerd", argc, argv);
   if (!line) {
     std::fprintf(stderr, "figchute-routerd: %s\n", line.error().detail.c_str());
     return kExitUsage;
   }
-  const auto text = readFile(line->config);
+  const auto text = settings::readTextFile(line->config);
   if (!text) {
     std::fprintf(stderr, "figchute-routerd: %s\n", text.error().detail.c_str());
     return kExitUsage;
--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -29,7 +29,7 @@
   /** Marks an answer as the endpoint's own. */
   std::string answerMark = "X-Endpoint-Answer";
   /** Marks an answer of an endpoint that did not run the request. */
-  std::string notExecuted = "X-Not-Executed";
+  std::string notExecuted = "X-Not-Run";
   /** Load of the endpoint: running, waiting and slots, separated by commas. */
   std::string load = "X-Endpoint-Load";
   /** Fields that only the router may set; removed from callers' requests. */
--- a/modules/router/JsonDialect.h
+++ b/modules/router/JsonDialect.h
@@ -61,7 +61,7 @@
 {
   std::string model = "X-Model";
   /** Prompt tokens and most output tokens, separated by a comma. */
-  std::string tokenCounts = "X-Token-Counts";
+  std::string tokenCounts = "X-Tokens";
   /** The parts of the prompt in order, as ID:TOKENS separated by commas. */
   std::string parts = "X-Prompt-Parts";
   /** An estimate of the output tokens. */
--- /dev/null
+++ b/modules/settings/CommandLine.cpp
@@ -0,0 +1,51 @@
+#include "settings/CommandLine.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <popt.h>
+#include <sstream>
+
+namespace figchute::settings {
+
+Expected<CommandLine> readCommandLine(const char* program, int argc, const char** argv)
+{
+  char* config = nullptr;
+  int check = 0;
+  const poptOption options[] = {
+    { "config", 'c', POPT_ARG_STRING, &config, 0, "settings file", "FILE" },
+    { "check", 0, POPT_ARG_NONE, &check, 0, "check the settings and exit", nullptr },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
+  poptContext context = poptGetContext(program, argc, argv, options, 0);
+  const int status = poptGetNextOpt(context);
+  CommandLine line;
+  line.config = config != nullptr ? config : "";
+  line.check = check != 0;
+  std::string fault;
+  if (status < -1) {
+    fault = std::string(poptBadOption(context, 0)) + ": " + poptStrerror(status);
+  } else if (line.config.empty()) {
+    fault = "--config FILE is required";
+  } else if (poptPeekArg(context) != nullptr) {
+    fault = std::string("unexpected argument: ") + poptPeekArg(context);
+  }
+  std::free(config);
+  poptFreeContext(context);
+  if (!fault.empty()) {
+    return fail(ErrorKind::badRequest, fault);
+  }
+  return line;
+}
+
+Expected<std::string> readTextFile(const std::string& path)
+{
+  std::ifstream file(path);
+  if (!file) {
+    return fail(ErrorKind::notFound, "cannot read " + path);
+  }
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+} // namespace figchute::settings
--- a/modules/settings/settings.h
+++ b/modules/settings/settings.h
@@ -1,8 +1,9 @@
 #pragma once
 
-/** Typed settings of the daemon and their validation, which lists every fault. The module does no
-    I/O. */
+/** Typed settings of the daemon and their validation, which lists every fault. Only
+    readTextFile() does I/O. */
 
 #include "settings/Address.h"
+#include "settings/CommandLine.h"
 #include "settings/Parser.h"
 #include "settings/Settings.h"
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -164,10 +164,10 @@
             body = read_chunks(handler.rfile)
         expected = handler.headers.get("X-Expect-Endpoint")
         if expected != self.name:
-            self.answer(handler, 421, b"", {"X-Not-Executed": "1"})
+            self.answer(handler, 421, b"", {"X-Not-Run": "1"})
             return
         if "/refuse/" in handler.path:
-            self.answer(handler, 503, b"", {"X-Not-Executed": "1"})
+            self.answer(handler, 503, b"", {"X-Not-Run": "1"})
             return
         with self.lock:
             self.runs.append({"id": handler.headers.get("X-Request-Id"), "path": handler.path,
@@ -366,7 +366,7 @@
         if key:
             headers["Authorization"] = f"Bearer {key}"
         if tokens:
-            headers["X-Token-Counts"] = tokens
+            headers["X-Tokens"] = tokens
         return headers
 
     def call(self, method, host, path, body=None, entry=0, key="key-north", tokens=None, **more):
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -122,7 +122,7 @@
 TEST_CASE_FIXTURE(OwnConfiguration, "dialect_withPromptFields_readsCountsAndParts")
 {
   http::Fields fields;
-  fields.add("x-token-counts", "1460,80");
+  fields.add("x-tokens", "1460,80");
   fields.add("X-Prompt-Parts", "5c1e:800,91bd:410,e440:250");
   const auto facts = dialect->parsePrompt(fields);
   REQUIRE(facts.has_value());
@@ -130,7 +130,7 @@
   CHECK(facts->maxOutputTokens == 80);
   REQUIRE(facts->parts.size() == 3);
   CHECK(facts->parts[1].tokens == 410);
-  fields.set("X-Token-Counts", "1460");
+  fields.set("X-Tokens", "1460");
   CHECK_FALSE(dialect->parsePrompt(fields).has_value());
 }
 
