ledger: reserves of prepaid budgets, reclaimed with a proof when their holder dies

Cause: what a dead entry process held counted as spent. Change: a grant has open tokens and a reserve. A holder out of contact for 3.2 s opens its reserve with two witnesses. When it is replaced, a witness' report or a short span without contact proves what was opened. Reserves follow use; peers in contact fetch tokens for one that is cut off.

--- a/modules/ledger/Budget.h
+++ b/modules/ledger/Budget.h
@@ -8,11 +8,26 @@
 
 namespace figchute::ledger::detail {
 
+/** Counts the use of a budget in two intervals, the last full one and the current one. */
+struct RecentUse
+{
+  Time start;
+  Tokens last;
+  Tokens current;
+
+  void add(Time time, Tokens amount);
+  [[nodiscard]] double perSecond(Time time) const;
+
+  MSGPACK_DEFINE(start, last, current)
+};
+
 /** One holder's account of one budget, as control knows it. */
 struct HolderAccount
 {
   HolderId holder;
   Tokens granted;
+  /** The part of `granted` that the holder may have spent; the rest is its reserve. */
+  Tokens opened;
   /** Bills of requests without a key, a cumulative total. */
   Tokens charged;
   /** What keyed bills added to this account. */
@@ -20,10 +35,13 @@
   Tokens returned;
   std::uint64_t lastGrant = 0;
   Time lastGrantAt;
+  /** Charges of a holder with reserves. */
+  RecentUse use;
 
   [[nodiscard]] Tokens settled() const { return charged + keyed; }
+  [[nodiscard]] Tokens reserve() const { return granted - opened; }
 
-  MSGPACK_DEFINE(holder, granted, charged, keyed, returned, lastGrant, lastGrantAt)
+  MSGPACK_DEFINE(holder, granted, opened, charged, keyed, returned, lastGrant, lastGrantAt, use)
 };
 
 /** The transfers of one budget from one holder to another. */
@@ -45,19 +63,6 @@
   MSGPACK_DEFINE(from, to, sent, received, fromRetired, toRetired)
 };
 
-/** Counts the use of a budget in two intervals, the last full one and the current one. */
-struct RecentUse
-{
-  Time start;
-  Tokens last;
-  Tokens current;
-
-  void add(Time time, Tokens amount);
-  [[nodiscard]] double perSecond(Time time) const;
-
-  MSGPACK_DEFINE(start, last, current)
-};
-
 /** One budget with its accounts. */
 struct Budget
 {
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -75,6 +75,10 @@
 
 namespace figchute::ledger {
 
+/** A holder that has created no Settle for this time and one that may open its reserves are told
+    apart by it: a holder replaced sooner cannot have opened any. */
+constexpr Duration kDetachTime{ 3'000'000 };
+
 /** The cumulative amount bought for one budget, as a document gives it. */
 struct Purchase
 {
@@ -155,14 +159,18 @@
 {
   BudgetId budget;
   std::uint64_t sequence = 0;
-  /** The cumulative total granted to the holder since its account was opened. */
+  /** The cumulative total granted to the holder since its account was opened, with its reserve. */
   Tokens granted;
   /** The amount that is still free after the grant. */
   Tokens free;
   /** True when the budget runs low: the holder returns what it does not need at once. */
   bool scarce = false;
+  /** The part of `granted` that may be spent; the rest is the reserve. */
+  Tokens opened;
+  /** What the holder returns of its reserve, because others need it more. */
+  Tokens excess;
 
-  MSGPACK_DEFINE(budget, sequence, granted, free, scarce)
+  MSGPACK_DEFINE(budget, sequence, granted, free, scarce, opened, excess)
 };
 
 /** The outcome of Grant. */
@@ -193,8 +201,10 @@
   Tokens returned;
   std::vector<PeerTotal> transferredIn;
   std::vector<PeerTotal> transferredOut;
+  /** The part of the granted total that the holder may spend. */
+  Tokens opened{};
 
-  MSGPACK_DEFINE(budget, charged, returned, transferredIn, transferredOut)
+  MSGPACK_DEFINE(budget, charged, returned, transferredIn, transferredOut, opened)
 };
 
 /** The bill of one attempt of a keyed request. */
@@ -222,8 +232,10 @@
   /** Accounts that hold nothing and that the holder wants to forget. A later grant opens a new
       account whose totals start at 0. */
   std::vector<BudgetId> closing;
+  /** The wall clock of the holder's VM when the command was created, or 0. */
+  Time createdAt{};
 
-  MSGPACK_DEFINE(holder, sequence, totals, keyed, closing)
+  MSGPACK_DEFINE(holder, sequence, totals, keyed, closing, createdAt)
 };
 
 /** What one keyed charge added to the bill of its key, per budget of the charge. */
@@ -339,11 +351,15 @@
   ZoneId zone;
   /** A larger sequence replaces the witness set. */
   std::uint64_t sequence = 0;
-  /** Contains the holder itself when it has a journal. Empty for a holder without witnesses: when
-      it is retired, all it held counts as spent. */
+  /** Contains the holder itself when it has a journal. */
   std::vector<HolderId> witnesses;
+  /** True for a holder whose charges need no record: its witnesses know only what it opened of its
+      reserves. When it is retired, all it had opened and not settled counts as spent. */
+  bool reserves = false;
+  /** The wall clock of the holder's VM when its process started, or 0. */
+  Time startedAt{};
 
-  MSGPACK_DEFINE(holder, zone, sequence, witnesses)
+  MSGPACK_DEFINE(holder, zone, sequence, witnesses, reserves, startedAt)
 };
 
 /** The outcome of RegisterHolder. */
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -263,7 +263,7 @@
       }
       continue;
     }
-    for (const auto& witness : detail::EscrowBook::missingReports(id, holder)) {
+    for (const auto& witness : state_->escrow.missingReports(id, holder)) {
       if (witness != id) {
         requests.push_back({ witness.process, WitnessReportRequest{ id } });
       }
--- a/modules/ledger/EscrowBook.cpp
+++ b/modules/ledger/EscrowBook.cpp
@@ -11,13 +11,13 @@
 /** Holders of one budget are recalled at most once in this time. */
 constexpr Duration kRecallInterval{ 10'000 };
 
-/** The holders of a prepaid budget together get at most this share of what is left. More serves
-    longer cuts and loses more when processes die; docs/decisions/escrow.md has figures. */
+/** The open tokens of all holders are at most this share of what is left of a prepaid budget. */
 constexpr double kPrepaidShare = 0.4;
-/** The holders together get the recent use of this time: a cut from control lasts 7 to 9 s. */
-constexpr double kUseSeconds = 8;
-/** Holders without requests together keep this share of a prepaid budget. */
-constexpr double kIdleShare = 0.02;
+/** A holder gets open tokens for its recent use of this time. It must last until the holder may
+    open its reserve, kDetachTime after its last contact. */
+constexpr double kUseSeconds = 5;
+/** Holders without requests together keep this share of a prepaid budget open. */
+constexpr double kIdleShare = 0.01;
 /** So long after its first grant, the use of a budget is not known well enough to limit grants. */
 constexpr Duration kYoungTime{ 10'000'000 };
 
@@ -126,7 +126,7 @@
                                   const GrantItem& item,
                                   std::vector<Outgoing>& outgoing)
 {
-  GrantedItem granted{ item.budget, item.sequence, {}, {}, true };
+  GrantedItem granted{ item.budget, item.sequence, {}, {}, true, {}, {} };
   const auto at = budgets_.find(item.budget);
   if (at == budgets_.end()) {
     return granted;
@@ -136,6 +136,7 @@
   const auto last = known == nullptr ? holder.closedGrant : known->lastGrant;
   if (item.sequence <= last) {
     granted.granted = known == nullptr ? Tokens{ 0 } : known->granted;
+    granted.opened = known == nullptr ? Tokens{ 0 } : known->opened;
     granted.free = budget.grantable();
     return granted;
   }
@@ -145,25 +146,24 @@
   if (budget.openedAt == Time{}) {
     budget.openedAt = time;
   }
+  touched_.push_back(&at->first);
+  if (budget.prepaid) {
+    return grantPrepaid(time, id, item, budget, outgoing);
+  }
   const auto free = budget.grantable();
   const auto share = demandShare(time, budget, account);
-  const auto demand = demandOf(time, budget, account, item.demand);
-  auto amount = std::max(item.want, std::min(demand, share));
+  auto amount = std::max(item.want, std::min(item.demand, share));
   if (item.want > free) {
     amount = item.minimum <= free ? item.minimum : Tokens{ 0 };
     recall(time, id, item.budget, budget, holders_, outgoing);
   }
   account.granted += std::max(amount, Tokens{ 0 });
+  account.opened = account.granted;
   granted.granted = account.granted;
+  granted.opened = account.opened;
   granted.free = budget.grantable();
-  granted.scarce = item.want > free || budget.closed;
-  // A prepaid budget stays spread over its holders to the end, because they may be cut off from
-  // control at any moment.
-  if (!budget.prepaid) {
-    granted.scarce =
-      granted.scarce || share.count * kScarceShare < std::max(item.want, item.demand).count;
-  }
-  touched_.push_back(&at->first);
+  granted.scarce = item.want > free || budget.closed ||
+                   share.count * kScarceShare < std::max(item.want, item.demand).count;
   return granted;
 }
 
@@ -176,8 +176,9 @@
   }
   const auto left = std::max(Tokens{ 0 }, budget.bought - budget.settled());
   const auto most = static_cast<double>(left.count) * kPrepaidShare / static_cast<double>(active);
-  const auto share = Tokens{ static_cast<std::int64_t>(most) } - budget.held(account);
-  return std::clamp(share, Tokens{ 0 }, free);
+  const auto open = budget.held(account) - account.reserve();
+  const auto share = Tokens{ static_cast<std::int64_t>(most) } - open;
+  return std::clamp(share, Tokens{ 0 }, free + account.reserve());
 }
 
 Tokens EscrowBook::demandOf(Time time,
@@ -185,17 +186,13 @@
                             const HolderAccount& account,
                             Tokens asked)
 {
-  if (!budget.prepaid) {
-    return asked;
-  }
   const auto active = static_cast<double>(activeHolders(budget, time));
-  const auto held = static_cast<double>(budget.held(account).count);
-  const auto used = budget.use.perSecond(time) * kUseSeconds / active - held;
+  const auto open = static_cast<double>((budget.held(account) - account.reserve()).count);
+  const auto used = account.use.perSecond(time) * kUseSeconds - open;
   if (time < budget.openedAt + kYoungTime) {
     return std::max(asked, Tokens{ static_cast<std::int64_t>(used) });
   }
-  // Requests need not reach all holders equally, so one may get twice its part.
-  const auto idle = kIdleShare * static_cast<double>(budget.bought.count) / active - held;
+  const auto idle = kIdleShare * static_cast<double>(budget.bought.count) / active - open;
   const auto most = std::max({ used, 2 * used, idle });
   return std::clamp(
     asked, Tokens{ static_cast<std::int64_t>(used) }, Tokens{ static_cast<std::int64_t>(most) });
@@ -227,7 +224,8 @@
   if (at == budgets_.end()) {
     return false;
   }
-  if (holders_.at(id).witnesses.empty()) {
+  const auto& holder = holders_.at(id);
+  if (holder.reserves || holder.witnesses.empty()) {
     mergeUnwitnessed(time, id, totals);
     return true;
   }
@@ -322,6 +320,7 @@
     return command.sequence == holder.settleSequence ? holder.lastSettle : result;
   }
   holder.settleSequence = command.sequence;
+  holder.contactAt = std::max(holder.contactAt, command.createdAt);
   for (const auto& totals : command.totals) {
     if (!mergeTotals(time, command.holder, totals)) {
       result.verdict = refuse(ErrorKind::badRequest,
--- a/modules/ledger/EscrowBook.h
+++ b/modules/ledger/EscrowBook.h
@@ -22,6 +22,12 @@
   ZoneId zone;
   std::uint64_t registration = 0;
   std::vector<HolderId> witnesses;
+  /** Charges need no record; the witnesses know what the holder opened of its reserves. */
+  bool reserves = false;
+  /** The wall clock of the holder's VM when it created its last Settle, or when it started. */
+  Time contactAt;
+  /** The wall clock of that VM when the next incarnation started; 0 until it is registered. */
+  Time replacedAt;
   std::uint64_t settleSequence = 0;
   /** The result of the last Settle, for its resends. */
   SettleResult lastSettle;
@@ -37,6 +43,9 @@
   MSGPACK_DEFINE(zone,
                  registration,
                  witnesses,
+                 reserves,
+                 contactAt,
+                 replacedAt,
                  settleSequence,
                  lastSettle,
                  keyedThrough,
@@ -47,6 +56,16 @@
                  finals)
 };
 
+/** Whether it is known what a dead holder had opened of its reserves. */
+enum class OpenedProof : std::uint8_t
+{
+  known,
+  /** A witness can still report. */
+  awaited,
+  /** No witness is left. */
+  lost,
+};
+
 /** A caller with an idempotency key. */
 using KeyName = std::pair<CallerId, std::string>;
 
@@ -105,7 +124,8 @@
   [[nodiscard]] const std::map<HolderId, Holder>& holders() const { return holders_; }
   [[nodiscard]] const std::map<KeyName, Bill>& bills() const { return bills_; }
   [[nodiscard]] std::vector<StrandedView> stranded() const;
-  static std::vector<HolderId> missingReports(const HolderId& id, const Holder& holder);
+  [[nodiscard]] std::vector<HolderId> missingReports(const HolderId& id,
+                                                     const Holder& holder) const;
 
   MSGPACK_DEFINE(budgets_, holders_, retiredThrough_, bills_, billAges_)
 
@@ -121,6 +141,20 @@
                         Holder& holder,
                         const GrantItem& item,
                         std::vector<Outgoing>& outgoing);
+  /** Grants tokens of a prepaid budget: open ones from what is free, else from the holder's own
+      reserve, and a new share of the reserve. */
+  GrantedItem grantPrepaid(Time time,
+                           const HolderId& id,
+                           const GrantItem& item,
+                           Budget& budget,
+                           std::vector<Outgoing>& outgoing);
+  /** Returns the reserve that a holder should have, half of it by its part of the recent use. */
+  [[nodiscard]] Tokens reserveTarget(Time time,
+                                     const Holder& holder,
+                                     const Budget& budget,
+                                     const HolderAccount& account) const;
+  [[nodiscard]] OpenedProof openedProof(const Holder& holder) const;
+  [[nodiscard]] bool isRetired(const HolderId& id) const;
   static void recall(Time time,
                      const HolderId& asker,
                      const BudgetId& id,
@@ -153,14 +187,17 @@
                  const HolderRecord& record,
                  Holder& holder,
                  std::vector<Outgoing>& outgoing);
-  void startRetiring(const ProcessId& process, Incarnation through);
+  /** @param startedAt  the wall clock at the start of the incarnation that follows, or 0 */
+  void startRetiring(const ProcessId& process, Incarnation through, Time startedAt);
+  /** Completes retirements that waited for a witness that is gone. */
+  void completeWithout(Time time, const ProcessId& witness, std::vector<Outgoing>& outgoing);
   void completeIfPossible(Time time, const HolderId& id, bool ask, std::vector<Outgoing>& outgoing);
   void complete(Time time, const HolderId& id, std::vector<Outgoing>& outgoing);
   void closeFlows(const HolderId& id,
                   const BudgetId& name,
                   Budget& budget,
                   std::vector<Outgoing>& outgoing);
-  static void closeUnwitnessed(const HolderId& id, Budget& budget);
+  static void closeUnwitnessed(const HolderId& id, Budget& budget, bool openedKnown);
   void tellFinal(const HolderId& live, const BudgetId& name, std::vector<Outgoing>& outgoing);
   [[nodiscard]] Tokens heldBy(const HolderId& id) const;
   HolderAccount& openAccount(const HolderId& id, std::map<BudgetId, Budget>::iterator budget);
--- a/modules/ledger/EscrowPrepaid.cpp
+++ b/modules/ledger/EscrowPrepaid.cpp
@@ -2,8 +2,76 @@
 
 #include <algorithm>
 
-/** The part of EscrowBook for budgets of a configuration and for holders without witnesses. */
+/** The part of EscrowBook for budgets of a configuration and for holders with reserves. */
 namespace figchute::ledger::detail {
+namespace {
+
+/** The reserves of all holders together get this share of what is left of a budget. The rest stays
+    free, so that most grants need no recall. */
+constexpr double kReserveShare = 0.6;
+/** Below this part of the budget, reserves are kept free: they would have to be recalled for single
+    requests. */
+constexpr std::int64_t kReserveFloor = 10;
+/** A holder keeps a reserve up to this multiple of its target. */
+constexpr double kReserveSlack = 1.25;
+
+} // namespace
+
+GrantedItem EscrowBook::grantPrepaid(Time time,
+                                     const HolderId& id,
+                                     const GrantItem& item,
+                                     Budget& budget,
+                                     std::vector<Outgoing>& outgoing)
+{
+  auto& account = *budget.find(id);
+  const bool usable = !budget.closed && budget.free() >= Tokens{ 0 };
+  const auto within = usable ? budget.grantable() + account.reserve() : Tokens{ 0 };
+  const auto share = std::min(demandShare(time, budget, account), within);
+  const auto demand = demandOf(time, budget, account, item.demand);
+  auto amount = std::max({ item.want, std::min(demand, share), Tokens{ 0 } });
+  const bool scarce = item.want > within;
+  if (scarce) {
+    amount = item.minimum <= within ? item.minimum : Tokens{ 0 };
+    recall(time, id, item.budget, budget, holders_, outgoing);
+  }
+  account.granted += std::min(amount, budget.grantable());
+  account.opened += amount;
+  invariant(account.opened <= account.granted, "opened tokens were granted");
+  GrantedItem granted{ item.budget, item.sequence, {}, {}, scarce || budget.closed, {}, {} };
+  const auto target = reserveTarget(time, holders_.at(id), budget, account);
+  const auto most = static_cast<double>(target.count) * kReserveSlack;
+  if (!scarce && target > account.reserve()) {
+    account.granted += std::min(target - account.reserve(), budget.grantable());
+  } else if (static_cast<double>(account.reserve().count) > most) {
+    granted.excess = account.reserve() - target;
+  }
+  granted.granted = account.granted;
+  granted.opened = account.opened;
+  granted.free = budget.grantable();
+  return granted;
+}
+
+Tokens EscrowBook::reserveTarget(Time time,
+                                 const Holder& holder,
+                                 const Budget& budget,
+                                 const HolderAccount& account) const
+{
+  const auto left = budget.bought - budget.settled();
+  // Without a witness nothing can be opened.
+  if (budget.closed || holder.witnesses.empty() ||
+      left.count * kReserveFloor < budget.bought.count) {
+    return {};
+  }
+  const auto live = std::count_if(holders_.begin(), holders_.end(), [](const auto& item) {
+    return item.second.reserves && !item.second.retiring;
+  });
+  const auto equal = 1.0 / static_cast<double>(std::max<std::int64_t>(1, live));
+  const auto all = budget.use.perSecond(time);
+  const auto part = all > 0 ? std::min(1.0, account.use.perSecond(time) / all) : equal;
+  const auto weight = (equal + part) / 2;
+  return Tokens{ static_cast<std::int64_t>(static_cast<double>(left.count) * kReserveShare *
+                                           weight) };
+}
 
 std::vector<Outgoing> EscrowBook::setPrepaid(std::span<const PrepaidBudget> budgets)
 {
@@ -85,7 +153,10 @@
     }
   }
   auto& account = *budget.find(id);
-  budget.use.add(time, std::max(Tokens{ 0 }, totals.charged - account.charged));
+  const auto used = std::max(Tokens{ 0 }, totals.charged - account.charged);
+  budget.use.add(time, used);
+  account.use.add(time, used);
+  account.opened = std::max(account.opened, totals.opened);
   account.charged = std::max(account.charged, totals.charged);
   account.returned = std::max(account.returned, totals.returned);
   for (const auto& [peer, total] : totals.transferredIn) {
@@ -109,9 +180,12 @@
   touched_.push_back(&at->first);
 }
 
-void EscrowBook::closeUnwitnessed(const HolderId& id, Budget& budget)
+void EscrowBook::closeUnwitnessed(const HolderId& id, Budget& budget, bool openedKnown)
 {
   if (auto* account = budget.find(id)) {
+    if (openedKnown) {
+      account->returned += account->reserve();
+    }
     account->charged += budget.held(*account);
     budget.close(id);
   }
--- a/modules/ledger/EscrowRetirement.cpp
+++ b/modules/ledger/EscrowRetirement.cpp
@@ -22,17 +22,66 @@
     holder.registration = command.sequence;
     holder.zone = command.zone;
     holder.witnesses = command.witnesses;
+    holder.reserves = command.reserves;
+    holder.contactAt = std::max(holder.contactAt, command.startedAt);
   }
   if (command.holder.incarnation.number > 0) {
-    startRetiring(command.holder.process, Incarnation{ command.holder.incarnation.number - 1 });
+    startRetiring(command.holder.process,
+                  Incarnation{ command.holder.incarnation.number - 1 },
+                  command.startedAt);
   }
   for (const auto& id : retiringOf(command.holder.process)) {
     completeIfPossible(time, id, first, outgoing);
   }
+  if (first) {
+    completeWithout(time, command.holder.process, outgoing);
+  }
   return result;
 }
 
-void EscrowBook::startRetiring(const ProcessId& process, Incarnation through)
+void EscrowBook::completeWithout(Time time,
+                                 const ProcessId& witness,
+                                 std::vector<Outgoing>& outgoing)
+{
+  std::vector<HolderId> waiting;
+  for (const auto& [id, holder] : holders_) {
+    const bool concerned =
+      std::any_of(holder.witnesses.begin(), holder.witnesses.end(), [&witness](const auto& other) {
+        return other.process == witness;
+      });
+    if (holder.retiring && holder.reserves && concerned) {
+      waiting.push_back(id);
+    }
+  }
+  for (const auto& id : waiting) {
+    completeIfPossible(time, id, false, outgoing);
+  }
+}
+
+bool EscrowBook::isRetired(const HolderId& id) const
+{
+  const auto retired = retiredThrough_.find(id.process);
+  return retired != retiredThrough_.end() && id.incarnation <= retired->second;
+}
+
+OpenedProof EscrowBook::openedProof(const Holder& holder) const
+{
+  if (holder.witnesses.empty() || !holder.reported.empty()) {
+    return OpenedProof::known;
+  }
+  const bool clockKnown = holder.contactAt > Time{} && holder.replacedAt > Time{};
+  const auto unheard = holder.replacedAt - holder.contactAt;
+  // A negative span shows that the clock was set back.
+  if (clockKnown && unheard >= Duration{ 0 } && unheard < kDetachTime) {
+    return OpenedProof::known;
+  }
+  const bool left = std::any_of(holder.witnesses.begin(),
+                                holder.witnesses.end(),
+                                [this](const HolderId& witness) { return !isRetired(witness); });
+  return left ? OpenedProof::awaited : OpenedProof::lost;
+}
+
+void EscrowBook::startRetiring(const ProcessId& process, Incarnation through, Time startedAt)
 {
   auto& retired = retiredThrough_[process];
   retired = std::max(retired, through);
@@ -41,6 +90,7 @@
        ++at) {
     if (!at->second.retiring) {
       at->second.retiring = true;
+      at->second.replacedAt = startedAt;
       newlyRetiring_.push_back(at->first);
     }
   }
@@ -81,7 +131,7 @@
     }
     return result;
   }
-  startRetiring(command.through.process, std::min(command.through.incarnation, *newest));
+  startRetiring(command.through.process, std::min(command.through.incarnation, *newest), {});
   const auto found = holders_.find(command.record.holder);
   if (command.reporter && found != holders_.end() && found->second.retiring) {
     addReport(time, *command.reporter, command.record, found->second, outgoing);
@@ -132,14 +182,17 @@
   }
 }
 
-std::vector<HolderId> EscrowBook::missingReports(const HolderId& id, const Holder& holder)
+std::vector<HolderId> EscrowBook::missingReports(const HolderId& id, const Holder& holder) const
 {
   std::vector<HolderId> missing;
   if (holder.reported.contains(id)) {
     return missing;
   }
+  if (holder.reserves && openedProof(holder) != OpenedProof::awaited) {
+    return missing;
+  }
   for (const auto& witness : holder.witnesses) {
-    if (!holder.reported.contains(witness)) {
+    if (!holder.reported.contains(witness) && !(holder.reserves && isRetired(witness))) {
       missing.push_back(witness);
     }
   }
@@ -200,8 +253,8 @@
     const auto names = index->second;
     for (const auto* name : names) {
       auto& budget = budgets_.at(*name);
-      if (holder.witnesses.empty()) {
-        closeUnwitnessed(id, budget);
+      if (holder.reserves || holder.witnesses.empty()) {
+        closeUnwitnessed(id, budget, openedProof(holder) == OpenedProof::known);
         touched_.push_back(name);
         continue;
       }
--- a/modules/ledger/Wallet.cpp
+++ b/modules/ledger/Wallet.cpp
@@ -23,10 +23,11 @@
   settings.electionWait = Duration{ 200'000 };
   settings.recallWait = Duration{ 100'000 };
   settings.demandWindow = Duration{ 5'000'000 };
-  settings.grantHorizon = Duration{ 12'000'000 };
+  settings.settleInterval = Duration{ 600'000 };
+  settings.grantHorizon = Duration{ 5'000'000 };
   settings.demandPause = Duration{ 300'000 };
-  settings.startShare = 0.3;
-  settings.idleShare = 0.02;
+  settings.startShare = 0.1;
+  settings.idleShare = 0.01;
   settings.transferHorizon = Duration{ 1'000'000 };
   return settings;
 }
@@ -80,6 +81,7 @@
   }
   waiting_.push_back({ request, wanted, now + settings_.grantWait, std::nullopt });
   askGrants(now, wanted.budgets);
+  openReserves(now);
   askTransfers(now);
   return { request, ReserveStatus::waiting, std::nullopt };
 }
@@ -287,6 +289,7 @@
   tickWitnesses(now);
   registerIfNeeded(now);
   expireWaiting(now);
+  openReserves(now);
   askGrants(now, waitingBudgets());
   askTransfers(now);
   resendTransfers(now);
@@ -302,6 +305,7 @@
   draining_ = true;
   refuseWaiting(ErrorKind::shuttingDown, "the process is shutting down");
   for (auto& [id, account] : accounts_) {
+    account.opened = account.granted;
     giveBack(now, id, account);
   }
   settleSoon_ = true;
@@ -491,6 +495,11 @@
   impl_->drain(now);
 }
 
+void Wallet::setWallTime(Time wall)
+{
+  impl_->setWallTime(wall);
+}
+
 void Wallet::setControlLost(bool lost)
 {
   impl_->setControlLost(lost);
--- a/modules/ledger/Wallet.h
+++ b/modules/ledger/Wallet.h
@@ -37,9 +37,15 @@
   Duration controlTimeout{ 120'000 };
   /** Start of the range of proposal ids of this wallet. */
   std::uint64_t proposalIdBase = 0;
-  /** False for processes without disk whose charges need no copy: a charge is final at once, no
-      witness is needed, and what this incarnation holds when it dies counts as spent. */
+  /** False for processes without disk whose charges need no copy: a charge is final at once, and
+     the witnesses record only what is opened of the reserves. */
   bool witnesses = true;
+  /** A holder that created no Settle for this time and does not reach control may open its
+     reserves. Longer than kDetachTime, by which control tells that a dead holder cannot have opened
+     any. */
+  Duration detachTime{ 3'200'000 };
+  /** The wall clock when the process started, or 0. */
+  Time startedAt;
   /** A waiting request is refused when control still has too little this long after its first
       insufficient answer, by which time recalled tokens have come back. */
   Duration recallWait{ 400'000 };
@@ -56,8 +62,9 @@
   Duration transferHorizon{ 0 };
 };
 
-/** Returns the settings of an entry process of the router daemon: no witnesses, and grants for the
-    time that a fleet may be cut off from control. */
+/** Returns the settings of an entry process of the router daemon: no records of charges, open
+   tokens for the next seconds and reserves for the time that a fleet may be cut off from control.
+ */
 WalletSettings routerWalletSettings(HolderId self, ZoneId zone);
 
 /** Another process as the membership knows it. */
@@ -184,6 +191,10 @@
       from it. */
   void setPeers(Time now, std::span<const Peer> peers);
 
+  /** Tells the wallet the wall clock of its VM, which goes into reports to control. A value that is
+     some time old is safe. */
+  void setWallTime(Time wall);
+
   /** Tells the wallet whether its process knows that control is out of reach. Requests that wait
      then are refused once the other entry processes had time to pass tokens on. */
   void setControlLost(bool lost);
--- a/modules/ledger/WalletAccount.cpp
+++ b/modules/ledger/WalletAccount.cpp
@@ -59,7 +59,7 @@
 
 AccountTotals WalletAccount::totals(const BudgetId& id) const
 {
-  return { id, charged, returned, in, out };
+  return { id, charged, returned, in, out, opened };
 }
 
 Tokens& totalOf(std::vector<PeerTotal>& totals, const HolderId& peer)
--- a/modules/ledger/WalletAccount.h
+++ b/modules/ledger/WalletAccount.h
@@ -10,6 +10,10 @@
 struct WalletAccount
 {
   Tokens granted;
+  /** The part of `granted` that may be spent; the rest is the reserve. */
+  Tokens opened;
+  /** The largest `opened` that control has confirmed. */
+  Tokens openedConfirmed;
   /** Bills of requests without a key. */
   Tokens charged;
   /** Keyed bills that control has not settled yet, at their full amount. */
@@ -68,6 +72,11 @@
   /** Peers of this round that had nothing. */
   std::size_t transferRefusals = 0;
   Time transferAskedAt;
+  /** When control is asked again whether the reserve has the right size. */
+  Time reserveAskAt;
+  /** What another holder asked for in vain, and until when it counts as demand. */
+  Tokens peerWant;
+  Time peerWantUntil;
 
   [[nodiscard]] Tokens received() const;
   [[nodiscard]] Tokens passedOn() const;
@@ -79,8 +88,11 @@
     return granted + received() - passedOn() - spent() - returned;
   }
 
+  /** What was granted and is not open. */
+  [[nodiscard]] Tokens reserve() const { return granted - opened; }
+
   /** What a new request may reserve. */
-  [[nodiscard]] Tokens available() const { return held() - reserved; }
+  [[nodiscard]] Tokens available() const { return held() - reserve() - reserved; }
 
   /** Updates ownUsed after a bill or a return. */
   void noteUse();
--- a/modules/ledger/WalletControl.cpp
+++ b/modules/ledger/WalletControl.cpp
@@ -14,6 +14,10 @@
 constexpr Duration kLongestAskPause{ 40'000 };
 /** Pause after a refusal because the holder is not registered. */
 constexpr Duration kRegisterPause{ 50'000 };
+/** A holder asks control so often whether its reserve has the right size. */
+constexpr Duration kReserveInterval{ 2'000'000 };
+/** What a peer asked for in vain counts as demand for this time; it asks again within it. */
+constexpr Duration kPeerWantTime{ 300'000 };
 /** A peer that did not answer a transfer request is passed over after this time. */
 constexpr Duration kTransferWait{ 20'000 };
 /** An unacknowledged transfer is sent again after this time. */
@@ -92,6 +96,11 @@
       smallest = shortfall;
     }
   }
+  // A holder in contact with control asks for one that is not.
+  if (now < account.peerWantUntil && account.peerWant > available) {
+    wanted += account.peerWant;
+    smallest = smallest == Tokens{ 0 } ? account.peerWant - available : smallest;
+  }
   if (smallest > Tokens{ 0 } && now < account.askAt) {
     return std::nullopt;
   }
@@ -99,13 +108,16 @@
   Tokens demand;
   if (!account.scarce(now) && (smallest > Tokens{ 0 } || now >= account.demandAskAt)) {
     const auto ahead = expectedDemand(now, account);
-    // Asks when half of the expected demand is left, so that a busy holder seldom waits.
+    // Asks long before the expected demand is used up, so that a busy holder seldom waits.
     const auto reached = account.level > Tokens{ 0 } ? account.level : ahead;
-    if (want > Tokens{ 0 } || 2 * available.count < reached.count) {
+    // Open tokens have to last until a reserve may be opened, so they are kept closer to full.
+    const bool low = settings_.witnesses ? 2 * available.count < reached.count
+                                         : 4 * available.count < 3 * reached.count;
+    if (want > Tokens{ 0 } || low) {
       demand = std::max(Tokens{ 0 }, ahead - available);
     }
   }
-  if (smallest == Tokens{ 0 } && demand == Tokens{ 0 }) {
+  if (smallest == Tokens{ 0 } && demand == Tokens{ 0 } && !reserveDue(now, account)) {
     return std::nullopt;
   }
   return GrantItem{
@@ -191,6 +203,10 @@
   for (const auto& item : result.items) {
     auto& account = open(item.budget);
     account.granted = std::max(account.granted, item.granted);
+    account.opened = std::max(account.opened, item.opened);
+    account.openedConfirmed = std::max(account.openedConfirmed, item.opened);
+    account.reserveAskAt = now + kReserveInterval;
+    returnReserve(item.budget, account, std::min(item.excess, account.reserve()));
     account.scarceUntil = item.scarce ? now + kScarceTime : Time{};
     if (!settings_.witnesses) {
       account.level = account.available();
@@ -218,6 +234,9 @@
 void Wallet::Impl::giveBack(Time now, const BudgetId& id, Account& account)
 {
   // What is returned while control is away helps nobody; kept, it can be passed on in the zone.
+  if (draining_) {
+    account.opened = account.granted;
+  }
   const bool low = draining_ || (account.scarce(now) && controlReachable(now));
   if (low && account.available() > Tokens{ 0 } && !account.closing &&
       (draining_ || !hasWaiting(id))) {
@@ -235,6 +254,14 @@
   settleSoon_ = true;
 }
 
+void Wallet::Impl::returnReserve(const BudgetId& id, Account& account, Tokens amount)
+{
+  if (amount > Tokens{ 0 }) {
+    account.opened += amount;
+    returnTokens(id, account, amount);
+  }
+}
+
 void Wallet::Impl::handle(Time now, const ProcessId& /*from*/, const Recall& message)
 {
   if (message.holder != settings_.self || retired_) {
@@ -254,6 +281,7 @@
   urgent_.insert(id);
   dirty_.insert(id);
   settleSoon_ = true;
+  account.opened = account.granted;
   // Waiting requests do not keep a part: two holders that each keep a part of what both need would
   // both refuse.
   if (account.available() > Tokens{ 0 }) {
@@ -266,7 +294,7 @@
 {
   const auto found = accounts_.find(budget);
   const bool holds = found != accounts_.end() && !found->second.closing && !retired_;
-  if (holds && found->second.available() > Tokens{ 0 }) {
+  if (holds && found->second.available() + found->second.reserve() > Tokens{ 0 }) {
     returnUnreserved(now, budget);
   }
 }
@@ -318,18 +346,23 @@
   if (settle_ || !registered() || retired_) {
     return;
   }
+  // A report that cannot arrive would delay the time from which reserves may be opened.
+  if (!settings_.witnesses && controlLost_) {
+    return;
+  }
   const bool batch = now >= nextSettle_ || draining_;
   if (!batch && !settleSoon_) {
     return;
   }
-  Settle settle{ settings_.self, settleSequence_ + 1, {}, {}, {} };
-  SettleInFlight flight{ 0, settle.sequence, {}, {} };
+  Settle settle{ settings_.self, settleSequence_ + 1, {}, {}, {}, {} };
+  SettleInFlight flight{ 0, settle.sequence, {}, {}, {} };
   auto& source = batch ? dirty_ : urgent_;
   while (!source.empty() && settle.totals.size() < kMaxSettleLines) {
     const auto id = *source.begin();
     auto& account = accounts_.at(id);
     settle.totals.push_back(account.totals(id));
     flight.lines[id] = account.changed;
+    flight.opened[id] = account.opened;
     account.dirty = false;
     account.settling = true;
     dirty_.erase(id);
@@ -348,7 +381,13 @@
   if (settle.totals.empty() && settle.keyed.empty() && settle.closing.empty()) {
     return;
   }
+  // A Settle that leaves out what was opened must not count as contact.
+  const bool all = std::all_of(accounts_.begin(), accounts_.end(), [&flight](const auto& item) {
+    return item.second.opened <= item.second.openedConfirmed || flight.opened.contains(item.first);
+  });
+  settle.createdAt = all ? wall_ : Time{};
   ++settleSequence_;
+  contactAt_ = now;
   flight.closing = settle.closing;
   flight.proposal = proposer_.propose(now, settle);
   settle_ = std::move(flight);
@@ -378,6 +417,7 @@
     account.settling = false;
     if (known) {
       confirmLine(id, account, clock);
+      account.openedConfirmed = std::max(account.openedConfirmed, flight.opened.at(id));
     } else {
       dirty_.insert(id);
     }
@@ -522,6 +562,12 @@
     amount = give ? transferAmount(now, message, found->second) : Tokens{ 0 };
   }
   if (amount <= Tokens{ 0 }) {
+    if (!settings_.witnesses && found != accounts_.end()) {
+      found->second.peerWant = message.want;
+      found->second.peerWantUntil = now + kPeerWantTime;
+      openReserves(now);
+      askGrants(now, { &message.budget, 1 });
+    }
     outgoing_.push_back(
       { from, Transfer{ 0, settings_.self, message.holder, message.budget, Tokens{} } });
     return;
@@ -635,9 +681,14 @@
     return;
   }
   lastMaintenance_ = now;
+  std::vector<BudgetId> due;
   for (auto& [id, account] : accounts_) {
     maintainAccount(now, id, account);
+    if (reserveDue(now, account)) {
+      due.push_back(id);
+    }
   }
+  askGrants(now, due);
 }
 
 void Wallet::Impl::maintainAccount(Time now, const BudgetId& id, Account& account)
--- a/modules/ledger/WalletImpl.h
+++ b/modules/ledger/WalletImpl.h
@@ -12,9 +12,9 @@
 
 namespace figchute::ledger {
 
-/** The state of a wallet. The methods are spread over three sources: Wallet.cpp has admission and
+/** The state of a wallet. The methods are spread over four sources: Wallet.cpp has admission and
     bills, WalletControl.cpp grants, settlement and transfers, WalletRecords.cpp witnesses and the
-    journal. */
+    journal, WalletReserve.cpp the reserves of processes whose charges need no record. */
 class Wallet::Impl
 {
 public:
@@ -39,6 +39,7 @@
   void tick(Time now);
   void handOver(Time now);
   void setControlLost(bool lost) { controlLost_ = lost; }
+  void setWallTime(Time wall) { wall_ = wall; }
   [[nodiscard]] bool handedOver() const;
   void drain(Time now);
   [[nodiscard]] bool drained() const;
@@ -128,6 +129,16 @@
     /** The record clock of each line when it was sent. */
     std::map<BudgetId, std::uint64_t> lines;
     std::vector<BudgetId> closing;
+    /** What each line says is open. */
+    std::map<BudgetId, Tokens> opened;
+  };
+
+  /** A part of the reserves that waits for the acknowledgements of all witnesses. */
+  struct Opening
+  {
+    WitnessRecord record;
+    std::set<HolderId> acknowledged;
+    Time sentAt;
   };
 
   // Admission and bills.
@@ -182,6 +193,18 @@
   void sendTransfer(Time now, const TransferName& name, OutTransfer& transfer);
   void resendTransfers(Time now);
   void returnUnreserved(Time now, const BudgetId& id);
+  void returnReserve(const BudgetId& id, Account& account, Tokens amount);
+
+  // Reserves.
+  [[nodiscard]] bool detached(Time now) const;
+  [[nodiscard]] std::vector<HolderId> reserveWitnesses() const;
+  [[nodiscard]] bool openedConfirmed() const;
+  /** Tells whether control is asked for the reserve although nothing else is needed. */
+  [[nodiscard]] bool reserveDue(Time now, const Account& account) const;
+  [[nodiscard]] Tokens amountToOpen(Time now, const BudgetId& id, const Account& account) const;
+  void openReserves(Time now);
+  void sendOpening(Time now);
+  void acknowledgeOpening(Time now, const WitnessAck& message);
   [[nodiscard]] std::vector<HolderId> zonePeers() const;
   [[nodiscard]] std::vector<HolderId> transferPeers() const;
   [[nodiscard]] Tokens transferAmount(Time now,
@@ -217,6 +240,10 @@
   bool draining_ = false;
   bool handingOver_ = false;
   bool controlLost_ = false;
+  Time wall_;
+  /** When this process last created a command that tells control its wall clock. */
+  Time contactAt_;
+  std::optional<Opening> opening_;
   bool retired_ = false;
   Time lastMaintenance_;
 
--- a/modules/ledger/WalletRecords.cpp
+++ b/modules/ledger/WalletRecords.cpp
@@ -164,14 +164,25 @@
   if (registerProposal_ != 0 || now < registerAt_ || !journalReady || retired_ || draining_) {
     return;
   }
-  auto desired = settings_.witnesses ? desiredWitnesses() : std::vector<HolderId>();
-  if (settings_.witnesses ? desired.empty() || desired == registered_ : registeredAlone_) {
+  auto desired = settings_.witnesses ? desiredWitnesses() : reserveWitnesses();
+  if (desired == registered_ && (registeredAlone_ || settings_.witnesses)) {
+    return;
+  }
+  // Control must know what the present witnesses know before it asks others in their place.
+  const bool busy = registered() && (opening_.has_value() || !openedConfirmed());
+  if (settings_.witnesses ? desired.empty() : busy) {
     return;
   }
   proposed_ = std::move(desired);
   registerAt_ = now + kRegistrationPause;
-  registerProposal_ = proposer_.propose(
-    now, RegisterHolder{ settings_.self, settings_.zone, ++registration_, proposed_ });
+  contactAt_ = now;
+  registerProposal_ = proposer_.propose(now,
+                                        RegisterHolder{ settings_.self,
+                                                        settings_.zone,
+                                                        ++registration_,
+                                                        proposed_,
+                                                        !settings_.witnesses,
+                                                        settings_.startedAt });
 }
 
 void Wallet::Impl::handleRegister(Time now, const RegisterResult& result)
@@ -221,6 +232,9 @@
 
 void Wallet::Impl::chooseWitness(Time now)
 {
+  if (!settings_.witnesses) {
+    return;
+  }
   std::optional<HolderId> choice;
   int best = -1;
   for (const auto& id : registered_) {
@@ -290,6 +304,7 @@
 
 void Wallet::Impl::handle(Time now, const ProcessId& /*from*/, const WitnessAck& message)
 {
+  acknowledgeOpening(now, message);
   const auto found = links_.find(message.witness);
   if (message.holder != settings_.self || found == links_.end()) {
     return;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -16,12 +16,23 @@
     two missed readiness checks to notice. */
 constexpr Duration kServeAfterStop = std::chrono::seconds(3);
 
+/** Returns the wall clock. Only budgets use it, to tell how long a process was dead. */
+Time wallTime()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return Time{ std::chrono::duration_cast<std::chrono::microseconds>(now).count() };
+}
+
+HolderId holderOf(const RoleContext& context)
+{
+  return { ProcessId(settings::toString(context.settings.peers)), context.incarnation };
+}
+
 ledger::WalletSettings walletSettings(const RoleContext& context)
 {
-  auto settings = ledger::routerWalletSettings(
-    { ProcessId(settings::toString(context.settings.peers)), context.incarnation },
-    context.settings.zone);
+  auto settings = ledger::routerWalletSettings(holderOf(context), context.settings.zone);
   settings.proposalIdBase = context.incarnation.number;
+  settings.startedAt = wallTime();
   return settings;
 }
 
@@ -55,6 +66,7 @@
                   context.settings.seedProcesses(),
                   context.incarnation.number })
   , wallet_(walletSettings(context))
+  , witness_(holderOf(context))
   , dispatcher_(dispatcherSettings(context))
   , pool_(context.io)
   , services_{ context.dialect, dispatcher_, wallet_, pool_, context.log, context.metrics, {}, 0 }
@@ -77,6 +89,7 @@
   if (auto listening = readiness_.listen(toEndpoint(*context_.settings.readiness)); !listening) {
     return listening;
   }
+  wallet_.setWallTime(wallTime());
   settle(bootTime());
   schedule();
   return {};
@@ -96,6 +109,7 @@
 void EntryRole::onTimer()
 {
   const Time now = bootTime();
+  wallet_.setWallTime(wallTime());
   std::vector<std::shared_ptr<Exchange>> open;
   open.reserve(exchanges_.size());
   for (const auto& [id, exchange] : exchanges_) {
@@ -173,6 +187,7 @@
   } else if (channel == wire::Channel::ledger) {
     if (const auto message = wire::decode<ledger::Message>(body)) {
       wallet_.receive(now, from, *message);
+      witness_.receive(now, from, *message);
     }
   }
   settle(now);
@@ -310,7 +325,13 @@
   }
   // Charges need no witness here, so the list of recorded ones is not used.
   static_cast<void>(wallet_.takeRecorded());
-  for (auto& message : wallet_.takeOutgoing()) {
+  sendLedger(wallet_.takeOutgoing());
+  sendLedger(witness_.takeOutgoing());
+}
+
+void EntryRole::sendLedger(std::vector<ledger::Outgoing> messages)
+{
+  for (auto& message : messages) {
     context_.mesh.send(message.to, wire::Channel::ledger, wire::encode(message.message));
   }
 }
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -42,11 +42,14 @@
   void setWalletPeers(Time now);
   void addCrashes(Time now, const fleet::CrashCount& crash);
   void settleWallet(Time now);
+  void sendLedger(std::vector<ledger::Outgoing> messages);
   void logEvents(Time now);
 
   RoleContext context_;
   fleet::FleetSubscriber subscriber_;
   ledger::Wallet wallet_;
+  /** Keeps what other entry processes opened of their reserves. */
+  ledger::Witness witness_;
   dispatch::Dispatcher dispatcher_;
   http::ClientPool pool_;
   EntryServices services_;
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -373,6 +373,16 @@
   services_.metrics.record("first_byte", now - arrival_);
 }
 
+void Exchange::noteEvents(Time now, std::int64_t tokens)
+{
+  noteFirstByte(now);
+  if (lastEventAt_.micros > 0) {
+    longestPause_ = std::max(longestPause_, now - lastEventAt_);
+  }
+  lastEventAt_ = now;
+  services_.dispatcher.progress(now, id_, tokens);
+}
+
 void Exchange::onBody(std::string_view bytes)
 {
   if (stage_ != Stage::relaying) {
@@ -383,8 +393,7 @@
     const auto tokens = events_.feed(bytes) * stride_;
     deliveredTokens_ += tokens;
     if (tokens > 0) {
-      noteFirstByte(bootTime());
-      services_.dispatcher.progress(bootTime(), id_, tokens);
+      noteEvents(bootTime(), tokens);
     }
   }
   request_->write(bytes);
@@ -566,6 +575,7 @@
       { "status", std::to_string(status) },
       { "sends", std::to_string(sends_) },
       { "first_byte_ms", answered ? std::to_string(millis(firstByteAt_ - arrival_)) : "-" },
+      { "pause_ms", std::to_string(millis(longestPause_)) },
       { "total_ms", std::to_string(millis(now - arrival_)) },
       { "limit_ms", std::to_string(millis(limit_ - arrival_)) },
       { "prompt", std::to_string(work_.promptTokens) },
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -101,6 +101,7 @@
   void callerGone();
   void startRelay(const http::ResponseHead& head);
   void noteFirstByte(Time now);
+  void noteEvents(Time now, std::int64_t tokens);
   void bill(Time now);
   void end(Time now, std::string_view outcome, int status, std::string_view detail);
 
@@ -138,6 +139,9 @@
   std::int64_t deliveredTokens_ = 0;
   std::int64_t deliveredBytes_ = 0;
   Time firstByteAt_;
+  /** When the last event of a stream came, and the longest pause between two of them. */
+  Time lastEventAt_;
+  Duration longestPause_{ 0 };
   int status_ = 0;
 };
 
--- a/tests/LedgerCluster.h
+++ b/tests/LedgerCluster.h
@@ -62,6 +62,7 @@
     entry.synced = 0;
     auto settings = makeSettings(holder(name), entry.zone);
     settings.hasJournal = hasJournal;
+    settings.startedAt = wallTime(name);
     entry.wallet = std::make_unique<Wallet>(settings);
     entry.witness = std::make_unique<Witness>(settings.self);
     entry.wallet->recover(now, entry.journal);
@@ -91,6 +92,12 @@
     }
   }
 
+  /** Wall clocks of VMs differ, by up to a second here. */
+  Time wallTime(const std::string& name) const
+  {
+    return now + Duration(1'000'000 * (name.empty() ? 0 : name[0] % 3 - 1));
+  }
+
   Result apply(const Command& command) { return control.apply(++index, now, command); }
 
   template<typename R>
@@ -213,6 +220,8 @@
   double duplication = 0;
   Duration jitter{ 0 };
   bool controlDown = false;
+  /** Processes know when they are cut off from control. */
+  bool tellsControlLost = false;
   std::map<std::string, std::vector<Decision>> decisions;
   std::set<std::string> recorded;
   std::set<std::string> silentWitnesses;
@@ -251,6 +260,10 @@
     if (!entry.alive) {
       continue;
     }
+    entry.wallet->setWallTime(wallTime(name));
+    if (tellsControlLost) {
+      entry.wallet->setControlLost(!linked(name, "ctl"));
+    }
     entry.wallet->tick(now);
     const auto records = entry.wallet->takeJournal();
     entry.journal.insert(entry.journal.end(), records.begin(), records.end());
--- a/tests/router_budget_test.cpp
+++ b/tests/router_budget_test.cpp
@@ -54,6 +54,20 @@
     entries.at(name).wallet->setBudgets(now, configuration);
   }
 
+  void crashAll()
+  {
+    for (const auto& [name, entry] : entries) {
+      crash(name);
+    }
+  }
+
+  void restartAll()
+  {
+    for (const auto& [name, entry] : entries) {
+      restart(name);
+    }
+  }
+
   void cutControl()
   {
     for (const auto& [name, entry] : entries) {
@@ -117,6 +131,102 @@
   CHECK(control.stranded().empty());
 }
 
+// Guards against a reserve that is lost with its holder although no part of it was opened.
+TEST_CASE_FIXTURE(NineRouters, "RouterReserve_holderDies_returnsToTheBudget")
+{
+  advance(3 * kSecond);
+  REQUIRE(budget().held > Tokens{ 50'000 });
+  REQUIRE(decide("a", "r1", 500).status == ReserveStatus::admitted);
+  CHECK(charge("a", "r1", 300));
+  advance(kSecond);
+  const auto open = wallet("a").account(BudgetId("w:t/x"))->available;
+  crash("a");
+  advance(10 * kSecond);
+  restart("a");
+  advance(kSecond);
+  CHECK(budget().settled == open + Tokens{ 300 });
+  CHECK(budget().settled < Tokens{ 3000 });
+}
+
+// Guards against the loss of all reserves when all entry processes die at the same moment and no
+// witness is left.
+TEST_CASE_FIXTURE(NineRouters, "RouterReserve_allDieInContact_returnsToTheBudget")
+{
+  for (int i = 0; i < 30; ++i) {
+    for (const auto& [name, entry] : entries) {
+      serve(name, 1, 50, kMs);
+    }
+    advance(100 * kMs);
+  }
+  REQUIRE(budget().held > Tokens{ 50'000 });
+  crashAll();
+  advance(1500 * kMs);
+  restartAll();
+  advance(2 * kSecond);
+  CHECK(budget().settled < Tokens{ 30'000 });
+  CHECK(serve("a", 20, 2000, 10 * kMs) == 0);
+}
+
+// Guards against refusals in a cut that is longer than the open tokens last.
+TEST_CASE_FIXTURE(NineRouters, "RouterReserve_longCut_isOpenedWithWitnesses")
+{
+  tellsControlLost = true;
+  advance(3 * kSecond);
+  cutControl();
+  advance(4 * kSecond);
+  CHECK(serve("a", 25, 1000, 50 * kMs) == 0);
+  cut.clear();
+  advance(3 * kSecond);
+  CHECK(budget().settled == Tokens{ 25'000 });
+}
+
+// Guards against refusals at a single process that is cut off while its peers reach control.
+TEST_CASE_FIXTURE(NineRouters, "RouterWallet_oneCutOff_getsTokensThroughItsPeers")
+{
+  tellsControlLost = true;
+  advance(3 * kSecond);
+  cut.insert({ "a", "ctl" });
+  CHECK(serve("a", 25, 1000, 50 * kMs) == 0);
+  cut.clear();
+  advance(3 * kSecond);
+  CHECK(budget().settled == Tokens{ 25'000 });
+}
+
+// Guards against tokens that a dead holder opened in a cut, spent, and that are granted again.
+TEST_CASE_FIXTURE(NineRouters, "RouterReserve_holderDiesAfterOpening_openedPartCountsAsSpent")
+{
+  tellsControlLost = true;
+  advance(3 * kSecond);
+  cutControl();
+  advance(4 * kSecond);
+  CHECK(serve("a", 25, 1000, 50 * kMs) == 0);
+  crash("a");
+  cut.clear();
+  advance(500 * kMs);
+  restart("a");
+  advance(3 * kSecond);
+  CHECK(budget().settled >= Tokens{ 25'000 });
+  CHECK(budget().settled < Tokens{ 60'000 });
+}
+
+// Guards against reserves that are freed although a holder may have opened them: nobody is left who
+// knows.
+TEST_CASE_FIXTURE(NineRouters, "RouterReserve_allDieAfterOpening_everythingCountsAsSpent")
+{
+  advance(3 * kSecond);
+  const auto held = budget().held;
+  tellsControlLost = true;
+  cutControl();
+  advance(4 * kSecond);
+  CHECK(serve("a", 25, 1000, 50 * kMs) == 0);
+  crashAll();
+  cut.clear();
+  advance(500 * kMs);
+  restartAll();
+  advance(5 * kSecond);
+  CHECK(budget().settled >= held);
+}
+
 // Guards against refusals that are held back although it is known that control cannot answer.
 TEST_CASE_FIXTURE(NineRouters, "RouterWallet_controlKnownLost_refusesAfterOneRoundOfPeers")
 {
@@ -310,12 +420,17 @@
       request(process);
     } else if (dice < 804) {
       cutControl();
+      if (random.chance(0.3)) {
+        advance(Duration(random.between(1000, 5000) * 1000));
+      }
     } else if (dice < 810) {
       cut.clear();
     } else if (dice < 815) {
       cut.insert({ process, random.chance(0.5) ? "ctl" : anyProcess() });
-    } else if (dice < 819) {
+    } else if (dice < 818) {
       kill(process);
+    } else if (dice < 819) {
+      killAll();
     } else if (dice < 822) {
       const bool raise = random.chance(0.7);
       amount = raise ? amount + random.between(0, 2000) : random.between(0, amount);
@@ -344,10 +459,19 @@
   void kill(const std::string& process)
   {
     crash(process);
-    advance(Duration(random.between(1, 300) * 1000));
+    // Some are dead for longer than it takes the others to open their reserves.
+    const bool longDead = random.chance(0.3);
+    advance(Duration(random.between(1, longDead ? 5000 : 300) * 1000));
     restart(process);
   }
 
+  void killAll()
+  {
+    crashAll();
+    advance(Duration(random.between(1, 4000) * 1000));
+    restartAll();
+  }
+
   void finishSome()
   {
     for (auto& [process, made] : decisions) {
@@ -403,6 +527,7 @@
     CAPTURE(seed);
     // Without start grants, processes depend on transfers from the first cut on.
     RandomRouters run(seed, seed % 2 == 0 ? 0.7 : 0.0);
+    run.tellsControlLost = seed % 4 < 2;
     for (int i = 0; i < 1500; ++i) {
       run.act();
       REQUIRE(run.spent <= run.largest);
