measure: dispatch scenario with skewed traffic and pauses by kind

Cause: on the deployed system 15% of the chats have a pause above 0.5 s, but no scenario of the dispatch experiments showed it: their requests are spread evenly over the entry processes and their prompts differ by a factor of three at most.

Ruled out: a change of the existing scenarios, whose figures are recorded.

Change: the scenario skewed has 18 engines of 64 slots in four zones, every fifth one 1.3 times slower, and one entry process with 60% of the requests that is alone in its zone. Own prompt tokens have a log-normal distribution with the measured mean and maximum. New metrics: streams with a pause above 0.5 s by kind, tokens read and read again per second. KvEngine uses the measured rates (61.2 tokens/ms, 0.0109 ms per request).

--- a/tools/figchute-measure/DispatchExperiments.cpp
+++ b/tools/figchute-measure/DispatchExperiments.cpp
@@ -36,7 +36,8 @@
                                DispatchScenario::grey,
                                DispatchScenario::dark,
                                DispatchScenario::crash,
-                               DispatchScenario::plainShed }) {
+                               DispatchScenario::plainShed,
+                               DispatchScenario::skewed }) {
     experiments.push_back({ scenario, "figchute", std::nullopt, {} });
     experiments.push_back({ scenario, "random", ChoiceStrategy::random, {} });
     experiments.push_back({ scenario, "two_choices", ChoiceStrategy::twoChoices, {} });
@@ -103,6 +104,18 @@
     "guide_ttft_p95", [](const F& f) { return f.guideP95; }, "ms", true);
   metric(
     "gaps_missed", [](const F& f) { return f.gapsMissed; }, "per_thousand", true);
+  for (const auto kind : { WorkKind::guide, WorkKind::chat, WorkKind::label }) {
+    const auto place = static_cast<std::size_t>(kind);
+    metric(
+      std::string(traitsOf(kind).name) + "_paused",
+      [place](const F& f) { return f.paused.at(place); },
+      "percent",
+      true);
+  }
+  metric(
+    "read", [](const F& f) { return f.readRate; }, "kilotokens/s", true);
+  metric(
+    "read_again", [](const F& f) { return f.rereadRate; }, "kilotokens/s", true);
   metric(
     "crashes", [](const F& f) { return f.crashes; }, "count", true);
 }
--- a/tools/figchute-measure/DispatchFleet.cpp
+++ b/tools/figchute-measure/DispatchFleet.cpp
@@ -17,6 +17,15 @@
 constexpr std::size_t kEngines = 12;
 constexpr std::size_t kPlainEndpoints = 4;
 constexpr int kPlainSlots = 6;
+
+/** Zones and sizes of the scenario skewed, as measured on the deployed system. */
+constexpr std::array<std::size_t, kEntries> kSkewedEntryZones{ 0, 0, 0, 1, 1, 1, 2, 2, 3 };
+constexpr std::array<std::size_t, 18> kSkewedEngineZones{ 0, 0, 0, 0, 0, 1, 1, 1, 1,
+                                                          1, 2, 2, 2, 2, 3, 3, 3, 3 };
+constexpr int kSkewedSlots = 64;
+/** Every fifth engine there is slower by this factor. */
+constexpr std::size_t kSlowerEvery = 5;
+constexpr double kSlower = 1.3;
 constexpr double kFailing = 0.45;
 constexpr double kSlow = 5;
 
@@ -38,7 +47,7 @@
 
 ZoneId zone(std::size_t number)
 {
-  return ZoneId(std::string(1, static_cast<char>('a' + number % kZones)));
+  return ZoneId(std::string(1, static_cast<char>('a' + number)));
 }
 
 std::vector<fleet::ServiceSettings> services()
@@ -75,7 +84,7 @@
   for (std::size_t i = 0; i < kEntries; ++i) {
     const auto own = seed * 1000 + i;
     policies_.push_back(strategy ? makeBaseline(*strategy, own)
-                                 : makeFigchute(zone(i), kEntries, services(), own));
+                                 : makeFigchute(entryZone(i), kEntries, services(), own));
   }
   createEndpoints();
   for (auto& request : planDispatch(scenario, kEntries, seed)) {
@@ -90,24 +99,38 @@
   scheduleSickness();
 }
 
+ZoneId DispatchFleet::entryZone(std::size_t entry) const
+{
+  return zone(scenario_ == DispatchScenario::skewed ? kSkewedEntryZones.at(entry) : entry % kZones);
+}
+
+ZoneId DispatchFleet::engineZone(std::size_t engine) const
+{
+  return zone(scenario_ == DispatchScenario::skewed ? kSkewedEngineZones.at(engine)
+                                                    : engine % kZones);
+}
+
 void DispatchFleet::createEndpoints()
 {
-  for (std::size_t i = 0; i < kEngines + kPlainEndpoints; ++i) {
+  const bool skewed = scenario_ == DispatchScenario::skewed;
+  const auto engines = skewed ? kSkewedEngineZones.size() : kEngines;
+  for (std::size_t i = 0; i < engines + kPlainEndpoints; ++i) {
     Backend backend;
-    const bool engine = i < kEngines;
+    const bool engine = i < engines;
     KvEngineSizes sizes;
-    sizes.slots = 48 + static_cast<int>(i % 3) * 8;
+    sizes.slots = skewed ? kSkewedSlots : 48 + static_cast<int>(i % 3) * 8;
     sizes.kvCapacity = 430'000 + static_cast<std::int64_t>(i % 5) * 30'000;
     sizes.stride = 6;
     auto& record = backend.record;
     record.id = EndpointId((engine ? "engine" : "plain") + std::to_string(i));
     record.service = ServiceName(engine ? "model" : "plain");
     record.address = "10.0.0." + std::to_string(i) + ":80";
-    record.zone = zone(i);
+    record.zone = engine ? engineZone(i) : zone((i - engines) % kZones);
     record.slots = engine ? sizes.slots : kPlainSlots;
     record.born = 1;
     if (engine) {
       backend.engine.emplace(sizes);
+      backend.slowness = skewed && i % kSlowerEvery == 2 ? kSlower : 1;
     }
     backends_.push_back(std::move(backend));
   }
@@ -519,7 +542,7 @@
 
 bool DispatchFleet::crossesZones(const Caller& caller) const
 {
-  return backends_[caller.backend].record.zone != zone(caller.request.entry);
+  return backends_[caller.backend].record.zone != entryZone(caller.request.entry);
 }
 
 Duration DispatchFleet::hop(const Caller& caller) const
--- a/tools/figchute-measure/DispatchFleet.h
+++ b/tools/figchute-measure/DispatchFleet.h
@@ -16,7 +16,7 @@
 namespace figchute::measure {
 
 /** Nine entry processes with their dispatchers, twelve model engines and four plain endpoints in
-    three zones, and the callers, in virtual time.
+    three zones, and the callers, in virtual time. The scenario skewed has 18 engines in four zones.
     Thread safety: use one instance from one thread only. */
 class DispatchFleet
 {
@@ -69,6 +69,8 @@
     int resends = 0;
   };
 
+  [[nodiscard]] ZoneId entryZone(std::size_t entry) const;
+  [[nodiscard]] ZoneId engineZone(std::size_t engine) const;
   void createEndpoints();
   void scheduleSickness();
   void publish();
--- a/tools/figchute-measure/DispatchTally.cpp
+++ b/tools/figchute-measure/DispatchTally.cpp
@@ -60,6 +60,7 @@
 
 void DispatchTally::partRead(Time now, std::uint64_t key, std::int64_t tokens)
 {
+  readTokens_ += tokens;
   const auto last = lastUse_.find(key);
   if (last != lastUse_.end() && now - last->second <= kCharged) {
     rereadTokens_ += tokens;
@@ -78,6 +79,8 @@
     const auto& traits = traitsOf(static_cast<WorkKind>(i));
     const auto all = static_cast<double>(kind.offered);
     figures.onTime.at(i) = percent(static_cast<double>(kind.onTime), all);
+    figures.paused.at(i) =
+      percent(static_cast<double>(kind.gapsMissed), static_cast<double>(kind.onTime + kind.late));
     offered += all;
     gaps += static_cast<double>(kind.gapsMissed);
     possible += all * traits.creditOnTime;
@@ -86,12 +89,14 @@
   }
   figures.credit = percent(earned, possible);
   figures.reread = percent(static_cast<double>(rereadTokens_), static_cast<double>(sharedTokens_));
+  const double seconds = std::chrono::duration<double>(kDispatchRun).count();
+  figures.readRate = static_cast<double>(readTokens_) * 1e-3 / seconds;
+  figures.rereadRate = static_cast<double>(rereadTokens_) * 1e-3 / seconds;
   figures.refused = 10 * percent(static_cast<double>(refused_), offered);
   figures.failed = 10 * percent(static_cast<double>(failed_), offered);
   figures.repeats = 10 * percent(static_cast<double>(repeats_), offered);
   figures.crossZone = percent(static_cast<double>(crossSends_), static_cast<double>(sends_));
-  figures.crossZoneKilobytes =
-    crossKilobytes_ / std::chrono::duration<double>(kDispatchRun).count();
+  figures.crossZoneKilobytes = crossKilobytes_ / seconds;
   figures.firstEventMedian = quantile(firstEvents_, 0.5);
   figures.firstEventP95 = quantile(firstEvents_, 0.95);
   figures.guideP95 = quantile(guideFirstEvents_, 0.95);
--- a/tools/figchute-measure/DispatchTally.h
+++ b/tools/figchute-measure/DispatchTally.h
@@ -25,6 +25,11 @@
   double firstEventP95 = 0;
   double guideP95 = 0;
   double gapsMissed = 0;
+  /** Percent of the complete streams of a kind, by kind. */
+  std::array<double, kWorkKinds> paused{};
+  /** Thousands of tokens per second that engines read, and of those the charged ones. */
+  double readRate = 0;
+  double rereadRate = 0;
   double crashes = 0;
 };
 
@@ -77,6 +82,7 @@
   double crossKilobytes_ = 0;
   std::int64_t sharedTokens_ = 0;
   std::int64_t rereadTokens_ = 0;
+  std::int64_t readTokens_ = 0;
   std::unordered_map<std::uint64_t, Time> lastUse_;
 };
 
--- a/tools/figchute-measure/DispatchWorkload.cpp
+++ b/tools/figchute-measure/DispatchWorkload.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 #include <string>
 
 namespace figchute::measure {
@@ -16,10 +17,10 @@
 constexpr Time kFloodEnd{ 70'000'000 };
 
 const std::array<KindTraits, kWorkKinds> kTraits{ {
-  { "guide", 15, 1500ms, 20s, 6, 64, 2.8, 1.3, 3, 482, 70, 3'900, 4'900, 6'610 },
-  { "chat", 43, 500ms, 10s, 2, 49, 2.9, 0.35, 10, 98, 200, 80, 120, 628 },
-  { "label", 24, 500ms, 4s, 4, 4, 0.59, 0.17, 40, 168, 120, 300, 500, 1'800 },
-  { "plain", 29, 200ms, 1500ms, 1, 1, 1.0, 0.3, 1, 0, 1, 0, 0, 0 },
+  { "guide", 15, 1500ms, 20s, 6, 64, 2.8, 1.3, 3, 482, 70, 3'900, 4'900, 6'610, 23, 0.75, 54'600 },
+  { "chat", 43, 500ms, 10s, 2, 49, 2.9, 0.35, 10, 98, 200, 80, 120, 628, 65, 0.52, 3'310 },
+  { "label", 24, 500ms, 4s, 4, 4, 0.59, 0.17, 40, 168, 120, 300, 500, 1'800, 36, 0.43, 6'870 },
+  { "plain", 29, 200ms, 1500ms, 1, 1, 1.0, 0.3, 1, 0, 1, 0, 0, 0, 29, 0, 0 },
 } };
 
 double rateFactor(DispatchScenario scenario, WorkKind kind, Time now)
@@ -48,6 +49,10 @@
   return sums;
 }
 
+/** Percent of the requests at each entry process in the scenario skewed; the last process is the
+    only one of its zone. */
+constexpr std::array<int, 9> kSkewedShares{ 15, 3, 3, 5, 4, 3, 4, 3, 60 };
+
 std::uint64_t partHash(WorkKind kind, std::uint64_t level, std::uint64_t number)
 {
   return (static_cast<std::uint64_t>(kind) << 56U) + (level << 48U) + number;
@@ -71,7 +76,8 @@
   {
     Time now{ 1 };
     while (true) {
-      const double rate = traits_.perSecond * rateFactor(scenario_, kind_, now);
+      const double base = isSkewed() ? traits_.skewedPerSecond : traits_.perSecond;
+      const double rate = base * rateFactor(scenario_, kind_, now);
       const double gap = -std::log(1 - random_.unit()) / rate;
       now = now + Duration(static_cast<std::int64_t>(gap * 1e6) + 1);
       if (now.micros >= kDispatchRun.count()) {
@@ -87,7 +93,7 @@
     DispatchRequest request;
     request.kind = kind_;
     request.arrival = now;
-    request.entry = random_.below(entries_);
+    request.entry = drawEntry();
     auto& work = request.work;
     work.service = ServiceName(kind_ == WorkKind::plain ? "plain" : "model");
     work.model = ModelName("m");
@@ -117,9 +123,7 @@
     const auto subject = drawSubject();
     const auto width = traits_.largestSubject - traits_.smallestSubject + 1;
     const auto tokens = traits_.smallestSubject + static_cast<std::int64_t>(subject * 7919) % width;
-    const auto own =
-      traits_.ownTokens / 2 +
-      static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(traits_.ownTokens)));
+    const auto own = drawOwn();
     work.parts = {
       { partHash(kind_, 0, subject % static_cast<std::uint64_t>(traits_.commons)),
         traits_.commonTokens },
@@ -131,6 +135,36 @@
     }
   }
 
+  [[nodiscard]] bool isSkewed() const { return scenario_ == DispatchScenario::skewed; }
+
+  std::size_t drawEntry()
+  {
+    if (!isSkewed()) {
+      return random_.below(entries_);
+    }
+    auto at = static_cast<int>(random_.below(100));
+    std::size_t entry = 0;
+    while (at >= kSkewedShares.at(entry)) {
+      at -= kSkewedShares.at(entry);
+      ++entry;
+    }
+    return entry;
+  }
+
+  std::int64_t drawOwn()
+  {
+    if (!isSkewed()) {
+      return traits_.ownTokens / 2 + static_cast<std::int64_t>(random_.below(
+                                       static_cast<std::uint64_t>(traits_.ownTokens)));
+    }
+    const double radius = std::sqrt(-2 * std::log(1 - random_.unit()));
+    const double normal = radius * std::cos(2 * std::numbers::pi * random_.unit());
+    const double sigma = traits_.ownSigma;
+    const double median = static_cast<double>(traits_.ownTokens) * std::exp(-sigma * sigma / 2);
+    const auto tokens = static_cast<std::int64_t>(median * std::exp(sigma * normal));
+    return std::clamp<std::int64_t>(tokens, 1, traits_.largestOwn);
+  }
+
   std::uint64_t drawSubject()
   {
     if (scenario_ == DispatchScenario::hotSubject && kind_ == WorkKind::guide &&
@@ -169,6 +203,8 @@
       return "dark";
     case DispatchScenario::crash:
       return "crash";
+    case DispatchScenario::skewed:
+      return "skewed";
     case DispatchScenario::plainShed:
       break;
   }
--- a/tools/figchute-measure/DispatchWorkload.h
+++ b/tools/figchute-measure/DispatchWorkload.h
@@ -40,6 +40,9 @@
   crash,
   /** Plain calls fill most of the slots of their endpoints. */
   plainShed,
+  /** One of nine entry processes gets 60% of the requests, and prompts have the measured spread of
+      sizes: 18 engines in four zones. */
+  skewed,
 };
 
 /** Returns the name used in rows. */
@@ -62,6 +65,11 @@
   std::int64_t smallestSubject = 0;
   std::int64_t largestSubject = 0;
   std::int64_t ownTokens = 0;
+  /** In the scenario skewed: requests per second, and the spread and the largest value of the own
+      tokens, which have a log-normal distribution there. */
+  double skewedPerSecond = 0;
+  double ownSigma = 0;
+  std::int64_t largestOwn = 0;
 };
 
 /** Returns the traits of a kind. */
--- a/tools/figchute-measure/KvEngine.cpp
+++ b/tools/figchute-measure/KvEngine.cpp
@@ -9,10 +9,10 @@
 constexpr std::int64_t kBlock = 16;
 constexpr std::int64_t kChunk = 4096;
 constexpr std::size_t kQueuePerSlot = 3;
-constexpr double kTokensPerMilli = 61;
+constexpr double kTokensPerMilli = 61.2;
 constexpr double kAttentionMillis = 0.324e-6;
 constexpr double kStepMillis = 3.37;
-constexpr double kMillisPerRequest = 0.011;
+constexpr double kMillisPerRequest = 0.0109;
 constexpr double kMillisPerContextToken = 0.0034e-3;
 
 std::int64_t blocks(std::int64_t tokens)
