dispatch: engines for long prompts, small subjects in other zones

Cause: a prompt of more than 22,000 tokens stops all streams of its engine for half a second, wherever it is read, and a process with most of the traffic sent all small subjects to the engines of its own zone.

Change: a sixth of the engines, the same on all processes, takes the prompts with more than 300 ms of own reading; other requests avoid them once the process has seen such a prompt. A process that gets more than its zone's share of the requests gives the rest of its small subjects a place in other zones. A subject leaves its home at a queue of 100 ms, not 200, and has eight engines to go to, not four.

--- a/modules/dispatch/Candidate.h
+++ b/modules/dispatch/Candidate.h
@@ -19,8 +19,11 @@
   Duration expected{};
   /** Time to the first token. */
   Duration predicted{};
-  /** Wait that failures of late and warming up count for in the choice. */
+  /** Wait that failures of late, warming up and being kept for long prompts count for in the
+      choice. */
   Duration penalty{};
+  /** Long prompts go there and other requests stay away. */
+  bool forLong = false;
 };
 
 } // namespace figchute::dispatch
--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -44,6 +44,9 @@
 
 constexpr Duration kInitialServiceTime = std::chrono::milliseconds(500);
 constexpr double kServiceTimeSmoothing = 0.05;
+/** Loads vary by the request; the share of the traffic changes within minutes. */
+constexpr double kShareSmoothing = 0.02;
+constexpr double kLeastShare = 0.01;
 constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(2);
 
@@ -54,6 +57,9 @@
   RepeatBudget repeats;
   /** Mean time from send to end of answered requests. */
   Duration serviceTime = kInitialServiceTime;
+  /** Part of the running requests of all processes that are this process's; 0 before the first
+      request. */
+  double share = 0;
 };
 
 } // namespace
@@ -75,7 +81,7 @@
       const auto known = services_.find(service.name);
       auto state =
         known == services_.end()
-          ? ServiceState{ service, RepeatBudget(settings_.repeatWindow), kInitialServiceTime }
+          ? ServiceState{ service, RepeatBudget(settings_.repeatWindow), kInitialServiceTime, 0 }
           : known->second;
       state.settings = service;
       next.emplace(service.name, std::move(state));
@@ -255,6 +261,26 @@
     return std::nullopt;
   }
 
+  /** Updates and returns the part of the running requests of all processes that are this
+      process's. */
+  double shareOf(ServiceState& service, const Work& work)
+  {
+    double own = 0;
+    double all = 0;
+    for (const auto place : endpoints_.ofService(work.service)) {
+      const auto& endpoint = *endpoints_.find(place);
+      own += endpoint.load.own();
+      all += endpoint.load.current();
+    }
+    if (service.share <= 0) {
+      service.share = 1.0 / static_cast<double>(peers_);
+    }
+    if (all > 0) {
+      service.share += kShareSmoothing * (own / all - service.share);
+    }
+    return std::max(service.share, kLeastShare);
+  }
+
   [[nodiscard]] std::size_t connectionShare(const ServiceState& service) const
   {
     const auto all = static_cast<std::size_t>(std::max(service.settings.maxConnections, 1));
@@ -328,7 +354,7 @@
   {
     const auto keys = prefixKeys(work);
     const EngineContext context{
-      now, service.settings.engine->kvCapacity, service.serviceTime, peers_
+      now, service.settings.engine->kvCapacity, service.serviceTime, peers_, shareOf(service, work)
     };
     if (auto trial = trialFor(now, work, service, excluded)) {
       EngineChoice::predict(context, work, keys, *trial);
--- a/modules/dispatch/EngineChoice.cpp
+++ b/modules/dispatch/EngineChoice.cpp
@@ -9,17 +9,23 @@
 constexpr double kStayPart = 0.6;
 /** It also leaves an engine with a longer queue of prompts: half a second of reading without a
    break makes a pause of half a second in all streams there. */
-constexpr Duration kLongestQueue = std::chrono::milliseconds(200);
+constexpr Duration kLongestQueue = std::chrono::milliseconds(100);
 /** The first engine of a subject goes before the others by this much. */
 constexpr Duration kFirstHome = std::chrono::milliseconds(100);
 /** When no engine at home has room, a subject may use this many engines; more of them would read
    its shared parts without need. */
-constexpr std::size_t kFallbacks = 4;
+constexpr std::size_t kFallbacks = 8;
 /** Reading shared parts on one more engine takes its time from all requests there, and more of it
     later, because it evicts other parts. */
 constexpr int kRereadFactor = 2;
 /** Another zone must be faster by this much. */
 constexpr Duration kOwnZone = std::chrono::milliseconds(60);
+/** A process that gets more than its zone's share of the requests must not fill the engines there:
+   with 60% of the requests at one process and 22% of the engines in its zone, 6% of the chats
+   paused. Requests that keep the engines of the zone busy for less than this part of the time are
+   no burden. */
+constexpr double kQuietPart = 0.1;
+constexpr double kLeastReading = 1e-3;
 /** Wait that a failure costs: the request has to be repeated or is lost. */
 constexpr double kFailureMicros = 3e6;
 
@@ -71,8 +77,16 @@
 std::size_t EngineChoice::pick(const EngineContext& context,
                                const Work& work,
                                std::span<const Fingerprint> keys,
-                               std::span<const Candidate> candidates)
+                               std::span<Candidate> candidates)
 {
+  const bool isLong = LongPromptEngines::isLong(work, keys);
+  longPrompts_.mark(context.now, isLong, candidates);
+  readings_.add(context.now, static_cast<double>(candidates.front().reading.count()) * 1e-6);
+  if (isLong) {
+    if (const auto chosen = pickForLong(work, candidates)) {
+      return *chosen;
+    }
+  }
   if (const auto subject = subjectOf(work, keys)) {
     if (const auto chosen = pickForSubject(context, work, *subject, candidates)) {
       return *chosen;
@@ -85,6 +99,39 @@
   return static_cast<std::size_t>(best - candidates.begin());
 }
 
+std::optional<std::size_t> EngineChoice::pickForLong(const Work& work,
+                                                     std::span<const Candidate> candidates)
+{
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].forLong && (!best || cost(candidates[i]) < cost(candidates[*best]))) {
+      best = i;
+    }
+  }
+  if (best && candidates[*best].predicted + candidates[*best].penalty > work.target) {
+    return std::nullopt;
+  }
+  return best;
+}
+
+double EngineChoice::ownZonePart(const EngineContext& context,
+                                 std::span<const Candidate> candidates) const
+{
+  double all = 0;
+  double own = 0;
+  double ownEngines = 0;
+  for (const auto& candidate : candidates) {
+    const double slots = candidate.endpoint->slots;
+    all += slots;
+    own += candidate.ownZone ? slots : 0;
+    ownEngines += candidate.ownZone ? 1 : 0;
+  }
+  const double fair = own / all / context.share;
+  const double quiet =
+    kQuietPart * ownEngines / std::max(readings_.perSecond(context.now), kLeastReading);
+  return std::max(fair, quiet);
+}
+
 std::optional<std::size_t> EngineChoice::pickForSubject(const EngineContext& context,
                                                         const Work& work,
                                                         const Subject& subject,
@@ -96,7 +143,7 @@
   for (const auto& candidate : candidates) {
     endpoints.push_back(candidate.endpoint);
   }
-  const auto order = placementOrder(subject, endpoints, zone_);
+  const auto order = placementOrder(subject, endpoints, zone_, ownZonePart(context, candidates));
   const auto homes =
     std::min(rates_.homes(context.now, subject.key, context.processes), order.size());
   std::optional<std::size_t> best;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -215,6 +215,56 @@
   }
 }
 
+TEST_CASE_FIXTURE(Fixture, "smallSubjects_mostTrafficHere_useOtherZonesToo")
+{
+  // Guards against a process that fills the engines of its zone with prompts while others idle.
+  dispatcher->setPeers(9);
+  std::map<char, int> zones;
+  std::vector<std::uint64_t> open;
+  for (std::uint64_t i = 0; i < 3'000; ++i) {
+    auto request = work(kModel);
+    request.parts = { { 1, 168 }, { i % 100 + 10, 400 }, { 1'000'000 + request.id, 1'800 } };
+    request.promptTokens = 2'368;
+    const auto choice = dispatcher->choose(now, request, {});
+    REQUIRE(choice);
+    dispatcher->firstByte(now, request.id);
+    now = now + 20ms;
+    if (i >= 2'000) {
+      ++zones[choice->endpoint.value[1]];
+    }
+    // Ten requests run at a time; there is no load but that of this process.
+    open.push_back(request.id);
+    if (open.size() > 10) {
+      dispatcher->finished(now, open.front(), Outcome::answered);
+      dispatcher->forget(open.front());
+      open.erase(open.begin());
+    }
+  }
+  CHECK(zones['a'] > 250);
+  CHECK(zones['b'] > 250);
+}
+
+TEST_CASE_FIXTURE(Fixture, "longPrompts_seen_leaveOtherEnginesFree")
+{
+  // Guards against pauses of all streams of an engine while it reads a prompt of many chunks.
+  endpoints.clear();
+  for (int i = 0; i < 12; ++i) {
+    endpoints.push_back(record("m" + std::to_string(i), kModel, i % 2 == 0 ? "a" : "b"));
+  }
+  dispatcher->setEndpoints(now, endpoints);
+  std::set<std::string> withLong;
+  for (std::uint64_t subject = 0; subject < 40; ++subject) {
+    auto request = guide(subject);
+    request.parts.back().tokens = 40'000;
+    request.promptTokens = 45'400;
+    withLong.insert(run(request));
+  }
+  CHECK(withLong.size() <= 2);
+  for (std::uint64_t subject = 0; subject < 100; ++subject) {
+    CHECK(!withLong.contains(run(guide(subject))));
+  }
+}
+
 TEST_CASE_FIXTURE(Fixture, "subject_homeSlow_movesAndComesBack")
 {
   // Guards against staying at an engine whose first tokens come after the target.
