router: continue broken streams elsewhere, leave stalled endpoints early

Dispatcher::takeStalled() was not used, so a request that may run again waited for three times its target.

Ruled out: joining by byte counts. Endpoints write their own data, so only the ids of whole events are comparable. Also ruled out: cancelling a stalled call before another endpoint is known; with the repeat budget used up that turns a late answer into none.

After a break the request is sent to another endpoint with Last-Event-Id; the head of the second answer is not relayed, and an answer that is not a marked 2xx or does not begin with the next id is never joined. The entry's timer hands stalled requests to their exchanges, which choose another endpoint, close the old connection and send again: at once before the first event, 400 ms later after it, since a cancelled endpoint needs that long to stop. Both changes are one commit because they move a request by the same function.

A stream is still aborted when no endpoint, attempt or repeat budget is left.

--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -32,6 +32,8 @@
   std::string notExecuted = "X-Not-Run";
   /** Load of the endpoint: running, waiting and slots, separated by commas. */
   std::string load = "X-Endpoint-Load";
+  /** The id of the last event that the caller has, for an endpoint that continues a stream. */
+  std::string lastEventId = "Last-Event-Id";
   /** Fields that only the router may set; removed from callers' requests. */
   std::vector<std::string> reserved;
 };
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -96,6 +96,12 @@
 void EntryRole::onTimer()
 {
   const Time now = bootTime();
+  dispatcher_.tick(now);
+  for (const auto id : dispatcher_.takeStalled()) {
+    if (const auto found = exchanges_.find(id); found != exchanges_.end()) {
+      found->second->stalled();
+    }
+  }
   std::vector<std::shared_ptr<Exchange>> open;
   open.reserve(exchanges_.size());
   for (const auto& [id, exchange] : exchanges_) {
@@ -104,7 +110,6 @@
   for (const auto& exchange : open) {
     exchange->sweep(now);
   }
-  dispatcher_.tick(now);
   if (stopping_ && now - stopStartedAt_ > kServeAfterStop) {
     // New connections are accepted to the end: while most processes of a zone stop, the load
     // balancer sends connections to those that are not ready as well.
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fmt/format.h>
+#include <utility>
 #include <xxhash.h>
 
 namespace figchute::router {
@@ -24,6 +25,12 @@
 /** A repeatable request without an answer is sent elsewhere after this multiple of its target. */
 constexpr int kStallTargets = 3;
 constexpr Duration kMinStall = std::chrono::milliseconds(250);
+/** An endpoint whose connection was closed under a request needs up to this time to stop it. */
+constexpr Duration kStopTime = std::chrono::milliseconds(400);
+/** How long a call that was paused for a slow caller may stay silent after that. */
+constexpr Duration kQuietAfterPause = std::chrono::milliseconds(1200);
+/** Time between two tries to send a stalled request elsewhere. */
+constexpr Duration kMoveInterval = std::chrono::milliseconds(200);
 
 std::optional<std::int64_t> parseInteger(std::string_view text)
 {
@@ -75,6 +82,16 @@
   return XXH3_64bits_withSeed(body.data(), body.size(), withCaller);
 }
 
+/** Returns whether the body of an answer may be events that another answer can continue. A length
+    would have to fit the bodies of both. */
+bool isEventStream(const http::ResponseHead& head)
+{
+  const auto type = head.fields.get("Content-Type");
+  return head.status / 100 == 2 && !head.length &&
+         head.fields.find("Content-Encoding") == nullptr &&
+         (type.empty() || type.starts_with("text/event-stream"));
+}
+
 std::int64_t millis(Duration duration)
 {
   return duration.count() / 1000;
@@ -123,7 +140,8 @@
   limit_ = now + std::chrono::seconds(30);
   request_->onGone([this] { callerGone(); });
   request_->onWritable([this] {
-    if (call_) {
+    if (call_ && std::exchange(paused_, false)) {
+      moveAt_ = bootTime() + kQuietAfterPause;
       call_->resume();
     }
   });
@@ -259,7 +277,7 @@
   return sends_ < work_.maxAttempts && (!mayHaveRun_ || mayRunAgain());
 }
 
-void Exchange::sendNext(Time now)
+void Exchange::sendNext(Time now, Duration pause)
 {
   stage_ = Stage::waitingForHead;
   const auto choice = services_.dispatcher.choose(now, work_, tried_);
@@ -268,25 +286,44 @@
     refuse(now, choice.error());
     return;
   }
-  const auto address = parseEndpoint(choice->address);
+  take(now, *choice, pause);
+}
+
+void Exchange::take(Time now, const dispatch::Choice& choice, Duration pause)
+{
+  stage_ = Stage::waitingForHead;
+  choice_ = choice;
+  endpoint_ = choice_.endpoint;
+  tried_.push_back(endpoint_);
+  if (pause > Duration{ 0 }) {
+    sendAt_ = now + pause;
+  } else {
+    startSend(now);
+  }
+}
+
+void Exchange::startSend(Time now)
+{
+  sendAt_.reset();
+  const auto address = parseEndpoint(choice_.address);
   if (!address) {
     services_.dispatcher.finished(now, id_, dispatch::Outcome::notConnected);
     refuse(now, dispatch::Refusal{ ErrorKind::noEndpoint, std::chrono::milliseconds(200), "" });
     return;
   }
-  endpoint_ = choice->endpoint;
-  address_ = choice->address;
-  tried_.push_back(endpoint_);
   sent_ = false;
+  answering_ = false;
+  stalled_ = false;
+  paused_ = false;
   sendStartedAt_ = now;
   http::CallOptions options;
   const auto connectLimit = std::min<Duration>(std::chrono::milliseconds(500), (limit_ - now) / 2);
   options.connectTimeout = std::max<Duration>(connectLimit, std::chrono::milliseconds(50));
   options.correlationName = services_.dialect.fields().requestId;
   options.correlationValue = requestId_;
-  options.maxConnections = choice->maxConnections;
+  options.maxConnections = choice_.maxConnections;
   call_ = services_.pool.start(
-    *address, forwardedHead(now, *choice), request_->body(), std::move(options), *this);
+    *address, forwardedHead(now, choice_), request_->body(), std::move(options), *this);
 }
 
 http::RequestHead Exchange::forwardedHead(Time now, const dispatch::Choice& choice) const
@@ -307,6 +344,9 @@
   if (modelService_) {
     head.fields.set(names.priority, std::to_string(work_.priority));
   }
+  if (const auto lastId = eventRelay_.lastId(); lastId && answerStarted()) {
+    head.fields.set(names.lastEventId, std::to_string(*lastId));
+  }
   head.fields.set(names.expectEndpoint, choice.endpoint.value);
   head.fields.set(names.deadlineMs,
                   std::to_string(std::max<std::int64_t>(1, millis(limit_ - now))));
@@ -339,6 +379,10 @@
     return;
   }
   mayHaveRun_ = mayHaveRun_ || !notExecuted;
+  if (answerStarted()) {
+    joinAnswer(now, head, marked);
+    return;
+  }
   if (!notExecuted && (promisesNotRun(head.status) || (!marked && head.status < 400))) {
     failedSend(
       now, dispatch::Outcome::malformed, true, fmt::format("unmarked status {}", head.status));
@@ -356,6 +400,7 @@
   const Time now = bootTime();
   stage_ = Stage::relaying;
   status_ = head.status;
+  byEvent_ = mayRunAgain() && work_.kind == fleet::RouteKind::stream && isEventStream(head);
   // A model engine answers with its head before it has read the prompt; its first event counts.
   if (!modelService_ || head.status >= 300) {
     noteFirstByte(now);
@@ -363,14 +408,41 @@
   request_->start(head);
 }
 
-void Exchange::noteFirstByte(Time now)
+void Exchange::joinAnswer(Time now, const http::ResponseHead& head, bool marked)
 {
-  if (firstByteAt_.micros > 0) {
+  const bool plain = head.fields.find("Content-Encoding") == nullptr;
+  if (!marked || head.status / 100 != 2 || !plain) {
+    const auto outcome =
+      head.status >= 500 ? dispatch::Outcome::serverError : dispatch::Outcome::malformed;
+    const auto detail = fmt::format("status {} does not continue the stream", head.status);
+    call_->cancel();
+    finishSend(now, outcome);
+    logFailedSend(now, outcome, detail);
+    cut(now, detail);
     return;
   }
-  firstByteAt_ = now;
-  services_.dispatcher.firstByte(now, id_);
-  services_.metrics.record("first_byte", now - arrival_);
+  stage_ = Stage::relaying;
+  eventRelay_.continueStream();
+  services_.metrics.count("streams_continued");
+  services_.log.line(now,
+                     "stream_continued",
+                     { { "request", requestId_ },
+                       { "endpoint", endpoint_.value },
+                       { "last_event", std::to_string(eventRelay_.lastId().value_or(0)) } });
+  if (!modelService_) {
+    noteFirstByte(now);
+  }
+}
+
+void Exchange::noteFirstByte(Time now)
+{
+  if (!std::exchange(answering_, true)) {
+    services_.dispatcher.firstByte(now, id_);
+  }
+  if (firstByteAt_.micros == 0) {
+    firstByteAt_ = now;
+    services_.metrics.record("first_byte", now - arrival_);
+  }
 }
 
 void Exchange::onBody(std::string_view bytes)
@@ -378,27 +450,77 @@
   if (stage_ != Stage::relaying) {
     return;
   }
-  deliveredBytes_ += static_cast<std::int64_t>(bytes.size());
-  if (modelService_ && status_ < 300) {
-    const auto tokens = events_.feed(bytes) * stride_;
-    deliveredTokens_ += tokens;
-    if (tokens > 0) {
-      noteFirstByte(bootTime());
-      services_.dispatcher.progress(bootTime(), id_, tokens);
+  stalled_ = false;
+  if (byEvent_) {
+    if (!relayEvents(bytes)) {
+      return;
+    }
+  } else {
+    if (modelService_ && status_ < 300) {
+      noteProgress(events_.feed(bytes));
     }
+    relay(bytes);
   }
-  request_->write(bytes);
-  if (stage_ == Stage::relaying && request_->pendingBytes() > kMaxPendingBytes) {
+  if (request_->pendingBytes() > kMaxPendingBytes) {
+    paused_ = true;
     call_->pause();
   }
 }
 
+bool Exchange::relayEvents(std::string_view bytes)
+{
+  const auto part = eventRelay_.feed(bytes);
+  noteProgress(part.events);
+  relay(part.held);
+  relay(part.rest);
+  if (part.sound) {
+    return true;
+  }
+  const Time now = bootTime();
+  call_->cancel();
+  finishSend(now, dispatch::Outcome::malformed);
+  cut(now, "the second answer does not continue the stream");
+  return false;
+}
+
+void Exchange::relay(std::string_view bytes)
+{
+  if (bytes.empty()) {
+    return;
+  }
+  deliveredBytes_ += static_cast<std::int64_t>(bytes.size());
+  request_->write(bytes);
+}
+
+void Exchange::noteProgress(std::int64_t events)
+{
+  if (events == 0) {
+    return;
+  }
+  const Time now = bootTime();
+  const auto tokens = events * stride_;
+  if (modelService_) {
+    deliveredTokens_ += tokens;
+  }
+  noteFirstByte(now);
+  services_.dispatcher.progress(now, id_, tokens);
+}
+
 void Exchange::onComplete()
 {
   if (stage_ != Stage::relaying) {
     return;
   }
   const Time now = bootTime();
+  if (byEvent_) {
+    const auto rest = eventRelay_.finish();
+    if (!rest) {
+      finishSend(now, dispatch::Outcome::malformed);
+      cut(now, "the second answer does not continue the stream");
+      return;
+    }
+    relay(*rest);
+  }
   finishSend(now, status_ >= 500 ? dispatch::Outcome::serverError : dispatch::Outcome::answered);
   request_->finish();
   end(now, "answered", status_, "");
@@ -417,7 +539,7 @@
   }
   const auto detail =
     fmt::format("{}{}", toString(failure.kind), failure.reused ? " on a kept connection" : "");
-  if (stage_ == Stage::relaying) {
+  if (stage_ == Stage::relaying && !canContinue()) {
     finishSend(now, outcome);
     cut(now, detail);
     return;
@@ -426,6 +548,11 @@
   failedSend(now, outcome, failure.sent, detail);
 }
 
+bool Exchange::canContinue() const
+{
+  return byEvent_ && eventRelay_.canContinue();
+}
+
 void Exchange::finishSend(Time now, dispatch::Outcome outcome)
 {
   services_.dispatcher.finished(now, id_, outcome);
@@ -441,19 +568,17 @@
     call_->cancel();
   }
   finishSend(now, outcome);
-  services_.log.line(now,
-                     "send_failed",
-                     { { "request", requestId_ },
-                       { "endpoint", endpoint_.value },
-                       { "outcome", std::string(dispatch::toString(outcome)) },
-                       { "detail", detail },
-                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+  logFailedSend(now, outcome, detail);
   const bool unsent = outcome == dispatch::Outcome::notConnected;
   const bool again = unsent
                        ? ++connectFailures_ < kMaxConnectFailures && (!mayHaveRun_ || mayRunAgain())
                        : mayRepeat();
-  if (again && now < limit_) {
-    sendNext(now);
+  // The endpoint of a connection that broke has stopped, but after bytes that are no answer it was
+  // this side that closed the connection.
+  const bool mayRun = outcome == dispatch::Outcome::malformed && answerStarted();
+  const Duration pause = mayRun ? kStopTime : Duration{ 0 };
+  if (again && now + pause < limit_) {
+    sendNext(now, pause);
     return;
   }
   if (mayHaveRun_ || mayHaveRun) {
@@ -464,6 +589,17 @@
     now, Error{ ErrorKind::overloaded, "no endpoint took it" }, std::chrono::milliseconds(100));
 }
 
+void Exchange::logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail)
+{
+  services_.log.line(now,
+                     "send_failed",
+                     { { "request", requestId_ },
+                       { "endpoint", endpoint_.value },
+                       { "outcome", std::string(dispatch::toString(outcome)) },
+                       { "detail", detail },
+                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+}
+
 void Exchange::refuse(Time now, const dispatch::Refusal& refusal)
 {
   if (mayHaveRun_) {
@@ -494,14 +630,41 @@
     }
     return;
   }
+  if (sendAt_) {
+    if (now >= *sendAt_) {
+      startSend(now);
+    }
+    return;
+  }
   const auto stall = std::max<Duration>(kMinStall, work_.target * kStallTargets);
-  if (stage_ == Stage::waitingForHead && call_ && sent_ && mayRunAgain() &&
-      sends_ < work_.maxAttempts && now - sendStartedAt_ > stall) {
-    mayHaveRun_ = true;
-    failedSend(now, dispatch::Outcome::timedOut, true, "no answer after several targets");
+  const bool silent = stage_ == Stage::waitingForHead && now - sendStartedAt_ > stall;
+  if (call_ && sent_ && !paused_ && (stalled_ || silent) && now >= moveAt_) {
+    moveElsewhere(now);
   }
 }
 
+void Exchange::moveElsewhere(Time now)
+{
+  const bool possible = stage_ == Stage::relaying ? canContinue() : mayRunAgain();
+  const Duration pause = eventRelay_.lastId() ? kStopTime : Duration{ 0 };
+  if (!possible || sends_ >= work_.maxAttempts || now + pause >= limit_) {
+    return;
+  }
+  constexpr auto kOutcome = dispatch::Outcome::timedOut;
+  services_.dispatcher.finished(now, id_, kOutcome);
+  const auto choice = services_.dispatcher.choose(now, work_, tried_);
+  if (!choice) {
+    // The endpoint may still answer.
+    moveAt_ = now + kMoveInterval;
+    return;
+  }
+  mayHaveRun_ = true;
+  call_->cancel();
+  call_.reset();
+  logFailedSend(now, kOutcome, "no sign of life");
+  take(now, *choice, pause);
+}
+
 void Exchange::callerGone()
 {
   if (stage_ == Stage::ended) {
@@ -524,6 +687,10 @@
 
 void Exchange::answerError(Time now, const Error& error, Duration retryAfter)
 {
+  if (answerStarted()) {
+    cut(now, error.detail);
+    return;
+  }
   const auto status =
     router::answerError(*request_, error, std::min(retryAfter, (limit_ - now) / 3));
   end(now, errorTraits(error.kind).name, status, error.detail);
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -7,11 +7,13 @@
 #include "ledger/ledger.h"
 #include "router/Dialect.h"
 #include "router/EventCounter.h"
+#include "router/EventRelay.h"
 #include "router/LogWriter.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,7 +42,8 @@
 
 /** One request from its arrival to the end of its answer: route, key, budget, choice of an
    endpoint, call, relay. It decides which status an end may have: 503 and its like promise that no
-   endpoint ran the request. Thread safety: use it on the thread of the event loop only. */
+   endpoint ran the request. A stream of a resumable route that breaks is continued at another
+   endpoint within the same answer. Thread safety: use it on the thread of the event loop only. */
 class Exchange final
   : public http::CallListener
   , public std::enable_shared_from_this<Exchange>
@@ -66,6 +69,10 @@
   /** Takes the wallet's decision on a request that waited for a grant. */
   void decided(Time now, const ledger::Decision& decision);
 
+  /** Takes the dispatcher's verdict that the endpoint gives no sign of life. The next sweep() sends
+      a request that may run again elsewhere, and continues a stream that can be continued. */
+  void stalled() { stalled_ = true; }
+
   /** Applies the time limits. Call it about every 50 ms. */
   void sweep(Time now);
 
@@ -89,18 +96,28 @@
   Expected<void> authenticate(const fleet::Route& route);
   Expected<void> describeWork(Time now, const fleet::Route& route);
   void reserve(Time now);
-  void sendNext(Time now);
+  void sendNext(Time now, Duration pause = Duration{ 0 });
+  void take(Time now, const dispatch::Choice& choice, Duration pause);
+  void startSend(Time now);
   http::RequestHead forwardedHead(Time now, const dispatch::Choice& choice) const;
   [[nodiscard]] bool mayRepeat() const;
   [[nodiscard]] bool mayRunAgain() const;
   void failedSend(Time now, dispatch::Outcome outcome, bool sent, const std::string& detail);
   void finishSend(Time now, dispatch::Outcome outcome);
+  void logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail);
+  void moveElsewhere(Time now);
   void refuse(Time now, const dispatch::Refusal& refusal);
   void answerError(Time now, const Error& error, Duration retryAfter);
   void cut(Time now, std::string_view outcome);
   void callerGone();
   void startRelay(const http::ResponseHead& head);
+  void joinAnswer(Time now, const http::ResponseHead& head, bool marked);
+  bool relayEvents(std::string_view bytes);
+  void relay(std::string_view bytes);
+  void noteProgress(std::int64_t events);
   void noteFirstByte(Time now);
+  [[nodiscard]] bool answerStarted() const { return status_ != 0; }
+  [[nodiscard]] bool canContinue() const;
   void bill(Time now);
   void end(Time now, std::string_view outcome, int status, std::string_view detail);
 
@@ -127,17 +144,32 @@
   std::shared_ptr<http::Call> call_;
   std::vector<EndpointId> tried_;
   EndpointId endpoint_;
-  std::string address_;
   Time sendStartedAt_;
   bool sent_ = false;
+  /** Nothing came from the endpoint of the current send for too long. */
+  bool stalled_ = false;
+  /** The endpoint is not read because the caller is slow. */
+  bool paused_ = false;
+  /** No further endpoint is looked for before this time. */
+  Time moveAt_;
   /** A send of the request reached an endpoint that did not say that it did not run it. */
   bool mayHaveRun_ = false;
   int sends_ = 0;
   int connectFailures_ = 0;
+  /** Where the next send goes. */
+  dispatch::Choice choice_;
+  /** When the next send starts; set while it waits for an earlier endpoint to stop. */
+  std::optional<Time> sendAt_;
+  /** The answer is relayed by whole events, so that another endpoint can continue it. */
+  bool byEvent_ = false;
+  EventRelay eventRelay_;
   EventCounter events_;
   std::int64_t deliveredTokens_ = 0;
   std::int64_t deliveredBytes_ = 0;
   Time firstByteAt_;
+  /** The dispatcher knows that the current send is answered. */
+  bool answering_ = false;
+  /** The status of the answer once its head was relayed. */
   int status_ = 0;
 };
 
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -84,8 +84,14 @@
 
 class Endpoint:
     """A stand-in endpoint. It records what it ran and follows the instructions in a request's path:
-    /fail/ answers 500, /refuse/ answers 503 as not run, /hang/ never answers, /cut/ closes before the
-    body is complete, /unmarked/ leaves the answer mark out."""
+    /fail/ answers 500, /refuse/ answers 503 as not run, /hang/ never answers, /cut/ closes before
+    the body is complete, /crash/ ends the endpoint, /unmarked/ leaves the answer mark out.
+
+    The first run of a request is disturbed by /dead/ (it closes before the answer) and /mute/ (a
+    stream falls silent after its head, a plain request is not answered), and that of a stream in the
+    middle of event 3 by /break/ (it closes), /garble/ (bytes that are no chunk) and /stall/ (it
+    falls silent). The second run of a stream is wrong with /gap/ (an event is left out), /denied/
+    (status 500) and /strange/ (no answer mark)."""
 
     def __init__(self, fleet, name, service, ip, events=5):
         self.fleet = fleet
@@ -94,16 +100,22 @@
         self.events = events
         self.runs = []
         self.left_early = 0
+        self.left_at = 0
         self.state = "ready"
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.announcing = True
         self.lock = threading.Lock()
+        self.connections = []
         endpoint = self
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self):
+                endpoint.connections.append(self.request)
+                super().setup()
+
             def log_message(self, *_arguments):
                 pass
 
@@ -157,6 +169,17 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def crash(self):
+        """Ends the endpoint with all its connections, as a killed process does."""
+        self.announcing = False
+        self.server.socket.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self.server.shutdown, daemon=True).start()
+        for connection in self.connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def serve(self, handler):
         length = int(handler.headers.get("Content-Length") or 0)
         body = handler.rfile.read(length) if length else b""
@@ -170,7 +193,8 @@
             self.answer(handler, 503, b"", {"X-Not-Run": "1"})
             return
         with self.lock:
-            self.runs.append({"id": handler.headers.get("X-Request-Id"), "path": handler.path,
+            self.runs.append({"at": time.monotonic(),
+                              "id": handler.headers.get("X-Request-Id"), "path": handler.path,
                               "method": handler.command, "body": body,
                               "headers": {k.lower(): v for k, v in handler.headers.items()}})
         self.run(handler, body)
@@ -178,15 +202,25 @@
     def run(self, handler, body):
         marks = {"X-Endpoint-Answer": f"{self.name}.{len(self.runs)}",
                  "X-Endpoint-Load": "1,0,8"}
-        if "/unmarked/" in handler.path:
+        request_id = handler.headers.get("X-Request-Id")
+        with self.fleet.lock:
+            first_run = request_id not in self.fleet.seen
+            self.fleet.seen.add(request_id)
+        if "/unmarked/" in handler.path or (not first_run and "/strange/" in handler.path):
             marks = {}
-        if "/hang/" in handler.path:
+        if "/crash/" in handler.path:
+            handler.close_connection = True
+            self.crash()
+        elif first_run and "/dead/" in handler.path:
+            handler.close_connection = True
+        elif "/hang/" in handler.path or (first_run and "/mute/" in handler.path and
+                                          self.service != "engines"):
             time.sleep(5)
             handler.close_connection = True
-        elif "/fail/" in handler.path:
+        elif "/fail/" in handler.path or (not first_run and "/denied/" in handler.path):
             self.answer(handler, 500, b"failed", marks)
         elif self.service == "engines":
-            self.stream(handler, marks)
+            self.stream(handler, marks, first_run)
         else:
             self.answer(handler, 200, b"done:" + body, marks)
 
@@ -199,7 +233,27 @@
         handler.end_headers()
         handler.wfile.write(body)
 
-    def stream(self, handler, marks):
+    def disturb(self, handler, event):
+        """Ends a first run as its path says. Returns whether it did."""
+        handler.close_connection = True
+        half = b"%x\r\n%s" % (len(event), event[:len(event) // 2])
+        if "/break/" in handler.path:
+            handler.wfile.write(half)
+            handler.connection.shutdown(socket.SHUT_RDWR)
+        elif "/garble/" in handler.path:
+            handler.wfile.write(b"%x\r\n%s\r\nnonsense\r\n" % (len(event) // 2,
+                                                                event[:len(event) // 2]))
+        elif "/stall/" in handler.path:
+            handler.wfile.write(half)
+            handler.connection.settimeout(6)
+            handler.connection.recv(1)
+            self.left_at = time.monotonic()
+        else:
+            handler.close_connection = False
+            return False
+        return True
+
+    def stream(self, handler, marks, first_run):
         handler.send_response(200)
         handler.send_header("X-Request-Id", handler.headers.get("X-Request-Id") or "")
         handler.send_header("Content-Type", "text/event-stream")
@@ -208,13 +262,23 @@
             handler.send_header(name, value)
         handler.end_headers()
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        if not first_run and "/gap/" in handler.path:
+            first += 1
         try:
+            if first_run and "/mute/" in handler.path:
+                handler.close_connection = True
+                handler.connection.settimeout(6)
+                handler.connection.recv(1)
+                self.left_at = time.monotonic()
+                return
             for number in range(first, self.events + 1):
                 if "/cut/" in handler.path and number == 3:
                     handler.close_connection = True
                     handler.connection.shutdown(socket.SHUT_RDWR)
                     return
                 event = f"id: {number}\ndata: {self.name}\n\n".encode()
+                if first_run and number == 3 and self.disturb(handler, event):
+                    return
                 handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
                 handler.wfile.flush()
                 time.sleep(EVENT_GAP_S)
@@ -307,6 +371,8 @@
                         for i in range(entries)]
         self.endpoints = []
         self.requests = 0
+        self.lock = threading.Lock()
+        self.seen = set()
 
     def __enter__(self):
         for daemon in self.controls + self.entries:
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "router/EventCounter.h"
+#include "router/EventRelay.h"
 #include "router/JsonDialect.h"
 #include "router/LogWriter.h"
 #include "router/RouterSettings.h"
@@ -148,6 +149,83 @@
   }
 }
 
+// Guards against a torn event that is relayed, and bytes that are lost or counted twice between
+// parts.
+TEST_CASE("eventRelay_withSplitEvents_relaysWholeOnes")
+{
+  const std::string whole = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n";
+  const std::string stream = whole + "id: 3\ndata: c\n";
+  for (std::size_t size = 1; size <= stream.size(); ++size) {
+    EventRelay relay;
+    std::string relayed;
+    std::int64_t events = 0;
+    for (std::size_t at = 0; at < stream.size(); at += size) {
+      const auto part = relay.feed(std::string_view(stream).substr(at, size));
+      CHECK(part.sound);
+      relayed.append(part.held).append(part.rest);
+      events += part.events;
+    }
+    CHECK(relayed == whole);
+    CHECK(events == 2);
+    CHECK(relay.canContinue());
+    CHECK(relay.lastId() == 2);
+    CHECK(relay.finish() == "id: 3\ndata: c\n");
+  }
+}
+
+// Guards against a second answer that is joined although events are missing or repeated.
+TEST_CASE("eventRelay_withSecondAnswer_joinsTheNextIdOnly")
+{
+  struct Case
+  {
+    std::string second;
+    bool sound;
+    std::string relayed;
+  };
+  const std::vector<Case> cases = {
+    { "id: 3\ndata: c\n\nid: 4\ndata: d\n\n", true, "id: 3\ndata: c\n\nid: 4\ndata: d\n\n" },
+    { "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", false, "" },
+    { "id: 4\ndata: d\n\n", false, "" },
+    { "data: c\n\n", false, "" },
+    { "id: 3x\ndata: c\n\n", false, "" },
+    { "id: 3\ndata: c\n\nid: 5\ndata: e\n\n", false, "id: 3\ndata: c\n\n" },
+  };
+  for (const auto& [second, sound, relayed] : cases) {
+    CAPTURE(second);
+    EventRelay relay;
+    CHECK(relay.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda").events == 2);
+    relay.continueStream();
+    const auto part = relay.feed(second);
+    CHECK(part.sound == sound);
+    CHECK(part.held + std::string(part.rest) == relayed);
+  }
+  EventRelay relay;
+  CHECK(relay.feed("id: 1\ndata: a\n\n").events == 1);
+  relay.continueStream();
+  CHECK(relay.feed("no event").rest.empty());
+  CHECK_FALSE(relay.finish().has_value());
+}
+
+// Guards against memory that grows with an endless event, and a stream that is continued although
+// its ids are unknown or part of an event was relayed.
+TEST_CASE("eventRelay_withOddEvents_passesThemButCannotContinue")
+{
+  for (const std::string event : { "data: a\n\n", "id: x\ndata: a\n\n", "id: 9\ndata: a\n\n" }) {
+    EventRelay relay;
+    CHECK(relay.feed("id: 1\ndata: a\n\n").rest.size() == 15);
+    CHECK(relay.feed(event).rest == event);
+    CHECK_FALSE(relay.canContinue());
+  }
+  EventRelay relay;
+  const std::string half(EventRelay::kMostHeld / 2 + 1, 'x');
+  CHECK(relay.feed(half).rest.empty());
+  const auto part = relay.feed(half);
+  CHECK(part.held == half);
+  CHECK(part.rest == half);
+  CHECK(relay.feed("more").rest == "more");
+  CHECK_FALSE(relay.canContinue());
+}
+
 // Guards against a full pipe that blocks the daemon, and against lines that vanish uncounted.
 TEST_CASE_FIXTURE(PipePair, "logWriter_withFullPipe_dropsAndCounts")
 {
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -137,6 +137,108 @@
             pass
 
 
+def ids_of(answer):
+    return [line[4:] for line in answer.body.split("\n") if line.startswith("id: ")]
+
+
+def request_line(fleet, request_id, entry=0):
+    """Returns the log line of an ended request."""
+    def line():
+        return [text for text in fleet.entries[entry].log().splitlines()
+                if f"event=request request={request_id} " in text]
+    wait_until(line, "the request is logged", 3)
+    return line()[0]
+
+
+def disturbed_streams_are_continued(build):
+    """Guards against a resumable stream that is lost with its endpoint, and against events that are
+    lost, repeated or torn where it is continued."""
+    with Started(build, engines=4) as fleet:
+        for path in ("/chat/break/x", "/chat/garble/x", "/chat/stall/x"):
+            answer = fleet.call("POST", "chat.example", path, path)
+            check(ids_of(answer) == ["1", "2", "3", "4", "5"], f"{path}: {answer.body!r}")
+            check(answer.body.count("\n\n") == 5 and answer.body.count("data: engine") == 5,
+                  f"{path}: all events are whole: {answer.body!r}")
+            runs = sorted(runs_of(fleet, f"r{fleet.requests}"), key=lambda run: run["at"])
+            check(len(runs) == 2, f"{path}: it ran twice")
+            check("last-event-id" not in runs[0]["headers"], "the first run begins at the start")
+            check(runs[1]["headers"].get("last-event-id") == "2", "the second after event 2")
+            check(runs[0]["body"] == runs[1]["body"], "the body is the same")
+            check("output=5" in request_line(fleet, f"r{fleet.requests}"), "5 events are billed")
+        left_at = max(endpoint.left_at for endpoint in fleet.endpoints)
+        check(runs[1]["at"] > left_at + 0.3, "the silent endpoint has time to stop")
+
+
+def stream_without_an_event_is_sent_again(build):
+    """Guards against a stream that stays with an endpoint that fell silent before its first event."""
+    with Started(build, engines=4) as fleet:
+        started_at = time.monotonic()
+        answer = fleet.call("POST", "chat.example", "/chat/mute/x", "b")
+        check(ids_of(answer) == ["1", "2", "3", "4", "5"], f"{answer.body!r}")
+        check(time.monotonic() - started_at < 2.5, "it does not wait for its time-out")
+        runs = runs_of(fleet, f"r{fleet.requests}")
+        check(len(runs) == 2, "it ran twice")
+        check(all("last-event-id" not in run["headers"] for run in runs), "both from the start")
+
+
+def silent_lookup_is_sent_elsewhere_soon(build):
+    """Guards against a lookup that waits several times its target for a silent endpoint, and against
+    a second run of a request that may run once."""
+    with Started(build, apps=4) as fleet:
+        for _ in range(4):
+            check(fleet.call("GET", "app.example", "/look/x").status == 200, "endpoints answer")
+        started_at = time.monotonic()
+        answer = fleet.call("GET", "app.example", "/look/mute/x")
+        took = time.monotonic() - started_at
+        check(answer.status == 200, f"status {answer.status}")
+        check(took < 0.75, f"it does not wait for three times its target of 300 ms: {took}")
+        answer = fleet.call("POST", "app.example", "/book/mute/x", "b")
+        check(answer.status == 504, f"status {answer.status}")
+        check(len(runs_of(fleet, f"r{fleet.requests}")) == 1, "it ran once")
+
+
+def wrong_second_answer_is_not_joined(build):
+    """Guards against an answer that is complete but made of parts that do not fit."""
+    with Started(build, engines=4) as fleet:
+        for path in ("/chat/break/gap/x", "/chat/break/denied/x", "/chat/break/strange/x"):
+            try:
+                answer = fleet.call("POST", "chat.example", path, path)
+                check(False, f"{path}: complete with {answer.status} {answer.body!r}")
+            except http.client.IncompleteRead as error:
+                check(error.partial.count(b"\n\n") == 2, f"{path}: {error.partial!r}")
+                check(b"id: 3" not in error.partial and b"failed" not in error.partial,
+                      f"{path}: nothing of a partial event: {error.partial!r}")
+            except ConnectionError:
+                pass
+            check(len(runs_of(fleet, f"r{fleet.requests}")) == 2, f"{path}: it was tried")
+
+
+def continued_streams_pay_their_prompt_once(build):
+    """Guards against a prompt that is billed for each run of a continued stream."""
+    with Started(build, engines=6) as fleet:
+        statuses = []
+        for index in range(4):
+            answer = fleet.call("POST", "chat.example", "/chat/break/x", f"b{index}",
+                                key="key-south", tokens="95,5")
+            statuses.append(answer.status)
+            check(answer.status != 200 or len(ids_of(answer)) == 5, "it is complete")
+        check(statuses == [200] * 4, f"4 times 100 of 500 tokens are affordable: {statuses}")
+
+
+def caller_leaving_a_continuation_ends_the_work(build):
+    """Guards against a continuation that is sent for a caller who has left."""
+    with Started(build, engines=4) as fleet:
+        with socket.create_connection(fleet.entries[0].callers) as connection:
+            lines = [f"{name}: {value}" for name, value in fleet.headers("chat.example").items()]
+            head = "\r\n".join(["POST /chat/stall/x HTTP/1.1", *lines, "Content-Length: 1", "", "x"])
+            connection.sendall(head.encode())
+            wait_until(lambda: any(endpoint.left_at for endpoint in fleet.endpoints),
+                       "the silent endpoint is left", limit=4)
+        check("outcome=caller_gone" in request_line(fleet, f"r{fleet.requests}"), "it ends")
+        time.sleep(0.6)
+        check(len(runs_of(fleet, f"r{fleet.requests}")) == 1, "no second run")
+
+
 def caller_leaving_ends_the_work(build):
     """Guards against work that goes on for a caller who has left."""
     with Started(build) as fleet:
@@ -305,6 +407,12 @@
     failed_lookup_is_repeated_elsewhere,
     unmarked_success_is_no_success,
     cut_stream_never_looks_complete,
+    disturbed_streams_are_continued,
+    stream_without_an_event_is_sent_again,
+    silent_lookup_is_sent_elsewhere_soon,
+    wrong_second_answer_is_not_joined,
+    continued_streams_pay_their_prompt_once,
+    caller_leaving_a_continuation_ends_the_work,
     caller_leaving_ends_the_work,
     budget_is_never_exceeded,
     configuration_is_in_force_everywhere_and_read_back,
