figchute: trace lists the log lines of a request and what preceded its end

Cause: the walk-throughs from a request id to its cause were chains of grep and sort over all logs, and the state changes around a request had to be looked for by hand, process by process.

Ruled out: two passes over the files, because the standard input cannot be read twice; keeping all state changes, because logs have no bound.

The subcommand trace only opens files and prints.

Before: "unknown subcommand", exit code 1.

--- a/apps/figchute/CommandLine.cpp
+++ b/apps/figchute/CommandLine.cpp
@@ -19,13 +19,15 @@
 struct Subcommand
 {
   std::string_view name;
+  /** The number of arguments, or the least number of a subcommand that takes a list. */
   std::size_t argumentCount;
   bool needsServer;
   const char* usage;
   const char* summary;
+  bool takesList = false;
 };
 
-constexpr std::array<Subcommand, 12> kSubcommands{ {
+constexpr std::array<Subcommand, 13> kSubcommands{ {
   { "check", 1, false, "check FILE", "Lists every fault of a team document or a settings file" },
   { "apply",
     1,
@@ -46,6 +48,12 @@
     "Adds or removes a control process of the replicated log" },
   { "retire", 1, true, "retire PROCESS", "Declares that a process never returns" },
   { "dump", 0, true, "dump", "Shows the state of the server for diagnosis" },
+  { "trace",
+    2,
+    false,
+    "trace ID FILE...",
+    "Lists the log lines of a request, and state changes before its end",
+    true },
 } };
 
 /** The targets that popt writes option values to; popt allocates them with malloc(). */
@@ -189,12 +197,17 @@
 
 std::string findFault(const CommandLine& line, const Subcommand& subcommand)
 {
-  if (line.arguments.size() != subcommand.argumentCount) {
+  const auto count = line.arguments.size();
+  if (count < subcommand.argumentCount ||
+      (count > subcommand.argumentCount && !subcommand.takesList)) {
     return fmt::format("usage: figchute {}", subcommand.usage);
   }
   if (line.command == "member" && line.arguments[0] != "add" && line.arguments[0] != "remove") {
     return fmt::format("usage: figchute {}", subcommand.usage);
   }
+  if (line.command == "trace" && line.arguments[0].empty()) {
+    return "the request id is empty";
+  }
   if (subcommand.needsServer && line.servers.empty()) {
     return "no server: give --server IP:port or set FIGCHUTE_SERVER";
   }
@@ -214,7 +227,11 @@
     poptGetContext(
       "figchute", static_cast<int>(arguments.size()), arguments.data(), table.data(), 0),
     &poptFreeContext);
-  const auto help = fmt::format("{}\n{}", subcommand.usage, subcommand.summary);
+  auto help = fmt::format("{}\n{}", subcommand.usage, subcommand.summary);
+  if (subcommand.name == "trace") {
+    help += "\nFILE is the standard output of one figchute-routerd, or - for the standard input.\n"
+            "Exit codes: 0 found, 1 usage, 2 not found, 4 a file cannot be read";
+  }
   poptSetOtherOptionHelp(context.get(), help.c_str());
   CommandLine line;
   line.command = subcommand.name;
--- a/apps/figchute/CommandLine.h
+++ b/apps/figchute/CommandLine.h
@@ -15,11 +15,12 @@
   ok = 0,
   /** The command line or a file on it cannot be used. */
   usage = 1,
-  /** The document is faulty, or the fleet refused the request. */
+  /** The document is faulty, the fleet refused the request, or no line of a request was found. */
   refused = 2,
   /** Another change won. */
   conflict = 3,
-  /** No server gave a final answer; the outcome of a change is not known. */
+  /** No server gave a final answer, so that the outcome of a change is not known; or a log file
+      could not be read. */
   unreachable = 4,
 };
 
--- a/apps/figchute/Commands.cpp
+++ b/apps/figchute/Commands.cpp
@@ -5,6 +5,7 @@
 #include "ini/ini.h"
 #include "Output.h"
 #include "settings/settings.h"
+#include "trace/trace.h"
 #include "json/json.h"
 
 #include <chrono>
@@ -224,6 +225,75 @@
   return sendAndPrint(line, { "POST", "/v1/members", query, "" });
 }
 
+// Returns whether the file, or the standard input, was read to its end.
+bool readLog(const std::string& path, trace::RequestTrace& trace)
+{
+  const auto take = [&trace](std::string_view text, bool isCut) {
+    if (isCut) {
+      trace.addUnreadable();
+    } else {
+      trace.add(text);
+    }
+  };
+  if (path == "-") {
+    return trace::readLines(std::cin, take);
+  }
+  std::ifstream file(path, std::ios::binary);
+  return file.is_open() && trace::readLines(file, take);
+}
+
+json::Value toJson(const trace::TracedLine& traced)
+{
+  auto fields = json::Value::object();
+  for (const auto& field : traced.line.fields) {
+    fields.set(field.name, field.value);
+  }
+  return json::Value::object({ { "context", traced.isContext },
+                               { "time_us", traced.line.time.micros },
+                               { "process", traced.line.process },
+                               { "event", traced.line.event },
+                               { "fields", std::move(fields) } });
+}
+
+void printTrace(const trace::RequestTrace& trace, bool isJson)
+{
+  for (const auto& traced : trace.lines()) {
+    if (isJson) {
+      fmt::print("{}\n", json::dump(toJson(traced)));
+    } else {
+      fmt::print("{}  {}\n", traced.isContext ? "context" : "request", printable(traced.line.text));
+    }
+  }
+  if (trace.malformed() > 0) {
+    fmt::print(stderr, "figchute: {} malformed lines skipped\n", trace.malformed());
+  }
+  if (trace.leftOut() > 0) {
+    fmt::print(stderr, "figchute: {} lines may be missing: too many to keep\n", trace.leftOut());
+  }
+}
+
+// The lines of the readable files are printed even when another file cannot be read.
+ExitCode traceRequest(const CommandLine& line)
+{
+  trace::RequestTrace trace(line.arguments[0]);
+  bool isComplete = true;
+  for (std::size_t i = 1; i < line.arguments.size(); ++i) {
+    if (!readLog(line.arguments[i], trace)) {
+      fmt::print(stderr, "figchute: cannot read file \"{}\"\n", line.arguments[i]);
+      isComplete = false;
+    }
+  }
+  printTrace(trace, line.isJson);
+  if (!isComplete) {
+    return ExitCode::unreachable;
+  }
+  if (!trace.isFound()) {
+    fmt::print(stderr, "figchute: no line of request \"{}\"\n", line.arguments[0]);
+    return ExitCode::refused;
+  }
+  return ExitCode::ok;
+}
+
 } // namespace
 
 ExitCode run(const CommandLine& line)
@@ -232,6 +302,9 @@
   if (command == "check") {
     return check(line);
   }
+  if (command == "trace") {
+    return traceRequest(line);
+  }
   const auto needsName = command == "show" || command == "history" || command == "retire";
   if (needsName && !document::isName(line.arguments[0])) {
     fmt::print(stderr, "figchute: \"{}\" is no name\n", line.arguments[0]);
--- a/apps/figchute/Output.cpp
+++ b/apps/figchute/Output.cpp
@@ -7,13 +7,6 @@
 
 constexpr std::string_view kGap = "  ";
 
-std::string printable(std::string text)
-{
-  std::ranges::replace_if(
-    text, [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7F; }, '?');
-  return text;
-}
-
 std::size_t width(std::string_view text)
 {
   const auto isContinuation = [](char c) {
@@ -93,6 +86,13 @@
 
 } // namespace
 
+std::string printable(std::string text)
+{
+  std::ranges::replace_if(
+    text, [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7F; }, '?');
+  return text;
+}
+
 Table::Table(std::vector<std::string> columns)
 {
   add(std::move(columns));
--- a/apps/figchute/Output.h
+++ b/apps/figchute/Output.h
@@ -8,6 +8,10 @@
 
 namespace figchute::cli {
 
+/** Replaces control characters by "?", so that a text cannot change the terminal.
+    Thread safety: safe from any thread. */
+std::string printable(std::string text);
+
 /** A table whose columns are aligned: numbers to the right, other cells to the left. */
 class Table
 {
--- a/tests/cli_test.sh
+++ b/tests/cli_test.sh
@@ -88,7 +88,7 @@
 
 expect 0 --help
 contains out "member add|remove ID"
-for command in check apply show history spend service endpoints versions members member retire dump; do
+for command in check apply show history spend service endpoints versions members member retire dump trace; do
   expect 0 "$command" --help
   contains out "Usage: figchute $command"
 done
@@ -133,6 +133,38 @@
 expect 4 --server $dead spend
 contains err "no_endpoint"
 
+# A trace over several logs, the standard input and a log that cannot be read.
+cat >"$work/a.log" <<'LOG'
+time=6.500000 process=a event=control_lost control=""
+not a log line
+time=7.000000 process=a event=request request=r1 endpoint=i1 detail="a \"b\""
+LOG
+printf 'host-b | time=5.000000 process=b event=send_failed request=r1 endpoint=i1\n' >"$work/b.log"
+expect 0 trace r1 "$work/a.log" "$work/b.log"
+if [ "$(cut -c1-26 "$work/out")" != "request  time=5.000000 pro
+context  time=6.500000 pro
+request  time=7.000000 pro" ]; then
+  echo "FAIL: trace has other lines or another order:"
+  cat "$work/out"
+  failures=$((failures + 1))
+fi
+contains err "1 malformed lines skipped"
+expect 0 trace --json r1 "$work/a.log"
+contains out '{"context":true,"time_us":6500000,"process":"a","event":"control_lost","fields":{"control":""}}'
+contains out '"detail":"a \"b\""'
+expect 2 trace r2 "$work/a.log" "$work/b.log"
+contains err 'no line of request "r2"'
+expect 4 trace r1 "$work/none.log" "$work/a.log"
+contains err "cannot read file \"$work/none.log\""
+contains out "time=7.000000"
+expect 4 trace r1 "$work"
+expect 1 trace r1
+expect 1 trace "" "$work/a.log"
+if [ "$("$build/figchute" trace r1 - <"$work/b.log" | wc -l)" -ne 1 ]; then
+  echo "FAIL: trace does not read the standard input"
+  failures=$((failures + 1))
+fi
+
 # The daemon's own check of its settings lists every fault.
 printf '[process]\nid = x y\ncolour = red\n' >"$work/bad.ini"
 "$build/figchuted" --config "$work/bad.ini" --check >"$work/out" 2>"$work/err"
