router: check prints every setting in force; a reload tells what it changed

A reload logged the number of seeds only, and the faults of a bad file as one value with no bound. It also took repeat_ratio, repeat_slack and repeat_window_s into the settings although the dispatcher reads them at the start only, so that a change looked as if it was in force. Two listeners with one address were found only when the second was bound.

A bad file is logged as reload_failed with the number of faults and one settings_fault for each of the first 20.

Unknown keys and sections, the line, section, key, value and allowed values of each fault, and SIGHUP existed; the tests now cover them fault by fault.

The new tests were not run on the old code: they use functions and fields that it does not have.

Conclusion: what runs and what a file would change can be read off.

--- a/modules/router/Daemon.cpp
+++ b/modules/router/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "router/MetricsPage.h"
 #include "settings/CommandLine.h"
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
@@ -26,6 +27,17 @@
 constexpr auto kStopCheckInterval = std::chrono::milliseconds(50);
 /** The process ends this long before the grace time, whatever is open. */
 constexpr Duration kGraceMargin = std::chrono::milliseconds(500);
+/** More faults of one file are counted, not logged. */
+constexpr std::size_t kMaxLoggedFaults = 20;
+
+std::string join(const std::vector<std::string>& words)
+{
+  std::string text;
+  for (const auto& word : words) {
+    text += (text.empty() ? "" : ",") + word;
+  }
+  return text;
+}
 
 /** Returns a number that is larger at each start of the process, and differs between processes that
     start in the same moment. */
@@ -145,8 +157,8 @@
         ended_ = true;
         return;
       }
-      if (!stopping_ && modifiedAt() != modified_) {
-        reload();
+      if (!stopping_) {
+        reloadIfChanged();
       }
       schedule();
     });
@@ -162,6 +174,33 @@
     return status.st_mtim.tv_sec * 1'000'000'000L + status.st_mtim.tv_nsec;
   }
 
+  // A file is read once it has been unchanged for one interval, so that a file which is being
+  // written is not taken as it stands then.
+  void reloadIfChanged()
+  {
+    const auto modified = modifiedAt();
+    if (modified != modified_ && modified == seenModified_) {
+      reload();
+    }
+    seenModified_ = modified;
+  }
+
+  void logFaults(const ini::Faults& faults)
+  {
+    const Time now = bootTime();
+    log_.line(now, "reload_failed", { { "faults", std::to_string(faults.size()) } });
+    for (std::size_t i = 0; i < std::min(faults.size(), kMaxLoggedFaults); ++i) {
+      const auto& fault = faults[i];
+      log_.line(now,
+                "settings_fault",
+                { { "line", std::to_string(fault.line) },
+                  { "section", fault.section },
+                  { "key", fault.key },
+                  { "found", fault.found },
+                  { "allowed", fault.allowed } });
+    }
+  }
+
   void reload()
   {
     modified_ = modifiedAt();
@@ -170,16 +209,17 @@
       log_.line(bootTime(), "reload_failed", { { "detail", text.error().detail } });
       return;
     }
-    auto parsed = parseRouterSettings(*text);
+    const auto parsed = parseRouterSettings(*text);
     if (!parsed) {
-      log_.line(bootTime(), "reload_failed", { { "detail", ini::toString(parsed.error()) } });
+      logFaults(parsed.error());
       return;
     }
-    // Addresses and roles stay as they were at the start.
-    settings_.seeds = parsed->seeds;
-    settings_.bounds = parsed->bounds;
+    const auto result = reloadSettings(settings_, *parsed);
     role_->setSeeds(settings_.seedProcesses());
-    log_.line(bootTime(), "reload", { { "seeds", std::to_string(settings_.seeds.size()) } });
+    log_.line(
+      bootTime(),
+      "reload",
+      { { "applied", join(result.applied) }, { "at_next_start", join(result.atNextStart) } });
   }
 
   RouterSettings settings_;
@@ -194,37 +234,12 @@
   std::unique_ptr<Role> role_;
   std::unique_ptr<http::Server> metricsServer_;
   std::int64_t modified_ = 0;
+  std::int64_t seenModified_ = 0;
   bool stopping_ = false;
   bool ended_ = false;
   Time stopBy_;
 };
 
-void printSettings(const RouterSettings& settings)
-{
-  const auto text = [](const std::optional<settings::Address>& address) {
-    return address ? settings::toString(*address) : std::string("-");
-  };
-  std::printf("name = %s\nzone = %s\nrole = %s\ndata_dir = %s\n",
-              settings.name.c_str(),
-              settings.zone.value.c_str(),
-              settings::toString(settings.roles).c_str(),
-              settings.dataDir.value_or("-").c_str());
-  std::printf("callers = %s\nreadiness = %s\noperators = %s\npeers = %s\nmetrics = %s\n",
-              text(settings.callers).c_str(),
-              text(settings.readiness).c_str(),
-              text(settings.operators).c_str(),
-              settings::toString(settings.peers).c_str(),
-              text(settings.metrics).c_str());
-  for (const auto& seed : settings.seeds) {
-    std::printf("seed = %s\n", settings::toString(seed).c_str());
-  }
-  std::printf("bootstrap = %s\ngrace_s = %g\nrepeat_ratio = %g\nrepeat_slack = %g\n",
-              settings.bootstrap ? "true" : "false",
-              static_cast<double>(settings.bounds.grace.count()) / 1e6,
-              settings.bounds.repeatRatio,
-              settings.bounds.repeatSlack);
-}
-
 } // namespace
 
 boost::asio::ip::tcp::endpoint toEndpoint(const settings::Address& address)
@@ -250,7 +265,7 @@
     return kExitSettings;
   }
   if (line->check) {
-    printSettings(*settings);
+    std::fputs(toString(settings->effective).c_str(), stdout);
     return kExitOk;
   }
   std::signal(SIGPIPE, SIG_IGN);
--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <fmt/format.h>
+#include <map>
 
 namespace figchute::router {
 namespace {
@@ -13,6 +15,14 @@
 constexpr std::string_view kDefaultPeerKey = "figchute";
 constexpr std::array<std::string_view, 4> kSections{ "process", "listen", "fleet", "bounds" };
 
+/** Keys of EffectiveSetting that a reload changes in a running process. */
+constexpr std::array<std::string_view, 2> kReloaded{ "seeds", "grace_s" };
+
+double seconds(Duration duration)
+{
+  return static_cast<double>(duration.count()) / 1e6;
+}
+
 /** Reads the sections into one RouterSettings and collects faults. */
 class Builder
 {
@@ -30,10 +40,12 @@
     readFleet();
     readBounds();
     rejectUnknownSections();
+    rejectSharedAddresses();
     if (!faults_.empty()) {
       ini::sortByLine(faults_);
       return tl::unexpected<ini::Faults>(std::move(faults_));
     }
+    listEffective();
     return std::move(settings_);
   }
 
@@ -106,12 +118,13 @@
     SectionReader reader(section("fleet"), faults_);
     if (const auto* entry = reader.entry("seeds", Presence::required)) {
       for (const auto& text : ini::splitList(entry->value)) {
-        if (const auto parsed = settings::parseAddress(text)) {
-          settings_.seeds.push_back(*parsed);
-        } else {
-          reader.fault(*entry, "addresses IP:port separated by commas");
+        const auto parsed = settings::parseAddress(text);
+        if (!parsed || settings_.seeds.size() == kMaxSeeds) {
+          reader.fault(*entry,
+                       fmt::format("1 to {} addresses IP:port separated by commas", kMaxSeeds));
           break;
         }
+        settings_.seeds.push_back(*parsed);
       }
     }
     if (const auto flag = reader.choice("bootstrap", { "false", "true" }, Presence::optional)) {
@@ -140,6 +153,75 @@
     reader.rejectUnknownKeys();
   }
 
+  // Two listeners of one process cannot share an address. Keys that the role does not use are not
+  // compared, because all processes of a deployment may be given the same keys.
+  void rejectSharedAddresses()
+  {
+    std::vector<std::string_view> used{ "peers", "metrics" };
+    if (settings_.roles.entry) {
+      used.insert(used.end(), { "callers", "readiness" });
+    }
+    if (settings_.roles.control) {
+      used.emplace_back("operators");
+    }
+    const auto& listen = section("listen");
+    std::map<std::string, std::string> keys;
+    for (const auto& entry : listen.entries) {
+      const auto parsed = settings::parseAddress(entry.value);
+      if (!parsed || std::find(used.begin(), used.end(), entry.key) == used.end()) {
+        continue;
+      }
+      const auto [other, isNew] = keys.emplace(settings::toString(*parsed), entry.key);
+      if (!isNew) {
+        SectionReader(listen, faults_)
+          .fault(entry, "an address other than that of " + other->second);
+      }
+    }
+  }
+
+  void addEffective(std::string_view sectionName,
+                    std::string_view key,
+                    std::string value,
+                    std::string_view unit = {})
+  {
+    const auto* present = file_.find(sectionName);
+    const bool isDefault = present == nullptr || present->find(key) == nullptr;
+    settings_.effective.push_back({ std::string(sectionName),
+                                    std::string(key),
+                                    std::move(value),
+                                    std::string(unit),
+                                    isDefault,
+                                    key == "peer_key" });
+  }
+
+  void listEffective()
+  {
+    const auto text = [](const std::optional<settings::Address>& address) {
+      return address ? settings::toString(*address) : std::string();
+    };
+    std::string seeds;
+    for (const auto& seed : settings_.seeds) {
+      seeds += (seeds.empty() ? "" : ",") + settings::toString(seed);
+    }
+    const auto& bounds = settings_.bounds;
+    addEffective("process", "name", settings_.name);
+    addEffective("process", "zone", settings_.zone.value);
+    addEffective("process", "role", settings::toString(settings_.roles));
+    addEffective("process", "data_dir", settings_.dataDir.value_or(std::string()));
+    addEffective("listen", "callers", text(settings_.callers));
+    addEffective("listen", "readiness", text(settings_.readiness));
+    addEffective("listen", "operators", text(settings_.operators));
+    addEffective("listen", "peers", settings::toString(settings_.peers));
+    addEffective("listen", "metrics", text(settings_.metrics));
+    addEffective("fleet", "seeds", seeds);
+    addEffective("fleet", "bootstrap", settings_.bootstrap ? "true" : "false");
+    addEffective("fleet", "peer_key", settings_.peerKey);
+    addEffective("bounds", "grace_s", fmt::format("{}", seconds(bounds.grace)), "s");
+    addEffective("bounds", "repeat_ratio", fmt::format("{}", bounds.repeatRatio), "of requests");
+    addEffective("bounds", "repeat_slack", fmt::format("{}", bounds.repeatSlack), "repeats");
+    addEffective("bounds", "repeat_window_s", fmt::format("{}", seconds(bounds.repeatWindow)), "s");
+  }
+
   void rejectUnknownSections()
   {
     for (const auto& section : file_.sections) {
@@ -168,6 +250,38 @@
   return processes;
 }
 
+std::string toString(const std::vector<EffectiveSetting>& settings)
+{
+  std::string text;
+  for (const auto& setting : settings) {
+    text += fmt::format("[{}] {} = ", setting.section, setting.key);
+    text += setting.isSecret ? "(not shown)" : setting.value.empty() ? "(none)" : setting.value;
+    text += setting.unit.empty() ? "" : " " + setting.unit;
+    text += setting.isDefault ? " (default)\n" : "\n";
+  }
+  return text;
+}
+
+ReloadResult reloadSettings(RouterSettings& current, const RouterSettings& next)
+{
+  ReloadResult result;
+  for (std::size_t i = 0; i < current.effective.size(); ++i) {
+    auto& setting = current.effective[i];
+    const auto& changed = next.effective[i];
+    const bool isReloaded =
+      std::find(kReloaded.begin(), kReloaded.end(), setting.key) != kReloaded.end();
+    if (setting.value != changed.value) {
+      (isReloaded ? result.applied : result.atNextStart).push_back(setting.key);
+    }
+    if (isReloaded) {
+      setting = changed;
+    }
+  }
+  current.seeds = next.seeds;
+  current.bounds.grace = next.bounds.grace;
+  return result;
+}
+
 tl::expected<RouterSettings, ini::Faults> parseRouterSettings(std::string_view text)
 {
   return Builder(ini::parseAll(text)).build();
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -4,6 +4,7 @@
 #include "router/LogWriter.h"
 #include "router/RouterSettings.h"
 
+#include <array>
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <string>
@@ -68,6 +69,90 @@
   CHECK(settings.error()[1].line == 14);
 }
 
+// Guards against a fault that is not named by section, key, value found and values allowed, and
+// against a misspelt key or section that is ignored.
+TEST_CASE_FIXTURE(SettingsText, "settings_withOneFault_nameSectionKeyFoundAndAllowed")
+{
+  const std::vector<std::array<std::string, 3>> cases{
+    { "role = entry",
+      "role = router",
+      "[process] role = \"router\": expected one of: entry, control" },
+    { "zone = a", "zone =", "[process] zone = \"\": expected a value that is not empty" },
+    { "zone = a\n", "", "[process] zone = \"missing\": expected a value" },
+    { "zone = a", "zone = a\nzoen = b", "[process] zoen = \"unknown key\": expected " },
+    { "peers = 127.0.0.1:1002",
+      "peers = localhost:1",
+      "[listen] peers = \"localhost:1\": expected " },
+    { "127.0.0.1:1001", "127.0.0.1:0", "[listen] readiness = \"127.0.0.1:0\": expected " },
+    { "127.0.0.1:1001", "127.0.0.1:1000", "expected an address other than that of callers" },
+    { "127.0.0.3:2000", "x", "[fleet] seeds = \"127.0.0.2:2000,x\": expected 1 to 7 addresses" },
+    { "127.0.0.3:2000",
+      "127.0.0.3:1,127.0.0.3:2,127.0.0.3:3,127.0.0.3:4,127.0.0.3:5,127.0.0.3:6,127.0.0.3:7",
+      "expected 1 to 7 addresses" },
+    { "bootstrap = true",
+      "bootstrap = yes",
+      "[fleet] bootstrap = \"yes\": expected one of: false, true" },
+    { "bootstrap = true", "[bound]\ngrace_s = 1", "[bound] \"unknown section\": expected " },
+    { "bootstrap = true", "[bounds]\ngrace_s = 0.1", "expected a number from 0.5 to 3600" },
+    { "bootstrap = true", "[bounds]\nrepeat_ratio = nan", "expected a number from 0 to 10" },
+    { "bootstrap = true", "[bounds]\nrepeat_slack = 1e7", "expected a number from 0 to 1000000" },
+    { "bootstrap = true", "[bounds]\nrepeat_window_s = 0", "expected a number from 0.1 to 3600" },
+  };
+  for (const auto& [from, to, expected] : cases) {
+    auto changed = text;
+    changed.replace(changed.find(from), from.size(), to);
+    const auto settings = parseRouterSettings(changed);
+    REQUIRE_MESSAGE(!settings, to);
+    const auto faults = ini::toString(settings.error());
+    CHECK_MESSAGE(settings.error().size() == 1, faults);
+    CHECK_MESSAGE(faults.find(expected) != std::string::npos, faults);
+    CHECK_MESSAGE(faults.starts_with("line "), faults);
+  }
+}
+
+// Guards against a value in force that --check does not show, shows without its unit or as given
+// when it is the default, and against a key of the peers in a log or terminal.
+TEST_CASE_FIXTURE(SettingsText, "settings_effective_listEveryKey")
+{
+  text += "peer_key = secret-of-peers\n[bounds]\nrepeat_ratio = 0.25\n";
+  const auto settings = parseRouterSettings(text);
+  REQUIRE(settings);
+  CHECK(toString(settings->effective) == "[process] name = e1\n"
+                                         "[process] zone = a\n"
+                                         "[process] role = entry\n"
+                                         "[process] data_dir = (none) (default)\n"
+                                         "[listen] callers = 127.0.0.1:1000\n"
+                                         "[listen] readiness = 127.0.0.1:1001\n"
+                                         "[listen] operators = (none) (default)\n"
+                                         "[listen] peers = 127.0.0.1:1002\n"
+                                         "[listen] metrics = (none) (default)\n"
+                                         "[fleet] seeds = 127.0.0.2:2000,127.0.0.3:2000\n"
+                                         "[fleet] bootstrap = true\n"
+                                         "[fleet] peer_key = (not shown)\n"
+                                         "[bounds] grace_s = 8 s (default)\n"
+                                         "[bounds] repeat_ratio = 0.25 of requests\n"
+                                         "[bounds] repeat_slack = 58 repeats (default)\n"
+                                         "[bounds] repeat_window_s = 10 s (default)\n");
+}
+
+// Guards against a reload that reports a value as in force which the running process does not use.
+TEST_CASE_FIXTURE(SettingsText, "settings_reloaded_tellWhatIsInForce")
+{
+  auto current = parseRouterSettings(text);
+  REQUIRE(current);
+  auto changed = text + "[bounds]\ngrace_s = 5\nrepeat_slack = 9\n";
+  changed.replace(changed.find(",127.0.0.3:2000"), 15, "");
+  const auto next = parseRouterSettings(changed);
+  REQUIRE(next);
+  const auto result = reloadSettings(*current, *next);
+  CHECK((result.applied == std::vector<std::string>{ "seeds", "grace_s" }));
+  CHECK((result.atNextStart == std::vector<std::string>{ "repeat_slack" }));
+  CHECK(current->seeds.size() == 1);
+  CHECK(current->bounds.grace == std::chrono::seconds(5));
+  CHECK(current->bounds.repeatSlack == doctest::Approx(58));
+  CHECK(reloadSettings(*current, *next).applied.empty());
+}
+
 // Guards against a control process that starts without its data folder.
 TEST_CASE_FIXTURE(SettingsText, "settings_ofControlWithoutFolder_areRefused")
 {
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import socket
+import subprocess
 import sys
 import threading
 import time
@@ -284,18 +285,45 @@
 
 
 def changed_settings_are_reloaded(build):
-    """Guards against seeds that are exchanged without effect, and a bad file that ends a process."""
+    """Guards against seeds that are exchanged without effect, a bad file that ends a process, is
+    taken in part or is reported without its faults, and a value reported as in force that is not."""
     with Started(build) as fleet:
         entry = fleet.entries[0]
-        with open(entry.settings_path, "a", encoding="utf-8") as file:
-            file.write("nonsense\n")
+        with open(entry.settings_path, encoding="utf-8") as file:
+            sound = file.read()
+        with open(entry.settings_path, "w", encoding="utf-8") as file:
+            file.write(sound.replace("grace_s = 5", "grace_s = 6") + "nonsense\ncolour = red\n")
         entry.send(signal.SIGHUP)
-        wait_until(lambda: "event=reload_failed" in entry.log(), "a bad file is reported")
-        entry.write_settings(fleet.seeds())
-        wait_until(lambda: "event=reload " in entry.log(), "a changed file is read without a signal")
+        wait_until(lambda: "event=reload_failed faults=2" in entry.log(), "a bad file is reported")
+        wait_until(lambda: f"event=settings_fault line={sound.count(chr(10)) + 2} section=bounds "
+                   "key=colour " in entry.log(), "its faults are reported")
+        with open(entry.settings_path, "w", encoding="utf-8") as file:
+            file.write(sound.replace("grace_s = 5", "grace_s = 7\nrepeat_slack = 3"))
+        wait_until(lambda: "event=reload applied=grace_s at_next_start=repeat_slack" in entry.log(),
+                   "a changed file is read without a signal")
+        check("applied=\"" not in entry.log() and entry.log().count("event=reload ") == 1,
+              "nothing of the bad file came into force")
         check(fleet.call("GET", "app.example", "/look/x").status == 200, "service goes on")
 
 
+def settings_are_checked_without_a_start(build):
+    """Guards against a check that stops at the first fault, hides the value in force, or starts."""
+    with RouterFleet(build) as fleet:
+        path = fleet.entries[0].settings_path
+        sound = subprocess.run([fleet.program, "--config", path, "--check"], capture_output=True,
+                               text=True, timeout=10, check=False)
+        check(sound.returncode == 0, f"exit code {sound.returncode}: {sound.stderr}")
+        check("[bounds] grace_s = 5 s\n[bounds] repeat_ratio = 0.2 of requests (default)\n"
+              in sound.stdout, sound.stdout)
+        with open(path, "a", encoding="utf-8") as file:
+            file.write("grace = 1\n[extra]\nx = 1\n")
+        faulty = subprocess.run([fleet.program, "--config", path, "--check"], capture_output=True,
+                                text=True, timeout=10, check=False)
+        check(faulty.returncode == 2 and faulty.stdout == "", f"exit code {faulty.returncode}")
+        check(faulty.stderr.count("\n") == 2 and "[bounds] grace = " in faulty.stderr
+              and "[extra]" in faulty.stderr, faulty.stderr)
+
+
 CASES = [
     request_forwarded_unchanged,
     stream_relayed_event_by_event,
@@ -314,6 +342,7 @@
     stop_ends_open_requests,
     stopping_process_accepts_connections_to_its_end,
     changed_settings_are_reloaded,
+    settings_are_checked_without_a_start,
 ]
 
 if __name__ == "__main__":
