--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -19,6 +19,7 @@
 
 START_LIMIT_S = 15
 EVENT_GAP_S = 0.02
+SLOW_S = 0.8
 
 CONFIGURATION = {
     "version": 1,
@@ -84,7 +85,7 @@
 
 class Endpoint:
     """A stand-in endpoint. It records what it ran and follows the instructions in a request's path:
-    /fail/ answers 500, /refuse/ answers 503 as not run, /hang/ never answers, /cut/ closes before the
+    /fail/ answers 500, /refuse/ answers 503 as not run, /hang/ never answers, /slow/ answers after SLOW_S, /cut/ closes before the
     body is complete, /unmarked/ leaves the answer mark out."""
 
     def __init__(self, fleet, name, service, ip, events=5):
@@ -183,7 +184,10 @@
         if "/hang/" in handler.path:
             time.sleep(5)
             handler.close_connection = True
-        elif "/fail/" in handler.path:
+            return
+        if "/slow/" in handler.path:
+            time.sleep(SLOW_S)
+        if "/fail/" in handler.path:
             self.answer(handler, 500, b"failed", marks)
         elif self.service == "engines":
             self.stream(handler, marks)
