--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -19,6 +19,7 @@
 
 START_LIMIT_S = 15
 EVENT_GAP_S = 0.02
+SLOW_S = 0.8
 
 CONFIGURATION = {
     "version": 1,
@@ -84,6 +85,7 @@
 
 class Endpoint:
     """A stand-in endpoint. It records what it ran and follows the instructions in a request's path:
+<<<<<<< HEAD
     /fail/ answers 500, /refuse/ answers 503 as not run, /hang/ never answers, /cut/ closes before
     the body is complete, /crash/ ends the endpoint, /unmarked/ leaves the answer mark out.
 
@@ -92,6 +94,10 @@
     middle of event 3 by /break/ (it closes), /garble/ (bytes that are no chunk) and /stall/ (it
     falls silent). The second run of a stream is wrong with /gap/ (an event is left out), /denied/
     (status 500) and /strange/ (no answer mark)."""
+=======
+    /fail/ answers 500, /refuse/ answers 503 as not run, /hang/ never answers, /slow/ answers after SLOW_S, /cut/ closes before the
+    body is complete, /unmarked/ leaves the answer mark out."""
+>>>>>>> ops
 
     def __init__(self, fleet, name, service, ip, events=5):
         self.fleet = fleet
@@ -217,7 +223,14 @@
                                           self.service != "engines"):
             time.sleep(5)
             handler.close_connection = True
+<<<<<<< HEAD
         elif "/fail/" in handler.path or (not first_run and "/denied/" in handler.path):
+=======
+            return
+        if "/slow/" in handler.path:
+            time.sleep(SLOW_S)
+        if "/fail/" in handler.path:
+>>>>>>> ops
             self.answer(handler, 500, b"failed", marks)
         elif self.service == "engines":
             self.stream(handler, marks, first_run)
