fleet: tell crashes at once, count each of them

Cause: an entry process put a new crash into a message that was sent with the next tick (up to 250 ms later), its control process told the other control processes with the batch of the next second, and a crash during the search for a control process waited for the next second too. In addition EntryRole took the crashes in FleetChanges for totals, although they are increments: crashes that were seen one after the other counted as one, so a request that crashed an endpoint at a time was not refused at other entry processes.

Ruled out: a message of its own for crashes. Subscribe carries totals per reporter, so sending it early costs nothing when it is repeated.

Change: a lost connection tells new crashes directly after the dispatcher has judged it; FleetPublisher sends its batch to the other control processes when a count rises; FleetSubscriber subscribes again when a crash came during its search; EntryRole adds the increments as they are.

Conclusion: three crashes are enough in the whole fleet.

--- a/modules/fleet/FleetPublisher.cpp
+++ b/modules/fleet/FleetPublisher.cpp
@@ -41,6 +41,9 @@
   }
   if (increased) {
     sendToAll(now);
+    // The subscribers of the other control processes learn of a crash without waiting for a batch
+    // that is due.
+    sendBatches(now);
   } else {
     send(now, from, subscriber);
   }
--- a/modules/fleet/FleetSubscriber.cpp
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -198,6 +198,9 @@
   for (const auto& other : std::exchange(tried_, {})) {
     outgoing_.push_back({ other, Unsubscribe{ false } });
   }
+  if (std::exchange(crashUntold_, false)) {
+    subscribe(now, control);
+  }
 }
 
 void FleetSubscriber::subscribe(Time now, const ProcessId& to)
@@ -246,7 +249,9 @@
   auto& own = ownCrashes_[fingerprint];
   ++own.crashes;
   own.last = now;
-  if (!searching_ && !stopped_) {
+  if (searching_) {
+    crashUntold_ = true;
+  } else if (!stopped_) {
     nextSubscribe_ = now + kInterval;
     subscribe(now, *current_);
   }
--- a/modules/fleet/FleetSubscriber.h
+++ b/modules/fleet/FleetSubscriber.h
@@ -71,7 +71,8 @@
       subscription. Call it about every 100 ms. */
   void tick(Time now);
 
-  /** Tells the control processes of a crash that this process saw. */
+  /** Tells the control process of a crash that this process saw: at once, or as soon as one is in
+      use. */
   void addCrash(Time now, std::uint64_t fingerprint);
 
   /** Replaces the control addresses of the settings; others that are known stay. */
@@ -167,6 +168,8 @@
   std::uint32_t entryProcesses_ = 1;
   std::vector<EntryProcess> entries_;
   std::map<std::uint64_t, OwnCrashes> ownCrashes_;
+  /** An own crash came while no control process was in use. */
+  bool crashUntold_ = false;
   std::map<std::uint64_t, OtherCrashes> otherCrashes_;
   FleetChanges changes_;
   std::vector<Outgoing> outgoing_;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -57,7 +57,15 @@
   , wallet_(walletSettings(context))
   , dispatcher_(dispatcherSettings(context))
   , pool_(context.io)
-  , services_{ context.dialect, dispatcher_, wallet_, pool_, context.log, context.metrics, {}, 0 }
+  , services_{ context.dialect,
+               dispatcher_,
+               wallet_,
+               pool_,
+               context.log,
+               context.metrics,
+               {},
+               0,
+               [this](Time now) { tellCrashes(now); } }
   , callers_(context.io,
              http::ServerLimits{},
              [this](std::shared_ptr<http::ServerRequest> request) { handle(std::move(request)); })
@@ -193,9 +201,7 @@
   subscriber_.tick(now);
   applyUpdates(now);
   settleWallet(now);
-  for (auto& message : subscriber_.takeOutgoing()) {
-    context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
-  }
+  tellCrashes(now);
   logEvents(now);
   settling_ = false;
 }
@@ -217,7 +223,7 @@
     setWalletPeers(now);
   }
   for (const auto& crash : changes.crashes) {
-    addCrashes(now, crash);
+    dispatcher_.addCrashes(now, crash.fingerprint, crash.crashes);
   }
 }
 
@@ -253,16 +259,6 @@
   wallet_.setPeers(now, peers);
 }
 
-void EntryRole::addCrashes(Time now, const fleet::CrashCount& crash)
-{
-  // Counts are totals over all other processes; the dispatcher adds what is new.
-  auto& known = knownCrashes_[crash.fingerprint];
-  if (crash.crashes > known) {
-    dispatcher_.addCrashes(now, crash.fingerprint, crash.crashes - known);
-    known = crash.crashes;
-  }
-}
-
 void EntryRole::applyConfiguration(Time now)
 {
   const auto version = subscriber_.configurationVersion();
@@ -325,11 +321,18 @@
   for (const auto& event : dispatcher_.takeEvents()) {
     context_.log.line(now, "endpoint_state", { { "detail", event } });
   }
+}
+
+void EntryRole::tellCrashes(Time now)
+{
   for (const auto fingerprint : dispatcher_.takeCrashes()) {
     subscriber_.addCrash(now, fingerprint);
     context_.log.line(
       now, "endpoint_crash", { { "fingerprint", fmt::format("{:x}", fingerprint) } });
   }
+  for (auto& message : subscriber_.takeOutgoing()) {
+    context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
+  }
 }
 
 void EntryRole::setSeeds(const std::vector<ProcessId>& seeds)
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -40,7 +40,7 @@
   void applyEndpoints(Time now);
   void applyControl(Time now);
   void setWalletPeers(Time now);
-  void addCrashes(Time now, const fleet::CrashCount& crash);
+  void tellCrashes(Time now);
   void settleWallet(Time now);
   void logEvents(Time now);
 
@@ -56,8 +56,6 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t lastExchange_ = 0;
   std::size_t endpointCount_ = 0;
-  /** Crashes of other processes that the dispatcher was told, by fingerprint. */
-  std::unordered_map<std::uint64_t, std::uint64_t> knownCrashes_;
   /** The control process in use. */
   std::optional<ProcessId> control_;
   bool stopping_ = false;
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -557,6 +557,9 @@
 {
   services_.dispatcher.finished(now, id_, outcome);
   call_.reset();
+  if (outcome == dispatch::Outcome::broken || outcome == dispatch::Outcome::notConnected) {
+    services_.connectionLost(now);
+  }
 }
 
 void Exchange::failedSend(Time now,
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -32,6 +32,8 @@
   std::shared_ptr<const fleet::RouteTable> table;
   /** Revision of the endpoint registry in use, for logs. */
   std::uint64_t endpointRevision = 0;
+  /** Called after a send failed in a way that may show a crash of an endpoint. */
+  std::function<void(Time)> connectionLost;
 };
 
 /** Returns the budget of a workspace. Safe from any thread. */
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -526,6 +526,34 @@
   CHECK(entry("e1").crashesOfOthers(77) == 3);
 }
 
+// Guards against a crash that the subscribers of another control process learn a second later.
+TEST_CASE_FIXTURE(TwoControls, "Crashes_ofOneProcess_reachSubscribersOfOtherControlsAtOnce")
+{
+  const SubscriberSettings other{ Incarnation{ 1 }, ZoneId("z1"), { ids[1] }, 7 };
+  entries.insert_or_assign(ProcessId("e1"), FleetSubscriber(other));
+  run(ms(1100));
+  REQUIRE(entry("e0").control() == ids[0]);
+  REQUIRE(entry("e1").control() == ids[1]);
+  for (std::uint64_t crashes = 1; crashes <= 3; ++crashes) {
+    entry("e0").addCrash(now, 77);
+    run(ms(100));
+    CHECK(entry("e1").crashesOfOthers(77) == crashes);
+  }
+}
+
+// Guards against a crash that waits for the next second because no control process was in use yet.
+TEST_CASE_FIXTURE(TwoControls, "Subscriber_crashDuringItsSearch_isToldWithTheFirstContact")
+{
+  run(ms(100));
+  const SubscriberSettings late{ Incarnation{ 2 }, ZoneId("z1"), { ids[0] }, 7 };
+  entries.insert_or_assign(ProcessId("e0"), FleetSubscriber(late));
+  entry("e0").tick(now);
+  REQUIRE_FALSE(entry("e0").control().has_value());
+  entry("e0").addCrash(now, 77);
+  run(ms(100));
+  CHECK(entry("e1").crashesOfOthers(77) == 1);
+}
+
 namespace {
 
 /** Random changes, outages and crashes. */
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -120,6 +120,25 @@
         check(len(runs_of(fleet, f"r{fleet.requests}")) == 2, "two endpoints were tried")
 
 
+def crashing_request_is_refused_everywhere_at_once(build):
+    """Guards against a request that crashes an endpoint at each entry process, and against crashes
+    that are counted once although they were seen one after the other."""
+    with Started(build, controls=3, entries=2, apps=6) as fleet:
+        for number in range(1, 4):
+            fleet.call("POST", "app.example", "/book/crash/x", "b")
+
+            def noticed():
+                fleet.call("GET", "app.example", "/look/x")
+                return fleet.entries[0].log().count("event=endpoint_crash") >= number
+
+            wait_until(noticed, "the endpoint is known to be down", 10)
+        took = wait_until(lambda: fleet.call("POST", "app.example", "/book/crash/x", "b",
+                                             entry=1).status == 422, "it is refused", 0.5)
+        check(took < 0.3, f"at once: {took}")
+        crashed = sum(not endpoint.announcing for endpoint in fleet.endpoints)
+        check(crashed == 3, f"no further endpoint crashed: {crashed}")
+
+
 def unmarked_success_is_no_success(build):
     """Guards against bytes of something else that pass as an endpoint's answer."""
     with Started(build) as fleet:
@@ -405,6 +424,7 @@
     once_request_refused_by_endpoint_is_promised_not_run,
     once_request_without_answer_promises_nothing,
     failed_lookup_is_repeated_elsewhere,
+    crashing_request_is_refused_everywhere_at_once,
     unmarked_success_is_no_success,
     cut_stream_never_looks_complete,
     disturbed_streams_are_continued,
