router: replace a kept connection that died under a repeatable request

Cause: a request whose kept connection was reset or closed before any byte of an answer was repeated at another endpoint only, and possibly over another kept connection of the same age. With one endpoint left it got 502 ("no endpoint is left").

Ruled out: the check right before reuse. ClientConnection::flush() already looks for an end, an error or bytes before the first byte is written and takes another connection; Client_connectionBrokenWhileIdle_ isNotUsed covers it for a close, a reset and a late response that the event loop has not seen yet.

Change: such a request is repeated over a new connection, at another endpoint where there is one, else at the same. It stays within maxAttempts and the repeat budget. Requests that may run once are not repeated.

Conclusion: a dead kept connection costs a repeat, not the request.

--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fmt/format.h>
+#include <span>
 #include <utility>
 #include <xxhash.h>
 
@@ -280,7 +281,7 @@
 void Exchange::sendNext(Time now, Duration pause)
 {
   stage_ = Stage::waitingForHead;
-  const auto choice = services_.dispatcher.choose(now, work_, tried_);
+  const auto choice = chooseNext(now);
   placed_ = true;
   if (!choice) {
     refuse(now, choice.error());
@@ -289,6 +290,17 @@
   take(now, *choice, pause);
 }
 
+tl::expected<dispatch::Choice, dispatch::Refusal> Exchange::chooseNext(Time now)
+{
+  auto choice = services_.dispatcher.choose(now, work_, tried_);
+  if (!choice && keptDied_) {
+    // No other endpoint takes it, so the same one is tried over a new connection.
+    const std::span<const EndpointId> others(tried_.data(), tried_.size() - 1);
+    choice = services_.dispatcher.choose(now, work_, others);
+  }
+  return choice;
+}
+
 void Exchange::take(Time now, const dispatch::Choice& choice, Duration pause)
 {
   stage_ = Stage::waitingForHead;
@@ -322,6 +334,7 @@
   options.correlationName = services_.dialect.fields().requestId;
   options.correlationValue = requestId_;
   options.maxConnections = choice_.maxConnections;
+  options.fresh = keptDied_;
   call_ = services_.pool.start(
     *address, forwardedHead(now, choice_), request_->body(), std::move(options), *this);
 }
@@ -362,6 +375,7 @@
 void Exchange::onHead(const http::ResponseHead& head)
 {
   const Time now = bootTime();
+  keptDied_ = false;
   const auto& names = services_.dialect.fields();
   if (const auto* load = head.fields.find(names.load)) {
     if (const auto report = parseLoad(*load)) {
@@ -537,6 +551,8 @@
   } else if (failure.kind == Kind::malformed) {
     outcome = dispatch::Outcome::malformed;
   }
+  keptDied_ = failure.sent && failure.reused && !failure.headReceived &&
+              (failure.kind == Kind::reset || failure.kind == Kind::closed);
   const auto detail =
     fmt::format("{}{}", toString(failure.kind), failure.reused ? " on a kept connection" : "");
   if (stage_ == Stage::relaying && !canContinue()) {
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -99,6 +99,7 @@
   Expected<void> describeWork(Time now, const fleet::Route& route);
   void reserve(Time now);
   void sendNext(Time now, Duration pause = Duration{ 0 });
+  [[nodiscard]] tl::expected<dispatch::Choice, dispatch::Refusal> chooseNext(Time now);
   void take(Time now, const dispatch::Choice& choice, Duration pause);
   void startSend(Time now);
   http::RequestHead forwardedHead(Time now, const dispatch::Choice& choice) const;
@@ -158,6 +159,9 @@
   bool mayHaveRun_ = false;
   int sends_ = 0;
   int connectFailures_ = 0;
+  /** The last send failed on a kept connection before any byte of an answer, which says little of
+      the endpoint. */
+  bool keptDied_ = false;
   /** Where the next send goes. */
   dispatch::Choice choice_;
   /** When the next send starts; set while it waits for an earlier endpoint to stop. */
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -120,6 +120,22 @@
         check(len(runs_of(fleet, f"r{fleet.requests}")) == 2, "two endpoints were tried")
 
 
+def dead_kept_connection_is_replaced(build):
+    """Guards against a request that fails because the connection that was kept for it has died."""
+    with Started(build, engines=1, apps=1) as fleet:
+        check(fleet.call("GET", "app.example", "/look/x").status == 200, "a connection is kept")
+        check(fleet.call("POST", "chat.example", "/chat/x", "b").status == 200, "and another")
+        answer = fleet.call("GET", "app.example", "/look/dead/x")
+        check(answer.status == 200, f"status {answer.status}: {answer.body}")
+        check(len(runs_of(fleet, f"r{fleet.requests}")) == 2, "it was repeated at the same endpoint")
+        answer = fleet.call("POST", "chat.example", "/chat/dead/x", "b")
+        check(ids_of(answer) == ["1", "2", "3", "4", "5"], f"{answer.status} {answer.body!r}")
+        check(len(runs_of(fleet, f"r{fleet.requests}")) == 2, "it was repeated at the same endpoint")
+        answer = fleet.call("POST", "app.example", "/book/dead/x", "b")
+        check(answer.status == 502, f"a request that runs once is not repeated: {answer.status}")
+        check(len(runs_of(fleet, f"r{fleet.requests}")) == 1, "it ran once")
+
+
 def crashing_request_is_refused_everywhere_at_once(build):
     """Guards against a request that crashes an endpoint at each entry process, and against crashes
     that are counted once although they were seen one after the other."""
@@ -424,6 +440,7 @@
     once_request_refused_by_endpoint_is_promised_not_run,
     once_request_without_answer_promises_nothing,
     failed_lookup_is_repeated_elsewhere,
+    dead_kept_connection_is_replaced,
     crashing_request_is_refused_everywhere_at_once,
     unmarked_success_is_no_success,
     cut_stream_never_looks_complete,
