--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -371,8 +371,6 @@
   CHECK_FALSE(relay.canContinue());
 }
 
-// Guards against a full pipe that blocks the daemon, and against lines that vanish uncounted.
-TEST_CASE_FIXTURE(PipePair, "logWriter_withFullPipe_dropsAndCounts")
 // Guards against a full pipe that blocks the daemon or fills its memory, and against lines that
 // vanish uncounted: what was read and what was reported as dropped make up all lines.
 TEST_CASE_FIXTURE(LogPipe, "logWriter_withFullPipe_dropsAndCounts")
