--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -101,6 +101,8 @@
 
   /** Returns the applied state. */
   [[nodiscard]] const ledger::ControlState& state() const { return state_; }
+  /** Returns the holders with reserves that were retired since the last call, for logs. */
+  std::vector<ledger::RetirementView> takeRetirements() { return state_.takeRetirements(); }
 
   /** Tells whether this node is the leader with a majority in reach. */
   [[nodiscard]] bool isLeader(Time now) const { return node_.isLeader(now); }
--- a/modules/control/ControlNode.cpp
+++ b/modules/control/ControlNode.cpp
@@ -201,6 +201,11 @@
   return core_ ? core_->state() : kEmpty;
 }
 
+std::vector<ledger::RetirementView> ControlNode::takeRetirements()
+{
+  return core_ ? core_->takeRetirements() : std::vector<ledger::RetirementView>();
+}
+
 replication::LogIndex ControlNode::appliedIndex() const
 {
   return std::max(keptIndex_, core_ ? core_->appliedIndex() : 0);
--- a/modules/control/ControlNode.h
+++ b/modules/control/ControlNode.h
@@ -117,6 +117,9 @@
       until the recovered one has caught up, so it never goes back. */
   [[nodiscard]] const ledger::ControlState& state() const;
 
+  /** Returns the holders with reserves that were retired since the last call, for logs. */
+  std::vector<ledger::RetirementView> takeRetirements();
+
   /** Returns the index of the last entry that state() contains. */
   [[nodiscard]] replication::LogIndex appliedIndex() const;
 
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -392,6 +392,11 @@
   return views;
 }
 
+std::vector<RetirementView> ControlState::takeRetirements()
+{
+  return state_->escrow.takeRetirements();
+}
+
 const fleet::FleetState& ControlState::fleet() const
 {
   return state_->fleet;
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -93,6 +93,30 @@
   bool retiring = false;
 };
 
+/** Whether it is known what a dead holder had opened of its reserves. */
+enum class OpenedProof : std::uint8_t
+{
+  known,
+  /** A witness can still report. */
+  awaited,
+  /** No witness is left. */
+  lost,
+};
+
+/** How a dead holder with reserves was retired. */
+struct RetirementView
+{
+  HolderId holder;
+  OpenedProof proof = OpenedProof::known;
+  /** A witness reported; otherwise the clocks or the lack of witnesses decided. */
+  bool reported = false;
+  /** From its last contact to the start of its next incarnation, by the wall clock of its VM. */
+  Duration unheard{ 0 };
+  /** Over all budgets: what returned to them, and what counts as spent without a report. */
+  Tokens returned;
+  Tokens written;
+};
+
 /** One control VM as the log knows it. */
 struct MemberView
 {
@@ -190,6 +214,10 @@
   /** Returns the registered holders that are not completely retired. */
   [[nodiscard]] std::vector<RegisteredHolderView> holders() const;
 
+  /** Returns the holders with reserves that were retired since the last call; the oldest of many
+      are left out. */
+  std::vector<RetirementView> takeRetirements();
+
   /** Returns the members of the log. */
   [[nodiscard]] std::vector<MemberView> members() const;
 
--- a/modules/ledger/EscrowBook.h
+++ b/modules/ledger/EscrowBook.h
@@ -56,16 +56,6 @@
                  finals)
 };
 
-/** Whether it is known what a dead holder had opened of its reserves. */
-enum class OpenedProof : std::uint8_t
-{
-  known,
-  /** A witness can still report. */
-  awaited,
-  /** No witness is left. */
-  lost,
-};
-
 /** A caller with an idempotency key. */
 using KeyName = std::pair<CallerId, std::string>;
 
@@ -113,6 +103,8 @@
   [[nodiscard]] Verdict checkHolder(const HolderId& holder) const;
   /** Returns the incarnations that began to retire since the last call. */
   std::vector<HolderId> takeRetiring();
+  /** Returns the holders with reserves that were retired since the last call. */
+  std::vector<RetirementView> takeRetirements() { return std::exchange(retirements_, {}); }
   /** Forgets keyed bills whose first settlement is older than keyRetention. */
   void expire(Time time);
   /** Checks the invariants of the budgets touched since the last call. */
@@ -197,7 +189,7 @@
                   const BudgetId& name,
                   Budget& budget,
                   std::vector<Outgoing>& outgoing);
-  static void closeUnwitnessed(const HolderId& id, Budget& budget, bool openedKnown);
+  static void closeUnwitnessed(const HolderId& id, Budget& budget, RetirementView& retirement);
   void tellFinal(const HolderId& live, const BudgetId& name, std::vector<Outgoing>& outgoing);
   [[nodiscard]] Tokens heldBy(const HolderId& id) const;
   HolderAccount& openAccount(const HolderId& id, std::map<BudgetId, Budget>::iterator budget);
@@ -212,6 +204,8 @@
   std::map<HolderId, BudgetIndex> index_;
   std::vector<const BudgetId*> touched_;
   std::vector<HolderId> newlyRetiring_;
+  /** For logs only, at most kMostRetirements. */
+  std::vector<RetirementView> retirements_;
 };
 
 } // namespace figchute::ledger::detail
--- a/modules/ledger/EscrowPrepaid.cpp
+++ b/modules/ledger/EscrowPrepaid.cpp
@@ -180,13 +180,16 @@
   touched_.push_back(&at->first);
 }
 
-void EscrowBook::closeUnwitnessed(const HolderId& id, Budget& budget, bool openedKnown)
+void EscrowBook::closeUnwitnessed(const HolderId& id, Budget& budget, RetirementView& retirement)
 {
   if (auto* account = budget.find(id)) {
-    if (openedKnown) {
+    if (retirement.proof == OpenedProof::known) {
       account->returned += account->reserve();
+      retirement.returned += account->reserve();
     }
-    account->charged += budget.held(*account);
+    const auto held = budget.held(*account);
+    retirement.written += held;
+    account->charged += held;
     budget.close(id);
   }
   std::erase_if(budget.flows, [&budget](const Flow& flow) {
--- a/modules/ledger/EscrowRetirement.cpp
+++ b/modules/ledger/EscrowRetirement.cpp
@@ -5,6 +5,13 @@
 
 /** The part of EscrowBook that registers holders and retires them. */
 namespace figchute::ledger::detail {
+namespace {
+
+/** Retirements kept for logs until they are taken; all entry processes of a fleet may die at once.
+ */
+constexpr std::size_t kMostRetirements = 1000;
+
+} // namespace
 
 RegisterResult EscrowBook::registerHolder(Time time,
                                           const RegisterHolder& command,
@@ -248,13 +255,16 @@
       settleKeyed(time, id, charge);
     }
   }
+  RetirementView retirement{
+    id, openedProof(holder), !holder.reported.empty(), holder.replacedAt - holder.contactAt, {}, {}
+  };
   const auto index = index_.find(id);
   if (index != index_.end()) {
     const auto names = index->second;
     for (const auto* name : names) {
       auto& budget = budgets_.at(*name);
       if (holder.reserves || holder.witnesses.empty()) {
-        closeUnwitnessed(id, budget, openedProof(holder) == OpenedProof::known);
+        closeUnwitnessed(id, budget, retirement);
         touched_.push_back(name);
         continue;
       }
@@ -269,6 +279,9 @@
     }
     index_.erase(index);
   }
+  if (holder.reserves && retirements_.size() < kMostRetirements) {
+    retirements_.push_back(retirement);
+  }
   holders_.erase(id);
 }
 
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -364,6 +364,7 @@
     }
     context_.log.line(now, "members", { { "members", text } });
   }
+  logRetirements(now);
   const bool failed = node_->storageError().has_value();
   if (failed != storageFailed_) {
     storageFailed_ = failed;
@@ -373,6 +374,20 @@
   }
 }
 
+void ControlRole::logRetirements(Time now)
+{
+  for (const auto& retirement : node_->takeRetirements()) {
+    const bool lost = retirement.proof == ledger::OpenedProof::lost;
+    context_.log.line(now,
+                      "holder_retired",
+                      { { "holder", retirement.holder.process.value },
+                        { "proof", lost ? "none" : (retirement.reported ? "witness" : "clock") },
+                        { "unheard_ms", std::to_string(retirement.unheard.count() / 1000) },
+                        { "returned", std::to_string(retirement.returned.count) },
+                        { "written_off", std::to_string(retirement.written.count) } });
+  }
+}
+
 void ControlRole::setSeeds(const std::vector<ProcessId>& seeds)
 {
   node_->setSeeds(seeds);
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -55,6 +55,7 @@
   void followState();
   [[nodiscard]] std::vector<ProcessId> memberProcesses() const;
   void logChanges(Time now);
+  void logRetirements(Time now);
   void schedule();
 
   RoleContext context_;
