--- a/modules/dispatch/LongPromptEngines.cpp
+++ b/modules/dispatch/LongPromptEngines.cpp
@@ -7,21 +7,23 @@
 namespace figchute::dispatch {
 namespace {
 
-/** A pause of half a second is six events' steps with a whole chunk each, about 22,000 tokens. With
+/** Six steps with a whole chunk each, about 22,000 tokens, are a pause of half a second. With
     300 ms, about 16,000 tokens, there is room for the prompts that are read before and after. With
     250 ms the engines of long prompts were too busy: 6% of the guides paused in place of 4%; with
     350 ms twice as many chats paused. */
 constexpr Duration kLongReading = std::chrono::milliseconds(300);
 
 /** One of this many engines takes long prompts. One of nine was not enough for the measured
-   traffic: 9% of the guides paused in place of 4%. */
+   traffic: 5% of the guides
+    paused in place of 3.5%. */
 constexpr std::size_t kEnginesPerLong = 6;
 
 /** An entry process with 3% of the traffic sees a long prompt about once a minute. */
 constexpr Duration kMemory = std::chrono::seconds(120);
 
 /** Wait that an engine of long prompts counts for in the choice for other requests. In a flood they
-    still go there: 300 ms lost 2% of the credit in a flood of guides, and with 80 ms the chats
+    still go there: 300 ms lost 2% of the credit in a flood of guides
+    without long prompts, and with 80 ms the chats
    paused half as often again. */
 constexpr Duration kPenalty = std::chrono::milliseconds(150);
 
