--- a/tools/figchute-random-router/Operator.cpp
+++ b/tools/figchute-random-router/Operator.cpp
@@ -9,7 +9,7 @@
 namespace figchute::simulation {
 namespace {
 
-constexpr std::int64_t kFirstPrepaid = 40'000;
+constexpr std::int64_t kFirstPrepaid = 100'000;
 constexpr int kTries = 8;
 constexpr int kEndlessTries = 1'000'000;
 constexpr Duration kResendAfter = std::chrono::milliseconds(1000);
@@ -122,7 +122,7 @@
 
 void Operators::work()
 {
-  world_.schedule.after(Duration(world_.random.between(100'000, 1'500'000)), [this] {
+  world_.schedule.after(Duration(world_.random.between(50'000, 900'000)), [this] {
     if (working_) {
       act();
       work();
@@ -161,7 +161,7 @@
   if (world_.random.chance(0.3)) {
     workspace->second = workspace->second * world_.random.between(20, 90) / 100;
   } else {
-    workspace->second += world_.random.between(1'000, 30'000);
+    workspace->second += world_.random.between(1'000, 90'000);
   }
   lastVersion_ += 1 + world_.random.below(3);
   put(offer(lastVersion_, budgets_), lastVersion_, kTries);
--- a/tools/figchute-random-router/Simulation.cpp
+++ b/tools/figchute-random-router/Simulation.cpp
@@ -18,8 +18,7 @@
 /** The operators put a last change in force this long after the last fault. */
 constexpr Duration kLastChange = std::chrono::seconds(9);
 constexpr std::int64_t kLastRaise = 500'000;
-constexpr Duration kProbeTime = std::chrono::seconds(6);
-constexpr int kProbesEach = 3;
+constexpr Duration kProbeTime = std::chrono::seconds(10);
 
 int zonesOf(const std::string& deployment)
 {
@@ -54,6 +53,7 @@
   world_.schedule.after(kStart, [this] {
     startBreak();
     scheduleFault();
+    scheduleEndpointChange();
   });
 }
 
@@ -133,7 +133,7 @@
 
 void Simulation::callLater()
 {
-  world_.schedule.after(Duration(world_.random.between(2'000, 40'000)), [this] {
+  world_.schedule.after(Duration(world_.random.between(1'000, 24'000)), [this] {
     if (!requesting_) {
       return;
     }
@@ -251,27 +251,37 @@
     if (!entry->running() || entry->stopping()) {
       continue;
     }
-    for (int i = 0; i < kProbesEach * kWorkspaces; ++i) {
+    for (int i = 0; i <= kWorkspaces; ++i) {
       CallerRequest request;
       request.workspace = "w" + std::to_string(i % kWorkspaces + 1);
-      request.path = i / kWorkspaces == 0 ? "/chat/a" : "/stock/a";
+      request.path = i < kWorkspaces ? "/chat/a" : "/stock/a";
       request.promptTokens = 40;
       request.maxOutputTokens = 12;
       request.outputTokens = 12;
       request.fingerprint = ++lastFingerprint_;
       auto& probe = *probes_.emplace_back(std::make_unique<Probe>());
       probe.name = fmt::format("{} of {} at {}", request.path, request.workspace, entry->id().value);
-      request.done = [&probe](Answer answer) {
-        probe.answered = true;
-        probe.answer = answer;
-      };
-      world_.schedule.after(span(0, 1000), [&entry = *entry, request = std::move(request)] {
-        entry.begin(request);
-      });
+      sendProbe(*entry, probe, std::move(request), 2);
     }
   }
 }
 
+void Simulation::sendProbe(EntryProcess& entry, Probe& probe, CallerRequest request, int tries)
+{
+  auto copy = request;
+  copy.done = [this, &entry, &probe, request, tries](Answer answer) {
+    // Few endpoints of a plain service may all be full at one moment.
+    if (answer == Answer::refusedByDispatch && tries > 1) {
+      sendProbe(entry, probe, request, tries - 1);
+      return;
+    }
+    probe.answered = true;
+    probe.answer = answer;
+  };
+  world_.schedule.after(span(100, 2500),
+                        [&entry, copy = std::move(copy)] { entry.begin(copy); });
+}
+
 void Simulation::checkProbes() const
 {
   for (const auto& probe : probes_) {
--- a/tools/figchute-random-router/Simulation.h
+++ b/tools/figchute-random-router/Simulation.h
@@ -64,6 +64,7 @@
   void sendRequest(CallerRequest request, int tries);
 
   void scheduleFault();
+  void scheduleEndpointChange();
   void injectFault();
   void killControls();
   void restartControl(ControlProcess& process, Duration wait);
@@ -86,6 +87,7 @@
   void runUntil(Time end);
   void checkRecovered();
   void probe();
+  void sendProbe(EntryProcess& entry, Probe& probe, CallerRequest request, int tries);
   void checkProbes() const;
   ControlProcess& anyControl();
   EntryProcess& anyEntry() { return *entries_[world_.random.below(entries_.size())]; }
--- a/tools/figchute-random-router/SimulationFaults.cpp
+++ b/tools/figchute-random-router/SimulationFaults.cpp
@@ -58,6 +58,16 @@
     world_.network.setTamper(ageEndpoints);
   } else if (options_.breakName == "content") {
     world_.network.setTamper(changeConfiguration);
+  } else if (options_.breakName == "lost_configuration") {
+    // The disks ignore syncs; a power cut of all of them then loses what was acknowledged.
+    world_.schedule.after(std::chrono::seconds(3), [this] {
+      for (auto& control : controls_) {
+        if (control->running()) {
+          control->kill(true);
+          restartControl(*control, std::chrono::seconds(1));
+        }
+      }
+    });
   } else if (options_.breakName == "one_group") {
     // A process that founds a second group because it was told to bootstrap again.
     auto& control = *controls_.back();
@@ -70,7 +80,7 @@
 
 void Simulation::scheduleFault()
 {
-  world_.schedule.after(span(100, 2500), [this] {
+  world_.schedule.after(span(100, 1800), [this] {
     if (!faults_) {
       return;
     }
@@ -81,6 +91,16 @@
   });
 }
 
+void Simulation::scheduleEndpointChange()
+{
+  world_.schedule.after(span(100, 2500), [this] {
+    if (faults_) {
+      disturbEndpoint();
+      scheduleEndpointChange();
+    }
+  });
+}
+
 void Simulation::injectFault()
 {
   ++counts_.faults;
@@ -99,13 +119,11 @@
     partition();
   } else if (choice < 70) {
     disturbNetwork();
-  } else if (choice < 78) {
+  } else if (choice < 95) {
     loseControl();
-  } else if (choice < 96) {
-    disturbEndpoint();
   } else {
     // A calm time, in which the group can be repaired and drains must be followed.
-    quietUntil_ = world_.schedule.now() + span(4'000, 12'000);
+    quietUntil_ = world_.schedule.now() + span(3'000, 9'000);
   }
 }
 
