--- a/tools/figchute-random-router/ControlProcess.cpp
+++ b/tools/figchute-random-router/ControlProcess.cpp
@@ -3,6 +3,7 @@
 #include "router/Exchange.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace figchute::simulation {
@@ -321,6 +322,35 @@
   });
 }
 
+std::string ControlProcess::describe() const
+{
+  if (!running()) {
+    return id_.value + " does not run";
+  }
+  std::string text = fmt::format("{}{} applied {}", id_.value, frozen_ ? " (frozen)" : "", node_->appliedIndex());
+  if (node_->storageError()) {
+    text += " storage: " + node_->storageError()->detail;
+  }
+  if (const auto* log = node_->log()) {
+    text += fmt::format(" disk {:.6} {} term {} last {}",
+                        log->diskId(),
+                        toString(log->state().role),
+                        log->term(),
+                        log->lastIndex());
+  }
+  for (const auto& member : node_->members().members) {
+    text += fmt::format(" {}={:.6}{}",
+                        member.id.process.value,
+                        member.id.diskId,
+                        member.voter ? "" : "(learner)");
+  }
+  text += " seeds";
+  for (const auto& seed : seeds_) {
+    text += " " + seed.value;
+  }
+  return text;
+}
+
 void ControlProcess::announce(const fleet::Announcement& announcement, Reply reply)
 {
   handle([this, announcement, reply = std::move(reply)] {
--- a/tools/figchute-random-router/ControlProcess.h
+++ b/tools/figchute-random-router/ControlProcess.h
@@ -50,6 +50,9 @@
   [[nodiscard]] bool leads() const { return awake() && node_->isLeader(now()); }
   [[nodiscard]] bool hasContact() const { return awake() && node_->hasLeaderContact(now()); }
 
+  /** Describes the state of the process for a violation. */
+  [[nodiscard]] std::string describe() const;
+
   // The calls of operators and endpoints. A reply is lost when the process ends.
 
   void putConfiguration(const std::string& bytes, Reply reply);
--- a/tools/figchute-random-router/Network.cpp
+++ b/tools/figchute-random-router/Network.cpp
@@ -10,7 +10,6 @@
 namespace figchute::simulation {
 namespace {
 
-constexpr std::size_t kTraceLength = 50;
 constexpr Duration kInZone{ 200 };
 constexpr std::int64_t kLongDelayMicros = 1'000'000;
 
@@ -160,7 +159,7 @@
 void Network::remember(Trace trace)
 {
   trace_.push_back(std::move(trace));
-  if (trace_.size() > kTraceLength) {
+  if (trace_.size() > traceLength_) {
     trace_.pop_front();
   }
 }
--- a/tools/figchute-random-router/Network.h
+++ b/tools/figchute-random-router/Network.h
@@ -79,11 +79,13 @@
   /** Tells whether messages from one process to another are cut. */
   using Cut = std::function<bool(const ProcessId& from, const ProcessId& to)>;
 
-  /** @param betweenZones  the one-way delay between two zones */
-  Network(Schedule& schedule, Random& random, Duration betweenZones)
+  /** @param betweenZones  the one-way delay between two zones
+      @param traceLength   how many of the last messages trace() returns */
+  Network(Schedule& schedule, Random& random, Duration betweenZones, std::size_t traceLength)
     : schedule_(schedule)
     , random_(random)
     , betweenZones_(betweenZones)
+    , traceLength_(traceLength)
   {
   }
 
@@ -117,7 +119,7 @@
   /** Changes messages before they are delivered; used to break a rule on purpose. */
   void setTamper(std::function<void(Packet&)> tamper) { tamper_ = std::move(tamper); }
 
-  /** Describes the last 50 delivered messages, one line each. */
+  /** Describes the last delivered messages, one line each. */
   [[nodiscard]] std::vector<std::string> trace() const;
 
   /** Adds a call that is no packet to the trace. */
@@ -143,6 +145,7 @@
   Schedule& schedule_;
   Random& random_;
   Duration betweenZones_;
+  std::size_t traceLength_;
   NetworkFaults faults_;
   std::map<ProcessId, int> zones_;
   std::map<ProcessId, Receiver> receivers_;
--- a/tools/figchute-random-router/Simulation.cpp
+++ b/tools/figchute-random-router/Simulation.cpp
@@ -223,6 +223,18 @@
   }
 }
 
+std::string Simulation::describe() const
+{
+  std::string text;
+  for (const auto& control : controls_) {
+    text += control->describe() + "\n";
+  }
+  for (const auto& entry : entries_) {
+    text += entry->describe() + "\n";
+  }
+  return text;
+}
+
 void Simulation::checkRecovered()
 {
   const auto newest = world_.tally.newest();
@@ -234,7 +246,8 @@
                         control->id().value,
                         version,
                         newest));
-    require(control->hasContact(), "recovery: " + control->id().value + " has no leader");
+    require(control->hasContact(),
+            "recovery: " + control->id().value + " has no leader");
   }
   for (const auto& entry : entries_) {
     if (!entry->running()) {
--- a/tools/figchute-random-router/Simulation.h
+++ b/tools/figchute-random-router/Simulation.h
@@ -28,6 +28,9 @@
   /** Returns one line that describes the run. */
   [[nodiscard]] std::string summary() const;
 
+  /** Describes the control and entry processes, one a line. */
+  [[nodiscard]] std::string describe() const;
+
   [[nodiscard]] const World& world() const { return world_; }
 
 private:
--- a/tools/figchute-random-router/SimulationFaults.cpp
+++ b/tools/figchute-random-router/SimulationFaults.cpp
@@ -163,7 +163,7 @@
   world_.schedule.after(span(300, 5'000), [this, &control, powerLoss] {
     if (!powerLoss) {
       control.disk().endFailure();
-    } else if (control.running()) {
+    } else if (faults_ && control.running()) {
       ++counts_.controlKills;
       control.kill(true);
       restartControl(control, span(50, 3'000));
@@ -314,7 +314,7 @@
   const auto renew = [&](auto& process) {
     const auto& known = process.seeds();
     const bool reaches = std::any_of(known.begin(), known.end(), [&](const ProcessId& seed) {
-      return seed != gone && world_.controls.count(seed) > 0;
+      return seed != gone && seed != process.id() && world_.controls.count(seed) > 0;
     });
     if (!reaches || world_.random.chance(0.4)) {
       process.setSeeds(seeds);
--- a/tools/figchute-random-router/World.h
+++ b/tools/figchute-random-router/World.h
@@ -23,6 +23,8 @@
   std::string deployment = "ferreira";
   /** The name of the rule to break on purpose; empty for an ordinary run. */
   std::string breakName;
+  /** How many of the last messages a violation prints. */
+  std::uint64_t trace = 50;
 };
 
 /** What all parts of one run share. */
@@ -30,7 +32,7 @@
 {
   World(const Options& options, Duration betweenZones)
     : random(options.seed)
-    , network(schedule, random, betweenZones)
+    , network(schedule, random, betweenZones, options.trace)
     , dialect(router::ownDialect())
     , breakName(options.breakName)
     , breaksFrom(schedule.now() + std::chrono::seconds(4))
--- a/tools/figchute-random-router/main.cpp
+++ b/tools/figchute-random-router/main.cpp
@@ -25,11 +25,13 @@
 {
   long long seed = 1;
   long long steps = 200'000;
+  long long trace = 50;
   char* deployment = nullptr;
   char* breakName = nullptr;
   const poptOption table[] = {
     { "seed", 's', POPT_ARG_LONGLONG, &seed, 0, "seed of the run (default 1)", "N" },
     { "steps", 'n', POPT_ARG_LONGLONG, &steps, 0, "steps before the faults end", "N" },
+    { "trace", 't', POPT_ARG_LONGLONG, &trace, 0, "messages printed on a violation", "N" },
     { "deployment", 'd', POPT_ARG_STRING, &deployment, 0, "ferreira or goggle", "NAME" },
     { "break", 'b', POPT_ARG_STRING, &breakName, 0, "rule to break on purpose", "NAME" },
     POPT_AUTOHELP POPT_TABLEEND
@@ -39,6 +41,7 @@
   const bool extra = poptPeekArg(context) != nullptr;
   options.seed = static_cast<std::uint64_t>(seed);
   options.steps = static_cast<std::uint64_t>(steps);
+  options.trace = static_cast<std::uint64_t>(trace);
   options.deployment = deployment == nullptr ? options.deployment : deployment;
   options.breakName = breakName == nullptr ? "" : breakName;
   std::free(deployment);
@@ -84,6 +87,7 @@
     for (const auto& line : simulation->world().network.trace()) {
       std::printf("%s\n", line.c_str());
     }
+    std::fprintf(stderr, "%s\n", simulation->describe().c_str());
     return kExitViolation;
   }
   std::printf("%s\n", simulation->summary().c_str());
