--- a/modules/control/ControlNode.cpp
+++ b/modules/control/ControlNode.cpp
@@ -222,6 +222,13 @@
                    core_->log().heardLeaderWithin(now, window));
 }
 
+bool ControlNode::hasLeaderContact(Time now) const
+{
+  const auto window = timings().contact;
+  return core_ && (core_->log().heardMajorityWithin(now, window) ||
+                   core_->log().caughtUpWithin(now, window));
+}
+
 void ControlNode::setSeeds(std::vector<ProcessId> seeds)
 {
   settings_.seeds = std::move(seeds);
--- a/modules/control/ControlNode.h
+++ b/modules/control/ControlNode.h
@@ -133,8 +133,10 @@
   /** Returns the members of the log as this node knows them. */
   [[nodiscard]] const replication::Membership& members() const;
 
-  /** Tells whether a leader, or as leader a majority, was heard within ControlTimings::contact. */
-  [[nodiscard]] bool hasLeaderContact(Time now) const { return hasContact(now, timings().contact); }
+  /** Tells whether a leader, or as leader a majority, was heard within ControlTimings::contact. A
+      follower that lacks entries which the leader had committed before that time has no contact:
+      its state is old although it hears the leader, as when its own messages are lost. */
+  [[nodiscard]] bool hasLeaderContact(Time now) const;
 
   /** Returns why the data folder cannot be used, or nothing while it works. */
   [[nodiscard]] const std::optional<Error>& storageError() const { return storageError_; }
--- a/modules/replication/LogNode.h
+++ b/modules/replication/LogNode.h
@@ -190,6 +190,13 @@
     return role_ == Role::follower && leader_.has_value() && now - leaderHeardAt_ < window;
   }
 
+  /** Tells whether this node, as a follower, had within the window everything that its leader had
+      committed. A follower whose replies are lost hears the leader but gets no further entries. */
+  [[nodiscard]] bool caughtUpWithin(Time now, Duration window) const
+  {
+    return heardLeaderWithin(now, window) && caughtUpAt_ && now - *caughtUpAt_ < window;
+  }
+
   /** Returns the time at which tick() next has something to do when no message comes before. */
   [[nodiscard]] Time nextDeadline() const;
 
@@ -315,6 +322,8 @@
   Time now_;
   Time electionDeadline_;
   Time leaderHeardAt_;
+  /** When an append of the leader last left nothing committed to fetch. */
+  std::optional<Time> caughtUpAt_;
   Time heartbeatAt_;
   Time leaderSince_;
   LogIndex termStart_ = 0;
--- a/modules/replication/LogNodeAppend.cpp
+++ b/modules/replication/LogNodeAppend.cpp
@@ -30,6 +30,9 @@
   followLog(request.entries);
   const LogIndex matched = request.prevIndex + request.entries.size();
   commit_ = std::max(commit_, std::min({ request.commit, matched, lastIndex() }));
+  if (commit_ >= request.commit) {
+    caughtUpAt_ = now_;
+  }
   replyMatched(from, matched, request.sentAt);
 }
 
--- a/tests/control_node_test.cpp
+++ b/tests/control_node_test.cpp
@@ -354,6 +354,27 @@
   }
 }
 
+// Guards against a follower that tells its subscribers that it is in contact although it gets no
+// entries any more: it hears the leader, but the leader does not hear it.
+TEST_CASE_FIXTURE(FormedCluster, "ControlNode_followerUnheard_losesContactUntilItHasCaughtUp")
+{
+  const std::string name = follower();
+  for (const auto& other : names()) {
+    cut(name, other);
+  }
+  for (int i = 0; i < 4; ++i) {
+    write(leader());
+    run(400ms);
+  }
+  run(1s);
+  CHECK(node(name).appliedIndex() < node(leader()).appliedIndex());
+  CHECK(node(leader()).hasLeaderContact(now));
+  CHECK_FALSE(node(name).hasLeaderContact(now));
+  heal();
+  checkSettled();
+  CHECK(node(name).hasLeaderContact(now));
+}
+
 // Guards against acknowledgements by a minority and against either half doing so in an even split.
 TEST_CASE_FIXTURE(FormedFour, "ControlNode_splitInHalves_neitherAcknowledges")
 {
--- a/tools/figchute-random-router/ControlProcess.cpp
+++ b/tools/figchute-random-router/ControlProcess.cpp
@@ -29,9 +29,8 @@
 {
   wipe();
   world_.network.place(id_, zone);
-  world_.network.attach(id_, [this](const Packet& packet) {
-    handle([this, packet] { receive(packet); });
-  });
+  world_.network.attach(
+    id_, [this](const Packet& packet) { handle([this, packet] { receive(packet); }); });
 }
 
 void ControlProcess::wipe()
@@ -327,7 +326,8 @@
   if (!running()) {
     return id_.value + " does not run";
   }
-  std::string text = fmt::format("{}{} applied {}", id_.value, frozen_ ? " (frozen)" : "", node_->appliedIndex());
+  std::string text =
+    fmt::format("{}{} applied {}", id_.value, frozen_ ? " (frozen)" : "", node_->appliedIndex());
   if (node_->storageError()) {
     text += " storage: " + node_->storageError()->detail;
   }
@@ -339,10 +339,8 @@
                         log->lastIndex());
   }
   for (const auto& member : node_->members().members) {
-    text += fmt::format(" {}={:.6}{}",
-                        member.id.process.value,
-                        member.id.diskId,
-                        member.voter ? "" : "(learner)");
+    text += fmt::format(
+      " {}={:.6}{}", member.id.process.value, member.id.diskId, member.voter ? "" : "(learner)");
   }
   text += " seeds";
   for (const auto& seed : seeds_) {
--- a/tools/figchute-random-router/ControlProcess.h
+++ b/tools/figchute-random-router/ControlProcess.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "World.h"
 #include "control/control.h"
 #include "fleet/fleet.h"
+#include "World.h"
 
 #include <functional>
 #include <memory>
--- a/tools/figchute-random-router/EndpointProcess.cpp
+++ b/tools/figchute-random-router/EndpointProcess.cpp
@@ -88,9 +88,9 @@
   announcement.state = draining_ ? fleet::EndpointState::draining : fleet::EndpointState::ready;
   announcement.sequence = ++sequence_;
   announcement.born = born_;
-  const auto target = std::next(world_.controls.begin(),
-                                static_cast<std::ptrdiff_t>(
-                                  world_.random.below(world_.controls.size())));
+  const auto target =
+    std::next(world_.controls.begin(),
+              static_cast<std::ptrdiff_t>(world_.random.below(world_.controls.size())));
   const ProcessId to = target->first;
   const bool drains = draining_;
   const auto deliver = [this, to, announcement, drains, life = life_] {
@@ -128,9 +128,9 @@
 
 void EndpointProcess::withdraw()
 {
-  const auto target = std::next(world_.controls.begin(),
-                                static_cast<std::ptrdiff_t>(
-                                  world_.random.below(world_.controls.size())));
+  const auto target =
+    std::next(world_.controls.begin(),
+              static_cast<std::ptrdiff_t>(world_.random.below(world_.controls.size())));
   const ProcessId to = target->first;
   world_.network.call(process(), to, [this, to, life = life_] {
     const auto control = world_.controls.find(to);
--- a/tools/figchute-random-router/EndpointProcess.h
+++ b/tools/figchute-random-router/EndpointProcess.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "World.h"
 #include "dispatch/dispatch.h"
+#include "World.h"
 
 #include <functional>
 #include <map>
--- a/tools/figchute-random-router/EntryProcess.cpp
+++ b/tools/figchute-random-router/EntryProcess.cpp
@@ -22,16 +22,16 @@
 
 } // namespace
 
-EntryProcess::EntryProcess(World& world, ProcessId id, int zone, Duration clock)
+EntryProcess::EntryProcess(World& world, ProcessId id, int zone, Duration clock, Duration wallSkew)
   : world_(world)
   , id_(std::move(id))
   , zone_("z" + std::to_string(zone))
   , clock_(clock)
+  , wallSkew_(wallSkew)
 {
   world_.network.place(id_, zone);
-  world_.network.attach(id_, [this](const Packet& packet) {
-    handle([this, packet] { receive(packet); });
-  });
+  world_.network.attach(
+    id_, [this](const Packet& packet) { handle([this, packet] { receive(packet); }); });
 }
 
 fleet::SubscriberSettings EntryProcess::subscriberSettings() const
@@ -44,13 +44,15 @@
   incarnation_ = world_.nextIncarnation();
   auto wallet = ledger::routerWalletSettings({ id_, incarnation_ }, zone_);
   wallet.proposalIdBase = incarnation_.number << 24U;
+  wallet.startedAt = wall();
   dispatch::DispatcherSettings dispatcher;
   dispatcher.zone = zone_;
   dispatcher.seed = incarnation_.number;
   frozen_ = false;
   inbox_.clear();
   stopped_ = nullptr;
-  life_ = std::make_unique<Running>(subscriberSettings(), std::move(wallet), dispatcher);
+  life_ = std::make_unique<Running>(subscriberSettings(), wallet, dispatcher);
+  life_->wallet.setWallTime(wall());
   settle();
   schedule();
 }
@@ -147,6 +149,7 @@
 
 void EntryProcess::onTimer()
 {
+  life_->wallet.setWallTime(wall());
   std::vector<std::uint64_t> ids;
   for (const auto& [id, open] : life_->open) {
     ids.push_back(id);
@@ -162,8 +165,7 @@
   if (!stopping() || now() - stopStartedAt_ <= kServeAfterStop) {
     return;
   }
-  const bool done =
-    life_->open.empty() && (life_->wallet.drained() || life_->wallet.handedOver());
+  const bool done = life_->open.empty() && (life_->wallet.drained() || life_->wallet.handedOver());
   if (done || now() - stopStartedAt_ > kGrace) {
     const auto stopped = stopped_;
     kill();
@@ -190,6 +192,7 @@
   } else if (packet.channel == wire::Channel::ledger) {
     if (const auto message = wire::decode<ledger::Message>(packet.bytes)) {
       life_->wallet.receive(now(), packet.from, *message);
+      life_->witness.receive(now(), packet.from, *message);
     }
   }
   settle();
@@ -221,8 +224,7 @@
   for (const auto fingerprint : life_->dispatcher.takeCrashes()) {
     life_->subscriber.addCrash(now(), fingerprint);
   }
-  world_.tally.inForce(
-    { id_, incarnation_ }, version(), *life_->subscriber.configuration());
+  world_.tally.inForce({ id_, incarnation_ }, version(), *life_->subscriber.configuration());
   life_->settling = false;
 }
 
@@ -307,7 +309,13 @@
     }
   }
   static_cast<void>(life_->wallet.takeRecorded());
-  for (auto& message : life_->wallet.takeOutgoing()) {
+  sendLedger(life_->wallet.takeOutgoing());
+  sendLedger(life_->witness.takeOutgoing());
+}
+
+void EntryProcess::sendLedger(std::vector<ledger::Outgoing> messages)
+{
+  for (auto& message : messages) {
     send(message.to, wire::Channel::ledger, wire::encode(message.message));
   }
 }
@@ -593,8 +601,7 @@
                                  version(),
                                  life_->records.size());
   for (const auto& account : life_->wallet.accounts()) {
-    text += fmt::format(
-      ", {} available {}", account.budget.value, account.available.count);
+    text += fmt::format(", {} available {}", account.budget.value, account.available.count);
   }
   return text;
 }
--- a/tools/figchute-random-router/EntryProcess.h
+++ b/tools/figchute-random-router/EntryProcess.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "EndpointProcess.h"
-#include "World.h"
 #include "dispatch/dispatch.h"
+#include "EndpointProcess.h"
 #include "fleet/fleet.h"
 #include "ledger/ledger.h"
+#include "World.h"
 
 #include <functional>
 #include <map>
@@ -48,8 +48,9 @@
 class EntryProcess
 {
 public:
-  /** @param clock  what this VM's clock shows more than the schedule */
-  EntryProcess(World& world, ProcessId id, int zone, Duration clock);
+  /** @param clock     what this VM's clock since its start shows more than the schedule
+      @param wallSkew  what its wall clock shows more */
+  EntryProcess(World& world, ProcessId id, int zone, Duration clock, Duration wallSkew);
 
   void start();
 
@@ -110,16 +111,18 @@
   struct Running
   {
     Running(fleet::SubscriberSettings subscriberSettings,
-            ledger::WalletSettings walletSettings,
+            const ledger::WalletSettings& walletSettings,
             const dispatch::DispatcherSettings& dispatcherSettings)
       : subscriber(std::move(subscriberSettings))
-      , wallet(std::move(walletSettings))
+      , wallet(walletSettings)
+      , witness(walletSettings.self)
       , dispatcher(dispatcherSettings)
     {
     }
 
     fleet::FleetSubscriber subscriber;
     ledger::Wallet wallet;
+    ledger::Witness witness;
     dispatch::Dispatcher dispatcher;
     std::shared_ptr<const fleet::RouteTable> table;
     /** The records that the dispatcher has. */
@@ -132,6 +135,7 @@
   };
 
   [[nodiscard]] Time now() const { return world_.schedule.now() + clock_; }
+  [[nodiscard]] Time wall() const { return world_.schedule.now() + wallSkew_; }
   [[nodiscard]] fleet::SubscriberSettings subscriberSettings() const;
   void handle(std::function<void()> action);
   void receive(const Packet& packet);
@@ -143,6 +147,7 @@
   void applyEndpoints();
   void setWalletPeers();
   void settleWallet();
+  void sendLedger(std::vector<ledger::Outgoing> messages);
   void noteContact();
   void giveTokensBack();
 
@@ -163,6 +168,7 @@
   ProcessId id_;
   ZoneId zone_;
   Duration clock_;
+  Duration wallSkew_;
   std::vector<ProcessId> seeds_;
   Incarnation incarnation_;
   std::unique_ptr<Running> life_;
--- a/tools/figchute-random-router/FleetTally.cpp
+++ b/tools/figchute-random-router/FleetTally.cpp
@@ -76,10 +76,10 @@
 void FleetTally::leadersNow(const std::vector<ProcessId>& leaders)
 {
   require(leaders.size() < 2,
-          leaders.size() < 2
-            ? ""
-            : fmt::format(
-                "one_group: {} and {} lead at the same time", leaders[0].value, leaders[1].value));
+          leaders.size() < 2 ? ""
+                             : fmt::format("one_group: {} and {} lead at the same time",
+                                           leaders[0].value,
+                                           leaders[1].value));
 }
 
 void FleetTally::applied(const ProcessId& process,
@@ -155,9 +155,8 @@
   mostRepeats_ = std::max(mostRepeats_, repeats_.size());
   const double allowed = kRepeatRatio * static_cast<double>(requests_.size()) + kRepeatSlack;
   require(static_cast<double>(repeats_.size()) <= allowed,
-          fmt::format("repeats: {} repeats and {} requests within 10 s",
-                      repeats_.size(),
-                      requests_.size()));
+          fmt::format(
+            "repeats: {} repeats and {} requests within 10 s", repeats_.size(), requests_.size()));
 }
 
 void FleetTally::charged(const BudgetId& budget, Tokens tokens)
--- a/tools/figchute-random-router/FleetTally.h
+++ b/tools/figchute-random-router/FleetTally.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "Network.h"
 #include "control/control.h"
 #include "fleet/fleet.h"
+#include "Network.h"
 
 #include <deque>
 #include <map>
--- a/tools/figchute-random-router/Simulation.cpp
+++ b/tools/figchute-random-router/Simulation.cpp
@@ -88,7 +88,7 @@
   for (int i = 0; i < kEntries; ++i) {
     const ProcessId id("e" + std::to_string(i + 1));
     entries_.push_back(
-      std::make_unique<EntryProcess>(world_, id, i % zones_, span(1, 5'000'000)));
+      std::make_unique<EntryProcess>(world_, id, i % zones_, span(1, 5'000'000), span(0, 2'000)));
     entries_.back()->setSeeds(controls_[0]->seeds());
     entries_.back()->start();
   }
@@ -101,13 +101,12 @@
   const int plain = goggle ? 4 : 3;
   for (int i = 0; i < engines + plain; ++i) {
     const bool engine = i < engines;
-    endpoints_.push_back(
-      std::make_unique<EndpointProcess>(world_,
-                                        fmt::format("a{}", i + 1),
-                                        i % zones_,
-                                        ServiceName(engine ? "chat" : "orders"),
-                                        engine ? kEngineSlots : kPlainSlots,
-                                        span(0, 4'000)));
+    endpoints_.push_back(std::make_unique<EndpointProcess>(world_,
+                                                           fmt::format("a{}", i + 1),
+                                                           i % zones_,
+                                                           ServiceName(engine ? "chat" : "orders"),
+                                                           engine ? kEngineSlots : kPlainSlots,
+                                                           span(0, 4'000)));
     restartEndpoint(*endpoints_.back(), span(10, 1500));
   }
 }
@@ -162,9 +161,8 @@
     counts_.answered += answer == Answer::answered ? 1 : 0;
     counts_.budgetRefusals += answer == Answer::refusedByBudget ? 1 : 0;
     if (answer != Answer::answered && tries > 1) {
-      world_.schedule.after(span(50, 600), [this, request, tries] {
-        sendRequest(request, tries - 1);
-      });
+      world_.schedule.after(span(50, 600),
+                            [this, request, tries] { sendRequest(request, tries - 1); });
     }
   };
   entry.begin(std::move(copy));
@@ -241,13 +239,11 @@
   require(world_.tally.newest() > 0, "recovery: no configuration was ever acknowledged");
   for (const auto& control : controls_) {
     const auto version = control->node().state().fleet().configuration.version();
-    require(version >= newest,
-            fmt::format("recovery: {} has version {}, {} is acknowledged",
-                        control->id().value,
-                        version,
-                        newest));
-    require(control->hasContact(),
-            "recovery: " + control->id().value + " has no leader");
+    require(
+      version >= newest,
+      fmt::format(
+        "recovery: {} has version {}, {} is acknowledged", control->id().value, version, newest));
+    require(control->hasContact(), "recovery: " + control->id().value + " has no leader");
   }
   for (const auto& entry : entries_) {
     if (!entry->running()) {
@@ -273,7 +269,8 @@
       request.outputTokens = 12;
       request.fingerprint = ++lastFingerprint_;
       auto& probe = *probes_.emplace_back(std::make_unique<Probe>());
-      probe.name = fmt::format("{} of {} at {}", request.path, request.workspace, entry->id().value);
+      probe.name =
+        fmt::format("{} of {} at {}", request.path, request.workspace, entry->id().value);
       sendProbe(*entry, probe, std::move(request), 2);
     }
   }
@@ -291,8 +288,7 @@
     probe.answered = true;
     probe.answer = answer;
   };
-  world_.schedule.after(span(100, 2500),
-                        [&entry, copy = std::move(copy)] { entry.begin(copy); });
+  world_.schedule.after(span(100, 2500), [&entry, copy = std::move(copy)] { entry.begin(copy); });
 }
 
 void Simulation::checkProbes() const
