router: a stopping process refuses what it would cut

Streams were taken until 3 s after the signal was handled, which is later than 3 s after it was sent, and calls until the process ended. Change: streams are refused as not run from 2.7 s on, calls when less than two targets and 0.5 s are left. Test: stopping_process_refuses_what_it_would_cut.

--- a/modules/router/Daemon.cpp
+++ b/modules/router/Daemon.cpp
@@ -25,8 +25,6 @@
 /** How often the settings file is looked at, and a stop is checked. */
 constexpr auto kHousekeepingInterval = std::chrono::milliseconds(500);
 constexpr auto kStopCheckInterval = std::chrono::milliseconds(50);
-/** The process ends this long before the grace time, whatever is open. */
-constexpr Duration kGraceMargin = std::chrono::milliseconds(500);
 /** More faults of one file are counted, not logged. */
 constexpr std::size_t kMaxLoggedFaults = 20;
 
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -13,8 +13,9 @@
 constexpr auto kBusyTick = std::chrono::milliseconds(50);
 constexpr auto kIdleTick = std::chrono::milliseconds(250);
 /** After SIGTERM requests are still served as before for this time, because the load balancer needs
-    two missed readiness checks to notice. */
-constexpr Duration kServeAfterStop = std::chrono::seconds(3);
+    two missed readiness checks to notice. Callers count 3 s from the signal, which arrives here
+   some time later, so it ends earlier. */
+constexpr Duration kServeAfterStop = std::chrono::milliseconds(2700);
 
 /** Returns the wall clock. Only budgets use it, to tell how long a process was dead. */
 Time wallTime()
@@ -133,15 +134,20 @@
     exchange->sweep(now);
   }
   if (stopping_ && now - stopStartedAt_ > kServeAfterStop) {
-    // New connections are accepted to the end: while most processes of a zone stop, the load
-    // balancer sends connections to those that are not ready as well.
-    servingEnded_ = true;
-    callers_.drain();
-    giveTokensBack(now);
+    endServing(now);
   }
   settle(now);
 }
 
+void EntryRole::endServing(Time now)
+{
+  // New connections are accepted to the end: while most processes of a zone stop, the load balancer
+  // sends connections to those that are not ready as well.
+  servingEnded_ = true;
+  callers_.drain();
+  giveTokensBack(now);
+}
+
 void EntryRole::giveTokensBack(Time now)
 {
   if (!subscriber_.control()) {
@@ -157,6 +163,9 @@
   const Time now = bootTime();
   if (stopping_) {
     request->closeAfter();
+    if (now - stopStartedAt_ > kServeAfterStop) {
+      endServing(now);
+    }
   }
   const auto id = ++lastExchange_;
   const auto exchange = std::make_shared<Exchange>(
@@ -365,6 +374,8 @@
 {
   stopping_ = true;
   stopStartedAt_ = bootTime();
+  services_.noStreamsAfter = stopStartedAt_ + kServeAfterStop;
+  services_.endsAt = stopStartedAt_ + context_.settings.bounds.grace - kGraceMargin;
 }
 
 bool EntryRole::stopped() const
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -33,6 +33,7 @@
   [[nodiscard]] bool ready() const;
   void schedule();
   void onTimer();
+  void endServing(Time now);
   void giveTokensBack(Time now);
   void settle(Time now);
   void applyUpdates(Time now);
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -26,6 +26,11 @@
 /** A repeatable request without an answer is sent elsewhere after this multiple of its target. */
 constexpr int kStallTargets = 3;
 constexpr Duration kMinStall = std::chrono::milliseconds(250);
+/** A stopping process takes a call only when so many targets, and at least this time, are left. */
+constexpr int kCallTargets = 2;
+constexpr Duration kShortestCall = std::chrono::milliseconds(500);
+/** Another process is reached at once. */
+constexpr Duration kStopRetryAfter = std::chrono::milliseconds(100);
 /** An endpoint whose connection was closed under a request needs up to this time to stop it. */
 constexpr Duration kStopTime = std::chrono::milliseconds(400);
 /** How long a call that was paused for a slow caller may stay silent after that. */
@@ -150,9 +155,25 @@
     answerError(now, resolved.error(), std::chrono::milliseconds(300));
     return;
   }
+  if (endsTooSoon(now)) {
+    answerError(now, Error{ ErrorKind::shuttingDown, "the process is stopping" }, kStopRetryAfter);
+    return;
+  }
   reserve(now);
 }
 
+bool Exchange::endsTooSoon(Time now) const
+{
+  if (!services_.endsAt) {
+    return false;
+  }
+  if (work_.kind == fleet::RouteKind::stream) {
+    return now > *services_.noStreamsAfter;
+  }
+  const auto needed = std::max<Duration>(work_.target * kCallTargets, kShortestCall);
+  return now + needed > *services_.endsAt;
+}
+
 Expected<void> Exchange::resolve(Time now)
 {
   table_ = services_.table;
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -34,6 +34,10 @@
   std::uint64_t endpointRevision = 0;
   /** Called after a send failed in a way that may show a crash of an endpoint. */
   std::function<void(Time)> connectionLost;
+  /** Set when the process stops: streams that begin later are refused as not run. */
+  std::optional<Time> noStreamsAfter;
+  /** Set when the process stops: open requests are cut then. */
+  std::optional<Time> endsAt;
 };
 
 /** Returns the budget of a workspace. Safe from any thread. */
@@ -97,6 +101,8 @@
   Expected<void> resolve(Time now);
   Expected<void> authenticate(const fleet::Route& route);
   Expected<void> describeWork(Time now, const fleet::Route& route);
+  /** Tells whether the stopping process would cut the request before its answer is complete. */
+  [[nodiscard]] bool endsTooSoon(Time now) const;
   void reserve(Time now);
   void sendNext(Time now, Duration pause = Duration{ 0 });
   [[nodiscard]] tl::expected<dispatch::Choice, dispatch::Refusal> chooseNext(Time now);
--- a/modules/router/Role.h
+++ b/modules/router/Role.h
@@ -12,6 +12,9 @@
 
 namespace figchute::router {
 
+/** The process ends this long before the grace time, whatever is open. */
+constexpr Duration kGraceMargin = std::chrono::milliseconds(500);
+
 /** What the daemon gives a role. */
 struct RoleContext
 {
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -421,6 +421,25 @@
         thread.join()
 
 
+def stopping_process_refuses_what_it_would_cut(build):
+    """Guards against requests that a stopping process takes although it ends before their answers."""
+    with Started(build) as fleet:
+        for endpoint in fleet.endpoints:
+            endpoint.events = 260
+        thread = threading.Thread(target=lambda: fleet.call("POST", "chat.example", "/chat/long",
+                                                            "b"))
+        thread.start()
+        time.sleep(0.3)
+        fleet.entries[0].send(signal.SIGTERM)
+        time.sleep(2.85)
+        stream = fleet.call("POST", "chat.example", "/chat/x", "b")
+        check(stream.status == 503, f"a late stream is refused as not run: {stream.status}")
+        time.sleep(1.3)
+        call = fleet.call("GET", "app.example", "/look/x")
+        check(call.status == 503, f"a call that cannot end in time is refused: {call.status}")
+        thread.join()
+
+
 def changed_settings_are_reloaded(build):
     """Guards against seeds that are exchanged without effect, a bad file that ends a process, is
     taken in part or is reported without its faults, and a value reported as in force that is not."""
@@ -555,6 +574,7 @@
     draining_endpoint_gets_no_new_work,
     stop_ends_open_requests,
     stopping_process_accepts_connections_to_its_end,
+    stopping_process_refuses_what_it_would_cut,
     changed_settings_are_reloaded,
     settings_are_checked_without_a_start,
     full_log_pipe_stops_no_request,
