--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -339,9 +339,9 @@
   sendLedger(witness_.takeOutgoing());
 }
 
-void EntryRole::sendLedger(std::vector<ledger::Outgoing> messages)
+void EntryRole::sendLedger(const std::vector<ledger::Outgoing>& messages)
 {
-  for (auto& message : messages) {
+  for (const auto& message : messages) {
     context_.mesh.send(message.to, wire::Channel::ledger, wire::encode(message.message));
   }
 }
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -43,7 +43,7 @@
   void setWalletPeers(Time now);
   void tellCrashes(Time now);
   void settleWallet(Time now);
-  void sendLedger(std::vector<ledger::Outgoing> messages);
+  void sendLedger(const std::vector<ledger::Outgoing>& messages);
   void logEvents(Time now);
 
   RoleContext context_;
