--- a/tools/figchute-random-router/EndpointProcess.cpp
+++ b/tools/figchute-random-router/EndpointProcess.cpp
@@ -155,8 +155,7 @@
 
 void EndpointProcess::answer(const EndpointCall& call, CallEvent event)
 {
-  world_.network.call(
-    process(), call.entry, [event = std::move(event), call = call] { call.event(event); });
+  world_.network.call(process(), call.entry, [event = event, call = call] { call.event(event); });
 }
 
 void EndpointProcess::accept(const EndpointCall& call)
--- a/tools/figchute-random-router/EntryProcess.cpp
+++ b/tools/figchute-random-router/EntryProcess.cpp
@@ -313,9 +313,9 @@
   sendLedger(life_->witness.takeOutgoing());
 }
 
-void EntryProcess::sendLedger(std::vector<ledger::Outgoing> messages)
+void EntryProcess::sendLedger(const std::vector<ledger::Outgoing>& messages)
 {
-  for (auto& message : messages) {
+  for (const auto& message : messages) {
     send(message.to, wire::Channel::ledger, wire::encode(message.message));
   }
 }
--- a/tools/figchute-random-router/EntryProcess.h
+++ b/tools/figchute-random-router/EntryProcess.h
@@ -147,7 +147,7 @@
   void applyEndpoints();
   void setWalletPeers();
   void settleWallet();
-  void sendLedger(std::vector<ledger::Outgoing> messages);
+  void sendLedger(const std::vector<ledger::Outgoing>& messages);
   void noteContact();
   void giveTokensBack();
 
