--- a/tools/figchute-random-router/Simulation.cpp
+++ b/tools/figchute-random-router/Simulation.cpp
@@ -153,7 +153,7 @@
   });
 }
 
-void Simulation::sendRequest(CallerRequest request, int tries)
+void Simulation::sendRequest(const CallerRequest& request, int tries)
 {
   auto& entry = anyEntry();
   CallerRequest copy = request;
@@ -276,7 +276,10 @@
   }
 }
 
-void Simulation::sendProbe(EntryProcess& entry, Probe& probe, CallerRequest request, int tries)
+void Simulation::sendProbe(EntryProcess& entry,
+                           Probe& probe,
+                           const CallerRequest& request,
+                           int tries)
 {
   auto copy = request;
   copy.done = [this, &entry, &probe, request, tries](Answer answer) {
--- a/tools/figchute-random-router/Simulation.h
+++ b/tools/figchute-random-router/Simulation.h
@@ -64,7 +64,7 @@
   void every(Duration interval, std::function<void()> action);
 
   void callLater();
-  void sendRequest(CallerRequest request, int tries);
+  void sendRequest(const CallerRequest& request, int tries);
 
   void scheduleFault();
   void scheduleEndpointChange();
@@ -90,7 +90,7 @@
   void runUntil(Time end);
   void checkRecovered();
   void probe();
-  void sendProbe(EntryProcess& entry, Probe& probe, CallerRequest request, int tries);
+  void sendProbe(EntryProcess& entry, Probe& probe, const CallerRequest& request, int tries);
   void checkProbes() const;
   ControlProcess& anyControl();
   EntryProcess& anyEntry() { return *entries_[world_.random.below(entries_.size())]; }
