ledger: one sum of waiting requests, one demand forecast, one order of witnesses

Found on reading the change: reserves had their own copies of three loops that the wallet already had, and control computed the open part of an account twice. A comment on kDetachTime said nothing usable, one on retirements named the wrong end of the list, and a stopping process closed idle connections again at each request.

--- a/modules/ledger/Budget.h
+++ b/modules/ledger/Budget.h
@@ -91,6 +91,11 @@
   Flow& flow(const HolderId& from, const HolderId& to);
   [[nodiscard]] bool hasFlows(const HolderId& holder) const;
   [[nodiscard]] Tokens held(const HolderAccount& account) const;
+  /** Returns what an account holds without its reserve. */
+  [[nodiscard]] Tokens openOf(const HolderAccount& account) const
+  {
+    return held(account) - account.reserve();
+  }
   [[nodiscard]] Tokens held() const;
   [[nodiscard]] Tokens settled() const;
   /** Negative when a prepaid budget was lowered below what is settled and held. */
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -75,8 +75,8 @@
 
 namespace figchute::ledger {
 
-/** A holder that has created no Settle for this time and one that may open its reserves are told
-    apart by it: a holder replaced sooner cannot have opened any. */
+/** A holder opens its reserves only when it has created no Settle for longer than this time, so one
+    that is replaced sooner cannot have opened any. */
 constexpr Duration kDetachTime{ 3'000'000 };
 
 /** The cumulative amount bought for one budget, as a document gives it. */
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -214,8 +214,8 @@
   /** Returns the registered holders that are not completely retired. */
   [[nodiscard]] std::vector<RegisteredHolderView> holders() const;
 
-  /** Returns the holders with reserves that were retired since the last call; the oldest of many
-      are left out. */
+  /** Returns the holders with reserves that were retired since the last call; the newest of
+      many are left out. */
   std::vector<RetirementView> takeRetirements();
 
   /** Returns the members of the log. */
--- a/modules/ledger/EscrowBook.cpp
+++ b/modules/ledger/EscrowBook.cpp
@@ -176,8 +176,7 @@
   }
   const auto left = std::max(Tokens{ 0 }, budget.bought - budget.settled());
   const auto most = static_cast<double>(left.count) * kPrepaidShare / static_cast<double>(active);
-  const auto open = budget.held(account) - account.reserve();
-  const auto share = Tokens{ static_cast<std::int64_t>(most) } - open;
+  const auto share = Tokens{ static_cast<std::int64_t>(most) } - budget.openOf(account);
   return std::clamp(share, Tokens{ 0 }, free + account.reserve());
 }
 
@@ -187,7 +186,7 @@
                             Tokens asked)
 {
   const auto active = static_cast<double>(activeHolders(budget, time));
-  const auto open = static_cast<double>((budget.held(account) - account.reserve()).count);
+  const auto open = static_cast<double>(budget.openOf(account).count);
   const auto used = account.use.perSecond(time) * kUseSeconds - open;
   if (time < budget.openedAt + kYoungTime) {
     return std::max(asked, Tokens{ static_cast<std::int64_t>(used) });
--- a/modules/ledger/WalletAccount.cpp
+++ b/modules/ledger/WalletAccount.cpp
@@ -46,6 +46,12 @@
   return demand * std::exp(-age / static_cast<double>(window.count()));
 }
 
+Tokens WalletAccount::demandWithin(Time now, Duration window, Duration horizon) const
+{
+  const auto seconds = static_cast<double>(horizon.count()) / kMicrosPerSecond;
+  return Tokens{ static_cast<std::int64_t>(demandAtTime(now, window) * seconds) };
+}
+
 void WalletAccount::addDemand(Time now, Tokens bound, Duration window)
 {
   const auto seconds = static_cast<double>(window.count()) / kMicrosPerSecond;
--- a/modules/ledger/WalletAccount.h
+++ b/modules/ledger/WalletAccount.h
@@ -107,6 +107,9 @@
       @param window  the time constant of the decay */
   [[nodiscard]] double demandAtTime(Time now, Duration window) const;
 
+  /** Returns the demand of the time @p horizon to come, at the decayed rate. */
+  [[nodiscard]] Tokens demandWithin(Time now, Duration window, Duration horizon) const;
+
   /** Adds a reservation to the demand. */
   void addDemand(Time now, Tokens bound, Duration window);
 
--- a/modules/ledger/WalletControl.cpp
+++ b/modules/ledger/WalletControl.cpp
@@ -32,14 +32,6 @@
    a holder with little traffic would otherwise ask for each request. */
 constexpr std::int64_t kSpareRequests = 4;
 
-constexpr double kMicrosPerSecond = 1e6;
-
-Tokens expected(double perSecond, Duration horizon)
-{
-  const auto seconds = static_cast<double>(horizon.count()) / kMicrosPerSecond;
-  return Tokens{ static_cast<std::int64_t>(perSecond * seconds) };
-}
-
 } // namespace
 
 bool Wallet::Impl::hasWaiting(const BudgetId& id) const
@@ -50,6 +42,18 @@
   });
 }
 
+Tokens Wallet::Impl::waitingFor(const BudgetId& id) const
+{
+  Tokens sum;
+  for (const auto& waiting : waiting_) {
+    const auto& budgets = waiting.wanted.budgets;
+    if (std::find(budgets.begin(), budgets.end(), id) != budgets.end()) {
+      sum += waiting.wanted.bound;
+    }
+  }
+  return sum;
+}
+
 std::vector<BudgetId> Wallet::Impl::waitingBudgets() const
 {
   std::set<BudgetId> budgets;
@@ -68,10 +72,10 @@
 
 Tokens Wallet::Impl::expectedDemand(Time now, const Account& account) const
 {
-  const auto rate = account.demandAtTime(now, settings_.demandWindow);
   const auto bound = settings_.witnesses ? account.lastBound : account.largestBound;
   const auto ahead =
-    std::max(expected(rate, settings_.grantHorizon), Tokens{ kSpareRequests * bound.count });
+    std::max(account.demandWithin(now, settings_.demandWindow, settings_.grantHorizon),
+             Tokens{ kSpareRequests * bound.count });
   return std::max(ahead, startOf(now, account));
 }
 
@@ -522,20 +526,12 @@
   if (account.transferAskedAt != Time{}) {
     account.transferRefusals = 0;
   }
-  Tokens shortfall;
-  for (const auto& waiting : waiting_) {
-    const auto& budgets = waiting.wanted.budgets;
-    if (std::find(budgets.begin(), budgets.end(), id) != budgets.end()) {
-      shortfall += waiting.wanted.bound;
-    }
-  }
-  shortfall -= account.available();
+  auto shortfall = waitingFor(id) - account.available();
   const auto peers = transferPeers();
   if (shortfall <= Tokens{ 0 } || peers.empty()) {
     return;
   }
-  const auto rate = account.demandAtTime(now, settings_.demandWindow);
-  shortfall += expected(rate, settings_.transferHorizon);
+  shortfall += account.demandWithin(now, settings_.demandWindow, settings_.transferHorizon);
   account.transferAskedAt = now;
   const auto& peer = peers[++account.transferPeer % peers.size()];
   account.transferAsked = peer;
@@ -586,9 +582,9 @@
 {
   const auto most = settings_.witnesses ? account.transferable() : account.available();
   // A holder with demand keeps what it needs soon, but never more than half.
-  const auto rate = account.demandAtTime(now, settings_.demandWindow);
   const auto kept =
-    std::min(expected(rate, settings_.transferHorizon), Tokens{ account.available().count / 2 });
+    std::min(account.demandWithin(now, settings_.demandWindow, settings_.transferHorizon),
+             Tokens{ account.available().count / 2 });
   const auto spare = std::max(Tokens{ 0 }, account.available() - kept);
   return std::min({ most, spare, message.want });
 }
--- a/modules/ledger/WalletImpl.h
+++ b/modules/ledger/WalletImpl.h
@@ -164,6 +164,8 @@
   std::optional<GrantItem> grantItemFor(Time now, const BudgetId& id, const Account& account);
   [[nodiscard]] std::vector<BudgetId> waitingBudgets() const;
   [[nodiscard]] bool hasWaiting(const BudgetId& id) const;
+  /** Returns the sum of the bounds of the requests that wait for a budget. */
+  [[nodiscard]] Tokens waitingFor(const BudgetId& id) const;
   void giveBack(Time now, const BudgetId& id, Account& account);
   void returnTokens(const BudgetId& id, Account& account, Tokens amount);
   void sendSettle(Time now);
@@ -197,6 +199,9 @@
 
   // Reserves.
   [[nodiscard]] bool detached(Time now) const;
+  /** Lets a list start after this process in the order of names, so that the fleet spreads its
+      records. */
+  [[nodiscard]] std::vector<HolderId> fromOwnName(std::vector<HolderId> peers) const;
   [[nodiscard]] std::vector<HolderId> reserveWitnesses() const;
   [[nodiscard]] bool openedConfirmed() const;
   /** Tells whether control is asked for the reserve although nothing else is needed. */
--- a/modules/ledger/WalletRecords.cpp
+++ b/modules/ledger/WalletRecords.cpp
@@ -85,15 +85,19 @@
          (!registered_.empty() && (active_.has_value() || settings_.hasJournal));
 }
 
+std::vector<HolderId> Wallet::Impl::fromOwnName(std::vector<HolderId> peers) const
+{
+  const auto& own = settings_.self.process;
+  const auto first = std::find_if(
+    peers.begin(), peers.end(), [&own](const HolderId& id) { return id.process > own; });
+  std::rotate(peers.begin(), first, peers.end());
+  return peers;
+}
+
 std::vector<HolderId> Wallet::Impl::witnessCandidates() const
 {
-  // The list starts after this process in the order of names, so that the fleet spreads its
-  // records.
-  std::vector<HolderId> candidates = zonePeers();
+  auto candidates = fromOwnName(zonePeers());
   const auto own = settings_.self.process;
-  const auto first = std::find_if(
-    candidates.begin(), candidates.end(), [&own](const HolderId& id) { return id.process > own; });
-  std::rotate(candidates.begin(), first, candidates.end());
   for (const bool sameZone : { true, false }) {
     for (const auto& peer : peers_) {
       const bool usable = peer.control && peer.live && peer.id.process != own;
--- a/modules/ledger/WalletReserve.cpp
+++ b/modules/ledger/WalletReserve.cpp
@@ -25,17 +25,9 @@
 
 std::vector<HolderId> Wallet::Impl::reserveWitnesses() const
 {
-  // Each list starts after this process in the order of names, so that the fleet spreads its
-  // records. Witnesses in the own zone stay in reach when the zone is cut off.
-  const auto own = settings_.self.process;
-  const auto after = [&own](std::vector<HolderId> peers) {
-    const auto first = std::find_if(
-      peers.begin(), peers.end(), [&own](const HolderId& id) { return id.process > own; });
-    std::rotate(peers.begin(), first, peers.end());
-    return peers;
-  };
-  auto witnesses = after(zonePeers());
-  for (const auto& peer : after(transferPeers())) {
+  // Witnesses in the own zone stay in reach when the zone is cut off.
+  auto witnesses = fromOwnName(zonePeers());
+  for (const auto& peer : fromOwnName(transferPeers())) {
     if (std::find(witnesses.begin(), witnesses.end(), peer) == witnesses.end()) {
       witnesses.push_back(peer);
     }
@@ -60,20 +52,11 @@
 
 Tokens Wallet::Impl::amountToOpen(Time now, const BudgetId& id, const Account& account) const
 {
-  const auto rate = account.demandAtTime(now, settings_.demandWindow);
-  const auto seconds = static_cast<double>(kOpeningHorizon.count()) / 1e6;
-  Tokens need{ static_cast<std::int64_t>(rate * seconds) };
-  Tokens waited;
-  for (const auto& waiting : waiting_) {
-    const auto& budgets = waiting.wanted.budgets;
-    if (std::find(budgets.begin(), budgets.end(), id) != budgets.end()) {
-      waited += waiting.wanted.bound;
-    }
-  }
+  auto waited = waitingFor(id);
   if (now < account.peerWantUntil) {
     waited += account.peerWant;
   }
-  need += waited;
+  const auto need = account.demandWithin(now, settings_.demandWindow, kOpeningHorizon) + waited;
   // Opens ahead of need, so that a busy holder seldom waits for its witnesses.
   const bool low = 2 * account.available().count < need.count;
   const bool wanted = waited > account.available() || low;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -163,7 +163,7 @@
   const Time now = bootTime();
   if (stopping_) {
     request->closeAfter();
-    if (now - stopStartedAt_ > kServeAfterStop) {
+    if (!servingEnded_ && now - stopStartedAt_ > kServeAfterStop) {
       endServing(now);
     }
   }
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -35,9 +35,9 @@
   /** Called after a send failed in a way that may show a crash of an endpoint. */
   std::function<void(Time)> connectionLost;
   /** Set when the process stops: streams that begin later are refused as not run. */
-  std::optional<Time> noStreamsAfter;
+  std::optional<Time> noStreamsAfter = std::nullopt;
   /** Set when the process stops: open requests are cut then. */
-  std::optional<Time> endsAt;
+  std::optional<Time> endsAt = std::nullopt;
 };
 
 /** Returns the budget of a workspace. Safe from any thread. */
