--- a/tools/figchute-random-router/Simulation.cpp
+++ b/tools/figchute-random-router/Simulation.cpp
@@ -148,7 +148,7 @@
     request.fingerprint = ++lastFingerprint_;
     request.crashes = world_.random.chance(0.002);
     ++counts_.requests;
-    sendRequest(std::move(request), 3);
+    sendRequest(request, 3);
     callLater();
   });
 }
@@ -271,7 +271,7 @@
       auto& probe = *probes_.emplace_back(std::make_unique<Probe>());
       probe.name =
         fmt::format("{} of {} at {}", request.path, request.workspace, entry->id().value);
-      sendProbe(*entry, probe, std::move(request), 2);
+      sendProbe(*entry, probe, request, 2);
     }
   }
 }
