control, entry: metrics and log lines that show what overloads a control process

It now counts messages and bytes by channel, event loop time by kind of work and proposals by outcome, records how late its timer fires, and logs event_loop_late at most once a second while it is late. control_lost names its reason.

--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -87,10 +87,12 @@
 void ControlCore::handle(Time now, const ProcessId& from, const ledger::Propose& propose)
 {
   if (!node_.isLeader(now)) {
+    ++proposalCounts_.redirected;
     replyWithLeaderHint(from, propose.proposalId);
     return;
   }
   if (isPending(from, propose.proposalId)) {
+    ++proposalCounts_.repeated;
     return;
   }
   if (const auto command = wire::decode<ledger::Command>(propose.command)) {
@@ -101,6 +103,7 @@
     replyWithLeaderHint(from, propose.proposalId);
     return;
   }
+  ++proposalCounts_.appended;
   pendingProposals_[*index] = { from, propose.proposalId, node_.term() };
 }
 
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -53,6 +53,17 @@
   Time time;
 };
 
+/** What became of the proposals that a control process received. */
+struct ProposalCounts
+{
+  /** Appended to the log. */
+  std::uint64_t appended = 0;
+  /** Received again while the first copy was not committed. */
+  std::uint64_t repeated = 0;
+  /** Answered with the name of the leader. */
+  std::uint64_t redirected = 0;
+};
+
 /** The settings of a ControlCore. */
 struct CoreConfig
 {
@@ -110,6 +121,9 @@
   /** Returns the retirements of holders with reserves since the last call, for logging. */
   std::vector<ledger::RetirementView> takeRetirements() { return state_.takeRetirements(); }
 
+  /** Returns the proposals since the last call and starts again at 0. */
+  ProposalCounts takeProposalCounts() { return std::exchange(proposalCounts_, {}); }
+
   /** Returns true while this node is the leader and in contact with a majority.
       @see replication::LogNode::isLeader() */
   [[nodiscard]] bool isLeader(Time now) const { return node_.isLeader(now); }
@@ -177,6 +191,7 @@
   replication::LogNode node_;
   ledger::ControlState state_;
   std::map<replication::LogIndex, PendingProposal> pendingProposals_;
+  ProposalCounts proposalCounts_;
   std::map<ProcessId, LastPoll> polls_;
   std::vector<OutgoingMessage> outgoing_;
   replication::LogIndex appliedIndex_ = 0;
--- a/modules/control/ControlNode.cpp
+++ b/modules/control/ControlNode.cpp
@@ -210,6 +210,11 @@
   return core_ ? core_->takeRetirements() : std::vector<ledger::RetirementView>();
 }
 
+ProposalCounts ControlNode::takeProposalCounts()
+{
+  return core_ ? core_->takeProposalCounts() : ProposalCounts();
+}
+
 replication::LogIndex ControlNode::appliedIndex() const
 {
   return std::max(indexBeforeFailure_, core_ ? core_->appliedIndex() : 0);
--- a/modules/control/ControlNode.h
+++ b/modules/control/ControlNode.h
@@ -127,6 +127,9 @@
   /** Returns the retirements of holders with reserves since the last call, for logging. */
   std::vector<ledger::RetirementView> takeRetirements();
 
+  /** Returns the proposals since the last call and starts again at 0. */
+  ProposalCounts takeProposalCounts();
+
   /** Returns the index of the last entry that state() contains. */
   [[nodiscard]] replication::LogIndex appliedIndex() const;
 
--- a/modules/fleet/FleetSubscriber.cpp
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -12,6 +12,19 @@
 
 } // namespace
 
+std::string_view toString(SearchReason reason)
+{
+  switch (reason) {
+    case SearchReason::start:
+      return "start";
+    case SearchReason::silence:
+      return "silence";
+    case SearchReason::noLeader:
+      break;
+  }
+  return "no_leader";
+}
+
 FleetSubscriber::FleetSubscriber(SubscriberSettings settings)
   : settings_(std::move(settings))
   , random_(settings_.seed)
@@ -136,7 +149,7 @@
     }
     lastMessageAt_ = now;
     if (!leaderContact) {
-      startSearch(now);
+      startSearch(now, SearchReason::noLeader);
     }
     return;
   }
@@ -150,8 +163,9 @@
   }
 }
 
-void FleetSubscriber::startSearch(Time now)
+void FleetSubscriber::startSearch(Time now, SearchReason reason)
 {
+  searchReason_ = reason;
   searching_ = true;
   changes_.control = true;
   contactedControls_.clear();
@@ -228,13 +242,13 @@
   expireCrashes(now);
   if (!started_) {
     started_ = true;
-    startSearch(now);
+    startSearch(now, SearchReason::start);
   } else if (searching_) {
     if (now >= nextTryAt_) {
       tryNext(now);
     }
   } else if (now - lastMessageAt_ >= kSilenceTimeout) {
-    startSearch(now);
+    startSearch(now, SearchReason::silence);
   } else if (now >= nextSubscribeAt_) {
     nextSubscribeAt_ = now + kInterval;
     subscribe(now, *currentControl_);
--- a/modules/fleet/FleetSubscriber.h
+++ b/modules/fleet/FleetSubscriber.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,19 @@
   std::uint64_t seed = 1;
 };
 
+/** Why a subscriber searches for a control process. */
+enum class SearchReason : std::uint8_t
+{
+  start,
+  /** The control process sent nothing for FleetSubscriber::kSilenceTimeout. */
+  silence,
+  /** The control process reported that it has no contact with the leader. */
+  noLeader,
+};
+
+/** Returns the name of a reason. Safe from any thread. */
+std::string_view toString(SearchReason reason);
+
 /** Changes since the last FleetSubscriber::takeChanges(). */
 struct FleetChanges
 {
@@ -114,6 +128,9 @@
   /** Returns the control process in use; nothing during a search. */
   [[nodiscard]] std::optional<ProcessId> control() const;
 
+  /** Returns why the last search was started. */
+  [[nodiscard]] SearchReason searchReason() const { return searchReason_; }
+
   /** Returns all known control addresses, the members of the log first. */
   [[nodiscard]] const std::vector<ProcessId>& controls() const { return controls_; }
 
@@ -135,7 +152,7 @@
   void applyCrashes(Time now, const std::vector<CrashCount>& crashes);
   void updateControls(const std::vector<ProcessId>& members);
   void handleLeaderContact(Time now, const ProcessId& from, bool leaderContact);
-  void startSearch(Time now);
+  void startSearch(Time now, SearchReason reason);
   void startRound();
   void tryNext(Time now);
   void useControl(Time now, const ProcessId& control);
@@ -153,6 +170,7 @@
   /** The control process in use; the previous one during a search. */
   std::optional<ProcessId> currentControl_;
   bool searching_ = true;
+  SearchReason searchReason_ = SearchReason::start;
   /** Control processes not tried yet in this round. */
   std::deque<ProcessId> untriedControls_;
   /** Control processes contacted since the search began. */
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -363,6 +363,15 @@
   return views;
 }
 
+std::size_t ControlState::transferPairCount() const
+{
+  std::size_t pairs = 0;
+  for (const auto& [id, budget] : state_->budgetLedger.budgets()) {
+    pairs += budget.transfers.size();
+  }
+  return pairs;
+}
+
 std::size_t ControlState::keyedBillCount() const
 {
   return state_->budgetLedger.bills().size();
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -206,6 +206,9 @@
   /** Returns all claims that have not expired. */
   [[nodiscard]] std::vector<ClaimView> claims() const;
 
+  /** Returns the number of pairs of holders with transfers, summed over all budgets. */
+  [[nodiscard]] std::size_t transferPairCount() const;
+
   /** Returns the number of keyed bills that have not expired. */
   [[nodiscard]] std::size_t keyedBillCount() const;
 
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -53,6 +53,7 @@
   , operators_(context.io,
                operatorLimits(),
                [this](const RequestPointer& request) { handle(request); })
+  , load_(context.metrics, context.log)
   , timer_(context.io)
 {
 }
@@ -81,14 +82,24 @@
   const Duration wait =
     std::clamp<Duration>(node_->nextTick() - now, kMinTickInterval, kMaxTickInterval);
   timer_.expires_after(wait);
-  timer_.async_wait([this](const boost::system::error_code& error) {
+  timer_.async_wait([this, dueAt = now + wait](const boost::system::error_code& error) {
     if (!error) {
-      update(bootTime());
+      const Time firedAt = bootTime();
+      reportLoad(firedAt, firedAt - dueAt);
+      update(firedAt);
       scheduleTick();
     }
   });
 }
 
+void ControlRole::reportLoad(Time now, Duration timerDelay)
+{
+  if (load_.addTimerDelay(now, timerDelay)) {
+    load_.setTransferPairs(node_->state().transferPairCount());
+    load_.report(now);
+  }
+}
+
 void ControlRole::handle(const RequestPointer& request)
 {
   const auto& paths = context_.dialect.paths();
@@ -259,16 +270,26 @@
                           std::string body)
 {
   const Time now = bootTime();
+  load_.addReceived(channel, body.size());
   if (channel == wire::Channel::fleet) {
+    const WorkTimer timer(load_, LoopWork::fleet);
     if (const auto message = wire::decode<fleet::Message>(body)) {
       publisher_->receive(now, from, *message);
     }
   } else {
+    const WorkTimer timer(
+      load_, channel == wire::Channel::ledger ? LoopWork::ledger : LoopWork::replication);
     node_->receive(now, from, incarnation, channel, body);
   }
   scheduleUpdate();
 }
 
+void ControlRole::send(const ProcessId& to, wire::Channel channel, std::string body)
+{
+  load_.addSent(channel, body.size());
+  context_.mesh.send(to, channel, std::move(body));
+}
+
 void ControlRole::scheduleUpdate()
 {
   // All messages that have arrived share one sync of the log. With one sync per message, a disk
@@ -296,20 +317,28 @@
   publisher_->setLeaderContact(now, node_->hasLeaderContact(now));
   announcementTracker_->setLeader(now, node_->isLeader(now));
   expireEndpoints(now);
+  publishUpdates(now);
+  logChanges(now);
+  updating_ = false;
+}
+
+void ControlRole::publishUpdates(Time now)
+{
+  const WorkTimer timer(load_, LoopWork::publish);
   publisher_->tick(now);
   for (auto& message : publisher_->takeOutgoing()) {
-    context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
+    send(message.to, wire::Channel::fleet, wire::encode(message.message));
   }
-  logChanges(now);
-  updating_ = false;
 }
 
 void ControlRole::updateNode(Time now)
 {
+  const WorkTimer timer(load_, LoopWork::log);
   const auto before = node_->appliedIndex();
   node_->tick(now);
+  load_.addProposals(node_->takeProposalCounts());
   for (auto& message : node_->takeOutgoing()) {
-    context_.mesh.send(message.to, message.channel, std::move(message.body));
+    send(message.to, message.channel, std::move(message.body));
   }
   if (node_->appliedIndex() != before) {
     onApplied(now);
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -4,6 +4,7 @@
 #include "fleet/fleet.h"
 #include "http/http.h"
 #include "router/Exchange.h"
+#include "router/LoadMonitor.h"
 #include "router/Role.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -48,6 +49,9 @@
   void removeEndpoint(const RequestPointer& request, const EndpointId& id);
   void propose(const RequestPointer& request, const ledger::Command& command);
   void scheduleUpdate();
+  void send(const ProcessId& to, wire::Channel channel, std::string body);
+  void publishUpdates(Time now);
+  void reportLoad(Time now, Duration timerDelay);
   void update(Time now);
   void updateNode(Time now);
   void onApplied(Time now);
@@ -67,6 +71,7 @@
   std::unique_ptr<fleet::AnnouncementTracker> announcementTracker_;
   std::unique_ptr<fleet::FleetPublisher> publisher_;
   http::Server operators_;
+  LoadMonitor load_;
   boost::asio::steady_timer timer_;
   /** Service names of the active configuration; empty before the first configuration. */
   std::unordered_set<std::string> services_;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -267,9 +267,13 @@
     context_.mesh.maintainLink(*control);
   }
   control_ = control;
-  context_.log.line(now,
-                    control ? "control" : "control_lost",
-                    { { "control", control.value_or(ProcessId()).value } });
+  if (control) {
+    context_.log.line(now, "control", { { "control", control->value } });
+    return;
+  }
+  const auto reason = toString(subscriber_.searchReason());
+  context_.log.line(now, "control_lost", { { "reason", std::string(reason) } });
+  context_.metrics.count(fmt::format("control_lost_{}", reason));
 }
 
 void EntryRole::setQuotaPeers(Time now)
--- /dev/null
+++ b/modules/router/LoadMonitor.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "control/ControlCore.h"
+#include "core/core.h"
+#include "router/LogWriter.h"
+#include "wire/wire.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace figchute::router {
+
+/** The work of the event loop that LoadMonitor measures. */
+enum class LoopWork : std::uint8_t
+{
+  /** Messages of the replicated log. */
+  replication,
+  /** Proposals and other ledger messages. */
+  ledger,
+  /** Subscriptions and reports of other control processes. */
+  fleet,
+  /** Saving and applying log entries. */
+  log,
+  /** Encoding and sending fleet updates. */
+  publish,
+};
+
+constexpr std::size_t kLoopWorkKinds = 5;
+
+/** Measures where a control process spends its time: messages by channel, time by kind of work and
+    the delay of its timer. The totals are counters of the metrics page; a log line reports them at
+    most once a second, and only while the timer is late.
+    Thread safety: use one instance from one thread only. */
+class LoadMonitor
+{
+public:
+  /** Timers that fire later than this are reported. */
+  static constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(200);
+  /** The minimum interval between two log lines. */
+  static constexpr Duration kReportInterval = std::chrono::seconds(1);
+
+  /** @param metrics  receives the totals; must outlive this object
+      @param log      receives the log lines; must outlive this object */
+  LoadMonitor(Metrics& metrics, LogWriter& log);
+
+  void addReceived(wire::Channel channel, std::size_t bytes);
+  void addSent(wire::Channel channel, std::size_t bytes);
+
+  /** Adds the time that the event loop spent on one kind of work. */
+  void addWork(LoopWork work, Duration elapsed);
+
+  void addProposals(const control::ProposalCounts& counts);
+
+  /** Sets the number of pairs of holders with transfers in the ledger. */
+  void setTransferPairs(std::size_t pairs) { transferPairs_ = pairs; }
+
+  /** Records how late the timer fired.
+      @returns whether a report is due */
+  [[nodiscard]] bool addTimerDelay(Time now, Duration delay);
+
+  /** Adds the totals to the metrics, and writes a log line if the timer was late. */
+  void report(Time now);
+
+private:
+  struct ChannelTotals
+  {
+    std::uint64_t receivedMessages = 0;
+    std::uint64_t receivedBytes = 0;
+    std::uint64_t sentMessages = 0;
+    std::uint64_t sentBytes = 0;
+  };
+
+  /** The totals since the last report. */
+  struct Totals
+  {
+    std::array<ChannelTotals, wire::kChannels> channels;
+    std::array<Duration, kLoopWorkKinds> work{};
+    control::ProposalCounts proposals;
+    Duration maxTimerDelay{ 0 };
+  };
+
+  Metrics& metrics_;
+  LogWriter& log_;
+  Time nextReportAt_;
+  Totals totals_;
+  std::size_t transferPairs_ = 0;
+};
+
+/** Measures the time from its construction to its destruction as one kind of work. */
+class WorkTimer
+{
+public:
+  WorkTimer(LoadMonitor& monitor, LoopWork work);
+  ~WorkTimer();
+  WorkTimer(const WorkTimer&) = delete;
+  WorkTimer& operator=(const WorkTimer&) = delete;
+
+private:
+  LoadMonitor& monitor_;
+  LoopWork work_;
+  Time startedAt_;
+};
+
+} // namespace figchute::router
--- a/modules/wire/Envelope.h
+++ b/modules/wire/Envelope.h
@@ -26,6 +26,9 @@
   join = 7,
 };
 
+/** The number of channels. */
+constexpr std::size_t kChannels = 8;
+
 } // namespace figchute::wire
 
 MSGPACK_ADD_ENUM(figchute::wire::Channel)
