--- /dev/null
+++ b/tests/ledger_scale_test.cpp
@@ -0,0 +1,107 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "ledger/ledger.h"
+
+#include <cstdint>
+#include <ctime>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <string>
+#include <vector>
+
+using namespace figchute;
+using namespace figchute::ledger;
+
+namespace {
+
+/** The largest deployment that the users run, and the interval at which entry processes settle. */
+constexpr int kHolders = 73;
+constexpr int kBudgets = 24;
+constexpr double kSettleIntervalSeconds = 0.6;
+/** The processor share of a control process there, in cores. */
+constexpr double kControlShare = 0.15;
+
+double threadSeconds()
+{
+  timespec now{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
+}
+
+/** The ledger of a control process with registered holders that have grants from all budgets. */
+struct LargeFleet
+{
+  LargeFleet()
+  {
+    std::vector<PrepaidBudget> budgets;
+    for (int budget = 0; budget < kBudgets; ++budget) {
+      budgets.push_back({ budgetId(budget), Tokens{ 10'000'000 } });
+    }
+    apply(PutConfiguration{ 1, "configuration", budgets });
+    for (int holder = 0; holder < kHolders; ++holder) {
+      apply(RegisterHolder{ holderId(holder), ZoneId("z"), 1, {}, true, {} });
+      Grant grant{ holderId(holder), {} };
+      for (int budget = 0; budget < kBudgets; ++budget) {
+        grant.items.push_back({ budgetId(budget), 1, Tokens{ 1000 }, Tokens{ 1000 }, Tokens{} });
+      }
+      apply(grant);
+    }
+  }
+
+  static HolderId holderId(int holder)
+  {
+    return { ProcessId(fmt::format("10.1.0.{}:7300", holder)), Incarnation{ 1 } };
+  }
+
+  static BudgetId budgetId(int budget) { return BudgetId(fmt::format("w:t/tenant{}", budget)); }
+
+  void apply(const Command& command)
+  {
+    time = time + Duration{ 1000 };
+    REQUIRE(control.applyEncoded(++index, time, wire::encode(command)).has_value());
+  }
+
+  /** Applies one Settle of each holder with charges of all budgets, and transfers to and from all
+      other holders if requested. */
+  void settleAll(bool withTransfers)
+  {
+    ++round;
+    for (int holder = 0; holder < kHolders; ++holder) {
+      Settle settle{ holderId(holder), round, {}, {}, {}, {} };
+      for (int budget = 0; budget < kBudgets; ++budget) {
+        AccountTotals totals{
+          budgetId(budget), Tokens{ static_cast<std::int64_t>(round) }, {}, {}, {}, Tokens{ 1000 }
+        };
+        for (int peer = 0; withTransfers && peer < kHolders; ++peer) {
+          if (peer != holder) {
+            totals.transferredIn.push_back({ holderId(peer), Tokens{ 1 } });
+            totals.transferredOut.push_back({ holderId(peer), Tokens{ 1 } });
+          }
+        }
+        settle.totals.push_back(totals);
+      }
+      apply(settle);
+    }
+  }
+
+  ControlState control;
+  std::uint64_t index = 0;
+  std::uint64_t round = 0;
+  Time time{ 1'700'000'000'000'000 };
+};
+
+} // namespace
+
+// Guards against a control process that cannot keep up with its settlements once the holders have
+// transferred tokens to each other during a partition.
+TEST_CASE_FIXTURE(LargeFleet, "ControlState_holdersHaveTransferredToEachOther_keepsUpWithSettles")
+{
+  settleAll(true);
+  REQUIRE(control.transferPairCount() == kBudgets * kHolders * (kHolders - 1));
+  const auto before = threadSeconds();
+  settleAll(false);
+  const auto used = threadSeconds() - before;
+  INFO("processor time of one round in seconds: ", used);
+  // Half of the share remains for elections, configurations and updates.
+  CHECK(used < kControlShare * kSettleIntervalSeconds / 2);
+  CHECK(control.budget(budgetId(0))->settled == Tokens{ 2 * kHolders });
+}
