ledger: settlements report only transfers that control has not confirmed

Callers were refused with no_quorum after a partition from control, because control could not keep up with settlements. Cause: each settlement reported the totals of all transfers of its budgets since the start. Fix: a holder keeps the part of each total that control has confirmed and leaves out what did not change. Control takes the maximum of the totals, so a missing one changes nothing.

--- a/modules/ledger/QuotaAccount.cpp
+++ b/modules/ledger/QuotaAccount.cpp
@@ -8,15 +8,54 @@
 
 constexpr double kMicrosPerSecond = 1e6;
 
-Tokens sum(const std::vector<PeerTotal>& totals)
+PeerTransfers& findOrAdd(std::vector<PeerTransfers>& transfers, const HolderId& peer)
+{
+  for (auto& transfer : transfers) {
+    if (transfer.peer == peer) {
+      return transfer;
+    }
+  }
+  transfers.push_back({ peer, {}, {} });
+  return transfers.back();
+}
+
+Tokens sum(const std::vector<PeerTransfers>& transfers)
 {
   Tokens sum;
-  for (const auto& entry : totals) {
-    sum += entry.total;
+  for (const auto& transfer : transfers) {
+    sum += transfer.total;
   }
   return sum;
 }
 
+std::vector<PeerTotal> allTotals(const std::vector<PeerTransfers>& transfers)
+{
+  std::vector<PeerTotal> totals;
+  totals.reserve(transfers.size());
+  for (const auto& transfer : transfers) {
+    totals.push_back({ transfer.peer, transfer.total });
+  }
+  return totals;
+}
+
+std::vector<PeerTotal> unconfirmed(const std::vector<PeerTransfers>& transfers)
+{
+  std::vector<PeerTotal> totals;
+  for (const auto& transfer : transfers) {
+    if (transfer.total != transfer.confirmed) {
+      totals.push_back({ transfer.peer, transfer.total });
+    }
+  }
+  return totals;
+}
+
+void confirm(std::vector<PeerTransfers>& transfers, const std::vector<PeerTotal>& reported)
+{
+  for (const auto& [peer, total] : reported) {
+    findOrAdd(transfers, peer).confirmed = total;
+  }
+}
+
 } // namespace
 
 Tokens QuotaAccount::totalIn() const
@@ -66,18 +105,23 @@
 
 AccountTotals QuotaAccount::totals(const BudgetId& id) const
 {
-  return { id, charged, returned, transfersIn, transfersOut, unlocked };
+  return { id, charged, returned, allTotals(transfersIn), allTotals(transfersOut), unlocked };
 }
 
-Tokens& findOrAddTotal(std::vector<PeerTotal>& totals, const HolderId& peer)
+AccountTotals QuotaAccount::unconfirmedTotals(const BudgetId& id) const
 {
-  for (auto& entry : totals) {
-    if (entry.peer == peer) {
-      return entry.total;
-    }
-  }
-  totals.push_back({ peer, {} });
-  return totals.back().total;
+  return { id, charged, returned, unconfirmed(transfersIn), unconfirmed(transfersOut), unlocked };
+}
+
+void QuotaAccount::confirmTransfers(const AccountTotals& reported)
+{
+  confirm(transfersIn, reported.transferredIn);
+  confirm(transfersOut, reported.transferredOut);
+}
+
+Tokens& findOrAddTotal(std::vector<PeerTransfers>& transfers, const HolderId& peer)
+{
+  return findOrAdd(transfers, peer).total;
 }
 
 } // namespace figchute::ledger::detail
--- a/modules/ledger/QuotaAccount.h
+++ b/modules/ledger/QuotaAccount.h
@@ -6,6 +6,15 @@
 
 namespace figchute::ledger::detail {
 
+/** The cumulative transfers to or from one other holder. */
+struct PeerTransfers
+{
+  HolderId peer;
+  Tokens total;
+  /** The part of `total` that control has confirmed. */
+  Tokens confirmed;
+};
+
 /** A quota manager's account of one budget. */
 struct QuotaAccount
 {
@@ -25,8 +34,8 @@
   /** The largest amount so far by which spent and returned tokens exceeded the tokens received from
       other holders, and which therefore came from grants. */
   Tokens maxGrantUsed;
-  std::vector<PeerTotal> transfersIn;
-  std::vector<PeerTotal> transfersOut;
+  std::vector<PeerTransfers> transfersIn;
+  std::vector<PeerTransfers> transfersOut;
 
   /** The record clock at the last change that has to be recorded. */
   std::uint64_t changedClock = 0;
@@ -117,11 +126,18 @@
   /** Adds a reservation to the demand rate. */
   void addDemand(Time now, Tokens bound, Duration window);
 
-  /** Returns the totals in the form in which they are reported. */
+  /** Returns the totals in the form in which they are recorded, with all transfers. */
   [[nodiscard]] AccountTotals totals(const BudgetId& id) const;
+
+  /** Returns the totals in the form in which they are reported to control: with the transfers that
+      control has not confirmed. */
+  [[nodiscard]] AccountTotals unconfirmedTotals(const BudgetId& id) const;
+
+  /** Marks the transfers of a report as confirmed. */
+  void confirmTransfers(const AccountTotals& reported);
 };
 
 /** Returns the total of a peer. Adds the peer if it is missing. */
-Tokens& findOrAddTotal(std::vector<PeerTotal>& totals, const HolderId& peer);
+Tokens& findOrAddTotal(std::vector<PeerTransfers>& transfers, const HolderId& peer);
 
 } // namespace figchute::ledger::detail
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -383,9 +383,9 @@
   while (!pendingBudgets.empty() && settle.totals.size() < kMaxSettleItems) {
     const auto id = *pendingBudgets.begin();
     auto& account = accounts_.at(id);
-    settle.totals.push_back(account.totals(id));
+    settle.totals.push_back(account.unconfirmedTotals(id));
     inFlight.clocks[id] = account.changedClock;
-    inFlight.unlocked[id] = account.unlocked;
+    inFlight.totals[id] = settle.totals.back();
     account.hasUnsettledTotals = false;
     account.inSettleInFlight = true;
     unsettledBudgets_.erase(id);
@@ -408,7 +408,7 @@
   const bool allUnlockedReported =
     std::all_of(accounts_.begin(), accounts_.end(), [&inFlight](const auto& item) {
       return item.second.unlocked <= item.second.confirmedUnlocked ||
-             inFlight.unlocked.contains(item.first);
+             inFlight.totals.contains(item.first);
     });
   settle.createdAt = allUnlockedReported ? wallTime_ : Time{};
   ++settleSequence_;
@@ -441,9 +441,15 @@
   for (const auto& [id, clock] : inFlight.clocks) {
     auto& account = accounts_.at(id);
     account.inSettleInFlight = false;
+    // Control ignores the totals of a budget that it does not have yet, so the transfers in a
+    // report that it refused are reported again.
+    if (result.verdict.ok()) {
+      account.confirmTransfers(inFlight.totals.at(id));
+    }
     if (totalsProcessed) {
       markTotalsConfirmed(id, account, clock);
-      account.confirmedUnlocked = std::max(account.confirmedUnlocked, inFlight.unlocked.at(id));
+      account.confirmedUnlocked =
+        std::max(account.confirmedUnlocked, inFlight.totals.at(id).unlocked);
     } else {
       unsettledBudgets_.insert(id);
     }
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -135,8 +135,8 @@
     /** The record clock of each reported account at the time of sending. */
     std::map<BudgetId, std::uint64_t> clocks;
     std::vector<BudgetId> closingBudgets;
-    /** The unlocked total reported for each account. */
-    std::map<BudgetId, Tokens> unlocked;
+    /** The totals reported for each account. */
+    std::map<BudgetId, AccountTotals> totals;
   };
 
   /** A part of the reserves that is unlocked once all witnesses have acknowledged the record. */
--- a/tests/router_budget_test.cpp
+++ b/tests/router_budget_test.cpp
@@ -77,6 +77,26 @@
     }
   }
 
+  /** Runs the network until a process sends a Settle, for at most 2 s, and returns it. */
+  Settle nextSettle(const std::string& name)
+  {
+    for (int ms = 0; ms < 2000; ++ms) {
+      advance(kMs);
+      for (const auto& [time, packet] : packetQueue) {
+        const auto message = *wire::decode<Message>(packet.bytes);
+        const auto* propose = std::get_if<Propose>(&message);
+        if (packet.from != name || propose == nullptr) {
+          continue;
+        }
+        const auto command = *wire::decode<Command>(propose->command);
+        if (const auto* settle = std::get_if<Settle>(&command)) {
+          return *settle;
+        }
+      }
+    }
+    return {};
+  }
+
   QuotaManager& quotaManager(const std::string& name) { return *entries.at(name).quotaManager; }
 
   /** Runs requests one after the other at one process and returns how many were refused. */
@@ -552,3 +572,23 @@
     }
   }
 }
+
+// Guards against settlements that report every transfer since the start: they grow with the number
+// of holders, and after a partition control cannot receive them in time.
+TEST_CASE_FIXTURE(NineRouters, "RouterQuotaManager_transferIsSettled_isNotReportedAgain")
+{
+  reportsControlLost = true;
+  advance(3 * kSecond);
+  disconnectedLinks.insert({ "a", "ctl" });
+  REQUIRE(runRequests("a", 25, 1000, 50 * kMs) == 0);
+  disconnectedLinks.clear();
+  advance(3 * kSecond);
+  REQUIRE(quotaManager("a").account(BudgetId("w:t/x"))->transferredIn > Tokens{ 0 });
+  REQUIRE(reserve("a", "last", 100).status == ReserveStatus::admitted);
+  REQUIRE(quotaManager("a").charge(now, RequestId("last"), Tokens{ 100 }).has_value());
+  const auto settle = nextSettle("a");
+  REQUIRE(settle.totals.size() == 1);
+  CHECK(settle.totals.front().transferredIn.empty());
+  advance(3 * kSecond);
+  CHECK(budget().settled == Tokens{ 25'100 });
+}
