ledger: a holder exchanges tokens with at most 16 other holders

Cause: while control was unreachable, each holder requested tokens from every other one in turn. Fix: a holder requests tokens from at most 16 others, 8 of its own availability zone and the rest spread over the fleet. In fleets of up to 17 entry processes nothing changes.

--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -329,7 +329,7 @@
     handingOver_ = true;
     refuseWaiting(ErrorKind::shuttingDown, "the process is shutting down");
   }
-  const auto peers = transferPeers();
+  const auto& peers = transferPartners_;
   if (peers.empty() || retired_) {
     return;
   }
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/** The maximum number of holders from which a holder requests tokens. Control keeps the totals of
+    each pair of holders and budget, so with all pairs its state would grow with the square of the
+    number of holders. */
+constexpr std::size_t kMaxTransferPartners = 16;
 /** How long unreserved tokens are returned at once after control reported a low budget. */
 constexpr Duration kBudgetLowTime{ 1'000'000 };
 /** The longest pause between two grant requests for waiting requests. */
@@ -533,6 +537,27 @@
   return peers;
 }
 
+std::vector<HolderId> QuotaManager::Impl::selectTransferPartners() const
+{
+  auto peers = transferPeers();
+  if (peers.size() <= kMaxTransferPartners) {
+    return peers;
+  }
+  // Half of the partners are in the same availability zone, which may be isolated. The others are
+  // spread evenly over the fleet. Both start after this holder, so they differ between holders.
+  auto partners = rotateToStartAfterSelf(zonePeers());
+  partners.resize(std::min(partners.size(), kMaxTransferPartners / 2));
+  peers = rotateToStartAfterSelf(std::move(peers));
+  std::erase_if(peers, [&partners](const HolderId& peer) {
+    return std::find(partners.begin(), partners.end(), peer) != partners.end();
+  });
+  const auto others = kMaxTransferPartners - partners.size();
+  for (std::size_t i = 0; i < others; ++i) {
+    partners.push_back(peers[i * peers.size() / others]);
+  }
+  return partners;
+}
+
 void QuotaManager::Impl::requestTransfers(Time now)
 {
   // For holders with witnesses, control treats a transfer to an unregistered holder as not
@@ -555,13 +580,12 @@
     account.transferRefusals = 0;
   }
   auto shortfall = waitingTokens(id) - account.available();
-  const auto peers = transferPeers();
-  if (shortfall <= Tokens{ 0 } || peers.empty()) {
+  if (shortfall <= Tokens{ 0 } || transferPartners_.empty()) {
     return;
   }
   shortfall += account.demandWithin(now, settings_.demandWindow, settings_.transferHorizon);
   account.transferRequestedAt = now;
-  const auto& peer = peers[++account.transferPeerIndex % peers.size()];
+  const auto& peer = transferPartners_[++account.transferPeerIndex % transferPartners_.size()];
   account.transferRequestedFrom = peer;
   outgoing_.push_back({ peer.process, TransferRequest{ settings_.self, id, shortfall } });
 }
@@ -689,7 +713,7 @@
   // Each peer gets one request per round. A duplicate answer must not cause another request.
   auto& account = accountEntry->second;
   account.transferRequestedFrom = HolderId{};
-  if (++account.transferRefusals < transferPeers().size()) {
+  if (++account.transferRefusals < transferPartners_.size()) {
     account.transferRequestedAt = Time{};
     requestTransfers(now);
   }
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -227,6 +227,7 @@
   void handleUnlockAck(Time now, const WitnessAck& message);
   [[nodiscard]] std::vector<HolderId> zonePeers() const;
   [[nodiscard]] std::vector<HolderId> transferPeers() const;
+  [[nodiscard]] std::vector<HolderId> selectTransferPartners() const;
   [[nodiscard]] Tokens transferAmount(Time now,
                                       const TransferRequest& message,
                                       const Account& account) const;
@@ -263,6 +264,8 @@
   QuotaSettings settings_;
   Proposer proposer_;
   std::vector<Peer> peers_;
+  /** The holders with which this one exchanges tokens. */
+  std::vector<HolderId> transferPartners_;
   /** The number of entry processes that tokens can be exchanged with, including this one. */
   std::int64_t entryCount_ = 1;
   bool draining_ = false;
--- a/modules/ledger/QuotaManagerRecords.cpp
+++ b/modules/ledger/QuotaManagerRecords.cpp
@@ -246,6 +246,7 @@
   }
   proposer_.setControls(std::move(controls));
   entryCount_ = static_cast<std::int64_t>(transferPeers().size()) + 1;
+  transferPartners_ = selectTransferPartners();
   chooseActiveWitness(now);
   registerIfNeeded(now);
   flushRecords(now);
--- a/tests/router_budget_test.cpp
+++ b/tests/router_budget_test.cpp
@@ -97,6 +97,17 @@
     return {};
   }
 
+  /** Adds the receivers of the transfer requests of a process that are on their way. */
+  void addTransferRequestReceivers(const std::string& name, std::set<std::string>& receivers) const
+  {
+    for (const auto& [time, packet] : packetQueue) {
+      const auto message = *wire::decode<Message>(packet.bytes);
+      if (packet.from == name && std::holds_alternative<TransferRequest>(message)) {
+        receivers.insert(packet.to);
+      }
+    }
+  }
+
   QuotaManager& quotaManager(const std::string& name) { return *entries.at(name).quotaManager; }
 
   /** Runs requests one after the other at one process and returns how many were refused. */
@@ -592,3 +603,28 @@
   advance(3 * kSecond);
   CHECK(budget().settled == Tokens{ 25'100 });
 }
+
+// Guards against ledger state that grows with the square of the number of holders: every holder of
+// a large fleet would otherwise get tokens from every other one during a partition.
+TEST_CASE_FIXTURE(Router, "RouterQuotaManager_largeFleetIsPartitioned_requestsTokensFromFewPeers")
+{
+  constexpr int kHolders = 40;
+  constexpr std::size_t kMaxPeers = 16;
+  for (int i = 0; i < kHolders; ++i) {
+    start("e" + std::to_string(i), false, "z" + std::to_string(i % 3));
+  }
+  reportsControlLost = true;
+  setPrepaidAmount(1000);
+  advance(kSecond);
+  disconnectControl();
+  std::set<std::string> requestedPeers;
+  for (int i = 0; i < 20; ++i) {
+    reserve("e0", "r" + std::to_string(i), 900);
+    for (int ms = 0; ms < 300; ++ms) {
+      advance(kMs);
+      addTransferRequestReceivers("e0", requestedPeers);
+    }
+  }
+  CHECK(requestedPeers.size() > 1);
+  CHECK(requestedPeers.size() <= kMaxPeers);
+}
