ledger: a request is refused as not covered only after control has answered its grant request

Cause: control counts as reachable as soon as it answers any proposal. A request whose time to wait for a grant has passed was then refused with budget_exhausted, although its own grant request was not answered yet. Fix: the request waits for the answer as long as it would wait without contact to control, and is then refused as no_quorum. QuotaManager_controlAnswersOtherProposalsFirst_waitsForTheGrant fails on the code before.

--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -145,7 +145,10 @@
       ++waitingRequest;
       continue;
     }
-    if (!refuseEarly && !reachable &&
+    // Other proposals may be answered before the grant request of this one.
+    const bool isGrantAnswered = reachable && waitingRequest->insufficientSince;
+    const bool mayBeAnswered = !reachable || (canRecord() && !isGrantAnswered);
+    if (!refuseEarly && mayBeAnswered &&
         now < waitingRequest->deadline + settings_.electionGracePeriod) {
       ++waitingRequest;
       continue;
@@ -153,7 +156,7 @@
     if (!canRecord()) {
       decisions_.push_back(
         refuse(waitingRequest->request, ErrorKind::noQuorum, "no witness is reachable"));
-    } else if (!reachable) {
+    } else if (!isGrantAnswered) {
       decisions_.push_back(refuse(
         waitingRequest->request, ErrorKind::noQuorum, "no control VM answered the grant request"));
     } else {
@@ -166,17 +169,27 @@
   }
 }
 
+bool QuotaManager::Impl::isUncovered(const WaitingRequest& request, const BudgetId& id) const
+{
+  const auto& budgets = request.reservation.budgets;
+  const bool usesBudget = std::find(budgets.begin(), budgets.end(), id) != budgets.end();
+  return usesBudget && accounts_.at(id).available() < request.reservation.bound;
+}
+
+void QuotaManager::Impl::markUncoveredRequests(Time now, const BudgetId& id)
+{
+  for (auto& waitingRequest : waiting_) {
+    if (!waitingRequest.insufficientSince && isUncovered(waitingRequest, id)) {
+      waitingRequest.insufficientSince = now;
+    }
+  }
+}
+
 void QuotaManager::Impl::refuseUncoveredRequests(Time now, const BudgetId& id)
 {
   for (auto waitingRequest = waiting_.begin(); waitingRequest != waiting_.end();) {
-    const auto& budgets = waitingRequest->reservation.budgets;
-    const bool usesBudget = std::find(budgets.begin(), budgets.end(), id) != budgets.end();
-    const bool uncovered =
-      usesBudget && accounts_.at(id).available() < waitingRequest->reservation.bound;
-    if (uncovered && !waitingRequest->insufficientSince) {
-      waitingRequest->insufficientSince = now;
-    }
-    if (!uncovered || now < *waitingRequest->insufficientSince + settings_.recallTimeout) {
+    if (!isUncovered(*waitingRequest, id) ||
+        now < *waitingRequest->insufficientSince + settings_.recallTimeout) {
       ++waitingRequest;
       continue;
     }
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -245,6 +245,7 @@
     } else {
       account.grantRequestPause = Duration{ 0 };
     }
+    markUncoveredRequests(now, item.budget);
     if (!settings_.usesWitnesses) {
       refuseUncoveredRequests(now, item.budget);
     }
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -153,6 +153,12 @@
   void admitWaiting(Time now);
   void refuseWaiting(ErrorKind kind, const std::string& detail);
   void refuseExpiredWaiting(Time now);
+  /** Returns whether a request uses a budget whose available tokens do not cover it. */
+  [[nodiscard]] bool isUncovered(const WaitingRequest& request, const BudgetId& id) const;
+  /** Records for the requests that a grant did not cover that control has answered. */
+  void markUncoveredRequests(Time now, const BudgetId& id);
+  /** Refuses the requests that are not covered for too long. Call it after
+      markUncoveredRequests(). */
   void refuseUncoveredRequests(Time now, const BudgetId& id);
   void freeReservation(Time now, const Reservation& reservation);
   void markRetired();
--- a/tests/LedgerCluster.h
+++ b/tests/LedgerCluster.h
@@ -221,6 +221,8 @@
   double duplicationProbability = 0;
   Duration maxExtraDelay{ 0 };
   bool controlDown = false;
+  /** Whether grant requests are lost on their way to control. */
+  bool losesGrants = false;
   /** Whether processes call setControlLost() when their link to control is cut. */
   bool reportsControlLost = false;
   std::map<std::string, std::vector<Decision>> decisions;
@@ -246,6 +248,10 @@
     return;
   }
   if (const auto* propose = std::get_if<Propose>(&message)) {
+    const auto command = *wire::decode<Command>(propose->command);
+    if (losesGrants && std::holds_alternative<Grant>(command)) {
+      return;
+    }
     const auto result = *control.applyEncoded(++index, now, propose->command);
     send("ctl", { from, ProposeReply{ propose->proposalId, true, ProcessId("ctl"), result } });
   }
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -134,6 +134,24 @@
   CHECK(decisions["a"][0].status == ReserveStatus::admitted);
 }
 
+// Guards against requests refused as not covered by their budget, although control has not answered
+// their grant request yet: it answers other proposals first when it is back or busy.
+TEST_CASE_FIXTURE(Zone, "QuotaManager_controlAnswersOtherProposalsFirst_waitsForTheGrant")
+{
+  REQUIRE(decide("a", "r0", 500).status == ReserveStatus::admitted);
+  decisions.clear();
+  losesGrants = true;
+  REQUIRE(reserve("a", "r1", 5000).status == ReserveStatus::waiting);
+  advance(500 * kMs);
+  REQUIRE(charge("a", "r0", 500));
+  advance(kSecond);
+  CHECK(decisions["a"].empty());
+  losesGrants = false;
+  advance(700 * kMs);
+  REQUIRE(decisions["a"].size() == 1);
+  CHECK(decisions["a"][0].status == ReserveStatus::admitted);
+}
+
 // Guards against a loss of quorum that is reported to callers as an exhausted budget.
 TEST_CASE_FIXTURE(Zone, "QuotaManager_controlUnreachableForThreeSeconds_refusesAsNoQuorum")
 {
