ledger: proposals are not sent again in bulk while control does not answer

Cause: each process sent every unanswered proposal again each 150 ms, to every control process in turn. The load grows with the time for which control does not answer, so control does not recover. Fix: while no proposal is answered, a process sends only its oldest one, at intervals of 150 ms and then 300 ms, and the others once it is answered. Copies to a leader that answers follow after 150, 300 and 600 ms. Proposer_controlIsSilent_probesWithOneProposal counted 380 messages in 3 s before, with 20 proposals; the bound is 20.

--- a/modules/ledger/Proposer.cpp
+++ b/modules/ledger/Proposer.cpp
@@ -27,21 +27,38 @@
   }
 }
 
+void Proposer::setLeader(const ProcessId& leader)
+{
+  leader_ = leader;
+  isLeaderUntried_ = true;
+}
+
+bool Proposer::isControlSilent(Time now) const
+{
+  return !pendingProposals_.empty() && lastReply_ + kResendAfter <= now &&
+         pendingProposals_.begin()->second.proposedAt + kResendAfter <= now;
+}
+
 void Proposer::send(Time now, std::uint64_t id, PendingProposal& proposal)
 {
-  proposal.sentAt = now;
-  if (!leader_.empty()) {
-    outgoing_.push_back({ leader_, Propose{ id, proposal.command } });
+  if (leader_.empty()) {
+    return;
   }
+  proposal.sentTo = leader_;
+  proposal.sentAt = now;
+  outgoing_.push_back({ leader_, Propose{ id, proposal.command } });
 }
 
 std::uint64_t Proposer::propose(Time now, const Command& command)
 {
+  const bool isSilent = isControlSilent(now);
   const auto id = ++lastId_;
   auto& proposal = pendingProposals_[id];
   proposal.command = wire::encode(command);
   proposal.proposedAt = now;
-  send(now, id, proposal);
+  if (!isSilent) {
+    send(now, id, proposal);
+  }
   return id;
 }
 
@@ -74,6 +91,13 @@
     return std::nullopt;
   }
   pendingProposals_.erase(proposal);
+  probeInterval_ = kResendAfter;
+  isLeaderUntried_ = false;
+  for (auto& [id, pendingProposal] : pendingProposals_) {
+    if (pendingProposal.sentTo != from) {
+      send(now, id, pendingProposal);
+    }
+  }
   return Reply{ reply.proposalId, std::move(*result) };
 }
 
@@ -90,17 +114,34 @@
 
 void Proposer::tick(Time now)
 {
-  const auto isDue = [now](const auto& item) { return item.second.sentAt + kResendAfter <= now; };
-  if (std::none_of(pendingProposals_.begin(), pendingProposals_.end(), isDue)) {
+  if (isControlSilent(now)) {
+    sendProbe(now);
+  } else {
+    resendDue(now);
+  }
+}
+
+void Proposer::sendProbe(Time now)
+{
+  if (!isLeaderUntried_ && now < nextProbeAt_) {
     return;
   }
-  const bool noRecentReply = lastReply_ + kResendAfter <= now;
-  if (noRecentReply) {
+  if (!std::exchange(isLeaderUntried_, false)) {
     chooseNextControl();
   }
+  auto& [id, proposal] = *pendingProposals_.begin();
+  proposal.redirects = 0;
+  send(now, id, proposal);
+  nextProbeAt_ = now + probeInterval_;
+  probeInterval_ = std::min(2 * probeInterval_, kMaxProbeInterval);
+}
+
+void Proposer::resendDue(Time now)
+{
   for (auto& [id, proposal] : pendingProposals_) {
-    if (proposal.sentAt + kResendAfter <= now) {
+    if (proposal.sentAt + proposal.resendInterval <= now) {
       proposal.redirects = 0;
+      proposal.resendInterval = std::min(2 * proposal.resendInterval, kMaxResendInterval);
       send(now, id, proposal);
     }
   }
@@ -111,11 +152,7 @@
   if (lastReply_ + window > now || pendingProposals_.empty()) {
     return true;
   }
-  const auto oldest = std::min_element(
-    pendingProposals_.begin(), pendingProposals_.end(), [](const auto& a, const auto& b) {
-      return a.second.proposedAt < b.second.proposedAt;
-    });
-  return oldest->second.proposedAt + window > now;
+  return pendingProposals_.begin()->second.proposedAt + window > now;
 }
 
 std::vector<OutgoingMessage> Proposer::takeOutgoing()
--- a/tests/ledger_control_test.cpp
+++ b/tests/ledger_control_test.cpp
@@ -359,3 +359,80 @@
   CHECK_FALSE(proposer.receive(now, ProcessId("c3"), reply).has_value());
   CHECK(proposer.pendingCount() == 0);
 }
+
+namespace {
+
+/** A proposer with pending proposals while all control processes are silent. */
+struct SilentControl
+{
+  static constexpr int kProposals = 20;
+
+  SilentControl()
+  {
+    proposer.setControls({ ProcessId("c1"), ProcessId("c2"), ProcessId("c3") });
+    for (int i = 0; i < kProposals; ++i) {
+      lastId = proposer.propose(now, Grant{});
+    }
+    proposer.takeOutgoing();
+  }
+
+  /** Runs the proposer without an answer and returns the messages that it sends. */
+  std::vector<OutgoingMessage> run(Duration time)
+  {
+    std::vector<OutgoingMessage> messages;
+    for (const auto end = now + time; now < end; now = now + Duration(10'000)) {
+      proposer.tick(now);
+      for (auto& message : proposer.takeOutgoing()) {
+        messages.push_back(std::move(message));
+      }
+    }
+    return messages;
+  }
+
+  Time now{ 1'000'000 };
+  Proposer proposer{ 100 };
+  std::uint64_t lastId = 0;
+};
+
+} // namespace
+
+// Guards against processes that keep control overloaded: each of them sent all its proposals again
+// every 150 ms, to every control process in turn, until one answered.
+TEST_CASE_FIXTURE(SilentControl, "Proposer_controlIsSilent_probesWithOneProposal")
+{
+  const Duration time(3'000'000);
+  const auto probes = run(time).size();
+  CHECK(probes > 0);
+  CHECK(probes <= static_cast<std::size_t>(time / Proposer::kResendAfter));
+  proposer.propose(now, Grant{});
+  CHECK(proposer.takeOutgoing().empty());
+}
+
+// Guards against proposals that wait for their own time-out after control is back.
+TEST_CASE_FIXTURE(SilentControl, "Proposer_probeIsAnswered_sendsAllPendingProposalsToTheLeader")
+{
+  run(Duration(3'000'000));
+  const ProposeReply reply{ 101, true, {}, wire::encode(Result(GrantResult{})) };
+  REQUIRE(proposer.receive(now, ProcessId("c2"), reply).has_value());
+  const auto messages = proposer.takeOutgoing();
+  CHECK(messages.size() == kProposals - 1);
+  for (const auto& message : messages) {
+    CHECK(message.to == ProcessId("c2"));
+  }
+  CHECK(std::get<Propose>(messages.back().message).proposalId == lastId);
+}
+
+// Guards against copies of proposals that a slow leader has received already.
+TEST_CASE_FIXTURE(SilentControl, "Proposer_leaderAnswersSlowly_resendsWithBackOff")
+{
+  int resent = 0;
+  for (std::uint64_t id = 101; id < 111; ++id) {
+    const ProposeReply reply{ id, true, {}, wire::encode(Result(GrantResult{})) };
+    proposer.receive(now, ProcessId("c1"), reply);
+    for (const auto& message : run(Duration(100'000))) {
+      resent += std::get<Propose>(message.message).proposalId == lastId ? 1 : 0;
+    }
+  }
+  CHECK(resent >= 1);
+  CHECK(resent <= 3);
+}
