ledger: a recall asks the holders with the most tokens, each at most five times a second

What callers saw: refusals while one workspace sends many times its usual and its budget runs low (hot_tenant), on the grown sites only. Cause: while any request was not covered by a budget, control recalled the tokens of all holders every 10 ms, and each recall makes a holder send a settlement. Fix: a recall goes to the 8 holders with the most tokens, and to the same holder again after 200 ms. A recalled holder returns for 1 s what becomes available, so nothing is lost by asking less often. The smallest sites have 9 holders, so one recall still reaches all other holders of a budget there.

--- a/modules/ledger/Budget.h
+++ b/modules/ledger/Budget.h
@@ -42,6 +42,9 @@
   Time lastGrantRequestAt;
   /** Recent charges; counted for holders without records of charges only. */
   UsageWindow usage;
+  /** The time of the last recall from this holder. Not part of a snapshot: after a restart, the
+      holder may be asked once more. */
+  Time recalledAt;
   /** The tokens that other holders transferred to this one, minus those that it transferred to
       others. Derived from the transfers of the budget, not part of a snapshot. */
   Tokens transferredNet;
--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -10,6 +10,12 @@
 constexpr Duration kActiveHolderTime{ 30'000'000 };
 /** The minimum time between two recalls of the same budget. */
 constexpr Duration kRecallInterval{ 10'000 };
+/** The minimum time between two recalls of the same budget from the same holder. A recalled holder
+    returns tokens by itself for longer than this as they become available. */
+constexpr Duration kHolderRecallInterval{ 200'000 };
+/** The number of holders that are asked at once, those with the most tokens first. All of them
+   would settle at the same moment. */
+constexpr std::size_t kMaxHoldersPerRecall = 8;
 
 /** The unlocked tokens of all holders together are at most this share of the unsettled part of a
     prepaid budget. */
@@ -253,13 +259,23 @@
     return;
   }
   budget.recalledAt = time;
-  for (const auto& account : budget.accounts) {
+  std::vector<HolderAccount*> candidates;
+  for (auto& account : budget.accounts) {
     const auto holder = holders.find(account.holder);
     const bool isLive = holder != holders.end() && !holder->second.retiring;
-    if (isLive && account.holder != requester && account.held() > Tokens{ 0 }) {
-      outgoing.push_back({ account.holder.process, Recall{ account.holder, id } });
+    const bool isDue = time >= account.recalledAt + kHolderRecallInterval;
+    if (isLive && isDue && account.holder != requester && account.held() > Tokens{ 0 }) {
+      candidates.push_back(&account);
     }
   }
+  std::stable_sort(candidates.begin(), candidates.end(), [](const auto* a, const auto* b) {
+    return a->held() > b->held();
+  });
+  candidates.resize(std::min(candidates.size(), kMaxHoldersPerRecall));
+  for (auto* account : candidates) {
+    account->recalledAt = time;
+    outgoing.push_back({ account->holder.process, Recall{ account->holder, id } });
+  }
 }
 
 bool BudgetLedger::mergeTotals(Time time, const HolderId& id, const AccountTotals& totals)
--- a/tests/ledger_scale_test.cpp
+++ b/tests/ledger_scale_test.cpp
@@ -83,6 +83,24 @@
     }
   }
 
+  /** Lets all holders request more than is free of the first budget again and again, and returns
+      the number of recalls that control sends. */
+  int countRecalls(Duration duration)
+  {
+    int recalls = 0;
+    std::uint64_t sequence = 1;
+    for (const auto end = time + duration; time < end;) {
+      ++sequence;
+      for (int holder = 0; holder < kHolders && time < end; ++holder) {
+        const Tokens requested{ 20'000'000 };
+        apply(
+          Grant{ holderId(holder), { { budgetId(0), sequence, requested, requested, Tokens{} } } });
+        recalls += static_cast<int>(control.takeOutgoing().size());
+      }
+    }
+    return recalls;
+  }
+
   ControlState control;
   std::uint64_t index = 0;
   std::uint64_t round = 0;
@@ -105,3 +123,13 @@
   CHECK(used < kControlShare * kSettleIntervalSeconds / 2);
   CHECK(control.budget(budgetId(0))->settled == Tokens{ 2 * kHolders });
 }
+
+// Guards against recalls that keep control overloaded: each recall makes every holder of a budget
+// send a settlement, and one was sent every 10 ms while any request was not covered.
+TEST_CASE_FIXTURE(LargeFleet, "ControlState_budgetIsLow_recallsEachHolderAtMostFiveTimesASecond")
+{
+  constexpr int kSeconds = 2;
+  const auto recalls = countRecalls(std::chrono::seconds(kSeconds));
+  CHECK(recalls >= kHolders);
+  CHECK(recalls <= 5 * kSeconds * kHolders);
+}
