fleet: control processes send configurations as differences

Cause: each version is sent whole to each subscriber, encoded once per subscriber: 73 x 252 KB = 18 MB per version, 28 versions in 36 s, over a link of 21 MB/s. Ruled out there: settlements and transfers (under 1% of the time of the late turns) and repeated proposals. A subscriber whose bytes do not fit asks at once for what it missed. Subscribers of earlier releases still get whole configurations.

--- a/modules/fleet/FleetPublisher.cpp
+++ b/modules/fleet/FleetPublisher.cpp
@@ -30,7 +30,9 @@
   subscriber.incarnation = message.incarnation;
   subscriber.zone = message.zone;
   subscriber.entriesDigest = message.entriesDigest;
-  const bool updateInFlight = message.configurationVersion < subscriber.configurationVersion &&
+  subscriber.acceptsDeltas = message.acceptsDeltas;
+  const bool updateInFlight = !message.missedConfiguration &&
+                              message.configurationVersion < subscriber.configurationVersion &&
                               now - subscriber.configurationSentAt < kConfigurationResendDelay;
   if (!updateInFlight) {
     subscriber.configurationVersion = message.configurationVersion;
@@ -189,18 +191,44 @@
   return totals;
 }
 
-void FleetPublisher::addConfiguration(Time now, Subscriber& subscriber, FleetUpdate& update) const
+void FleetPublisher::addConfiguration(Time now, Subscriber& subscriber, FleetUpdate& update)
 {
   const auto& configuration = state_->configuration;
   if (configuration.version() <= subscriber.configurationVersion) {
     return;
   }
+  const auto* delta =
+    subscriber.acceptsDeltas ? findDelta(subscriber.configurationVersion) : nullptr;
+  if (delta != nullptr) {
+    update.baseVersion = subscriber.configurationVersion;
+    update.configurationDelta = *delta;
+  } else {
+    update.configuration = *configuration.bytes();
+  }
   update.configurationVersion = configuration.version();
-  update.configuration = *configuration.bytes();
   subscriber.configurationVersion = configuration.version();
   subscriber.configurationSentAt = now;
 }
 
+const ByteDelta* FleetPublisher::findDelta(std::uint64_t baseVersion)
+{
+  const auto& configuration = state_->configuration;
+  if (deltaVersion_ != configuration.version()) {
+    deltaVersion_ = configuration.version();
+    deltas_.clear();
+  }
+  const auto [entry, isNew] = deltas_.try_emplace(baseVersion);
+  auto& delta = entry->second;
+  const auto base = isNew ? configuration.previousBytes(baseVersion) : nullptr;
+  if (base != nullptr) {
+    delta = makeDelta(*base, *configuration.bytes());
+    if (delta->encodedBytes() >= configuration.bytes()->size()) {
+      delta.reset();
+    }
+  }
+  return delta ? &*delta : nullptr;
+}
+
 void FleetPublisher::addEndpoints(const Subscriber& subscriber, FleetUpdate& update) const
 {
   const auto& endpoints = state_->endpoints;
--- a/modules/fleet/FleetPublisher.h
+++ b/modules/fleet/FleetPublisher.h
@@ -2,11 +2,12 @@
 
 #include "core/core.h"
 #include "fleet/AnnouncementTracker.h"
+#include "fleet/ByteDelta.h"
 #include "fleet/FleetState.h"
 #include "fleet/Messages.h"
 
 #include <map>
-#include <set>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -72,6 +73,7 @@
         corrects this. */
     std::uint64_t configurationVersion = 0;
     std::uint64_t endpointRevision = 0;
+    bool acceptsDeltas = false;
     Time configurationSentAt;
     Time lastMessageAt;
     Time lastSentAt;
@@ -101,7 +103,8 @@
                      const CrashCount& crash,
                      bool reportedDirectly);
   [[nodiscard]] std::vector<CrashCount> crashesOfOthers(const ProcessId& receiver) const;
-  void addConfiguration(Time now, Subscriber& subscriber, FleetUpdate& update) const;
+  void addConfiguration(Time now, Subscriber& subscriber, FleetUpdate& update);
+  [[nodiscard]] const ByteDelta* findDelta(std::uint64_t baseVersion);
   void addEndpoints(const Subscriber& subscriber, FleetUpdate& update) const;
   void send(Time now, const ProcessId& to, Subscriber& subscriber);
   void sendToAll(Time now);
@@ -120,6 +123,9 @@
   std::map<std::pair<std::uint64_t, HolderId>, CrashRecord> crashes_;
   std::uint64_t publishedVersion_ = 0;
   std::uint64_t publishedRevision_ = 0;
+  /** Deltas to deltaVersion_ by base version; nothing where the whole configuration is sent. */
+  std::map<std::uint64_t, std::optional<ByteDelta>> deltas_;
+  std::uint64_t deltaVersion_ = 0;
   Time nextPeerReportAt_;
   std::vector<OutgoingMessage> outgoing_;
 };
--- a/modules/fleet/FleetSubscriber.cpp
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -41,7 +41,7 @@
   }
   // Versions and revisions only increase, so an update is accepted from any control process,
   // including a previous one.
-  applyConfiguration(*update);
+  applyConfiguration(now, from, *update);
   applyEndpoints(now, from, *update);
   applyCrashes(now, update->crashes);
   updateControls(update->controls);
@@ -61,29 +61,53 @@
   }
 }
 
-void FleetSubscriber::applyConfiguration(const FleetUpdate& update)
+void FleetSubscriber::applyConfiguration(Time now, const ProcessId& from, const FleetUpdate& update)
 {
   if (update.configurationVersion <= configurationVersion_) {
     return;
   }
-  configurationVersion_ = update.configurationVersion;
-  configuration_ = std::make_shared<const std::string>(update.configuration);
+  if (update.baseVersion == 0) {
+    setConfiguration(update.configurationVersion, update.configuration);
+    return;
+  }
+  if (update.baseVersion != configurationVersion_) {
+    resubscribe(now, from, true);
+    return;
+  }
+  if (auto bytes = applyDelta(*configuration_, update.configurationDelta, kMaxConfigurationBytes)) {
+    setConfiguration(update.configurationVersion, std::move(*bytes));
+  } else {
+    // This process and the sender have different bytes under the same version.
+    acceptsDeltas_ = false;
+    resubscribe(now, from, true);
+  }
+}
+
+void FleetSubscriber::setConfiguration(std::uint64_t version, std::string bytes)
+{
+  configurationVersion_ = version;
+  configuration_ = std::make_shared<const std::string>(std::move(bytes));
+  acceptsDeltas_ = true;
   changes_.configuration = true;
 }
 
+void FleetSubscriber::resubscribe(Time now, const ProcessId& to, bool missedConfiguration)
+{
+  const bool isDue = !resubscribedAt_ || now - *resubscribedAt_ >= kResubscribeInterval;
+  if (isDue && !stopped_) {
+    resubscribedAt_ = now;
+    subscribe(now, to, missedConfiguration);
+  }
+}
+
 void FleetSubscriber::applyEndpoints(Time now, const ProcessId& from, const FleetUpdate& update)
 {
   if (update.endpointRevision <= endpointRevision_) {
     return;
   }
   if (update.sinceRevision > endpointRevision_) {
-    // An update was lost. The sender answers with all changes since the revision in this message.
-    const bool isResubscribeDue =
-      !resubscribedAt_ || now - *resubscribedAt_ >= kResubscribeInterval;
-    if (isResubscribeDue && !stopped_) {
-      resubscribedAt_ = now;
-      subscribe(now, from);
-    }
+    // An update was lost. The sender answers with all changes since the revision of this process.
+    resubscribe(now, from, false);
     return;
   }
   if (update.sinceRevision == 0) {
@@ -221,9 +245,14 @@
   }
 }
 
-void FleetSubscriber::subscribe(Time now, const ProcessId& to)
+void FleetSubscriber::subscribe(Time now, const ProcessId& to, bool missedConfiguration)
 {
-  Subscribe message{ settings_.zone, configurationVersion_, endpointRevision_, {}, {}, 0 };
+  Subscribe message;
+  message.zone = settings_.zone;
+  message.configurationVersion = configurationVersion_;
+  message.endpointRevision = endpointRevision_;
+  message.acceptsDeltas = acceptsDeltas_;
+  message.missedConfiguration = missedConfiguration;
   message.incarnation = settings_.incarnation;
   message.entriesDigest = digestOf(entries_);
   for (const auto& [fingerprint, ownCrash] : ownCrashes_) {
--- a/modules/fleet/FleetSubscriber.h
+++ b/modules/fleet/FleetSubscriber.h
@@ -76,6 +76,8 @@
   /** Maximum number of control addresses, and of fingerprints with own crashes. */
   static constexpr std::size_t kMaxControls = 32;
   static constexpr std::size_t kMaxOwnCrashes = 1024;
+  /** Maximum size of a configuration that results from a delta, in bytes. */
+  static constexpr std::size_t kMaxConfigurationBytes = 16U * 1024 * 1024;
 
   explicit FleetSubscriber(SubscriberSettings settings);
 
@@ -147,7 +149,8 @@
     Time lastReportedAt;
   };
 
-  void applyConfiguration(const FleetUpdate& update);
+  void applyConfiguration(Time now, const ProcessId& from, const FleetUpdate& update);
+  void setConfiguration(std::uint64_t version, std::string bytes);
   void applyEndpoints(Time now, const ProcessId& from, const FleetUpdate& update);
   void applyCrashes(Time now, const std::vector<CrashCount>& crashes);
   void updateControls(const std::vector<ProcessId>& members);
@@ -156,7 +159,9 @@
   void startRound();
   void tryNext(Time now);
   void useControl(Time now, const ProcessId& control);
-  void subscribe(Time now, const ProcessId& to);
+  void subscribe(Time now, const ProcessId& to, bool missedConfiguration = false);
+  /** Requests what was missed, at most once in kResubscribeInterval. */
+  void resubscribe(Time now, const ProcessId& to, bool missedConfiguration);
   void expireCrashes(Time now);
 
   SubscriberSettings settings_;
@@ -182,6 +187,8 @@
 
   std::uint64_t configurationVersion_ = 0;
   std::shared_ptr<const std::string> configuration_ = std::make_shared<const std::string>();
+  /** False after a delta that did not fit, until a whole configuration is received. */
+  bool acceptsDeltas_ = true;
   std::uint64_t endpointRevision_ = 0;
   std::map<EndpointId, EndpointRecord> endpoints_;
   std::uint32_t entryProcesses_ = 1;
--- a/modules/fleet/Messages.h
+++ b/modules/fleet/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "fleet/ByteDelta.h"
 #include "fleet/Endpoint.h"
 #include "wire/Codec.h"
 
@@ -51,7 +52,18 @@
   Incarnation incarnation{};
   /** Digest of the entry processes known to the sender; 0 if there are none. */
   std::uint64_t entriesDigest = 0;
-  MSGPACK_DEFINE(zone, configurationVersion, endpointRevision, crashes, incarnation, entriesDigest)
+  /** Whether the sender applies deltas of configurations. False in messages of earlier releases. */
+  bool acceptsDeltas = false;
+  /** Whether the sender received a delta that it cannot apply. */
+  bool missedConfiguration = false;
+  MSGPACK_DEFINE(zone,
+                 configurationVersion,
+                 endpointRevision,
+                 crashes,
+                 incarnation,
+                 entriesDigest,
+                 acceptsDeltas,
+                 missedConfiguration)
 };
 
 /** Ends a subscription. */
@@ -67,7 +79,7 @@
 {
   /** 0 if the subscriber has the current version. */
   std::uint64_t configurationVersion = 0;
-  /** The bytes as sent by the operator. */
+  /** The bytes as sent by the operator; empty if the update contains a delta. */
   std::string configuration;
   /** The revision that the receiver has after this update. */
   std::uint64_t endpointRevision = 0;
@@ -86,6 +98,10 @@
   std::vector<EntryProcess> entries;
   /** Crash counts of all processes except the receiver. */
   std::vector<CrashCount> crashes;
+  /** The version of the receiver's configuration to which the delta applies; 0 if the update
+      contains a whole configuration or none. */
+  std::uint64_t baseVersion = 0;
+  ByteDelta configurationDelta{};
   MSGPACK_DEFINE(configurationVersion,
                  configuration,
                  endpointRevision,
@@ -96,7 +112,9 @@
                  leaderContact,
                  entryProcesses,
                  entries,
-                 crashes)
+                 crashes,
+                 baseVersion,
+                 configurationDelta)
 };
 
 /** The last announcement of an endpoint that a control process received, reported to the other
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -5,6 +5,7 @@
  */
 
 #include "fleet/AnnouncementTracker.h"
+#include "fleet/ByteDelta.h"
 #include "fleet/Commands.h"
 #include "fleet/Configuration.h"
 #include "fleet/ConfigurationStore.h"
