fleet: crashes reported together reach the subscribers in one update

Cause: each report of a crash sent an update to each subscriber; when many endpoints crash, each stream on them is a report, so the work is reports times subscribers. Fix: crashes wait for the same interval as other changes, now 40 ms. The timer of a control process wakes it when the interval ends, so a second crash still reaches the subscribers of another control process within 100 ms (Crashes_ofOneProcess_areReportedOnceToTheOthers, unchanged).

--- a/modules/fleet/FleetPublisher.cpp
+++ b/modules/fleet/FleetPublisher.cpp
@@ -39,16 +39,12 @@
   }
   subscriber.endpointRevision = message.endpointRevision;
   subscriber.lastMessageAt = now;
-  bool increased = false;
   for (const auto& crash : message.crashes) {
-    increased |= recordCrashes(now, { from, message.incarnation }, crash, true);
+    const bool increased = recordCrashes(now, { from, message.incarnation }, crash, true);
+    hasNewCrashes_ |= increased;
+    hasNewDirectCrashes_ |= increased;
   }
-  if (increased) {
-    sendToAll(now);
-    // Sent immediately instead of with the next report, so that the subscribers of the other
-    // control processes get the crash without delay.
-    sendPeerReports(now);
-  } else {
+  if (!publishIfDue(now)) {
     send(now, from, subscriber, makeSharedUpdate());
   }
 }
@@ -68,13 +64,10 @@
   auto& peer = peers_[from];
   peer.lastMessageAt = now;
   peer.subscribers = message.subscribers;
-  bool increased = false;
   for (const auto& crash : message.crashes) {
-    increased |= recordCrashes(now, crash.reporter, crash, false);
-  }
-  if (increased) {
-    sendToAll(now);
+    hasNewCrashes_ |= recordCrashes(now, crash.reporter, crash, false);
   }
+  publishIfDue(now);
 }
 
 bool FleetPublisher::recordCrashes(Time now,
@@ -92,15 +85,36 @@
 
 void FleetPublisher::publishChanges(Time now)
 {
-  const auto version = state_->configuration.version();
-  const auto revision = state_->endpoints.revision();
-  const bool isChanged = version != publishedVersion_ || revision != publishedRevision_;
-  if (isChanged && now >= nextPublishAt_) {
-    nextPublishAt_ = now + kPublishInterval;
-    publishedVersion_ = version;
-    publishedRevision_ = revision;
-    sendToAll(now);
+  publishIfDue(now);
+}
+
+bool FleetPublisher::hasUnpublishedChanges() const
+{
+  return hasNewCrashes_ || state_->configuration.version() != publishedVersion_ ||
+         state_->endpoints.revision() != publishedRevision_;
+}
+
+std::optional<Time> FleetPublisher::publishDueAt() const
+{
+  return hasUnpublishedChanges() ? std::optional(nextPublishAt_) : std::nullopt;
+}
+
+bool FleetPublisher::publishIfDue(Time now)
+{
+  if (!hasUnpublishedChanges() || now < nextPublishAt_) {
+    return false;
+  }
+  nextPublishAt_ = now + kPublishInterval;
+  publishedVersion_ = state_->configuration.version();
+  publishedRevision_ = state_->endpoints.revision();
+  hasNewCrashes_ = false;
+  sendToAll(now);
+  if (std::exchange(hasNewDirectCrashes_, false)) {
+    // Sent without waiting for the next report, so that the subscribers of the other control
+    // processes get the crash without delay.
+    sendPeerReports(now);
   }
+  return true;
 }
 
 void FleetPublisher::setControls(Time now, std::vector<ProcessId> controls, ProcessId leader)
--- a/modules/fleet/FleetPublisher.h
+++ b/modules/fleet/FleetPublisher.h
@@ -31,7 +31,7 @@
   /** Changes that follow each other are sent together, at this interval: an update to all
      subscribers for each change would cost the number of changes times the number of subscribers.
    */
-  static constexpr Duration kPublishInterval = std::chrono::milliseconds(50);
+  static constexpr Duration kPublishInterval = std::chrono::milliseconds(40);
   /** Crash counts are removed if no process has reported them for this time. */
   static constexpr Duration kCrashRetention = std::chrono::seconds(60);
 
@@ -57,6 +57,10 @@
   /** Sends due messages and removes processes that stopped sending. Call it about every 100 ms. */
   void tick(Time now);
 
+  /** Returns when tick() has to be called for changes that wait for kPublishInterval; nothing if
+     there are none. */
+  [[nodiscard]] std::optional<Time> publishDueAt() const;
+
   /** Returns the messages to send and clears them. */
   std::vector<OutgoingMessage> takeOutgoing() { return std::exchange(outgoing_, {}); }
 
@@ -119,6 +123,10 @@
   void addEndpoints(const Subscriber& subscriber, FleetUpdate& update) const;
   [[nodiscard]] SharedUpdate makeSharedUpdate() const;
   void send(Time now, const ProcessId& to, Subscriber& subscriber, const SharedUpdate& shared);
+  [[nodiscard]] bool hasUnpublishedChanges() const;
+  /** Sends changes to all subscribers unless others were sent less than kPublishInterval ago.
+      @returns whether they were sent */
+  bool publishIfDue(Time now);
   template<typename Predicate>
   void sendTo(Time now, Predicate isReceiver);
   void sendToAll(Time now);
@@ -138,6 +146,10 @@
   std::uint64_t publishedVersion_ = 0;
   std::uint64_t publishedRevision_ = 0;
   Time nextPublishAt_;
+  /** Crashes were reported since changes were sent last. */
+  bool hasNewCrashes_ = false;
+  /** As hasNewCrashes_, for crashes that entry processes reported to this process. */
+  bool hasNewDirectCrashes_ = false;
   /** Deltas to deltaVersion_ by base version; nothing where the whole configuration is sent. */
   std::map<std::uint64_t, std::optional<ByteDelta>> deltas_;
   std::uint64_t deltaVersion_ = 0;
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
+#include <limits>
 #include <utility>
 
 namespace figchute::router {
@@ -14,6 +15,7 @@
 
 constexpr Duration kMinTickInterval = std::chrono::milliseconds(5);
 constexpr Duration kMaxTickInterval = std::chrono::milliseconds(100);
+constexpr Time kNever{ std::numeric_limits<std::int64_t>::max() };
 constexpr Duration kExpiryInterval = std::chrono::seconds(1);
 /** Below 1 s, after which operators try another control process. */
 constexpr Duration kProposalTimeout = std::chrono::milliseconds(900);
@@ -79,13 +81,14 @@
 void ControlRole::scheduleTick()
 {
   const Time now = bootTime();
-  const Duration wait =
-    std::clamp<Duration>(node_->nextTick() - now, kMinTickInterval, kMaxTickInterval);
+  const Time nextTick = std::min(node_->nextTick(), publisher_->publishDueAt().value_or(kNever));
+  const Duration wait = std::clamp<Duration>(nextTick - now, kMinTickInterval, kMaxTickInterval);
+  tickDueAt_ = now + wait;
   timer_.expires_after(wait);
-  timer_.async_wait([this, dueAt = now + wait](const boost::system::error_code& error) {
+  timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       const Time firedAt = bootTime();
-      reportLoad(firedAt, firedAt - dueAt);
+      reportLoad(firedAt, firedAt - tickDueAt_);
       update(firedAt);
       scheduleTick();
     }
@@ -301,6 +304,9 @@
   boost::asio::post(context_.io, [this] {
     updateQueued_ = false;
     update(bootTime());
+    if (publisher_->publishDueAt().value_or(kNever) < tickDueAt_) {
+      scheduleTick();
+    }
   });
 }
 
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -73,6 +73,7 @@
   http::Server operators_;
   LoadMonitor load_;
   boost::asio::steady_timer timer_;
+  Time tickDueAt_;
   /** Service names of the active configuration; empty before the first configuration. */
   std::unordered_set<std::string> services_;
   std::uint64_t configurationVersion_ = 0;
