json: texts are parsed once, without a second pass by cxxtools

Cause: each text was checked by the scanner of this project, copied without its long strings, parsed by cxxtools character by character in 32 bits, and converted.

--- a/modules/json/Json.cpp
+++ b/modules/json/Json.cpp
@@ -1,160 +1,15 @@
 #include "json/Json.h"
 
 #include "core/Utf8.h"
-#include "json/Scanner.h"
+#include "json/Parser.h"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <cxxtools/jsondeserializer.h>
-#include <cxxtools/serializationinfo.h>
-#include <cxxtools/utf8codec.h>
-#include <system_error>
 
 namespace figchute::json {
 namespace {
 
-using cxxtools::SerializationInfo;
-
-// Builds the Value tree from the cxxtools tree, in text order.
-class Converter
-{
-public:
-  explicit Converter(const std::vector<detail::LongString>& longStrings)
-    : nextLongString_(longStrings.begin())
-    , longStringsEnd_(longStrings.end())
-  {
-  }
-
-  // The scanner limits the nesting depth, which bounds the recursion.
-  // NOLINTNEXTLINE(misc-no-recursion)
-  Expected<Value> convert(const SerializationInfo& info)
-  {
-    switch (info.category()) {
-      case SerializationInfo::Object:
-        return convertObject(info);
-      case SerializationInfo::Array:
-        return convertArray(info);
-      default:
-        return convertScalar(info);
-    }
-  }
-
-private:
-  // NOLINTNEXTLINE(misc-no-recursion)
-  Expected<Value> convertObject(const SerializationInfo& info)
-  {
-    Value::Object members;
-    members.reserve(info.memberCount());
-    for (const auto& member : info) {
-      auto value = convert(member);
-      if (!value) {
-        return value;
-      }
-      members.push_back(Member{ member.name(), std::move(*value) });
-    }
-    if (const auto* duplicateName = findDuplicateName(members)) {
-      return fail(ErrorKind::badRequest,
-                  "JSON: member \"" + *duplicateName + "\" occurs more than once");
-    }
-    return Value(std::move(members));
-  }
-
-  // NOLINTNEXTLINE(misc-no-recursion)
-  Expected<Value> convertArray(const SerializationInfo& info)
-  {
-    Value::Array elements;
-    elements.reserve(info.memberCount());
-    for (const auto& element : info) {
-      auto value = convert(element);
-      if (!value) {
-        return value;
-      }
-      elements.push_back(std::move(*value));
-    }
-    return Value(std::move(elements));
-  }
-
-  static const std::string* findDuplicateName(const Value::Object& members)
-  {
-    std::vector<const std::string*> names;
-    names.reserve(members.size());
-    for (const auto& member : members) {
-      names.push_back(&member.name);
-    }
-    std::sort(names.begin(), names.end(), [](const auto* a, const auto* b) { return *a < *b; });
-    const auto nameIt = std::adjacent_find(
-      names.begin(), names.end(), [](const auto* a, const auto* b) { return *a == *b; });
-    return nameIt == names.end() ? nullptr : *nameIt;
-  }
-
-  Expected<Value> convertScalar(const SerializationInfo& info)
-  {
-    if (info.typeName() == "string") {
-      return convertString(info);
-    }
-    if (info.isNull() || info.typeName() == "null") {
-      return Value();
-    }
-    cxxtools::String unicodeText;
-    info.getValue(unicodeText);
-    const auto text = cxxtools::Utf8Codec::encode(unicodeText);
-    if (info.typeName() == "bool") {
-      return Value(text == "true");
-    }
-    return convertNumber(text);
-  }
-
-  Value convertString(const SerializationInfo& info)
-  {
-    if (nextLongString_ != longStringsEnd_ && nextLongString_->ordinal == stringCount_) {
-      ++stringCount_;
-      const auto& longString = *nextLongString_++;
-      return longString.hasEscapes ? Value(detail::unescape(longString.content))
-                                   : Value(longString.content);
-    }
-    ++stringCount_;
-    cxxtools::String unicodeText;
-    info.getValue(unicodeText);
-    return Value(cxxtools::Utf8Codec::encode(unicodeText));
-  }
-
-  static Expected<Value> convertNumber(const std::string& text)
-  {
-    const auto* const end = text.data() + text.size();
-    std::int64_t integer = 0;
-    const auto integerResult = std::from_chars(text.data(), end, integer);
-    if (integerResult.ec == std::errc() && integerResult.ptr == end) {
-      return Value(integer);
-    }
-    double real = 0;
-    const auto realResult = std::from_chars(text.data(), end, real);
-    if (realResult.ec == std::errc() && realResult.ptr == end) {
-      return Value(real);
-    }
-    return fail(ErrorKind::badRequest, "JSON: number " + text + " is out of range");
-  }
-
-  std::vector<detail::LongString>::const_iterator nextLongString_;
-  std::vector<detail::LongString>::const_iterator longStringsEnd_;
-  std::size_t stringCount_ = 0;
-};
-
-Expected<Value> buildValue(const detail::ScannedText& scannedText)
-{
-  try {
-    cxxtools::JsonDeserializer deserializer;
-    deserializer.begin();
-    for (const auto c : cxxtools::Utf8Codec::decode(scannedText.reduced)) {
-      deserializer.advance(c);
-    }
-    deserializer.finish();
-    return Converter(scannedText.longStrings).convert(deserializer.si());
-  } catch (const std::exception& error) {
-    return fail(ErrorKind::badRequest, std::string("JSON: ") + error.what());
-  }
-}
-
 std::string replaceInvalidUtf8(std::string_view text)
 {
   std::string valid;
@@ -276,11 +131,7 @@
                 "JSON text has " + std::to_string(text.size()) + " bytes; at most " +
                   std::to_string(limits.maxBytes) + " are allowed");
   }
-  const auto scannedText = detail::Scanner(text, limits.maxDepth).scan();
-  if (!scannedText) {
-    return tl::unexpected<Error>(scannedText.error());
-  }
-  return buildValue(*scannedText);
+  return detail::Parser(text, limits.maxDepth).parse();
 }
 
 std::string dump(const Value& value)
--- a/modules/json/Parser.cpp
+++ b/modules/json/Parser.cpp
@@ -1,16 +1,16 @@
-#include "json/Scanner.h"
+#include "json/Parser.h"
 
 #include "core/Utf8.h"
 
 #include <algorithm>
+#include <charconv>
+#include <system_error>
 #include <utility>
+#include <vector>
 
 namespace figchute::json::detail {
 namespace {
 
-// For shorter strings, cxxtools is faster than the extra bookkeeping in the scanner.
-constexpr std::size_t kMinLongStringBytes = 32;
-
 bool isDigit(char c)
 {
   return c >= '0' && c <= '9';
@@ -86,8 +86,7 @@
   return "line " + std::to_string(line) + " column " + std::to_string(column);
 }
 
-} // namespace
-
+// Replaces the escapes of a string that was checked.
 std::string unescape(std::string_view content)
 {
   std::string output;
@@ -102,23 +101,24 @@
   return output;
 }
 
-Scanner::Scanner(std::string_view text, std::size_t maxDepth)
+} // namespace
+
+Parser::Parser(std::string_view text, std::size_t maxDepth)
   : text_(text)
   , maxDepth_(maxDepth)
 {
 }
 
-Expected<ScannedText> Scanner::scan()
+Expected<Value> Parser::parse()
 {
+  Value value;
   const auto invalidOffset = findInvalidUtf8(text_);
   if (invalidOffset != std::string_view::npos) {
     position_ = invalidOffset;
     setError("the text is not valid UTF-8");
   } else {
     skipSpace();
-    copiedEnd_ = position_;
-    if (scanValue(0)) {
-      copyUpTo(position_);
+    if (parseValue(0, value)) {
       skipSpace();
       if (!atEnd()) {
         setError("unexpected text after the JSON value");
@@ -129,10 +129,10 @@
     return fail(ErrorKind::badRequest,
                 "JSON " + describePosition(text_, position_) + ": " + errorMessage_);
   }
-  return std::move(result_);
+  return value;
 }
 
-void Scanner::skipSpace()
+void Parser::skipSpace()
 {
   while (!atEnd() && (peek() == ' ' || peek() == '\n' || peek() == '\t' || peek() == '\r')) {
     ++position_;
@@ -140,52 +140,59 @@
 }
 
 // maxDepth_ bounds the recursion. NOLINTBEGIN(misc-no-recursion)
-bool Scanner::scanValue(std::size_t depth)
+bool Parser::parseValue(std::size_t depth, Value& value)
 {
   switch (peek()) {
     case '{':
-      return scanObject(depth + 1);
+      return parseObject(depth + 1, value);
     case '[':
-      return scanArray(depth + 1);
-    case '"':
-      return scanStringValue();
+      return parseArray(depth + 1, value);
+    case '"': {
+      std::string text;
+      const bool isValid = parseString(text);
+      value = Value(std::move(text));
+      return isValid;
+    }
     case 't':
-      return scanLiteral("true");
+      return parseLiteral("true", Value(true), value);
     case 'f':
-      return scanLiteral("false");
+      return parseLiteral("false", Value(false), value);
     case 'n':
-      return scanLiteral("null");
+      return parseLiteral("null", Value(), value);
     default:
-      return scanNumber();
+      return parseNumber(value);
   }
 }
 
-bool Scanner::scanObject(std::size_t depth)
+bool Parser::parseObject(std::size_t depth, Value& value)
 {
   if (depth > maxDepth_) {
     return setError("nesting is deeper than " + std::to_string(maxDepth_));
   }
+  Value::Object members;
   ++position_;
   skipSpace();
-  if (peek() == '}') {
-    ++position_;
-    return true;
-  }
-  while (scanMember(depth)) {
+  while (peek() != '}' || !members.empty()) {
+    if (!parseMember(depth, members.emplace_back())) {
+      return false;
+    }
     skipSpace();
     if (peek() != ',') {
-      return expectCharacter('}');
+      break;
     }
     ++position_;
     skipSpace();
   }
-  return false;
+  if (!expectCharacter('}') || !checkNames(members)) {
+    return false;
+  }
+  value = Value(std::move(members));
+  return true;
 }
 
-bool Scanner::scanMember(std::size_t depth)
+bool Parser::parseMember(std::size_t depth, Member& member)
 {
-  bool hasEscapes = false;
-  if (!scanString(hasEscapes)) {
+  if (!parseString(member.name)) {
     return false;
   }
   skipSpace();
@@ -193,45 +200,86 @@
     return false;
   }
   skipSpace();
-  return scanValue(depth);
+  return parseValue(depth, member.value);
 }
 
-bool Scanner::scanArray(std::size_t depth)
+bool Parser::parseArray(std::size_t depth, Value& value)
 {
   if (depth > maxDepth_) {
     return setError("nesting is deeper than " + std::to_string(maxDepth_));
   }
+  Value::Array elements;
   ++position_;
   skipSpace();
-  if (peek() == ']') {
-    ++position_;
-    return true;
-  }
-  while (scanValue(depth)) {
+  while (peek() != ']' || !elements.empty()) {
+    if (!parseValue(depth, elements.emplace_back())) {
+      return false;
+    }
     skipSpace();
     if (peek() != ',') {
-      return expectCharacter(']');
+      break;
     }
     ++position_;
     skipSpace();
   }
-  return false;
+  if (!expectCharacter(']')) {
+    return false;
+  }
+  value = Value(std::move(elements));
+  return true;
 }
 // NOLINTEND(misc-no-recursion)
 
-bool Scanner::scanNumber()
+bool Parser::checkNames(const Value::Object& members)
+{
+  std::vector<std::string_view> names;
+  names.reserve(members.size());
+  for (const auto& member : members) {
+    names.emplace_back(member.name);
+  }
+  std::sort(names.begin(), names.end());
+  const auto duplicate = std::adjacent_find(names.begin(), names.end());
+  return duplicate == names.end() ||
+         setError("member \"" + std::string(*duplicate) + "\" occurs more than once");
+}
+
+bool Parser::parseNumber(Value& value)
+{
+  const auto begin = position_;
+  return skipNumber() && convertNumber(text_.substr(begin, position_ - begin), value);
+}
+
+bool Parser::convertNumber(std::string_view digits, Value& value)
+{
+  const auto* const end = digits.data() + digits.size();
+  std::int64_t integer = 0;
+  const auto integerResult = std::from_chars(digits.data(), end, integer);
+  if (integerResult.ec == std::errc() && integerResult.ptr == end) {
+    value = Value(integer);
+    return true;
+  }
+  double real = 0;
+  const auto realResult = std::from_chars(digits.data(), end, real);
+  if (realResult.ec == std::errc() && realResult.ptr == end) {
+    value = Value(real);
+    return true;
+  }
+  return setError("number " + std::string(digits) + " is out of range");
+}
+
+bool Parser::skipNumber()
 {
   if (peek() == '-') {
     ++position_;
   }
   if (peek() == '0') {
     ++position_;
-  } else if (!scanDigits()) {
+  } else if (!skipDigits()) {
     return false;
   }
   if (peek() == '.') {
     ++position_;
-    if (!scanDigits()) {
+    if (!skipDigits()) {
       return false;
     }
   }
@@ -242,10 +290,10 @@
   if (peek() == '+' || peek() == '-') {
     ++position_;
   }
-  return scanDigits();
+  return skipDigits();
 }
 
-bool Scanner::scanDigits()
+bool Parser::skipDigits()
 {
   if (!isDigit(peek())) {
     return setError("a JSON value or a digit is expected");
@@ -256,58 +304,49 @@
   return true;
 }
 
-bool Scanner::scanLiteral(std::string_view expected)
+bool Parser::parseLiteral(std::string_view expected, Value literal, Value& value)
 {
   if (text_.substr(position_, expected.size()) != expected) {
     return setError("\"" + std::string(expected) + "\" is expected");
   }
   position_ += expected.size();
+  value = std::move(literal);
   return true;
 }
 
-bool Scanner::scanStringValue()
-{
-  const auto begin = position_ + 1;
-  bool hasEscapes = false;
-  if (!scanString(hasEscapes)) {
-    return false;
-  }
-  const auto content = text_.substr(begin, position_ - 1 - begin);
-  if (content.size() >= kMinLongStringBytes) {
-    result_.longStrings.push_back(LongString{ stringCount_, content, hasEscapes });
-    copyUpTo(begin);
-    copiedEnd_ = position_ - 1;
-  }
-  ++stringCount_;
-  return true;
-}
-
-bool Scanner::scanString(bool& hasEscapes)
+bool Parser::parseString(std::string& output)
 {
   if (!expectCharacter('"')) {
     return false;
   }
+  const auto begin = position_;
+  bool hasEscapes = false;
   while (!atEnd() && peek() != '"') {
     if (static_cast<unsigned char>(peek()) < 0x20) {
       return setError("a control character in a string must be escaped");
     }
     if (peek() == '\\') {
       hasEscapes = true;
-      if (!scanEscape()) {
+      if (!skipEscape()) {
         return false;
       }
     } else {
       ++position_;
     }
   }
-  return expectCharacter('"');
+  const auto content = text_.substr(begin, position_ - begin);
+  if (!expectCharacter('"')) {
+    return false;
+  }
+  output = hasEscapes ? unescape(content) : std::string(content);
+  return true;
 }
 
-bool Scanner::scanEscape()
+bool Parser::skipEscape()
 {
   ++position_;
   if (peek() == 'u') {
-    return scanUnicodeEscape();
+    return skipUnicodeEscape();
   }
   if (atEnd() || std::string_view("\"\\/bfnrt").find(peek()) == std::string_view::npos) {
     return setError("unknown escape in a string");
@@ -316,10 +355,10 @@
   return true;
 }
 
-bool Scanner::scanUnicodeEscape()
+bool Parser::skipUnicodeEscape()
 {
   unsigned codeUnit = 0;
-  if (!scanHexUnit(codeUnit)) {
+  if (!readHexUnit(codeUnit)) {
     return false;
   }
   if (codeUnit < 0xD800 || codeUnit > 0xDFFF) {
@@ -330,14 +369,14 @@
     return setError("unpaired surrogate");
   }
   ++position_;
-  if (peek() != 'u' || !scanHexUnit(lowSurrogate) || lowSurrogate < 0xDC00 ||
+  if (peek() != 'u' || !readHexUnit(lowSurrogate) || lowSurrogate < 0xDC00 ||
       lowSurrogate > 0xDFFF) {
     return setError("unpaired surrogate");
   }
   return true;
 }
 
-bool Scanner::scanHexUnit(unsigned& codeUnit)
+bool Parser::readHexUnit(unsigned& codeUnit)
 {
   ++position_;
   for (int i = 0; i < 4; ++i) {
@@ -351,7 +390,7 @@
   return true;
 }
 
-bool Scanner::expectCharacter(char expected)
+bool Parser::expectCharacter(char expected)
 {
   if (atEnd()) {
     return setError("unexpected end of the text");
@@ -363,7 +402,7 @@
   return true;
 }
 
-bool Scanner::setError(std::string_view message)
+bool Parser::setError(std::string_view message)
 {
   if (errorMessage_.empty()) {
     errorMessage_ = message;
@@ -371,10 +410,4 @@
   return false;
 }
 
-void Scanner::copyUpTo(std::size_t end)
-{
-  result_.reduced.append(text_.substr(copiedEnd_, end - copiedEnd_));
-  copiedEnd_ = end;
-}
-
 } // namespace figchute::json::detail
--- a/tests/ledger_scale_test.cpp
+++ b/tests/ledger_scale_test.cpp
@@ -1,8 +1,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "ledger/ledger.h"
+#include "ThreadTime.h"
 
+#include <chrono>
 #include <cstdint>
-#include <ctime>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <string>
@@ -20,13 +21,6 @@
 /** The processor share of a control process there, in cores. */
 constexpr double kControlShare = 0.15;
 
-double threadSeconds()
-{
-  timespec now{};
-  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
-  return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
-}
-
 /** The ledger of a control process with registered holders that have grants from all budgets. */
 struct LargeFleet
 {
@@ -115,9 +109,9 @@
 {
   settleAll(true);
   REQUIRE(control.transferPairCount() == kBudgets * kHolders * (kHolders - 1));
-  const auto before = threadSeconds();
+  const auto before = threadTime();
   settleAll(false);
-  const auto used = threadSeconds() - before;
+  const auto used = std::chrono::duration<double>(threadTime() - before).count();
   INFO("processor time of one round in seconds: ", used);
   // Half of the share remains for elections, configurations and updates.
   CHECK(used < kControlShare * kSettleIntervalSeconds / 2);
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -4,12 +4,14 @@
 #include "router/JsonDialect.h"
 #include "router/LogWriter.h"
 #include "router/RouterSettings.h"
+#include "ThreadTime.h"
 #include "trace/trace.h"
 
 #include <array>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <map>
 #include <string>
 #include <unistd.h>
@@ -239,6 +241,34 @@
   CHECK(read->limits.idleTimeout == std::chrono::milliseconds(40));
 }
 
+// Guards against a process that stands still while it reads a configuration. With 0.12 of a core,
+// 12 ms of processor time are 100 ms, in which no request is forwarded.
+TEST_CASE_FIXTURE(DefaultDialectFixture, "dialect_withLargeConfiguration_readsItWithin12Ms")
+{
+  constexpr int kRoutes = 1290;
+  std::string routes = R"({"version":3,"routes":[)";
+  for (int i = 0; i < kRoutes; ++i) {
+    routes += fmt::format(
+      R"({}{{"name":"r-{:x}","host":"h{}.example","pathPrefix":"/p{:x}/","kind":"once",)"
+      R"("timeoutMs":12000,"targetMs":500,"priority":0,"service":"s1","maxAttempts":2,)"
+      R"("open":false,"sticky":true}})",
+      i == 0 ? "" : ",",
+      i * 7919,
+      i % 40,
+      i * 104729);
+  }
+  routes += R"(],"services":[{"name":"s1"}],"limits":{"headBytes":16384,"bodyBytes":4194304,)"
+            R"("headTimeoutMs":3000,"idleTimeoutMs":15000}})";
+  REQUIRE(routes.size() > 200'000);
+  const auto before = threadTime();
+  const auto read = dialect->parseConfiguration(routes);
+  const auto used = threadTime() - before;
+  REQUIRE(read.has_value());
+  CHECK(read->routes.size() == kRoutes);
+  INFO("processor time in us: ", used.count());
+  CHECK(used < std::chrono::milliseconds(12));
+}
+
 // Guards against accepting a configuration that is truncated or has fields of the wrong type.
 TEST_CASE_FIXTURE(DefaultDialectFixture, "dialect_withInvalidConfiguration_rejectsIt")
 {
