--- a/tools/figchute-random-router/SimulationFaults.cpp
+++ b/tools/figchute-random-router/SimulationFaults.cpp
@@ -32,17 +32,24 @@
   packet.bytes = wire::encode(*message);
 }
 
-/** Changes the text of the configuration in an update, but not its version. */
+/** Changes the text of the configuration in an update, but not its version. Makes subscribers
+   refuse deltas, whose digest would reveal the change. */
 void changeConfiguration(Packet& packet)
 {
   auto message = packet.channel == wire::Channel::fleet
                    ? wire::decode<fleet::Message>(packet.bytes)
                    : Expected<fleet::Message>(fail(ErrorKind::codecError, ""));
-  auto* update = message ? std::get_if<fleet::FleetUpdate>(&*message) : nullptr;
+  if (!message) {
+    return;
+  }
+  if (auto* subscribe = std::get_if<fleet::Subscribe>(&*message)) {
+    subscribe->acceptsDeltas = false;
+  }
+  auto* update = std::get_if<fleet::FleetUpdate>(&*message);
   if (update != nullptr && update->configurationVersion > 0) {
     update->configuration += " ";
-    packet.bytes = wire::encode(*message);
   }
+  packet.bytes = wire::encode(*message);
 }
 
 } // namespace
