--- a/modules/ledger/Budget.h
+++ b/modules/ledger/Budget.h
@@ -177,7 +177,8 @@
   template<typename Change>
   void changeTransfersOf(const HolderId& holder, Change change)
   {
-    for (const auto& [pair, transfer] : transfers.totals) {
+    for (const auto& item : transfers.totals) {
+      const auto& pair = item.first;
       if (pair.contains(holder)) {
         changeTransfer(pair, [&](TransferTotals& totals) { change(pair, totals); });
       }
