--- a/tests/json_test.cpp
+++ b/tests/json_test.cpp
@@ -42,7 +42,7 @@
 
 } // namespace
 
-// Guards against members that change their order, kind or value when cxxtools parses them.
+// Guards against members that change their order, kind or value when they are parsed.
 TEST_CASE("Json_everyKind_isReadAndWrittenUnchanged")
 {
   const std::string head = R"({"z":null,"a":[true,false,{}],"n":-9223372036854775808,"r":0.1,)"
@@ -66,8 +66,7 @@
   CHECK(json::dump(Value("\x7F\x1F/")) == R"("\u007f\u001f/")");
 }
 
-// Guards against assigning a long string, which is not parsed by cxxtools, to the wrong member or
-// element.
+// Guards against assigning a long string to the wrong member or element.
 TEST_CASE("Json_longStringsAmongShortOnes_keepTheirPositions")
 {
   const std::string a(100, 'a');
@@ -90,7 +89,7 @@
   CHECK(*value->find("m")->asString() == a);
 }
 
-// Guards against accepting texts that cxxtools accepts but RFC 8259 does not allow.
+// Guards against accepting texts that RFC 8259 does not allow but lenient parsers accept.
 TEST_CASE("Json_textInvalidByRfc8259_isBadRequestWithPosition")
 {
   for (const std::string text : { "",
