--- a/modules/dispatch/CrashTable.cpp
+++ b/modules/dispatch/CrashTable.cpp
@@ -36,16 +36,16 @@
 {
   for (const auto& suspect : suspects_) {
     if (suspect.endpoint == endpoint) {
-      recordCrash(now, suspect.fingerprint);
+      recordCrash(now, suspect.fingerprint, suspect.lostAt);
     }
   }
   std::erase_if(suspects_, [&](const Suspect& suspect) { return suspect.endpoint == endpoint; });
 }
 
-void CrashTable::recordCrash(Time now, Fingerprint fingerprint)
+void CrashTable::recordCrash(Time now, Fingerprint fingerprint, Time lostAt)
 {
   addCrashes(now, fingerprint, 1);
-  unreportedCrashes_.push_back(fingerprint);
+  unreportedCrashes_.push_back({ fingerprint, now - lostAt });
 }
 
 void CrashTable::addCrashes(Time now, Fingerprint fingerprint, std::uint64_t crashes)
@@ -90,7 +90,7 @@
                 [&](const auto& record) { return now - record.second.lastCrashAt > kRefusalTime; });
 }
 
-std::vector<Fingerprint> CrashTable::takeCrashes()
+std::vector<ObservedCrash> CrashTable::takeCrashes()
 {
   return std::exchange(unreportedCrashes_, {});
 }
--- a/modules/dispatch/CrashTable.h
+++ b/modules/dispatch/CrashTable.h
@@ -10,6 +10,14 @@
 
 namespace figchute::dispatch {
 
+/** A crash of an endpoint that ran a request of this process. */
+struct ObservedCrash
+{
+  Fingerprint fingerprint = 0;
+  /** Time from the loss of the connection until the crash was confirmed. */
+  Duration detectionTime{};
+};
+
 /** Identifies requests that crash the endpoints that run them.
 
     A request whose connection was lost is a suspect until its endpoint either answers again (only
@@ -34,8 +42,9 @@
   /** Counts the suspects of an endpoint as crashes: the endpoint is down or was restarted. */
   void confirmSuspects(Time now, std::size_t endpoint);
 
-  /** Counts a crash that this process observed. */
-  void recordCrash(Time now, Fingerprint fingerprint);
+  /** Counts a crash that this process observed.
+      @param lostAt  time when the connection was lost */
+  void recordCrash(Time now, Fingerprint fingerprint, Time lostAt);
 
   /** Counts crashes that another process observed. */
   void addCrashes(Time now, Fingerprint fingerprint, std::uint64_t crashes);
@@ -49,9 +58,8 @@
   /** Removes expired suspects and crash counts. */
   void expire(Time now);
 
-  /** Returns the fingerprints of the crashes that this process observed since the last call, one
-      entry per crash. */
-  std::vector<Fingerprint> takeCrashes();
+  /** Returns the crashes that this process observed since the last call. */
+  std::vector<ObservedCrash> takeCrashes();
 
 private:
   struct Suspect
@@ -68,7 +76,7 @@
 
   std::vector<Suspect> suspects_;
   std::map<Fingerprint, CrashRecord> records_;
-  std::vector<Fingerprint> unreportedCrashes_;
+  std::vector<ObservedCrash> unreportedCrashes_;
 };
 
 } // namespace figchute::dispatch
--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -607,7 +607,7 @@
   impl_->crashes().addCrashes(now, fingerprint, crashes);
 }
 
-std::vector<std::uint64_t> Dispatcher::takeCrashes()
+std::vector<ObservedCrash> Dispatcher::takeCrashes()
 {
   return impl_->crashes().takeCrashes();
 }
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/CrashTable.h"
 #include "dispatch/RequestInfo.h"
 
 #include <memory>
@@ -73,9 +74,9 @@
   /** Adds crashes that other processes observed. */
   void addCrashes(Time now, std::uint64_t fingerprint, std::uint64_t crashes);
 
-  /** Returns the fingerprints of requests whose endpoint crashed since the last call. The caller
-      reports them to the other processes. */
-  std::vector<std::uint64_t> takeCrashes();
+  /** Returns the crashes of endpoints during requests of this process since the last call. The
+      caller reports them to the other processes. */
+  std::vector<ObservedCrash> takeCrashes();
 
   /** Returns the ids of requests whose endpoint has sent nothing for much longer than predicted,
       once per send. These sends already count as failures of the endpoint. The caller may cancel
--- a/modules/dispatch/EndpointHealth.cpp
+++ b/modules/dispatch/EndpointHealth.cpp
@@ -63,7 +63,7 @@
 void EndpointHealth::recordEndAfterRemoval(Time now, const RequestState& request, Outcome outcome)
 {
   if (outcome == Outcome::broken && request.fingerprint != 0) {
-    crashes_.recordCrash(now, request.fingerprint);
+    crashes_.recordCrash(now, request.fingerprint, now);
   }
 }
 
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -360,10 +360,12 @@
 
 void EntryRole::reportCrashes(Time now)
 {
-  for (const auto fingerprint : dispatcher_.takeCrashes()) {
-    subscriber_.addCrash(now, fingerprint);
-    context_.log.line(
-      now, "endpoint_crash", { { "fingerprint", fmt::format("{:x}", fingerprint) } });
+  for (const auto& crash : dispatcher_.takeCrashes()) {
+    subscriber_.addCrash(now, crash.fingerprint);
+    context_.log.line(now,
+                      "endpoint_crash",
+                      { { "fingerprint", fmt::format("{:x}", crash.fingerprint) },
+                        { "detection_ms", std::to_string(crash.detectionTime.count() / 1000) } });
   }
   for (auto& message : subscriber_.takeOutgoing()) {
     context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -615,6 +615,9 @@
 {
   services_.dispatcher.finished(now, id_, outcome);
   call_.reset();
+  if (outcome == dispatch::Outcome::broken && modelService_) {
+    logLostConnection(now);
+  }
   if (outcome == dispatch::Outcome::broken || outcome == dispatch::Outcome::notConnected) {
     services_.onConnectionFailure(now);
   }
@@ -651,6 +654,22 @@
                     std::chrono::milliseconds(100));
 }
 
+void Exchange::logLostConnection(Time now)
+{
+  std::string parts;
+  for (const auto& part : requestInfo_.parts) {
+    parts += fmt::format("{}{:x}", parts.empty() ? "" : ",", part.hash);
+  }
+  services_.log.line(now,
+                     "connection_lost",
+                     { { "request", requestId_ },
+                       { "endpoint", endpoint_.value },
+                       { "answered", firstByteReported_ ? "yes" : "no" },
+                       { "fingerprint", fmt::format("{:x}", requestInfo_.fingerprint) },
+                       { "parts", parts },
+                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+}
+
 void Exchange::logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail)
 {
   services_.log.line(now,
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -115,6 +115,7 @@
   [[nodiscard]] bool isRepeatable() const;
   void handleFailedSend(Time now, dispatch::Outcome outcome, bool sent, const std::string& detail);
   void endSend(Time now, dispatch::Outcome outcome);
+  void logLostConnection(Time now);
   void logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail);
   void moveToAnotherEndpoint(Time now);
   void refuse(Time now, const dispatch::Refusal& refusal);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -575,7 +575,11 @@
                   [&](const auto& endpoint) { return endpoint.id.value == crashedEndpoint; });
     dispatcher->setEndpoints(now, endpoints);
   }
-  CHECK(dispatcher->takeCrashes() == std::vector<std::uint64_t>{ 77, 77, 77 });
+  std::vector<Fingerprint> crashFingerprints;
+  for (const auto& crash : dispatcher->takeCrashes()) {
+    crashFingerprints.push_back(crash.fingerprint);
+  }
+  CHECK(crashFingerprints == std::vector<Fingerprint>{ 77, 77, 77 });
   request.id = ++lastWorkId;
   const auto refusedChoice = dispatcher->choose(now, request, {});
   REQUIRE(!refusedChoice);
--- a/tools/figchute-measure/DispatchPolicy.cpp
+++ b/tools/figchute-measure/DispatchPolicy.cpp
@@ -47,7 +47,14 @@
   {
     dispatcher_.addCrashes(now, fingerprint, crashCount);
   }
-  std::vector<std::uint64_t> takeCrashFingerprints() override { return dispatcher_.takeCrashes(); }
+  std::vector<std::uint64_t> takeCrashFingerprints() override
+  {
+    std::vector<std::uint64_t> fingerprints;
+    for (const auto& crash : dispatcher_.takeCrashes()) {
+      fingerprints.push_back(crash.fingerprint);
+    }
+    return fingerprints;
+  }
   std::vector<std::uint64_t> takeStalledRequests() override { return dispatcher_.takeStalled(); }
   void tick(Time now) override { dispatcher_.tick(now); }
 
--- a/tools/figchute-random-router/EntryProcess.cpp
+++ b/tools/figchute-random-router/EntryProcess.cpp
@@ -230,8 +230,8 @@
     send(message.to, wire::Channel::fleet, wire::encode(message.message));
   }
   static_cast<void>(runState_->dispatcher.takeEvents());
-  for (const auto fingerprint : runState_->dispatcher.takeCrashes()) {
-    runState_->subscriber.addCrash(now(), fingerprint);
+  for (const auto& crash : runState_->dispatcher.takeCrashes()) {
+    runState_->subscriber.addCrash(now(), crash.fingerprint);
   }
   world_.tally.checkActiveConfiguration(
     { id_, incarnation_ }, version(), *runState_->subscriber.configuration());
