dispatch_test, router_process_test: failing tests for a prompt part that crashes engines

Both fail on this code: the dispatcher sends a fourth request with the part although three engines crashed under it, and with real daemons all 8 engines end, because the crash table counts whole requests and no two are equal.

--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -701,3 +701,50 @@
   };
   CHECK(runAndLog() == runAndLog());
 }
+
+namespace {
+
+/** Requests that share a prompt part which crashes every engine that begins to answer it. */
+struct CrashingPart : Fixture
+{
+  static constexpr std::uint64_t kCrashingPart = 666;
+
+  CrashingPart()
+  {
+    for (int number = 3; number <= 8; ++number) {
+      endpoints.push_back(makeRecord("ma" + std::to_string(number), kModel));
+    }
+    dispatcher->setEndpoints(now, endpoints);
+  }
+
+  RequestInfo makeCrashingRequest()
+  {
+    auto request = makeRequestWithPrefix(7);
+    request.parts.insert(request.parts.end() - 1, PromptPart{ kCrashingPart, 250 });
+    request.fingerprint = 1000 + request.id;
+    return request;
+  }
+
+  void crash(const std::string& endpointId)
+  {
+    std::erase_if(endpoints, [&](const auto& endpoint) { return endpoint.id.value == endpointId; });
+    dispatcher->setEndpoints(now, endpoints);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(CrashingPart, "promptPart_crashesThreeEnginesInDifferentRequests_isRefused")
+{
+  // Guards against requests of one kind that crash engine after engine because no two are equal.
+  for (int i = 0; i < 3; ++i) {
+    const auto crashedEndpoint = sendAndFinish(makeCrashingRequest(), Outcome::broken);
+    REQUIRE(!crashedEndpoint.empty());
+    crash(crashedEndpoint);
+  }
+  const auto refusedChoice = dispatcher->choose(now, makeCrashingRequest(), {});
+  REQUIRE(!refusedChoice);
+  CHECK(errorTraits(refusedChoice.error().kind).httpStatus == 503);
+  CHECK(!sendAndFinish(makeRequestWithPrefix(7)).empty());
+  CHECK(!sendAndFinish(makeRequestWithPrefix(8)).empty());
+}
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -18,6 +18,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 START_TIMEOUT_S = 15
+CRASHING_PART = "dead"
 EVENT_INTERVAL_S = 0.02
 SLOW_RESPONSE_S = 0.8
 
@@ -87,7 +88,8 @@
     """A stand-in endpoint. It records the requests that it runs and injects the faults named in
     their paths: /fail/ responds with 500, /refuse/ with 503 and X-Not-Run, /hang/ does not respond,
     /slow/ responds after SLOW_RESPONSE_S, /cut/ closes the connection before the body is complete,
-    /crash/ ends the endpoint, /unmarked/ omits the X-Endpoint-Answer header field.
+    /crash/ ends the endpoint, /unmarked/ omits the X-Endpoint-Answer header field. A request whose
+    prompt contains CRASHING_PART ends an engine after the head of its response.
 
     These fail only the first run of a request: /dead/ closes the connection before the response,
     /mute/ sends nothing after the head of a stream and nothing at all to other requests. In the
@@ -266,6 +268,10 @@
         for name, value in headers.items():
             handler.send_header(name, value)
         handler.end_headers()
+        if f",{CRASHING_PART}:" in (handler.headers.get("X-Prompt-Parts") or ""):
+            handler.close_connection = True
+            self.crash()
+            return
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
         if not first_run and "/gap/" in handler.path:
             first += 1
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -13,7 +13,8 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from router_fleet import CONFIGURATION, RouterFleet, call, check, run_cases, wait_until  # noqa: E402
+from router_fleet import (CONFIGURATION, CRASHING_PART, RouterFleet, call, check,  # noqa: E402
+                          run_cases, wait_until)
 
 
 def has_all_endpoints(entry, count):
@@ -169,6 +170,39 @@
         check(crashed == 3, f"no further endpoint crashed: {crashed}")
 
 
+def chat_with_parts(fleet, parts, entry):
+    """Sends a chat with a prompt of these parts and a last part of its own. Returns its status, or 0
+    if the response was broken off."""
+    own_part = f"{fleet.requests + 0x1000:x}"
+    try:
+        return fleet.call("POST", "chat.example", "/chat/x", own_part, entry=entry, tokens="600,5",
+                          **{"X-Model": "m", "X-Prompt-Parts": f"{parts},{own_part}:100"}).status
+    except (http.client.HTTPException, OSError):
+        return 0
+
+
+def prompt_part_that_crashes_engines_is_rejected_by_all_entry_processes(build):
+    """Guards against requests that share one prompt part and crash engine after engine, at any entry
+    process, because no two of them are equal."""
+    with StartedFleet(build, controls=3, entries=2, engines=8) as fleet:
+        crashing = f"a1:300,b1:100,{CRASHING_PART}:100"
+
+        def crashed():
+            return sum(not endpoint.is_announcing for endpoint in fleet.endpoints)
+
+        def is_rejected():
+            return [chat_with_parts(fleet, crashing, entry) for entry in (0, 1)] == [503, 503]
+
+        wait_until(is_rejected, "both entry processes reject the part", 10)
+        check(crashed() <= 5, f"few engines crashed: {crashed()}")
+        before = crashed()
+        for number in range(10):
+            chat_with_parts(fleet, crashing, number % 2)
+        check(crashed() == before, f"no further engine crashed: {crashed() - before}")
+        statuses = [chat_with_parts(fleet, "a1:300,b2:100", number % 2) for number in range(6)]
+        check(statuses == [200] * 6, f"requests that share the other parts are served: {statuses}")
+
+
 def unmarked_response_is_rejected(build):
     """Guards against accepting a response that no endpoint produced."""
     with StartedFleet(build) as fleet:
@@ -577,6 +611,7 @@
     failed_lookup_is_repeated_at_another_endpoint,
     closed_idle_connection_is_replaced,
     crashing_request_is_rejected_by_all_entry_processes,
+    prompt_part_that_crashes_engines_is_rejected_by_all_entry_processes,
     unmarked_response_is_rejected,
     truncated_stream_never_appears_complete,
     failed_streams_are_continued,
