dispatch: a refused connection uses neither an attempt nor a repeat

Callers of routes with one attempt got 502 for requests that had reached no endpoint: the dispatcher counted each choice of an endpoint as an attempt, so after one refused connection at a crashed engine "no attempts left" ended the request, without the promise that it had not run. maxAttempts limits the endpoints to which a request is sent.

A send that ends without a connection no longer counts; the limit of three failed connections per request stays. The repeat budget counts what reaches endpoints beyond the first arrival of each request. Test request_connectionRefused_usesNoAttempt fails without the change.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -171,6 +171,10 @@
     }
     now_ = std::max(now_, now);
     const auto send = requests_.endSend(*request);
+    if (outcome == Outcome::notConnected) {
+      // Nothing reached an endpoint, so the request has used neither an attempt nor a repeat.
+      --request->sends;
+    }
     auto* endpoint = endpoints_.find(send.handle);
     if (endpoint == nullptr) {
       health_.recordEndAfterRemoval(now, *request, outcome);
--- a/modules/dispatch/RequestTable.h
+++ b/modules/dispatch/RequestTable.h
@@ -41,6 +41,7 @@
   Duration target{};
   std::int64_t promptTokens = 0;
   std::uint64_t fingerprint = 0;
+  /** Sends that reached an endpoint or may have, including the current one. */
   int sends = 0;
   std::optional<Send> send;
 };
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -702,6 +702,26 @@
   CHECK(runAndLog() == runAndLog());
 }
 
+TEST_CASE_FIXTURE(Fixture, "request_connectionRefused_usesNoAttempt")
+{
+  // Guards against 502 for a request that reached no endpoint, because its endpoint had crashed.
+  auto request = makeRequest(kModel);
+  request.kind = fleet::RouteKind::stream;
+  request.maxAttempts = 1;
+  std::vector<EndpointId> excluded;
+  for (int i = 0; i < 2; ++i) {
+    const auto choice = dispatcher->choose(now, request, excluded);
+    REQUIRE(choice);
+    excluded.push_back(choice->endpoint);
+    dispatcher->finished(now, request.id, Outcome::notConnected);
+  }
+  const auto choice = dispatcher->choose(now, request, excluded);
+  REQUIRE(choice);
+  excluded.push_back(choice->endpoint);
+  dispatcher->finished(now, request.id, Outcome::broken);
+  CHECK(!dispatcher->choose(now, request, excluded));
+}
+
 namespace {
 
 /** Requests that share a prompt part which crashes every engine that begins to answer it. */
--- a/tools/figchute-random-router/EntryProcess.cpp
+++ b/tools/figchute-random-router/EntryProcess.cpp
@@ -418,15 +418,12 @@
       static_cast<std::uint64_t>(openRequest.triedEndpoints.size()) * 1'000'000'000ULL;
   }
   const auto choice = runState_->dispatcher.choose(now(), requestInfo, openRequest.triedEndpoints);
-  const bool isRepeat = std::exchange(openRequest.isDispatched, true);
+  openRequest.isDispatched = true;
   if (!choice) {
     endRequest(id,
                openRequest.mayHaveRun ? RequestOutcome::failed : RequestOutcome::refusedByDispatch);
     return;
   }
-  if (isRepeat) {
-    world_.tally.checkRepeat(world_.schedule.now());
-  }
   recordChoice(openRequest, *choice);
   startCall(id, *choice);
 }
@@ -477,7 +474,9 @@
     return;
   }
   openRequest.isSent = true;
-  ++openRequest.sendCount;
+  if (++openRequest.sendCount > 1) {
+    world_.tally.checkRepeat(world_.schedule.now());
+  }
   EndpointCall request{ id_,
                         choice.endpoint,
                         openRequest.request.outputTokens,
--- a/tools/figchute-random-router/FleetTally.h
+++ b/tools/figchute-random-router/FleetTally.h
@@ -101,7 +101,8 @@
   /** Records that a request was sent for the first time, or refused. */
   void recordRequest(Time now) { requestTimes_.push_back(now); }
 
-  /** Records that a request was sent again and checks the repeat budget. */
+  /** Records that a request which had reached an endpoint was sent again, and checks the repeat
+      budget. */
   void checkRepeat(Time now);
 
   /** Records used tokens of a budget and checks that its largest prepaid amount covers them. */
--- a/tools/figchute-random-router/Simulation.h
+++ b/tools/figchute-random-router/Simulation.h
@@ -80,6 +80,7 @@
   void degradeNetwork();
   void wipeOrReplaceControl();
   void disruptEndpoint();
+  void disruptService(const ServiceName& service);
   void restartEndpoint(EndpointProcess& endpoint, Duration delay);
   void updateSeeds(const std::vector<ProcessId>& seeds, const ProcessId& removedId);
   [[nodiscard]] bool isControlGroupStable() const;
--- a/tools/figchute-random-router/SimulationFaults.cpp
+++ b/tools/figchute-random-router/SimulationFaults.cpp
@@ -383,13 +383,30 @@
   } else if (kind < 8) {
     endpoint.crash();
     restartEndpoint(endpoint, randomDuration(200, 9'000));
-  } else {
+  } else if (kind < 9) {
     endpoint.setFailureRatio(0.4);
     world_.schedule.callAfter(randomDuration(1'000, 9'000),
                               [&endpoint] { endpoint.setFailureRatio(0); });
+  } else {
+    disruptService(endpoint.service());
   }
 }
 
+void Simulation::disruptService(const ServiceName& service)
+{
+  // Repeats cannot help while all endpoints fail, so only the repeat budget limits them.
+  const auto setFailureRatio = [this, service](double ratio) {
+    for (auto& endpoint : endpoints_) {
+      if (endpoint->service() == service) {
+        endpoint->setFailureRatio(ratio);
+      }
+    }
+  };
+  setFailureRatio(0.8);
+  world_.schedule.callAfter(randomDuration(1'000, 9'000),
+                            [setFailureRatio] { setFailureRatio(0); });
+}
+
 void Simulation::restartEndpoint(EndpointProcess& endpoint, Duration delay)
 {
   world_.schedule.callAfter(delay, [this, &endpoint, delay] {
