router: a stream whose connection ends inside an event has been broken off

Callers got a stream that ended in the middle of an event and was terminated as if it were complete: without chunks or a length, the end of the connection ends the body, and the exchange did not look whether an event was complete. Such a stream is now treated like one whose connection was lost: the response is aborted, or continued at another endpoint where the route allows it.

--- a/modules/router/EventCounter.h
+++ b/modules/router/EventCounter.h
@@ -14,6 +14,9 @@
       @returns the number of events that this part completes */
   std::int64_t feed(std::string_view bytes);
 
+  /** Returns whether the bytes so far end inside an event. */
+  [[nodiscard]] bool isInsideEvent() const { return eventHasText_; }
+
 private:
   bool lineHasText_ = false;
   bool eventHasText_ = false;
--- a/modules/router/EventRelay.h
+++ b/modules/router/EventRelay.h
@@ -49,6 +49,9 @@
    * consecutive, and no part of an incomplete event was relayed. */
   [[nodiscard]] bool canContinue() const { return canContinue_; }
 
+  /** Returns whether the bytes so far end inside an event. */
+  [[nodiscard]] bool isInsideEvent() const { return eventHasText_ || linePrefixSize_ > 0; }
+
   /** Returns the id of the last complete event with an id; nullopt before the first one. */
   [[nodiscard]] std::optional<std::int64_t> lastId() const { return lastId_; }
 
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -426,6 +426,7 @@
     return;
   }
   mayHaveRun_ = mayHaveRun_ || !notExecuted;
+  endsWithConnection_ = !head.length && !head.chunked;
   if (hasResponseStarted()) {
     continueResponse(now, head, marked);
     return;
@@ -508,8 +509,10 @@
       return;
     }
   } else {
-    if (modelService_ && status_ < 300) {
-      recordProgress(events_.feed(bytes));
+    const bool hasEvents = modelService_ || requestInfo_.kind == fleet::RouteKind::stream;
+    if (hasEvents && status_ < 300) {
+      const auto events = events_.feed(bytes);
+      recordProgress(modelService_ ? events : 0);
     }
     relay(bytes);
   }
@@ -567,6 +570,10 @@
   if (stage_ != Stage::relaying) {
     return;
   }
+  if (isBrokenOff()) {
+    onFailure({ http::CallFailureKind::closed, true, true, false, "inside an event" });
+    return;
+  }
   const Time now = bootTime();
   if (relaysWholeEvents_) {
     const auto rest = eventRelay_.finish();
@@ -582,6 +589,14 @@
   end(now, "answered", status_, "");
 }
 
+bool Exchange::isBrokenOff() const
+{
+  if (!endsWithConnection_ || status_ >= 300 || requestInfo_.kind != fleet::RouteKind::stream) {
+    return false;
+  }
+  return relaysWholeEvents_ ? eventRelay_.isInsideEvent() : events_.isInsideEvent();
+}
+
 void Exchange::onFailure(const http::CallFailure& failure)
 {
   using Kind = http::CallFailureKind;
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -130,6 +130,8 @@
   void recordFirstByte(Time now);
   [[nodiscard]] bool hasResponseStarted() const { return status_ != 0; }
   [[nodiscard]] bool canContinue() const;
+  /** Returns whether the end of the connection cut the stream inside an event. */
+  [[nodiscard]] bool isBrokenOff() const;
   void chargeBudget(Time now);
   void end(Time now, std::string_view outcome, int status, std::string_view detail);
 
@@ -175,6 +177,8 @@
   dispatch::ChosenEndpoint chosenEndpoint_;
   /** When the next send starts; set while the previous endpoint is given time to stop. */
   std::optional<Time> sendAt_;
+  /** The response of the current endpoint has neither chunks nor a length. */
+  bool endsWithConnection_ = false;
   /** Only complete events are relayed, so that another endpoint can continue the response. */
   bool relaysWholeEvents_ = false;
   EventRelay eventRelay_;
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -28,6 +28,9 @@
         {"name": "chat", "host": "chat.example", "pathPrefix": "/chat/", "kind": "stream",
          "timeoutMs": 8000, "targetMs": 500, "priority": 0, "maxAttempts": 2,
          "resumable": True, "service": "engines"},
+        {"name": "report", "host": "chat.example", "pathPrefix": "/report/", "kind": "stream",
+         "timeoutMs": 8000, "targetMs": 1500, "priority": 2, "maxAttempts": 1,
+         "service": "engines"},
         {"name": "book", "host": "app.example", "pathPrefix": "/book/", "kind": "once",
          "timeoutMs": 2000, "targetMs": 300, "priority": 1, "maxAttempts": 1, "service": "app"},
         {"name": "look", "host": "app.example", "pathPrefix": "/look/", "kind": "repeatable",
@@ -94,7 +97,8 @@
     These fail only the first run of a request: /dead/ closes the connection before the response,
     /mute/ sends nothing after the head of a stream and nothing at all to other requests. In the
     middle of event 3 of a stream, /break/ closes the connection, /garble/ sends an invalid chunk
-    and /stall/ sends nothing more. These fail the second run of a stream: /gap/ omits an event,
+    and /stall/ sends nothing more. The stream of /unframed/ has neither chunks nor a length and ends
+    with its connection. These fail the second run of a stream: /gap/ omits an event,
     /denied/ responds with 500 and /strange/ omits the X-Endpoint-Answer header field."""
 
     def __init__(self, fleet, name, service, ip, events=5):
@@ -244,7 +248,10 @@
         """Ends the first run of a stream as its path requests. Returns whether it did."""
         handler.close_connection = True
         half_event = b"%x\r\n%s" % (len(event), event[:len(event) // 2])
-        if "/break/" in handler.path:
+        if "/unframed/break/" in handler.path:
+            handler.wfile.write(event[:len(event) // 2])
+            handler.connection.shutdown(socket.SHUT_RDWR)
+        elif "/break/" in handler.path:
             handler.wfile.write(half_event)
             handler.connection.shutdown(socket.SHUT_RDWR)
         elif "/garble/" in handler.path:
@@ -256,7 +263,7 @@
             handler.connection.recv(1)
             self.stall_ended_at = time.monotonic()
         else:
-            handler.close_connection = False
+            handler.close_connection = "/unframed/" in handler.path
             return False
         return True
 
@@ -264,7 +271,11 @@
         handler.send_response(200)
         handler.send_header("X-Request-Id", handler.headers.get("X-Request-Id") or "")
         handler.send_header("Content-Type", "text/event-stream")
-        handler.send_header("Transfer-Encoding", "chunked")
+        unframed = "/unframed/" in handler.path
+        if unframed:
+            handler.send_header("Connection", "close")
+        else:
+            handler.send_header("Transfer-Encoding", "chunked")
         for name, value in headers.items():
             handler.send_header(name, value)
         handler.end_headers()
@@ -290,10 +301,11 @@
                 event = f"id: {number}\ndata: {self.name}\n\n".encode()
                 if first_run and number == 3 and self.inject_fault(handler, event):
                     return
-                handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                handler.wfile.write(event if unframed else b"%x\r\n%s\r\n" % (len(event), event))
                 handler.wfile.flush()
                 time.sleep(EVENT_INTERVAL_S)
-            handler.wfile.write(b"0\r\n\r\n")
+            if not unframed:
+                handler.wfile.write(b"0\r\n\r\n")
         except OSError:
             self.disconnected_streams += 1
             handler.close_connection = True
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -222,6 +222,24 @@
             pass
 
 
+def unframed_stream_that_ends_inside_an_event_never_appears_complete(build):
+    """Guards against a stream without chunks or length that breaks off inside an event and is
+    terminated as if it were complete, or is not continued where that is possible."""
+    with StartedFleet(build, engines=4) as fleet:
+        for route in ("chat", "report"):
+            answer = fleet.call("POST", "chat.example", f"/{route}/unframed/x", "b")
+            check(event_ids_of(answer) == ["1", "2", "3", "4", "5"], f"{route}: {answer.body!r}")
+        try:
+            answer = fleet.call("POST", "chat.example", "/report/unframed/break/x", "b")
+            check(False, f"complete with {answer.status} {answer.body!r}")
+        except (http.client.IncompleteRead, ConnectionError):
+            pass
+        answer = fleet.call("POST", "chat.example", "/chat/unframed/break/x", "b")
+        check(event_ids_of(answer) == ["1", "2", "3", "4", "5"], f"{answer.body!r}")
+        check(answer.body.count("\n\n") == 5, f"all events are whole: {answer.body!r}")
+        check(len(runs_of(fleet, f"r{fleet.requests}")) == 2, "it was continued")
+
+
 def event_ids_of(answer):
     return [line[4:] for line in answer.body.split("\n") if line.startswith("id: ")]
 
@@ -616,6 +634,7 @@
     prompt_part_that_crashes_engines_is_rejected_by_all_entry_processes,
     unmarked_response_is_rejected,
     truncated_stream_never_appears_complete,
+    unframed_stream_that_ends_inside_an_event_never_appears_complete,
     failed_streams_are_continued,
     stream_without_events_is_sent_again,
     unanswered_lookup_is_soon_sent_to_another_endpoint,
