dispatch: a request that is sent again does not hide the prompt part that makes it crash engines

The crashes of one request now count once for its parts. A request that followed a crashing one from engine to engine stayed refused for 60 s although the reports of the other processes explained its crashes; such a refusal now ends when the reports arrive. Both tests in crash_table_test fail without the change.

--- a/modules/dispatch/CrashCauses.h
+++ b/modules/dispatch/CrashCauses.h
@@ -22,7 +22,9 @@
 
     Requests that share a crashing part of their prompt usually share the parts before it, too. The
     most specific common candidate is therefore taken as the cause, and the crashes that it explains
-    no longer count for others. Thread safety: safe from any thread.
+    no longer count for others. A whole request that was sent several times may still be one of
+    several that share a crashing part, so its crashes count once for its parts.
+    Thread safety: safe from any thread.
     @param minCrashes  number of endpoints that must have crashed with a candidate */
 std::map<Fingerprint, CrashCause> findCrashCauses(const fleet::CrashReportStore& reports,
                                                   std::size_t minCrashes);
--- a/modules/dispatch/CrashTable.cpp
+++ b/modules/dispatch/CrashTable.cpp
@@ -92,7 +92,7 @@
     for (auto& report : reports_.refute(now, candidate)) {
       refutations_.push_back(std::move(report));
     }
-    removeRefusal(candidate);
+    removeRefusal(candidate, "it was answered");
   };
   std::for_each(candidates.parts.begin(), candidates.parts.end(), refute);
   if (candidates.request != 0) {
@@ -161,34 +161,37 @@
     }
     refusedUntil = std::max(refusedUntil, until);
   }
-  std::vector<Fingerprint> refuted;
+  std::vector<Fingerprint> cleared;
   for (const auto& [candidate, until] : refusedUntil_) {
-    if (!causes.contains(candidate) && isRefuted(candidate)) {
-      refuted.push_back(candidate);
+    if (!causes.contains(candidate) && isCleared(candidate)) {
+      cleared.push_back(candidate);
     }
   }
-  for (const auto candidate : refuted) {
-    removeRefusal(candidate);
+  for (const auto candidate : cleared) {
+    removeRefusal(candidate, "its crashes have another cause or were refuted");
   }
 }
 
-bool CrashTable::isRefuted(Fingerprint candidate) const
+bool CrashTable::isCleared(Fingerprint candidate) const
 {
-  for (const auto& [id, record] : reports_.records()) {
-    const auto& report = record.report;
-    for (std::size_t i = 0; i < report.candidates.size(); ++i) {
-      if (report.candidates[i] == candidate && report.isRefuted(i)) {
-        return true;
-      }
-    }
+  if (reports_.endpointsOf(candidate).size() >= kCrashLimit) {
+    return true;
   }
-  return false;
+  // Without a refutation, reports were only evicted.
+  return std::any_of(
+    reports_.records().begin(), reports_.records().end(), [candidate](const auto& item) {
+      const auto& report = item.second.report;
+      const auto& candidates = report.candidates;
+      const auto found = std::find(candidates.begin(), candidates.end(), candidate);
+      return found != candidates.end() &&
+             report.isRefuted(static_cast<std::size_t>(found - candidates.begin()));
+    });
 }
 
-void CrashTable::removeRefusal(Fingerprint candidate)
+void CrashTable::removeRefusal(Fingerprint candidate, std::string_view reason)
 {
   if (refusedUntil_.erase(candidate) > 0) {
-    events_.push_back(fmt::format("{:x} is accepted again: it was answered", candidate));
+    events_.push_back(fmt::format("{:x} is accepted again: {}", candidate, reason));
   }
 }
 
--- a/modules/dispatch/CrashTable.h
+++ b/modules/dispatch/CrashTable.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace figchute::dispatch {
@@ -121,8 +122,10 @@
 
   void recordCrash(Time now, const Suspect& suspect);
   void updateRefusals(Time now);
-  [[nodiscard]] bool isRefuted(Fingerprint candidate) const;
-  void removeRefusal(Fingerprint candidate);
+  /** Returns whether the reports no longer support the refusal of a candidate that is not a cause.
+   */
+  [[nodiscard]] bool isCleared(Fingerprint candidate) const;
+  void removeRefusal(Fingerprint candidate, std::string_view reason);
 
   std::vector<Suspect> suspects_;
   fleet::CrashReportStore reports_;
--- a/tests/crash_table_test.cpp
+++ b/tests/crash_table_test.cpp
@@ -156,6 +156,43 @@
   CHECK_FALSE(isRefused(requestWith({ kFirstPart, kSubject })));
 }
 
+// Guards against a crashing part that is never found because each request with it is sent again and
+// reaches the limit by itself.
+TEST_CASE_FIXTURE(Fixture, "PromptPart_requestsAreRepeated_isRefusedAfterTheSecondRequest")
+{
+  const auto first = crashingRequest();
+  for (int i = 0; i < 3; ++i) {
+    crash({ first });
+  }
+  CHECK(isRefused(first));
+  const auto second = crashingRequest();
+  for (int i = 0; i < 2; ++i) {
+    CHECK_FALSE(isRefused(second));
+    crash({ second });
+  }
+  CHECK(isRefused(crashingRequest()));
+  CHECK_FALSE(isRefused(requestWith({ kFirstPart, kSubject })));
+}
+
+// Guards against refusing a request that followed a crashing one from endpoint to endpoint, once
+// the reports of other processes explain its crashes.
+TEST_CASE_FIXTURE(Fixture, "Request_crashesAreExplainedLater_isAcceptedAgain")
+{
+  const auto bystander = requestWith({ 11 });
+  const auto crashing = crashingRequest();
+  for (int i = 0; i < 3; ++i) {
+    crash({ bystander });
+  }
+  CHECK(isRefused(bystander));
+  for (std::size_t endpoint = 1; endpoint <= 3; ++endpoint) {
+    auto candidates = crashing.parts;
+    candidates.push_back(crashing.request);
+    table.addReports(now, std::vector{ fleet::CrashReport{ 100 + endpoint, candidates } });
+  }
+  CHECK(isRefused(crashing));
+  CHECK_FALSE(isRefused(bystander));
+}
+
 // Guards against unbounded memory, and against a cause that is forgotten, while a caller makes up
 // new parts and endpoints go on crashing.
 TEST_CASE_FIXTURE(Fixture, "PromptPart_manyMadeUpParts_causeStaysRefused")
