--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -33,6 +33,9 @@
   std::string notExecuted = "X-Not-Run";
   /** Load of the endpoint: running requests, waiting requests and slots, separated by commas. */
   std::string load = "X-Endpoint-Load";
+  /** The requests per second, a decimal number, that an endpoint accepts from all processes
+   * together; present in its responses for as long as the limit holds. */
+  std::string rateLimit = "X-Endpoint-Rate-Limit";
   /** The id of the last event that the caller has received; sent to an endpoint that continues a
    * stream. */
   std::string lastEventId = "Last-Event-Id";
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -413,6 +413,15 @@
       services_.dispatcher.load(now, endpoint_, *report);
     }
   }
+  if (const auto* limit = head.fields.find(names.rateLimit)) {
+    services_.log.line(now,
+                       "endpoint_rate_limit",
+                       { { "request", requestId_ },
+                         { "endpoint", endpoint_.value },
+                         { "limit", *limit },
+                         { "status", std::to_string(head.status) },
+                         { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+  }
   const bool marked = head.fields.find(names.endpointAnswer) != nullptr;
   const bool notExecuted = head.fields.find(names.notExecuted) != nullptr;
   if (head.status == 421) {
