--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -99,7 +99,9 @@
     middle of event 3 of a stream, /break/ closes the connection, /garble/ sends an invalid chunk
     and /stall/ sends nothing more. The stream of /unframed/ has neither chunks nor a length and ends
     with its connection. These fail the second run of a stream: /gap/ omits an event,
-    /denied/ responds with 500 and /strange/ omits the X-Endpoint-Answer header field."""
+    /denied/ responds with 500 and /strange/ omits the X-Endpoint-Answer header field.
+
+    While rate_limit is set, answers name it as the limit in requests per second."""
 
     def __init__(self, fleet, name, service, ip, events=5):
         self.fleet = fleet
@@ -109,6 +111,7 @@
         self.runs = []
         self.disconnected_streams = 0
         self.stall_ended_at = 0
+        self.rate_limit = None
         self.state = "ready"
         self.sequence = 0
         self.born = int(time.time() * 1000)
@@ -211,6 +214,8 @@
     def run(self, handler, body):
         headers = {"X-Endpoint-Answer": f"{self.name}.{len(self.runs)}",
                  "X-Endpoint-Load": "1,0,8"}
+        if self.rate_limit is not None:
+            headers["X-Endpoint-Rate-Limit"] = str(self.rate_limit)
         request_id = handler.headers.get("X-Request-Id")
         with self.fleet.lock:
             first_run = request_id not in self.fleet.seen_requests
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -170,6 +170,49 @@
         check(crashed == 3, f"no further endpoint crashed: {crashed}")
 
 
+def look_up_steadily(fleet, entry, until, interval_s):
+    """Sends lookups to an entry process at a steady rate until a point in time."""
+    while time.monotonic() < until:
+        try:
+            fleet.call("GET", "app.example", "/look/x", entry=entry)
+        except OSError:
+            pass
+        time.sleep(interval_s)
+
+
+def endpoint_rate_limit_is_kept_by_all_entry_processes(build):
+    """Guards against an endpoint that names a limit and gets far more requests, because no entry
+    process knows what the others send; and against a limit that is kept after its end."""
+    with StartedFleet(build, entries=3, apps=2) as fleet:
+        limited = next(endpoint for endpoint in fleet.endpoints if endpoint.service == "app")
+
+        def send_for(seconds):
+            until = time.monotonic() + seconds
+            senders = [threading.Thread(target=look_up_steadily, args=(fleet, entry, until, 0.04))
+                       for entry in (0, 0, 1, 2)]
+            for sender in senders:
+                sender.start()
+            for sender in senders:
+                sender.join()
+
+        def arrivals(begin, end):
+            return sum(begin <= run["at"] < end for run in limited.runs)
+
+        send_for(1)
+        limited.rate_limit = 2
+        limited_at = time.monotonic()
+        send_for(9)
+        most = max(arrivals(begin, begin + 4) for begin in
+                   [limited_at + 1 + 0.1 * step for step in range(40)])
+        check(most <= 1.5 * 4 * 2 + 5, f"a limit of 2 a second holds in each 4 s: {most}")
+        check(arrivals(limited_at + 1, limited_at + 9) >= 8, "half of the limit at least is used")
+        limited.rate_limit = None
+        send_for(4)
+        ended_at = time.monotonic()
+        send_for(2)
+        check(arrivals(ended_at, ended_at + 2) >= 40, "the endpoint is used as before")
+
+
 def chat_with_parts(fleet, parts, entry):
     """Sends a chat with a prompt of these parts and a last part of its own. Returns "answered", the
     kind of the router's error, or "cut" if the response was broken off."""
@@ -632,6 +675,7 @@
     closed_idle_connection_is_replaced,
     crashing_request_is_rejected_by_all_entry_processes,
     prompt_part_that_crashes_engines_is_rejected_by_all_entry_processes,
+    endpoint_rate_limit_is_kept_by_all_entry_processes,
     unmarked_response_is_rejected,
     truncated_stream_never_appears_complete,
     unframed_stream_that_ends_inside_an_event_never_appears_complete,
