--- a/modules/dispatch/Candidate.h
+++ b/modules/dispatch/Candidate.h
@@ -22,6 +22,8 @@
   /** Extra cost of the endpoint in the choice, for recent failures, warm-up and being reserved for
       long prompts. */
   Duration penalty{};
+  /** The endpoint names a rate limit. */
+  bool isLimited = false;
   /** Reserved for long prompts; other requests avoid it. */
   bool reservedForLongPrompts = false;
 };
--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -4,7 +4,9 @@
 #include "dispatch/EndpointHealth.h"
 #include "dispatch/EndpointTable.h"
 #include "dispatch/EngineSelector.h"
+#include "dispatch/LimitedEngineSelector.h"
 #include "dispatch/PlainEndpointSelection.h"
+#include "dispatch/RateLimitShares.h"
 #include "dispatch/RepeatBudget.h"
 #include "dispatch/RequestTable.h"
 
@@ -49,6 +51,7 @@
 /** The load of an endpoint varies with each request, while the share of the traffic changes within
     minutes. */
 constexpr double kTrafficShareSmoothing = 0.02;
+constexpr Duration kRequestRateWindow = std::chrono::seconds(10);
 /** Lower limit of the share, because estimates are divided by it. */
 constexpr double kMinTrafficShare = 0.01;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
@@ -63,6 +66,7 @@
   Duration serviceTime = kInitialServiceTime;
   /** This process's share of the running requests of all processes; 0 before the first request. */
   double trafficShare = 0;
+  LimitedEngineSelector limitedEngines{};
 };
 
 } // namespace
@@ -84,7 +88,7 @@
       const auto previousState = services_.find(service.name);
       auto state =
         previousState == services_.end()
-          ? ServiceState{ service, RepeatBudget(settings_.repeatWindow), kInitialServiceTime, 0 }
+          ? ServiceState{ service, RepeatBudget(settings_.repeatWindow), kInitialServiceTime }
           : previousState->second;
       state.settings = service;
       newServices.emplace(service.name, std::move(state));
@@ -215,6 +219,7 @@
   {
     now_ = now;
     health_.crashes().expire(now);
+    limits_.expire(now);
     for (auto& [id, request] : requests_.all()) {
       if (request.send && !request.send->overdue && isOverdue(now, request)) {
         request.send->overdue = true;
@@ -226,6 +231,26 @@
     }
   }
 
+  void answerHead(Time now, std::uint64_t requestId, std::optional<double> requestsPerSecond)
+  {
+    auto* request = requests_.find(requestId);
+    if (request == nullptr || !request->send) {
+      return;
+    }
+    const auto& send = *request->send;
+    const auto* endpoint = endpoints_.find(send.handle);
+    if (endpoint != nullptr &&
+        limits_.recordAnswer(now, limitKeyOf(*endpoint), send.sentAt, requestsPerSecond)) {
+      limitChanges_.push_back({ endpoint->record.id, requestsPerSecond });
+    }
+  }
+
+  std::vector<RateLimitChange> takeRateLimitChanges() { return std::exchange(limitChanges_, {}); }
+
+  RateLimitShares& limits() { return limits_; }
+
+  [[nodiscard]] double requestsPerSecond(Time now) const { return newRequests_.perSecond(now); }
+
   [[nodiscard]] Time now() const { return now_; }
 
   EndpointHealth& health() { return health_; }
@@ -273,6 +298,7 @@
     if (isNewRequest) {
       service.repeats.countRequest(now);
       totalRepeats_.countRequest(now);
+      newRequests_.add(now, 1);
     }
     if (request.send) {
       finished(now, requestInfo.id, Outcome::cancelled);
@@ -320,15 +346,16 @@
   }
 
   /** Returns the endpoints with a closed breaker that may take the request. */
-  std::vector<Candidate> findCandidates(const RequestInfo& requestInfo,
+  std::vector<Candidate> findCandidates(Time now,
+                                        const RequestInfo& requestInfo,
                                         const ServiceState& service,
                                         std::span<const EndpointId> excluded)
   {
     std::vector<Candidate> candidates;
     for (const auto handle : endpoints_.handlesOf(requestInfo.service)) {
       auto& endpoint = *endpoints_.find(handle);
-      if (!endpoint.breaker.isOpen() && isEligible(endpoint, requestInfo, service, excluded)) {
-        candidates.push_back(makeCandidate(endpoint));
+      if (!endpoint.breaker.isOpen() && isEligible(now, endpoint, requestInfo, service, excluded)) {
+        candidates.push_back(makeCandidate(now, endpoint));
       }
     }
     return candidates;
@@ -340,23 +367,31 @@
              requests_.isSmallWorkspace(requestInfo.service, requestInfo.workspace) };
   }
 
-  [[nodiscard]] bool isEligible(const Endpoint& endpoint,
+  [[nodiscard]] bool isEligible(Time now,
+                                const Endpoint& endpoint,
                                 const RequestInfo& requestInfo,
                                 const ServiceState& service,
-                                std::span<const EndpointId> excluded) const
+                                std::span<const EndpointId> excluded)
   {
     return endpoint.record.state == fleet::EndpointState::ready &&
            endpoint.load.ownRequests() <
              admissionFor(requestInfo).connectionLimit(connectionsPerProcess(service)) &&
-           std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end();
+           std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end() &&
+           limits_.maySend(now, limitKeyOf(endpoint));
   }
 
-  [[nodiscard]] Candidate makeCandidate(Endpoint& endpoint) const
+  static RateLimitShares::EndpointKey limitKeyOf(const Endpoint& endpoint)
+  {
+    return { endpoint.incarnation, endpoint.record.zone };
+  }
+
+  [[nodiscard]] Candidate makeCandidate(Time now, Endpoint& endpoint)
   {
     Candidate candidate;
     candidate.endpoint = &endpoint;
     candidate.load = endpoint.load.current();
     candidate.inOwnZone = endpoint.record.zone == settings_.zone;
+    candidate.isLimited = limits_.allowedRate(now, limitKeyOf(endpoint)).has_value();
     return candidate;
   }
 
@@ -374,12 +409,12 @@
     for (const auto handle : endpoints_.handlesOf(requestInfo.service)) {
       auto& endpoint = *endpoints_.find(handle);
       if (!endpoint.breaker.isTrialDue(now) ||
-          !isEligible(endpoint, requestInfo, service, excluded)) {
+          !isEligible(now, endpoint, requestInfo, service, excluded)) {
         continue;
       }
       const bool isSafeTrial = canBeRepeated || endpoint.breaker.isOpenAfterLostConnection();
       if (isSafeTrial || now >= endpoint.breaker.nextTrialAt() + kTrialWait) {
-        return makeCandidate(endpoint);
+        return makeCandidate(now, endpoint);
       }
     }
     return std::nullopt;
@@ -399,7 +434,7 @@
       EngineSelector::predict(context, requestInfo, keys, *trial);
       return recordSend(now, requestInfo, service, keys, *trial);
     }
-    auto candidates = findCandidates(requestInfo, service, excluded);
+    auto candidates = findCandidates(now, requestInfo, service, excluded);
     if (candidates.empty()) {
       return refuseWithoutCandidate(now, requestInfo);
     }
@@ -420,8 +455,47 @@
     if (allEnginesFull) {
       return refuse(now, requestInfo, ErrorKind::overloaded, retryAfter, "all engines are full");
     }
-    const auto chosenIndex = engineChoice_.pick(context, requestInfo, keys, candidates);
-    return recordSend(now, requestInfo, service, keys, candidates[chosenIndex]);
+    return recordSend(
+      now, requestInfo, service, keys, pickEngine(context, requestInfo, service, keys, candidates));
+  }
+
+  /** Chooses one of the engines: the best one without a rate limit, or a limited one. */
+  Candidate pickEngine(const EngineContext& context,
+                       const RequestInfo& requestInfo,
+                       ServiceState& service,
+                       std::span<const Fingerprint> keys,
+                       std::span<Candidate> candidates)
+  {
+    service.limitedEngines.addRequest(context.now, requestInfo.promptTokens);
+    const auto firstLimited =
+      std::stable_partition(candidates.begin(), candidates.end(), [](const Candidate& candidate) {
+        return !candidate.isLimited;
+      });
+    const std::span unlimited(candidates.begin(), firstLimited);
+    const std::span limited(firstLimited, candidates.end());
+    if (unlimited.empty()) {
+      return limited[engineChoice_.pick(context, requestInfo, keys, limited)];
+    }
+    const auto& choice = unlimited[engineChoice_.pick(context, requestInfo, keys, unlimited)];
+    if (limited.empty()) {
+      return choice;
+    }
+    const auto allowance = allowanceOf(context.now, requestInfo.service);
+    const auto* limitedChoice =
+      service.limitedEngines.pick(context.now, requestInfo, allowance, limited, choice);
+    return limitedChoice != nullptr ? *limitedChoice : choice;
+  }
+
+  /** Returns what the rate limits of a service's endpoints allow this process. */
+  LimitedEngineSelector::Allowance allowanceOf(Time now, const ServiceName& service)
+  {
+    LimitedEngineSelector::Allowance allowance;
+    for (const auto handle : endpoints_.handlesOf(service)) {
+      const auto rate = limits_.allowedRate(now, limitKeyOf(*endpoints_.find(handle)));
+      allowance.requestsPerSecond += rate.value_or(0);
+      allowance.engines += rate.value_or(0) > 0 ? 1 : 0;
+    }
+    return allowance;
   }
 
   tl::expected<ChosenEndpoint, Refusal> choosePlain(Time now,
@@ -433,7 +507,7 @@
     if (const auto trial = findTrial(now, requestInfo, service, excluded)) {
       return recordSend(now, requestInfo, service, keys, *trial);
     }
-    auto candidates = findCandidates(requestInfo, service, excluded);
+    auto candidates = findCandidates(now, requestInfo, service, excluded);
     if (candidates.empty()) {
       return refuseWithoutCandidate(now, requestInfo);
     }
@@ -445,11 +519,16 @@
   tl::unexpected<Refusal> refuseWithoutCandidate(Time now, const RequestInfo& requestInfo)
   {
     bool hasConnectionInUse = false;
+    bool isRateLimited = false;
     auto retryAfter = kMaxRetryAfter;
     for (const auto handle : endpoints_.handlesOf(requestInfo.service)) {
       const auto& endpoint = *endpoints_.find(handle);
+      const auto nextSendAt = limits_.nextSendAt(now, limitKeyOf(endpoint));
       if (endpoint.breaker.isOpen()) {
         retryAfter = std::min(retryAfter, endpoint.breaker.nextTrialAt() - now);
+      } else if (nextSendAt != now) {
+        isRateLimited = true;
+        retryAfter = std::min(retryAfter, nextSendAt ? *nextSendAt - now : kMaxRetryAfter);
       } else if (endpoint.load.ownRequests() > 0) {
         hasConnectionInUse = true;
       }
@@ -462,6 +541,13 @@
                     service->second.serviceTime / 4,
                     "all connections are in use");
     }
+    if (isRateLimited) {
+      return refuse(now,
+                    requestInfo,
+                    ErrorKind::overloaded,
+                    retryAfter,
+                    "the rate limits of the endpoints are used up");
+    }
     return refuse(now, requestInfo, ErrorKind::noEndpoint, retryAfter, "no endpoint is available");
   }
 
@@ -490,6 +576,7 @@
     if (newSend.trial) {
       endpoint.breaker.beginTrial();
     }
+    limits_.recordSend(now, limitKeyOf(endpoint));
     endpoint.load.adjustOwnRequests(now, 1);
     endpoint.outstandingPromptTokens += requestInfo.promptTokens;
     endpoint.ttftModel.addPendingPrefill(requestInfo.priority, newSend.prefill);
@@ -566,6 +653,9 @@
   RequestTable requests_;
   RepeatBudget totalRepeats_;
   EndpointHealth health_{ endpoints_ };
+  RateLimitShares limits_;
+  routing::DecayedSum newRequests_{ kRequestRateWindow };
+  std::vector<RateLimitChange> limitChanges_;
   std::vector<std::uint64_t> stalled_;
 };
 
@@ -591,6 +681,11 @@
   impl_->setPeers(entryProcesses);
 }
 
+void Dispatcher::setProcesses(const ProcessId& self, std::span<const fleet::EntryProcess> processes)
+{
+  impl_->limits().setProcesses(self, processes);
+}
+
 tl::expected<ChosenEndpoint, Refusal> Dispatcher::choose(Time now,
                                                          const RequestInfo& requestInfo,
                                                          std::span<const EndpointId> excluded)
@@ -618,6 +713,38 @@
   impl_->forget(impl_->now(), requestId);
 }
 
+void Dispatcher::setRequestRates(std::span<const fleet::RequestRate> rates)
+{
+  impl_->limits().setRequestRates(rates);
+}
+
+double Dispatcher::requestsPerSecond(Time now) const
+{
+  return impl_->requestsPerSecond(now);
+}
+
+void Dispatcher::answerHead(Time now,
+                            std::uint64_t requestId,
+                            std::optional<double> requestsPerSecond)
+{
+  impl_->answerHead(now, requestId, requestsPerSecond);
+}
+
+void Dispatcher::addRateLimits(Time now, std::span<const fleet::RateLimit> limits)
+{
+  impl_->limits().addLimits(now, limits);
+}
+
+std::vector<fleet::RateLimit> Dispatcher::rateLimitsSince(Time now, Time since) const
+{
+  return impl_->limits().observedSince(now, since);
+}
+
+std::vector<RateLimitChange> Dispatcher::takeRateLimitChanges()
+{
+  return impl_->takeRateLimitChanges();
+}
+
 void Dispatcher::load(Time now, const EndpointId& endpoint, const LoadReport& report)
 {
   impl_->load(now, endpoint, report);
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -3,8 +3,10 @@
 #include "dispatch/CrashTable.h"
 #include "dispatch/EndpointProbe.h"
 #include "dispatch/RequestInfo.h"
+#include "fleet/Messages.h"
 
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -23,6 +25,14 @@
   Duration repeatWindow = std::chrono::seconds(10);
 };
 
+/** A rate limit of an endpoint that began, changed or ended. */
+struct RateLimitChange
+{
+  EndpointId endpoint;
+  /** Requests per second from all processes together; nothing if the limit ended. */
+  std::optional<double> requestsPerSecond;
+};
+
 /** Chooses an endpoint for each send of a request. It does no I/O and reads no clock: the same
     calls with the same seed give the same results.
     Thread safety: use one instance from one thread only. */
@@ -46,6 +56,9 @@
       repeat budget. */
   void setPeers(std::size_t entryProcesses);
 
+  /** Sets the entry processes, including this one, that share the rate limits of endpoints. */
+  void setProcesses(const ProcessId& self, std::span<const fleet::EntryProcess> processes);
+
   /** Chooses an endpoint for the next send of a request and counts the request as running there
       until finished() is called. The first call for a request id counts as a request of its
       service, each further call as a repeat.
@@ -69,6 +82,25 @@
   /** Removes the state of a request. Must be called once for each request id given to choose(). */
   void forget(std::uint64_t requestId);
 
+  /** Sets the request rates of the entry processes, by which they share rate limits. */
+  void setRequestRates(std::span<const fleet::RequestRate> rates);
+
+  /** Returns the number of requests per second that this process gets. */
+  [[nodiscard]] double requestsPerSecond(Time now) const;
+
+  /** Reports the rate limit that the answer to the current send of a request named, if any. */
+  void answerHead(Time now, std::uint64_t requestId, std::optional<double> requestsPerSecond);
+
+  /** Adds rate limits that other processes observed. */
+  void addRateLimits(Time now, std::span<const fleet::RateLimit> limits);
+
+  /** Returns the rate limits that this process observed at @p since or later. */
+  [[nodiscard]] std::vector<fleet::RateLimit> rateLimitsSince(Time now, Time since) const;
+
+  /** Returns the rate limits that began, changed or ended in answers to this process since the last
+      call. */
+  std::vector<RateLimitChange> takeRateLimitChanges();
+
   /** Reports the load that an endpoint sent with an answer. */
   void load(Time now, const EndpointId& endpoint, const LoadReport& report);
 
--- a/modules/dispatch/EngineSelector.cpp
+++ b/modules/dispatch/EngineSelector.cpp
@@ -32,12 +32,6 @@
 /** Cost of a failure as waiting time: the request has to be repeated or is lost. */
 constexpr double kFailureCostMicros = 3e6;
 
-Duration cost(const Candidate& candidate)
-{
-  return candidate.predictedTtft + candidate.penalty +
-         (candidate.inOwnZone ? Duration(0) : kOtherZoneCost);
-}
-
 bool isWithinLimits(const RequestInfo& requestInfo, const Candidate& candidate)
 {
   const auto maxWait = kMaxTargetShare * static_cast<double>(requestInfo.target.count());
@@ -48,6 +42,12 @@
 
 } // namespace
 
+Duration EngineSelector::costOf(const Candidate& candidate)
+{
+  return candidate.predictedTtft + candidate.penalty +
+         (candidate.inOwnZone ? Duration(0) : kOtherZoneCost);
+}
+
 void EngineSelector::predict(const EngineContext& context,
                              const RequestInfo& requestInfo,
                              std::span<const Fingerprint> keys,
@@ -101,7 +101,7 @@
   }
   const auto bestCandidate =
     std::min_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-      return cost(a) < cost(b);
+      return costOf(a) < costOf(b);
     });
   return static_cast<std::size_t>(bestCandidate - candidates.begin());
 }
@@ -112,7 +112,7 @@
   std::optional<std::size_t> bestIndex;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     if (candidates[i].reservedForLongPrompts &&
-        (!bestIndex || cost(candidates[i]) < cost(candidates[*bestIndex]))) {
+        (!bestIndex || costOf(candidates[i]) < costOf(candidates[*bestIndex]))) {
       bestIndex = i;
     }
   }
@@ -159,7 +159,7 @@
   Duration bestCost{};
   for (std::size_t i = 0; i < preferredEngineCount; ++i) {
     const auto& candidate = candidates[order[i]];
-    const auto totalCost = cost(candidate) + (i == 0 ? Duration(0) : kFirstEnginePreference);
+    const auto totalCost = costOf(candidate) + (i == 0 ? Duration(0) : kFirstEnginePreference);
     if (isWithinLimits(requestInfo, candidate) && (!bestIndex || totalCost < bestCost)) {
       bestIndex = order[i];
       bestCost = totalCost;
@@ -184,7 +184,7 @@
        ++i) {
     const auto& candidate = candidates[order[i]];
     const auto totalCost =
-      cost(candidate) + (i < preferredEngineCount ? Duration(0) : prefixPrefillCost);
+      costOf(candidate) + (i < preferredEngineCount ? Duration(0) : prefixPrefillCost);
     if (!bestIndex || totalCost < bestCost) {
       bestIndex = order[i];
       bestCost = totalCost;
--- a/modules/dispatch/EngineSelector.h
+++ b/modules/dispatch/EngineSelector.h
@@ -45,6 +45,9 @@
                       std::span<const Fingerprint> keys,
                       Candidate& candidate);
 
+  /** Returns the cost of a candidate: its predicted latency, penalties and distance. */
+  static Duration costOf(const Candidate& candidate);
+
   /** Chooses one of the engines and counts the request for its prompt prefix.
       @param keys        result of prefixKeys()
       @param candidates  engines filled in by predict(), not empty; penalties are added
--- a/modules/fleet/CrashReportStore.cpp
+++ b/modules/fleet/CrashReportStore.cpp
@@ -68,15 +68,10 @@
   return endpoints;
 }
 
-std::vector<CrashReport> CrashReportStore::reportsFor(Time now, Cursor& cursor) const
+std::vector<CrashReport> CrashReportStore::reportsFor(Time now, ResendCursor& cursor) const
 {
-  if (now - cursor.resentAt >= kResendInterval) {
-    cursor = { 0, now };
-  }
-  auto reports =
-    newestOf(now, [&cursor](const Record& record) { return record.revision > cursor.revision; });
-  cursor.revision = revision_;
-  return reports;
+  const auto since = cursor.advance(now, revision_);
+  return newestOf(now, [since](const Record& record) { return record.revision > since; });
 }
 
 std::vector<CrashReport> CrashReportStore::changedSince(Time now, Time since) const
--- a/modules/fleet/CrashReportStore.h
+++ b/modules/fleet/CrashReportStore.h
@@ -2,6 +2,7 @@
 
 #include "core/Types.h"
 #include "fleet/CrashReport.h"
+#include "fleet/ResendCursor.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,8 +23,6 @@
   static constexpr std::size_t kMaxReports = 512;
   /** Maximum number of reports in one message. */
   static constexpr std::size_t kMaxReportsPerMessage = 256;
-  /** A receiver gets all reports again at this interval, in case a message was lost. */
-  static constexpr Duration kResendInterval = std::chrono::seconds(3);
 
   /** A report with what this process knows about it. */
   struct Record
@@ -36,13 +35,6 @@
     std::uint64_t revision = 0;
   };
 
-  /** What a receiver of reports has been sent. */
-  struct Cursor
-  {
-    std::uint64_t revision = 0;
-    Time resentAt;
-  };
-
   enum class MergeResult : std::uint8_t
   {
     unchanged,
@@ -65,7 +57,7 @@
   [[nodiscard]] std::set<std::uint64_t> endpointsOf(Fingerprint candidate) const;
 
   /** Returns the newest reports that a receiver needs and advances its cursor. */
-  [[nodiscard]] std::vector<CrashReport> reportsFor(Time now, Cursor& cursor) const;
+  [[nodiscard]] std::vector<CrashReport> reportsFor(Time now, ResendCursor& cursor) const;
 
   /** Returns the reports that were added or refuted at @p since or later, the newest first. */
   [[nodiscard]] std::vector<CrashReport> changedSince(Time now, Time since) const;
--- a/modules/fleet/FleetPublisher.cpp
+++ b/modules/fleet/FleetPublisher.cpp
@@ -39,12 +39,15 @@
   }
   subscriber.endpointRevision = message.endpointRevision;
   subscriber.lastMessageAt = now;
+  subscriber.requestsPerSecond = message.requestsPerSecond;
   for (const auto& report : message.crashReports) {
     subscriberCrashes_.merge(now, report);
   }
-  if (mergeCrashReports(now, message.crashReports)) {
-    hasNewDirectCrashes_ = true;
+  for (const auto& limit : message.rateLimits) {
+    subscriberLimits_.merge(now, limit);
   }
+  hasNewSubscriberReports_ |= mergeCrashReports(now, message.crashReports);
+  hasNewSubscriberReports_ |= mergeLimits(now, message.rateLimits);
   if (!publishIfDue(now)) {
     send(now, from, subscriber, makeSharedUpdate());
   }
@@ -65,7 +68,9 @@
   auto& peer = peers_[from];
   peer.lastMessageAt = now;
   peer.subscribers = message.subscribers;
+  peer.requestRates = message.requestRates;
   mergeCrashReports(now, message.crashReports);
+  mergeLimits(now, message.rateLimits);
   publishIfDue(now);
 }
 
@@ -75,10 +80,20 @@
   for (const auto& report : reports) {
     isAnyNew |= crashes_.merge(now, report) == CrashReportStore::MergeResult::added;
   }
-  hasNewCrashes_ |= isAnyNew;
+  hasNewReports_ |= isAnyNew;
   return isAnyNew;
 }
 
+bool FleetPublisher::mergeLimits(Time now, const std::vector<RateLimit>& limits)
+{
+  bool isAnyChanged = false;
+  for (const auto& limit : limits) {
+    isAnyChanged |= limits_.merge(now, limit);
+  }
+  hasNewReports_ |= isAnyChanged;
+  return isAnyChanged;
+}
+
 void FleetPublisher::publishChanges(Time now)
 {
   publishIfDue(now);
@@ -86,7 +101,7 @@
 
 bool FleetPublisher::hasUnpublishedChanges() const
 {
-  return hasNewCrashes_ || state_->configuration.version() != publishedVersion_ ||
+  return hasNewReports_ || state_->configuration.version() != publishedVersion_ ||
          state_->endpoints.revision() != publishedRevision_;
 }
 
@@ -103,9 +118,9 @@
   nextPublishAt_ = now + kPublishInterval;
   publishedVersion_ = state_->configuration.version();
   publishedRevision_ = state_->endpoints.revision();
-  hasNewCrashes_ = false;
+  hasNewReports_ = false;
   sendToAll(now);
-  if (std::exchange(hasNewDirectCrashes_, false)) {
+  if (std::exchange(hasNewSubscriberReports_, false)) {
     // Sent without waiting for the next report, so that the subscribers of the other control
     // processes get the crash without delay.
     sendPeerReports(now);
@@ -151,6 +166,8 @@
   std::erase_if(peers_, isSilent);
   crashes_.expire(now);
   subscriberCrashes_.expire(now);
+  limits_.expire(now);
+  subscriberLimits_.expire(now);
 }
 
 std::vector<EntryProcess> FleetPublisher::subscribers() const
@@ -185,6 +202,25 @@
   return processes;
 }
 
+std::vector<RequestRate> FleetPublisher::subscriberRates() const
+{
+  std::vector<RequestRate> rates;
+  rates.reserve(subscribers_.size());
+  for (const auto& [id, subscriber] : subscribers_) {
+    rates.push_back({ fingerprintOf(id.value), subscriber.requestsPerSecond });
+  }
+  return rates;
+}
+
+std::vector<RequestRate> FleetPublisher::requestRates() const
+{
+  auto rates = subscriberRates();
+  for (const auto& [id, peer] : peers_) {
+    rates.insert(rates.end(), peer.requestRates.begin(), peer.requestRates.end());
+  }
+  return rates;
+}
+
 void FleetPublisher::addConfiguration(Time now, Subscriber& subscriber, FleetUpdate& update)
 {
   const auto& configuration = state_->configuration;
@@ -259,6 +295,11 @@
     update.entries = shared.entries;
   }
   update.crashReports = crashes_.reportsFor(now, subscriber.crashCursor);
+  update.rateLimits = limits_.limitsFor(now, subscriber.limitCursor);
+  if (limits_.hasLimits() && now - subscriber.ratesSentAt >= kRequestRateInterval) {
+    subscriber.ratesSentAt = now;
+    update.requestRates = requestRates();
+  }
   subscriber.lastSentAt = now;
   subscriber.endpointRevision = std::max(subscriber.endpointRevision, update.endpointRevision);
   outgoing_.push_back({ to, std::move(update) });
@@ -288,12 +329,15 @@
 {
   PeerReport report;
   report.subscribers = subscribers();
+  report.requestRates = subscriberRates();
   for (const auto& control : controls_) {
     if (control == self_) {
       continue;
     }
     auto peerReport = report;
-    peerReport.crashReports = subscriberCrashes_.reportsFor(now, peerCrashCursors_[control]);
+    auto& cursors = peerCursors_[control];
+    peerReport.crashReports = subscriberCrashes_.reportsFor(now, cursors.crashes);
+    peerReport.rateLimits = subscriberLimits_.limitsFor(now, cursors.limits);
     if (control == leader_) {
       peerReport.announcements = announcementTracker_->recentAnnouncements(now);
     }
--- a/modules/fleet/FleetPublisher.h
+++ b/modules/fleet/FleetPublisher.h
@@ -6,6 +6,7 @@
 #include "fleet/CrashReportStore.h"
 #include "fleet/FleetState.h"
 #include "fleet/Messages.h"
+#include "fleet/RateLimitStore.h"
 
 #include <map>
 #include <optional>
@@ -23,6 +24,8 @@
   /** Interval between two updates to a subscriber, and between two reports to the other control
       processes. */
   static constexpr Duration kInterval = std::chrono::seconds(1);
+  /** Interval at which a subscriber gets the request rates while there are rate limits. */
+  static constexpr Duration kRequestRateInterval = std::chrono::seconds(4);
   /** Subscribers and the reports of other control processes are removed after this time without a
       message. */
   static constexpr Duration kSilenceTimeout = std::chrono::seconds(4);
@@ -84,7 +87,10 @@
     Time configurationSentAt;
     Time lastMessageAt;
     Time lastSentAt;
-    CrashReportStore::Cursor crashCursor;
+    float requestsPerSecond = 0;
+    Time ratesSentAt;
+    ResendCursor crashCursor;
+    ResendCursor limitCursor;
   };
 
   /** Last report of another control process. */
@@ -92,6 +98,14 @@
   {
     Time lastMessageAt;
     std::vector<EntryProcess> subscribers;
+    std::vector<RequestRate> requestRates;
+  };
+
+  /** What another control process has been sent. */
+  struct PeerCursors
+  {
+    ResendCursor crashes;
+    ResendCursor limits;
   };
 
   /** The part of an update that is equal for all subscribers. */
@@ -108,6 +122,16 @@
   /** Merges reports of a subscriber or of another control process.
       @returns whether one of them is new */
   bool mergeCrashReports(Time now, const std::vector<CrashReport>& reports);
+
+  /** Returns the request rates of the subscribers of this process. */
+  [[nodiscard]] std::vector<RequestRate> subscriberRates() const;
+
+  /** Returns the request rates of all entry processes. */
+  [[nodiscard]] std::vector<RequestRate> requestRates() const;
+
+  /** Merges rate limits that a subscriber or another control process observed.
+      @returns whether a limit began, changed or ended */
+  bool mergeLimits(Time now, const std::vector<RateLimit>& limits);
   void addConfiguration(Time now, Subscriber& subscriber, FleetUpdate& update);
   [[nodiscard]] const ByteDelta* findDelta(std::uint64_t baseVersion);
   void addEndpoints(const Subscriber& subscriber, FleetUpdate& update) const;
@@ -134,14 +158,18 @@
   CrashReportStore crashes_;
   /** The reports of subscribers of this process, which the other control processes get. */
   CrashReportStore subscriberCrashes_;
-  std::map<ProcessId, CrashReportStore::Cursor> peerCrashCursors_;
+  RateLimitStore limits_;
+  /** The limits that subscribers of this process observed, which the other control processes get.
+   */
+  RateLimitStore subscriberLimits_;
+  std::map<ProcessId, PeerCursors> peerCursors_;
   std::uint64_t publishedVersion_ = 0;
   std::uint64_t publishedRevision_ = 0;
   Time nextPublishAt_;
-  /** Crashes were reported since changes were sent last. */
-  bool hasNewCrashes_ = false;
-  /** As hasNewCrashes_, for crashes that entry processes reported to this process. */
-  bool hasNewDirectCrashes_ = false;
+  /** Crashes or limits were reported since changes were sent last. */
+  bool hasNewReports_ = false;
+  /** As hasNewReports_, for reports of the subscribers of this process. */
+  bool hasNewSubscriberReports_ = false;
   /** Deltas to deltaVersion_ by base version; nothing where the whole configuration is sent. */
   std::map<std::uint64_t, std::optional<ByteDelta>> deltas_;
   std::uint64_t deltaVersion_ = 0;
--- a/modules/fleet/FleetSubscriber.cpp
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -45,6 +45,11 @@
   applyEndpoints(now, from, *update);
   changes_.crashReports.insert(
     changes_.crashReports.end(), update->crashReports.begin(), update->crashReports.end());
+  changes_.rateLimits.insert(
+    changes_.rateLimits.end(), update->rateLimits.begin(), update->rateLimits.end());
+  if (!update->requestRates.empty()) {
+    changes_.requestRates = update->requestRates;
+  }
   updateControls(update->controls);
   const auto processes = std::max<std::uint32_t>(update->entryProcesses, 1);
   const bool isFromCurrentControl = !searching_ && currentControl_ == from;
@@ -229,7 +234,7 @@
   for (const auto& otherControl : std::exchange(contactedControls_, {})) {
     outgoing_.push_back({ otherControl, Unsubscribe{ false } });
   }
-  if (std::exchange(hasUnreportedCrash_, false)) {
+  if (std::exchange(hasUnsentReport_, false)) {
     subscribe(now, control);
   }
 }
@@ -244,6 +249,8 @@
   message.missedConfiguration = missedConfiguration;
   message.incarnation = settings_.incarnation;
   message.entriesDigest = digestOf(entries_);
+  message.rateLimits = rateLimits_;
+  message.requestsPerSecond = requestsPerSecond_;
   message.crashReports = ownReports_.changedSince(now, now - kCrashReportTime);
   outgoing_.push_back({ to, std::move(message) });
 }
@@ -272,8 +279,21 @@
 void FleetSubscriber::addCrash(Time now, const CrashReport& report)
 {
   ownReports_.merge(now, report);
+  sendReports(now);
+}
+
+void FleetSubscriber::setRateLimits(Time now, std::vector<RateLimit> limits, bool isUrgent)
+{
+  rateLimits_ = std::move(limits);
+  if (isUrgent) {
+    sendReports(now);
+  }
+}
+
+void FleetSubscriber::sendReports(Time now)
+{
   if (searching_) {
-    hasUnreportedCrash_ = true;
+    hasUnsentReport_ = true;
   } else if (!stopped_) {
     nextSubscribeAt_ = now + kInterval;
     subscribe(now, *currentControl_);
--- a/modules/fleet/FleetSubscriber.h
+++ b/modules/fleet/FleetSubscriber.h
@@ -51,6 +51,10 @@
   bool control = false;
   /** Received crash reports; they may be known already. */
   std::vector<CrashReport> crashReports;
+  /** Received rate limits of endpoints; they may be known already. */
+  std::vector<RateLimit> rateLimits;
+  /** The newest request rates of all entry processes; empty if none were received. */
+  std::vector<RequestRate> requestRates;
 };
 
 /** Receives the state of the fleet at an entry process, from one control process at a time.
@@ -91,6 +95,16 @@
   /** Reports a refutation of a crash report with the next regular message. */
   void addRefutation(Time now, const CrashReport& report) { ownReports_.merge(now, report); }
 
+  /** Sets the number of requests that this process gets, to be sent with the next message. */
+  void setRequestRate(double requestsPerSecond)
+  {
+    requestsPerSecond_ = static_cast<float>(requestsPerSecond);
+  }
+
+  /** Sets the rate limits that this process observed recently, to be sent with the next message.
+      @param isUrgent  a limit began, changed or ended, so the message is sent immediately */
+  void setRateLimits(Time now, std::vector<RateLimit> limits, bool isUrgent);
+
   /** Replaces the configured control addresses. Other known addresses are kept. */
   void setSeeds(std::vector<ProcessId> seeds);
 
@@ -143,6 +157,8 @@
   void tryNext(Time now);
   void useControl(Time now, const ProcessId& control);
   void subscribe(Time now, const ProcessId& to, bool missedConfiguration = false);
+  /** Sends reports to the control process in use, or as soon as there is one. */
+  void sendReports(Time now);
   /** Requests what was missed, at most once in kResubscribeInterval. */
   void resubscribe(Time now, const ProcessId& to, bool missedConfiguration);
 
@@ -177,8 +193,10 @@
   std::vector<EntryProcess> entries_;
   /** Crashes that this process observed, and reports that it refuted. */
   CrashReportStore ownReports_;
-  /** An own crash occurred while no control process was in use. */
-  bool hasUnreportedCrash_ = false;
+  std::vector<RateLimit> rateLimits_;
+  float requestsPerSecond_ = 0;
+  /** A crash or a limit was observed while no control process was in use. */
+  bool hasUnsentReport_ = false;
   FleetChanges changes_;
   std::vector<OutgoingMessage> outgoing_;
 };
--- a/modules/fleet/Messages.h
+++ b/modules/fleet/Messages.h
@@ -4,6 +4,7 @@
 #include "fleet/ByteDelta.h"
 #include "fleet/CrashReport.h"
 #include "fleet/Endpoint.h"
+#include "fleet/RateLimit.h"
 #include "wire/Codec.h"
 
 #include <cstdint>
@@ -34,6 +35,15 @@
   MSGPACK_DEFINE(holder, zone)
 };
 
+/** How many requests an entry process gets. */
+struct RequestRate
+{
+  /** Fingerprint of the process id. */
+  Fingerprint process = 0;
+  float requestsPerSecond = 0;
+  MSGPACK_DEFINE(process, requestsPerSecond)
+};
+
 /** Returns a digest of a list, which depends on its order; 0 if it is empty. Safe from any thread.
  */
 std::uint64_t digestOf(const std::vector<EntryProcess>& entries);
@@ -56,6 +66,10 @@
   bool missedConfiguration = false;
   /** Crashes that the sender observed recently, and reports that it refuted. */
   std::vector<CrashReport> crashReports{};
+  /** Rate limits of endpoints that the sender observed recently. */
+  std::vector<RateLimit> rateLimits{};
+  /** Requests that the sender gets. */
+  float requestsPerSecond = 0;
   MSGPACK_DEFINE(zone,
                  configurationVersion,
                  endpointRevision,
@@ -64,7 +78,9 @@
                  entriesDigest,
                  acceptsDeltas,
                  missedConfiguration,
-                 crashReports)
+                 crashReports,
+                 rateLimits,
+                 requestsPerSecond)
 };
 
 /** Ends a subscription. */
@@ -105,6 +121,10 @@
   /** Crash reports of all processes that are new or changed since the last update, or all of them.
    */
   std::vector<CrashReport> crashReports{};
+  /** Rate limits that changed since the last update, or all of them. */
+  std::vector<RateLimit> rateLimits{};
+  /** Request rates of all entry processes; sent repeatedly while there are rate limits. */
+  std::vector<RequestRate> requestRates{};
   MSGPACK_DEFINE(configurationVersion,
                  configuration,
                  endpointRevision,
@@ -118,7 +138,9 @@
                  crashCounts,
                  baseVersion,
                  configurationDelta,
-                 crashReports)
+                 crashReports,
+                 rateLimits,
+                 requestRates)
 };
 
 /** The last announcement of an endpoint that a control process received, reported to the other
@@ -144,7 +166,11 @@
   std::vector<CrashCount> crashCounts;
   /** Crash reports of these entry processes that are new or changed, or all of them. */
   std::vector<CrashReport> crashReports{};
-  MSGPACK_DEFINE(announcements, subscribers, crashCounts, crashReports)
+  /** Rate limits that these entry processes observed: the changed ones, or all of them. */
+  std::vector<RateLimit> rateLimits{};
+  /** Request rates of these entry processes. */
+  std::vector<RequestRate> requestRates{};
+  MSGPACK_DEFINE(announcements, subscribers, crashCounts, crashReports, rateLimits, requestRates)
 };
 
 /** A message of the fleet channel. */
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -15,4 +15,5 @@
 #include "fleet/FleetState.h"
 #include "fleet/FleetSubscriber.h"
 #include "fleet/Messages.h"
+#include "fleet/RateLimitStore.h"
 #include "fleet/RouteTable.h"
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -17,6 +17,10 @@
  * signal was sent; the period is shorter because the signal arrives later. */
 constexpr Duration kServeTimeAfterStop = std::chrono::milliseconds(2700);
 
+/** Rate limits that were observed within this time are sent with each message to control, which is
+ * sent once a second. */
+constexpr Duration kRateLimitReportTime = std::chrono::seconds(2);
+
 /** Time limit of the connection attempt that shows whether an endpoint crashed. */
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
 
@@ -90,7 +94,7 @@
                context.metrics,
                {},
                0,
-               [this](Time now) { reportCrashes(now); } }
+               [this](Time now) { reportObservations(now); } }
   , callers_(context.io,
              http::ServerLimits{},
              [this](std::shared_ptr<http::ServerRequest> request) { handle(std::move(request)); })
@@ -238,7 +242,7 @@
   subscriber_.tick(now);
   applyUpdates(now);
   updateQuotaManager(now);
-  reportCrashes(now);
+  reportObservations(now);
   logEndpointEvents(now);
   updating_ = false;
 }
@@ -257,9 +261,14 @@
   }
   if (changes.entryProcesses) {
     dispatcher_.setPeers(subscriber_.entryProcesses());
+    dispatcher_.setProcesses(holderOf(context_).process, subscriber_.entries());
     setQuotaPeers(now);
   }
   dispatcher_.addCrashReports(now, changes.crashReports);
+  dispatcher_.addRateLimits(now, changes.rateLimits);
+  if (!changes.requestRates.empty()) {
+    dispatcher_.setRequestRates(changes.requestRates);
+  }
 }
 
 void EntryRole::applyControl(Time now)
@@ -368,7 +377,7 @@
   }
 }
 
-void EntryRole::reportCrashes(Time now)
+void EntryRole::reportObservations(Time now)
 {
   for (const auto& crash : dispatcher_.takeCrashes()) {
     subscriber_.addCrash(now, crash.report);
@@ -384,12 +393,27 @@
   for (const auto& event : dispatcher_.takeCrashEvents()) {
     context_.log.line(now, "crash_cause", { { "detail", event } });
   }
+  reportRateLimits(now);
   probeEndpoints();
   for (auto& message : subscriber_.takeOutgoing()) {
     context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
   }
 }
 
+void EntryRole::reportRateLimits(Time now)
+{
+  const auto changes = dispatcher_.takeRateLimitChanges();
+  for (const auto& change : changes) {
+    const auto& limit = change.requestsPerSecond;
+    const auto text = limit ? fmt::format("{}", *limit) : "none";
+    context_.log.line(
+      now, "endpoint_rate_limit", { { "endpoint", change.endpoint.value }, { "limit", text } });
+  }
+  subscriber_.setRequestRate(dispatcher_.requestsPerSecond(now));
+  subscriber_.setRateLimits(
+    now, dispatcher_.rateLimitsSince(now, now - kRateLimitReportTime), !changes.empty());
+}
+
 void EntryRole::probeEndpoints()
 {
   for (const auto& probe : dispatcher_.takeProbes()) {
@@ -402,7 +426,7 @@
                 [this, handle = probe.handle](const boost::system::error_code& error) {
                   const Time now = bootTime();
                   dispatcher_.probed(now, handle, probeResultOf(error));
-                  reportCrashes(now);
+                  reportObservations(now);
                 });
   }
 }
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -41,7 +41,9 @@
   void applyEndpoints(Time now);
   void applyControl(Time now);
   void setQuotaPeers(Time now);
-  void reportCrashes(Time now);
+  /** Sends crashes and rate limits that this process observed to control. */
+  void reportObservations(Time now);
+  void reportRateLimits(Time now);
   /** Attempts to connect to the endpoints that may have crashed. */
   void probeEndpoints();
   void updateQuotaManager(Time now);
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
+#include <cmath>
 #include <fmt/format.h>
 #include <span>
 #include <utility>
@@ -69,6 +70,18 @@
   return dispatch::LoadReport{ numbers[0], numbers[1], numbers[2] };
 }
 
+/** Parses a decimal number of at least 0. */
+std::optional<double> parseRate(std::string_view text)
+{
+  double rate = 0;
+  const auto* const end = text.data() + text.size();
+  const auto [parsedEnd, error] = std::from_chars(text.data(), end, rate, std::chars_format::fixed);
+  if (error != std::errc() || parsedEnd != end || !std::isfinite(rate) || rate < 0) {
+    return std::nullopt;
+  }
+  return rate;
+}
+
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
 {
   const auto address = settings::parseAddress(text);
@@ -413,17 +426,9 @@
       services_.dispatcher.load(now, endpoint_, *report);
     }
   }
-  if (const auto* limit = head.fields.find(names.rateLimit)) {
-    services_.log.line(now,
-                       "endpoint_rate_limit",
-                       { { "request", requestId_ },
-                         { "endpoint", endpoint_.value },
-                         { "limit", *limit },
-                         { "status", std::to_string(head.status) },
-                         { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
-  }
   const bool marked = head.fields.find(names.endpointAnswer) != nullptr;
   const bool notExecuted = head.fields.find(names.notExecuted) != nullptr;
+  recordRateLimit(now, head, marked);
   if (head.status == 421) {
     handleFailedSend(
       now, dispatch::Outcome::wrongEndpoint, false, "another endpoint uses this address");
@@ -455,6 +460,25 @@
   startRelay(head);
 }
 
+void Exchange::recordRateLimit(Time now, const http::ResponseHead& head, bool marked)
+{
+  const auto* text = head.fields.find(services_.dialect.fields().rateLimit);
+  if (text == nullptr) {
+    if (marked && head.status / 100 == 2) {
+      services_.dispatcher.answerHead(now, id_, std::nullopt);
+    }
+    return;
+  }
+  if (const auto limit = parseRate(*text)) {
+    services_.dispatcher.answerHead(now, id_, limit);
+    return;
+  }
+  services_.log.line(
+    now,
+    "endpoint_rate_limit_unreadable",
+    { { "request", requestId_ }, { "endpoint", endpoint_.value }, { "detail", *text } });
+}
+
 void Exchange::startRelay(const http::ResponseHead& head)
 {
   const Time now = bootTime();
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -122,6 +122,8 @@
   void sendErrorResponse(Time now, const Error& error, Duration retryAfter);
   void abortResponse(Time now, std::string_view outcome);
   void onCallerDisconnected();
+  /** Reports the rate limit that an answer names, or that a served answer names none. */
+  void recordRateLimit(Time now, const http::ResponseHead& head, bool marked);
   void startRelay(const http::ResponseHead& head);
   void continueResponse(Time now, const http::ResponseHead& head, bool marked);
   bool relayEvents(std::string_view bytes);
--- a/tests/FleetSimulation.h
+++ b/tests/FleetSimulation.h
@@ -113,9 +113,16 @@
       }
     } else if (const auto entry = entries.find(outgoing.to); entry != entries.end()) {
       entry->second.receive(now, from, message);
-      for (const auto& report : entry->second.takeChanges().crashReports) {
+      const auto changes = entry->second.takeChanges();
+      for (const auto& report : changes.crashReports) {
         receivedReports[outgoing.to].merge(now, report);
       }
+      for (const auto& limit : changes.rateLimits) {
+        receivedLimits[outgoing.to].merge(now, limit);
+      }
+      if (!changes.requestRates.empty()) {
+        receivedRates[outgoing.to] = changes.requestRates;
+      }
     }
   }
 
@@ -194,6 +201,9 @@
   int deltasSent = 0;
   int updatesSent = 0;
   std::size_t updateBytesSent = 0;
+  /** The rate limits and request rates that each entry process received. */
+  std::map<ProcessId, RateLimitStore> receivedLimits;
+  std::map<ProcessId, std::vector<RequestRate>> receivedRates;
   /** The crash reports that each entry process received. */
   std::map<ProcessId, CrashReportStore> receivedReports;
   std::uint64_t lastCrashedEndpoint = 0;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -808,3 +808,120 @@
     dispatcher->forget(answered.id);
   }
 }
+
+namespace {
+
+/** One entry process that is told limits by endpoints. */
+struct RateLimited : Fixture
+{
+  RateLimited()
+  {
+    const ProcessId self("e0");
+    entries.push_back({ { self, Incarnation{ 1 } }, ZoneId("a") });
+    dispatcher->setProcesses(self, entries);
+  }
+
+  /** Lets an endpoint name a limit, or none, in the answer to a request. */
+  void answerWithLimit(const std::string& id, std::optional<double> limit)
+  {
+    const auto service = id.front() == 'm' ? kModel : kPlain;
+    std::vector<EndpointId> others;
+    for (const auto& endpoint : endpoints) {
+      if (endpoint.id.value != id) {
+        others.push_back(endpoint.id);
+      }
+    }
+    const auto request = makeRequest(service);
+    REQUIRE(dispatcher->choose(now, request, others).has_value());
+    dispatcher->answerHead(now, request.id, limit);
+    dispatcher->finished(now, request.id, Outcome::answered);
+    dispatcher->forget(request.id);
+  }
+
+  std::vector<fleet::EntryProcess> entries;
+};
+
+} // namespace
+
+// Guards against sending an endpoint more than it names, and against keeping a limit after its end.
+TEST_CASE_FIXTURE(RateLimited, "endpoint_namesLimit_getsNoMoreUntilItEnds")
+{
+  const auto sendsTo = [this](const std::string& id) {
+    int sends = 0;
+    for (int i = 0; i < 400; ++i) {
+      sends += sendAndFinish(makeRequest(kPlain)) == id ? 1 : 0;
+      now = now + 10ms;
+    }
+    return sends;
+  };
+  REQUIRE(sendsTo("pa1") > 100);
+  answerWithLimit("pa1", 2);
+  CHECK(sendsTo("pa1") <= 9);
+  CHECK(dispatcher->takeRateLimitChanges().size() == 1);
+  now = now + 500ms;
+  answerWithLimit("pa1", std::nullopt);
+  CHECK(dispatcher->takeRateLimitChanges().size() == 1);
+  CHECK(sendsTo("pa1") > 100);
+}
+
+// Guards against requests that wait, or are refused without a time to return, when the limits of
+// all endpoints are used up.
+TEST_CASE_FIXTURE(RateLimited, "service_allLimitsUsed_refusesUntilTheNextRequestIsAllowed")
+{
+  for (const auto* id : { "pa1", "pa2", "pb1", "pb2" }) {
+    answerWithLimit(id, 0.8);
+  }
+  int sends = 0;
+  std::optional<Refusal> refusal;
+  for (int i = 0; i < 10; ++i) {
+    const auto request = makeRequest(kPlain);
+    const auto choice = dispatcher->choose(now, request, {});
+    sends += choice ? 1 : 0;
+    if (!choice) {
+      refusal = choice.error();
+    }
+    dispatcher->forget(request.id);
+  }
+  CHECK(sends == 4);
+  REQUIRE(refusal.has_value());
+  CHECK(refusal->kind == ErrorKind::overloaded);
+  CHECK(refusal->retryAfter == 1250ms);
+  advance(1300ms);
+  CHECK_FALSE(sendAndFinish(makeRequest(kPlain)).empty());
+}
+
+// Guards against a restarted endpoint that is still held to the limit that it named before.
+TEST_CASE_FIXTURE(RateLimited, "endpoint_restartedAfterLimit_isUnlimited")
+{
+  answerWithLimit("pa1", 0);
+  endpoints[1].startedAtMs = 2;
+  REQUIRE(endpoints[1].id.value == "pa1");
+  dispatcher->setEndpoints(now, endpoints);
+  CHECK(sendAndFinish(makeRequest(kPlain)) == "pa1");
+}
+
+// Guards against engines without a limit that have to prefill all long prompts, because short ones
+// use up the requests that the limits allow.
+TEST_CASE_FIXTURE(RateLimited, "limitedEngines_mixedPrompts_areUsedForTheLongOnes")
+{
+  for (const auto* id : { "ma1", "ma2", "mb1" }) {
+    answerWithLimit(id, 2);
+  }
+  std::map<bool, int> limitedSends;
+  for (int i = 0; i < 2000; ++i) {
+    now = now + 20ms;
+    dispatcher->load(now, EndpointId("mb2"), { 30, 0, 48 });
+    const bool isLong = i % 10 == 0;
+    auto request = makeRequest(kModel);
+    request.promptTokens = isLong ? 12'000 : 800;
+    const auto choice = dispatcher->choose(now, request, {});
+    REQUIRE(choice.has_value());
+    limitedSends[isLong] += choice->endpoint.value != "mb2" ? 1 : 0;
+    dispatcher->firstByte(now, request.id);
+    dispatcher->finished(now, request.id, Outcome::answered);
+    dispatcher->forget(request.id);
+  }
+  // 240 requests are allowed in 40 s; 200 of all requests are long.
+  CHECK(limitedSends[true] >= 150);
+  CHECK(limitedSends[false] <= 90);
+}
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -407,7 +407,7 @@
   first.merge(now, { 5, { 77 } });
   now = now + CrashReportStore::kRetention - ms(1000);
   CrashReportStore second;
-  CrashReportStore::Cursor cursor;
+  ResendCursor cursor;
   for (const auto& report : first.reportsFor(now, cursor)) {
     second.merge(now, report);
   }
@@ -449,6 +449,89 @@
   CHECK(reportedCrashes(ProcessId("e1"), 77) == 1);
 }
 
+// Guards against a limit, or its end, that the other entry processes learn only seconds later.
+TEST_CASE_FIXTURE(TwoControls, "RateLimit_observedByOneProcess_reachesTheOthersImmediately")
+{
+  const SubscriberSettings otherSettings{ Incarnation{ 1 }, ZoneId("z1"), { ids[1] }, 7 };
+  entries.insert_or_assign(ProcessId("e1"), FleetSubscriber(otherSettings));
+  run(ms(1100));
+  REQUIRE(entry("e0").control() == ids[0]);
+  REQUIRE(entry("e1").control() == ids[1]);
+  for (const bool isLimited : { true, false, true }) {
+    entry("e0").setRateLimits(now, { { 5, isLimited, 2.5, 0 } }, true);
+    run(ms(100));
+    const auto* record = receivedLimits[ProcessId("e1")].find(5);
+    REQUIRE(record != nullptr);
+    CHECK(record->limit.isLimited == isLimited);
+    CHECK(record->limit.requestsPerSecond == 2.5);
+  }
+  entry("e0").setRateLimits(now, {}, false);
+  run(ms(100));
+  CHECK(receivedLimits[ProcessId("e1")].find(5)->limit.isLimited);
+}
+
+// Guards against a limit that is unknown to a process whose first message about it was lost, or
+// that started later.
+TEST_CASE_FIXTURE(TwoControls, "RateLimit_processStartsLater_learnsIt")
+{
+  run(ms(100));
+  entry("e0").setRateLimits(now, { { 5, true, 2.5, 0 } }, true);
+  run(ms(100));
+  entry("e0").setRateLimits(now, {}, false);
+  const SubscriberSettings settings{ Incarnation{ 2 }, ZoneId("z1"), { ids[1] }, 7 };
+  entries.insert_or_assign(ProcessId("e1"), FleetSubscriber(settings));
+  receivedLimits.clear();
+  run(ms(200));
+  CHECK(receivedLimits[ProcessId("e1")].find(5) != nullptr);
+}
+
+// Guards against an old answer that revives a limit after its end, whatever the order of messages.
+TEST_CASE("RateLimitStore_olderObservation_isIgnored")
+{
+  Time now{ 1'000'000'000 };
+  RateLimitStore store;
+  CHECK(store.merge(now, { 5, true, 2, 0 }));
+  CHECK(store.merge(now + ms(200), { 5, false, 0, 0 }));
+  CHECK_FALSE(store.merge(now + ms(300), { 5, true, 2, 200 }));
+  CHECK_FALSE(store.find(5)->limit.isLimited);
+  CHECK_FALSE(store.merge(now + ms(300), { 6, false, 0, 0 }));
+  CHECK(store.find(6) == nullptr);
+}
+
+// Guards against memory that grows with endpoints that are gone, and against a limit that ends
+// while its endpoint goes on naming it.
+TEST_CASE("RateLimitStore_noObservations_expires")
+{
+  Time now{ 1'000'000'000 };
+  RateLimitStore store;
+  for (int i = 0; i < 10; ++i) {
+    store.merge(now, { 5, true, 2, 0 });
+    now = now + RateLimitStore::kRetention - ms(1000);
+    store.expire(now);
+    REQUIRE(store.find(5) != nullptr);
+  }
+  now = now + ms(1000);
+  store.expire(now);
+  CHECK_FALSE(store.hasLimits());
+}
+
+// Guards against request rates that are sent all the time although only limits need them.
+TEST_CASE_FIXTURE(TwoControls, "RequestRates_limitExists_areSentToAllProcesses")
+{
+  entry("e0").setRequestRate(7);
+  run(ms(3000));
+  CHECK(receivedRates.empty());
+  entry("e1").setRateLimits(now, { { 5, true, 2.5, 0 } }, true);
+  run(ms(3000));
+  for (const auto* id : { "e0", "e1" }) {
+    const auto& rates = receivedRates[ProcessId(id)];
+    REQUIRE(rates.size() == 2);
+    for (const auto& rate : rates) {
+      CHECK(rate.requestsPerSecond == (rate.process == fingerprintOf("e0") ? 7 : 0));
+    }
+  }
+}
+
 namespace {
 
 /** Random changes, outages, crashes and message faults. */
--- a/tools/figchute-random-router/EntryProcess.cpp
+++ b/tools/figchute-random-router/EntryProcess.cpp
@@ -265,9 +265,11 @@
   }
   if (changes.entryProcesses) {
     runState_->dispatcher.setPeers(runState_->subscriber.entryProcesses());
+    runState_->dispatcher.setProcesses(id_, runState_->subscriber.entries());
     setQuotaPeers();
   }
   runState_->dispatcher.addCrashReports(now(), changes.crashReports);
+  runState_->dispatcher.addRateLimits(now(), changes.rateLimits);
 }
 
 void EntryProcess::applyConfiguration()
