router: announcements with an unusable address or a number out of range are refused

Checked here: entries nested a million levels deep, in an open or closed array, are refused by the bound of the JSON parser; numbers that do not fit a double are refused, too. Two kinds of entries were accepted, though: - An address without a valid port, or that is no numeric address, went into the registry. Entry processes chose the endpoint, which never has any load, and refused each of those requests as if there were no endpoint. - warmupMs was converted to an integer without a bound (undefined above 2^63; other results on x86-64 and arm64). The same conversion was used for the numbers of a configuration: maxAttempts was taken as 2.

--- a/modules/router/JsonDialect.cpp
+++ b/modules/router/JsonDialect.cpp
@@ -1,6 +1,7 @@
 #include "router/JsonDialect.h"
 
 #include "router/JsonReader.h"
+#include "settings/Address.h"
 
 #include <charconv>
 #include <limits>
@@ -9,6 +10,9 @@
 namespace figchute::router {
 namespace {
 
+/** Longest time for which an endpoint may announce that it is slow after its start. */
+constexpr std::int64_t kMaxWarmupMs = 24LL * 60 * 60 * 1000;
+
 std::optional<std::int64_t> parseCount(std::string_view text)
 {
   while (!text.empty() && text.front() == ' ') {
@@ -98,8 +102,8 @@
   route.timeout = reader.millis(names.timeoutMs);
   route.target = reader.millis(names.targetMs, route.timeout);
   route.gapTarget = reader.millis(names.gapTargetMs, std::chrono::milliseconds(500));
-  route.priority = static_cast<int>(reader.integerOrDefault(names.priority, 5));
-  route.maxAttempts = static_cast<int>(reader.integerOrDefault(names.maxAttempts, 1));
+  route.priority = reader.intOrDefault(names.priority, 5);
+  route.maxAttempts = reader.intOrDefault(names.maxAttempts, 1);
   route.open = reader.boolean(names.open);
   route.sticky = reader.boolean(names.sticky);
   route.resumable = reader.boolean(names.resumable);
@@ -112,13 +116,13 @@
   fleet::ServiceSettings service;
   service.name = ServiceName(reader.text(names.name));
   service.healthPath = reader.text(names.healthPath, "");
-  service.maxConnections = static_cast<int>(reader.integerOrDefault(names.maxConnections, 100));
+  service.maxConnections = reader.intOrDefault(names.maxConnections, 100);
   reader.object(names.engine, [&](JsonReader& engine) {
     fleet::EngineTraits traits;
-    traits.slots = static_cast<int>(engine.integerOrDefault(names.slots, 0));
+    traits.slots = engine.intOrDefault(names.slots, 0);
     traits.kvCapacity = engine.integerOrDefault(names.kvCapacity, 0);
     traits.kvTokenBytes = engine.integerOrDefault(names.kvTokenBytes, 0);
-    traits.tokensPerEvent = static_cast<int>(engine.integerOrDefault(names.stride, 1));
+    traits.tokensPerEvent = engine.intOrDefault(names.stride, 1);
     service.engine = traits;
   });
   return service;
@@ -130,7 +134,7 @@
   workspace.name = reader.text(names.name);
   workspace.keys = reader.strings(names.keys);
   if (reader.has(names.priority)) {
-    workspace.priority = static_cast<int>(reader.integerOrDefault(names.priority, 5));
+    workspace.priority = reader.intOrDefault(names.priority, 5);
   }
   if (reader.has(names.prepaid)) {
     workspace.prepaid = Tokens{ reader.integer(names.prepaid, 0, kMaxJsonInteger) };
@@ -138,12 +142,24 @@
   return workspace;
 }
 
+/** Reads the address of an endpoint. One without a valid port would be chosen, but never reached.
+ */
+std::string readAddress(JsonReader& reader, std::string_view name)
+{
+  auto address = reader.text(name);
+  if (!address.empty() && !settings::parseAddress(address)) {
+    reader.addError(name, "is not a numeric address with a port");
+  }
+  return address;
+}
+
 fleet::RequestLimits readLimits(const JsonNames& names, JsonReader& reader)
 {
   fleet::RequestLimits limits;
   reader.object(names.limits, [&](JsonReader& part) {
-    limits.headBytes = static_cast<std::uint64_t>(part.integerOrDefault(names.headBytes, 16384));
-    limits.bodyBytes = static_cast<std::uint64_t>(part.integerOrDefault(names.bodyBytes, 4194304));
+    limits.headBytes = static_cast<std::uint64_t>(part.integerOrDefault(names.headBytes, 16384, 0));
+    limits.bodyBytes =
+      static_cast<std::uint64_t>(part.integerOrDefault(names.bodyBytes, 4194304, 0));
     limits.headTimeout = part.millis(names.headTimeoutMs, limits.headTimeout);
     limits.idleTimeout = part.millis(names.idleTimeoutMs, limits.idleTimeout);
   });
@@ -206,11 +222,11 @@
   fleet::Announcement announcement;
   announcement.id = id;
   announcement.service = ServiceName(reader.text(names.service));
-  announcement.address = reader.text(names.address);
+  announcement.address = readAddress(reader, names.address);
   announcement.zone = ZoneId(reader.text(names.zone));
   announcement.softwareVersion = reader.text(names.version, "");
   announcement.slots = static_cast<int>(reader.integer(names.slots, 0, 1'000'000));
-  announcement.warmupMs = reader.integerOrDefault(names.warmupMs, 0);
+  announcement.warmupMs = reader.integerOrDefault(names.warmupMs, 0, -kMaxWarmupMs, kMaxWarmupMs);
   announcement.sequence =
     static_cast<std::uint64_t>(reader.integer(names.sequence, 0, kMaxJsonInteger));
   announcement.startedAtMs = reader.integer(names.startedAtMs, 0, kMaxJsonInteger);
--- a/modules/router/JsonReader.cpp
+++ b/modules/router/JsonReader.cpp
@@ -1,6 +1,7 @@
 #include "router/JsonReader.h"
 
 #include <fmt/format.h>
+#include <limits>
 
 namespace figchute::router {
 
@@ -118,20 +119,30 @@
   return *number;
 }
 
-std::int64_t JsonReader::integerOrDefault(std::string_view name, std::int64_t fallback)
+std::int64_t JsonReader::integerOrDefault(std::string_view name,
+                                          std::int64_t fallback,
+                                          std::int64_t min,
+                                          std::int64_t max)
 {
   const auto* value = find(name);
   if (value == nullptr) {
     return fallback;
   }
   const auto number = value->asNumber();
-  if (!number) {
-    addError(name, "is not a number");
+  // Both limits are exact as doubles, so the conversion below is defined.
+  if (!number || *number < static_cast<double>(min) || *number > static_cast<double>(max)) {
+    addError(name, fmt::format("is not a number from {} to {}", min, max));
     return fallback;
   }
   return static_cast<std::int64_t>(*number);
 }
 
+int JsonReader::intOrDefault(std::string_view name, int fallback)
+{
+  using Limits = std::numeric_limits<std::int32_t>;
+  return static_cast<int>(integerOrDefault(name, fallback, Limits::min(), Limits::max()));
+}
+
 bool JsonReader::boolean(std::string_view name)
 {
   const auto* value = find(name);
--- a/modules/router/JsonReader.h
+++ b/modules/router/JsonReader.h
@@ -65,8 +65,15 @@
   /** Reads a required integer from min to max, inclusive. */
   std::int64_t integer(std::string_view name, std::int64_t min, std::int64_t max);
 
-  /** Reads an optional integer; a fractional number is truncated. */
-  std::int64_t integerOrDefault(std::string_view name, std::int64_t fallback);
+  /** Reads an optional integer from min to max, inclusive; a fractional number is truncated.
+      Precondition: the magnitudes of min and max are at most kMaxJsonInteger. */
+  std::int64_t integerOrDefault(std::string_view name,
+                                std::int64_t fallback,
+                                std::int64_t min = -kMaxJsonInteger,
+                                std::int64_t max = kMaxJsonInteger);
+
+  /** Reads an optional integer of 32 bits; a fractional number is truncated. */
+  int intOrDefault(std::string_view name, int fallback);
 
   /** Reads an optional boolean; the default is false. */
   bool boolean(std::string_view name);
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -280,6 +280,20 @@
   CHECK(read.error().detail.find("routes[0].timeoutMs") != std::string::npos);
 }
 
+// Guards against a number that is accepted as another one because it does not fit.
+TEST_CASE_FIXTURE(DefaultDialectFixture, "dialect_withTooLargeNumbers_rejectsThem")
+{
+  const std::string field = R"("maxAttempts":)";
+  for (const std::string number : { "4294967298", "1e300", "-1e300", "9223372036854775807" }) {
+    CAPTURE(number);
+    auto configuration = text;
+    configuration.replace(text.find(field) + field.size(), 1, number);
+    const auto read = dialect->parseConfiguration(configuration);
+    REQUIRE_FALSE(read.has_value());
+    CHECK(read.error().detail.find("routes[0].maxAttempts") != std::string::npos);
+  }
+}
+
 // Guards against accepting an announcement of another program that would replace a valid one.
 TEST_CASE_FIXTURE(DefaultDialectFixture, "dialect_withIncompleteAnnouncement_rejectsIt")
 {
@@ -296,6 +310,40 @@
   CHECK_FALSE(dialect->parseAnnouncement(EndpointId("e"), unknownState).has_value());
 }
 
+// Guards against an entry of another writer that ends every process that reads it, or is used as an
+// endpoint that no process can connect to.
+TEST_CASE_FIXTURE(DefaultDialectFixture, "dialect_withOddAnnouncement_rejectsIt")
+{
+  const auto announcementWith = [](const std::string& address, const std::string& more) {
+    return R"({"service":"s","address":")" + address +
+           R"(","zone":"a","version":"v1","slots":6,"state":"ready","sequence":2,"born":1000)" +
+           more + "}";
+  };
+  const auto isAccepted = [&](const std::string& address, const std::string& more) {
+    return dialect->parseAnnouncement(EndpointId("e"), announcementWith(address, more)).has_value();
+  };
+  REQUIRE(isAccepted("10.0.0.1:80", R"(,"warmupMs":1500.5,"more":[[1]])"));
+  for (const std::string address : { "10.0.0.1:99999",
+                                     "10.0.0.1:0",
+                                     "10.0.0.1:-1",
+                                     "10.0.0.1:",
+                                     "10.0.0.1",
+                                     "10.0.0.256:80",
+                                     "host:80",
+                                     ":80" }) {
+    CAPTURE(address);
+    CHECK_FALSE(isAccepted(address, ""));
+  }
+  for (const std::string number : { "1e300", "-1e300", "1e999", "9223372036854775807", "1e19" }) {
+    CAPTURE(number);
+    CHECK_FALSE(isAccepted("10.0.0.1:80", ",\"warmupMs\":" + number));
+  }
+  constexpr std::size_t kDepth = 1'000'000;
+  CHECK_FALSE(isAccepted("10.0.0.1:80", ",\"more\":" + std::string(kDepth, '[')));
+  CHECK_FALSE(
+    isAccepted("10.0.0.1:80", ",\"more\":" + std::string(kDepth, '[') + std::string(kDepth, ']')));
+}
+
 // Guards against prompt properties that are parsed incorrectly, which would charge a wrong amount.
 TEST_CASE_FIXTURE(DefaultDialectFixture, "dialect_withPromptFields_readsCountsAndParts")
 {
