http: a response without a request id answers a request only on a new connection

Checked here: a refusal with the id of another request is discarded, and the connection of a refused request is closed. A refusal without an id was taken for the answer to the next request on the connection: the caller of a booking got 503 while it ran. A success without an id would have been delivered in the same way.

Change: on a connection that was used before, a response without the id fails the call as malformed, and the caller gets 502. Endpoints have to echo the id; those that do not are still answered on new connections. stale_refusal_does_not_answer_another_request fails without the change (503 instead of 502).

Client_lateResponse_isDiscarded expected that a response without the field is accepted on a reused connection; that was the fault. Client_responseWithoutIdentifier_isAcceptedOnlyOnANewConnection replaces that part and is stricter.

--- a/modules/http/ClientConnection.cpp
+++ b/modules/http/ClientConnection.cpp
@@ -339,10 +339,12 @@
   head.chunked = framing.chunked;
   keepAlive_ = framing.keepAlive && parser_->httpVersion() >= 11 && !parser_->need_eof();
   idleTimeout_ = keepAlive_ ? idleTimeoutFrom(framing) : Duration::zero();
-  const auto& options = exchange_->options;
-  const auto* receivedCorrelation =
-    options.correlationName.empty() ? nullptr : head.fields.find(options.correlationName);
-  discardingResponse_ = receivedCorrelation && *receivedCorrelation != options.correlationValue;
+  const auto owner = ownerOf(head);
+  if (owner == ResponseOwner::unknown) {
+    fail(CallFailureKind::malformed, "a response without a request identifier");
+    return false;
+  }
+  discardingResponse_ = owner == ResponseOwner::otherRequest;
   if (discardingResponse_)
     return true;
   exchange_->headReceived = true;
@@ -350,6 +352,18 @@
   return true;
 }
 
+ClientConnection::ResponseOwner ClientConnection::ownerOf(const ResponseHead& head) const
+{
+  const auto& options = exchange_->options;
+  if (options.correlationName.empty())
+    return ResponseOwner::thisRequest;
+  const auto* correlation = head.fields.find(options.correlationName);
+  if (correlation == nullptr)
+    return exchange_->reused ? ResponseOwner::unknown : ResponseOwner::thisRequest;
+  return *correlation == options.correlationValue ? ResponseOwner::thisRequest
+                                                  : ResponseOwner::otherRequest;
+}
+
 std::size_t ClientConnection::consumeBody(std::string_view bytes)
 {
   std::size_t used = 0;
--- a/modules/http/ClientConnection.h
+++ b/modules/http/ClientConnection.h
@@ -105,6 +105,16 @@
     closed,
   };
 
+  /** The request that a response belongs to. */
+  enum class ResponseOwner
+  {
+    thisRequest,
+    otherRequest,
+    /** The connection was used before and the response has no identifier: an endpoint may have
+        written an earlier response once more. */
+    unknown,
+  };
+
   void onConnected(const boost::system::error_code& error);
   void startReadWait();
   void startWriteWait();
@@ -115,6 +125,7 @@
   std::size_t consumeHead(std::string_view bytes);
   std::size_t consumeBody(std::string_view bytes);
   bool handleHead(const Framing& framing);
+  [[nodiscard]] ResponseOwner ownerOf(const ResponseHead& head) const;
   void complete(bool extraBytes);
   void fail(CallFailureKind kind, std::string detail);
   void reassign();
--- a/modules/http/ClientPool.h
+++ b/modules/http/ClientPool.h
@@ -63,7 +63,8 @@
 {
   Duration connectTimeout = std::chrono::seconds(1);
   /** Name of the response field that returns a request identifier; empty for none. A response whose
-      field differs from correlationValue belongs to an earlier request and is discarded. */
+      field differs from correlationValue belongs to an earlier request and is discarded. One
+     without the field fails the call as malformed if the connection was used before. */
   std::string correlationName;
   std::string correlationValue;
   /** Maximum number of connections to the address, idle and busy. */
