--- a/tests/FleetSimulation.h
+++ b/tests/FleetSimulation.h
@@ -123,6 +123,9 @@
       if (!changes.requestRates.empty()) {
         receivedRates[outgoing.to] = changes.requestRates;
       }
+      if (onChanges) {
+        onChanges(outgoing.to, changes);
+      }
     }
   }
 
@@ -201,6 +204,8 @@
   int deltasSent = 0;
   int updatesSent = 0;
   std::size_t updateBytesSent = 0;
+  /** Called with the changes that an entry process received. */
+  std::function<void(const ProcessId&, const FleetChanges&)> onChanges;
   /** The rate limits and request rates that each entry process received. */
   std::map<ProcessId, RateLimitStore> receivedLimits;
   std::map<ProcessId, std::vector<RequestRate>> receivedRates;
--- a/tests/rate_limit_test.cpp
+++ b/tests/rate_limit_test.cpp
@@ -2,6 +2,7 @@
 #include "core/Random.h"
 #include "dispatch/RateLimitShares.h"
 #include "dispatch/RequestSizes.h"
+#include "FleetSimulation.h"
 
 #include <algorithm>
 #include <chrono>
@@ -18,6 +19,31 @@
 
 namespace {
 
+/** Returns the largest number of arrivals in any 4 s since a point in time. */
+std::size_t mostArrivalsIn4s(const std::deque<Time>& arrivals, Time since)
+{
+  std::size_t most = 0;
+  for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), since);
+       first != arrivals.end();
+       ++first) {
+    const auto last = std::upper_bound(first, arrivals.end(), *first + 4s);
+    most = std::max(most, static_cast<std::size_t>(last - first));
+  }
+  return most;
+}
+
+std::size_t countSince(const std::deque<Time>& arrivals, Time since)
+{
+  return static_cast<std::size_t>(arrivals.end() -
+                                  std::lower_bound(arrivals.begin(), arrivals.end(), since));
+}
+
+/** What an endpoint that names a limit may get within 4 s. */
+double allowedIn4s(double limit)
+{
+  return 1.5 * 4 * limit + 5;
+}
+
 /** Processes that share the limit of one endpoint and get requests all the time. */
 struct Fleet
 {
@@ -89,25 +115,6 @@
     }
   }
 
-  /** Returns the largest number of arrivals in any 4 s since a point in time. */
-  [[nodiscard]] std::size_t mostArrivals(Time since) const
-  {
-    std::size_t most = 0;
-    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-      const auto last = std::upper_bound(first, arrivals.end(), *first + 4s);
-      if (*first >= since) {
-        most = std::max(most, static_cast<std::size_t>(last - first));
-      }
-    }
-    return most;
-  }
-
-  [[nodiscard]] std::size_t arrivalsSince(Time since) const
-  {
-    return static_cast<std::size_t>(arrivals.end() -
-                                    std::lower_bound(arrivals.begin(), arrivals.end(), since));
-  }
-
   std::vector<Process> processes;
   std::vector<fleet::EntryProcess> entries;
   RateLimitShares::EndpointKey endpoint{ 4711, ZoneId("a") };
@@ -116,12 +123,6 @@
   std::deque<Time> arrivals;
 };
 
-/** What an endpoint that names a limit may get within 4 s. */
-double allowedIn4s(double limit)
-{
-  return 1.5 * 4 * limit + 5;
-}
-
 struct NineProcesses : Fleet
 {
   NineProcesses()
@@ -143,8 +144,8 @@
       fleet.tellLimit(limit);
       const auto begin = fleet.now;
       fleet.run(30s, 2000);
-      CHECK(static_cast<double>(fleet.mostArrivals(begin)) <= allowedIn4s(limit));
-      CHECK(static_cast<double>(fleet.arrivalsSince(begin)) >= 0.7 * 30 * limit);
+      CHECK(static_cast<double>(mostArrivalsIn4s(fleet.arrivals, begin)) <= allowedIn4s(limit));
+      CHECK(static_cast<double>(countSince(fleet.arrivals, begin)) >= 0.7 * 30 * limit);
     }
   }
 }
@@ -157,8 +158,8 @@
   tellLimit(4);
   const auto begin = now;
   run(30s, 30);
-  CHECK(static_cast<double>(mostArrivals(begin)) <= allowedIn4s(4));
-  CHECK(arrivalsSince(begin) >= 60);
+  CHECK(static_cast<double>(mostArrivalsIn4s(arrivals, begin)) <= allowedIn4s(4));
+  CHECK(countSince(arrivals, begin) >= 60);
 }
 
 // Guards against a limit that is exceeded while the processes learn at different times that one of
@@ -179,8 +180,8 @@
     }
   }
   fleet.run(10s, 1000);
-  CHECK(static_cast<double>(fleet.mostArrivals(begin)) <= allowedIn4s(kLimit));
-  CHECK(static_cast<double>(fleet.arrivalsSince(fleet.now - 10s)) >= 0.7 * 10 * kLimit);
+  CHECK(static_cast<double>(mostArrivalsIn4s(fleet.arrivals, begin)) <= allowedIn4s(kLimit));
+  CHECK(static_cast<double>(countSince(fleet.arrivals, fleet.now - 10s)) >= 0.7 * 10 * kLimit);
 }
 
 // Guards against a limit that is kept after its end, or ends with an answer that was written before
@@ -216,7 +217,7 @@
   run(RateLimitShares::kProbeInterval - 20ms, 1000);
   CHECK(arrivals.empty());
   run(60s, 1000);
-  CHECK(static_cast<double>(mostArrivals(begin)) <= allowedIn4s(0));
+  CHECK(static_cast<double>(mostArrivalsIn4s(arrivals, begin)) <= allowedIn4s(0));
   CHECK(arrivals.size() >= 7);
 }
 
@@ -268,3 +269,108 @@
   CHECK(forMost > 400);
   CHECK(forMost <= 800);
 }
+
+namespace {
+
+/** Entry processes that learn of limits and of each other through control processes, and an
+   endpoint that names a limit. */
+struct LimitedFleet : fleet::FleetSimulation
+{
+  explicit LimitedFleet(std::uint64_t seed)
+    : FleetSimulation(3, 12, seed)
+  {
+    lossRate = 0.2;
+    duplicateRate = 0.1;
+    maxDelay = fleet::ms(300);
+    onChanges = [this](const ProcessId& id, const fleet::FleetChanges& changes) {
+      auto& process = shares[id];
+      if (changes.entryProcesses) {
+        process.setProcesses(id, entries.at(id).entries());
+      }
+      process.addLimits(now, changes.rateLimits);
+      process.setRequestRates(changes.requestRates);
+    };
+  }
+
+  /** Lets every entry process get requests and send those that it may send.
+      @param limit  what the endpoint names, if anything */
+  void sendRequests(std::optional<double> limit)
+  {
+    for (auto& [id, subscriber] : entries) {
+      auto& process = shares[id];
+      if (random.chance(0.5) && process.maySend(now, endpoint)) {
+        process.recordSend(now, endpoint);
+        arrivals.push_back(now);
+        const bool isChange = process.recordAnswer(now, endpoint, now, limit);
+        subscriber.setRateLimits(now, process.observedSince(now, now - 2s), isChange);
+      }
+    }
+  }
+
+  void runFor(Duration time, std::optional<double> limit, bool hasOutages)
+  {
+    for (const auto end = now + time; now < end;) {
+      step();
+      sendRequests(limit);
+      if (hasOutages && random.chance(0.02)) {
+        disrupt();
+      }
+    }
+  }
+
+  /** Stops or returns a control process, or restarts an entry process. */
+  void disrupt()
+  {
+    auto& first = control(random.below(controls.size()));
+    const bool isOtherDown = std::any_of(controls.begin(), controls.end(), [&](const auto& item) {
+      return item.second.get() != &first && item.second->isDown;
+    });
+    if (random.chance(0.5)) {
+      first.isDown = !first.isDown && !isOtherDown;
+      return;
+    }
+    const ProcessId id("e" + std::to_string(random.below(entries.size())));
+    const fleet::SubscriberSettings settings{
+      Incarnation{ ++lastIncarnation }, ZoneId("z1"), { ids[0], ids[1] }, random.next()
+    };
+    entries.insert_or_assign(id, fleet::FleetSubscriber(settings));
+    shares.erase(id);
+  }
+
+  std::map<ProcessId, RateLimitShares> shares;
+  RateLimitShares::EndpointKey endpoint{ 4711, ZoneId("z1") };
+  std::deque<Time> arrivals;
+  std::uint64_t lastIncarnation = 1;
+};
+
+} // namespace
+
+// Guards against a limit that is exceeded because messages are lost or control processes fail, and
+// against one that stays in force at some process after its end.
+TEST_CASE("Fleet_lossAndOutages_keepsLimitsAndLearnsTheirEnd")
+{
+  constexpr double kLimit = 3;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    LimitedFleet fleet(seed);
+    fleet.runFor(3s, std::nullopt, false);
+    const auto namedAt = fleet.now;
+    fleet.runFor(30s, kLimit, false);
+    CHECK(static_cast<double>(mostArrivalsIn4s(fleet.arrivals, namedAt + 3s)) <=
+          allowedIn4s(kLimit));
+    CHECK(static_cast<double>(countSince(fleet.arrivals, namedAt)) >= 0.7 * 30 * kLimit);
+    const auto disruptedAt = fleet.now;
+    fleet.runFor(30s, kLimit, true);
+    // Each restart may add the first requests of a process that has not learned the limit yet.
+    CHECK(static_cast<double>(mostArrivalsIn4s(fleet.arrivals, disruptedAt)) <=
+          2 * allowedIn4s(kLimit));
+    for (auto& [id, control] : fleet.controls) {
+      control->isDown = false;
+    }
+    // Three repetitions of the whole set, of which a fifth is lost.
+    fleet.runFor(3 * fleet::ResendCursor::kResendInterval + 1s, std::nullopt, false);
+    const auto endedAt = fleet.now;
+    fleet.runFor(1s, std::nullopt, false);
+    CHECK(countSince(fleet.arrivals, endedAt) >= 250);
+  }
+}
