--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -9,6 +9,7 @@
 #include "dispatch/RateLimitShares.h"
 #include "dispatch/RepeatBudget.h"
 #include "dispatch/RequestTable.h"
+#include "dispatch/SendTimeouts.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -26,23 +27,6 @@
     repeats would reach the crash limit of all processes. */
 constexpr std::size_t kLostConnectionLimit = 2;
 
-/** An endpoint with open requests of this process counts as failed after this time without any
-    bytes. The largest pause between events that is still on time is 0.5 s. */
-constexpr Duration kMaxTimeBetweenBytes = std::chrono::milliseconds(1200);
-/** A send is overdue after this multiple of its predicted time to first token, or after the target
-    if that is longer, plus the margin. */
-constexpr int kOverdueFactor = 4;
-constexpr Duration kOverdueMargin = std::chrono::milliseconds(500);
-
-/** Before the first byte, an endpoint that has sent no bytes at all since the request counts as
-    failed after the target of the request or this multiple of the prediction, whichever is longer.
-    With half of the target and twice the prediction, engines with long prompts counted as failed
-    and 0.4% of the requests were repeated under normal load. */
-constexpr int kFirstByteTimeoutFactor = 3;
-/** A trial times out after this many tenths of the target, so that another endpoint can still
-    answer the request on time. */
-constexpr int kTrialTimeoutTenths = 4;
-
 /** A trial is delayed by up to this time until a request arrives that may be repeated. */
 constexpr Duration kTrialWait = std::chrono::seconds(2);
 
@@ -221,12 +205,12 @@
     health_.crashes().expire(now);
     limits_.expire(now);
     for (auto& [id, request] : requests_.all()) {
-      if (request.send && !request.send->overdue && isOverdue(now, request)) {
+      auto* endpoint = request.send ? endpoints_.find(request.send->handle) : nullptr;
+      if (endpoint != nullptr && !request.send->overdue &&
+          isOverdue(now, request, endpoint->lastByteAt)) {
         request.send->overdue = true;
         stalled_.push_back(id);
-        if (auto* endpoint = endpoints_.find(request.send->handle)) {
-          health_.recordSilence(now, *request.send, *endpoint);
-        }
+        health_.recordSilence(now, *request.send, *endpoint);
       }
     }
   }
@@ -586,29 +570,6 @@
                            connectionsPerProcess(service) };
   }
 
-  /** Returns whether the endpoint of a send has sent nothing for too long. */
-  [[nodiscard]] bool isOverdue(Time now, const RequestState& request)
-  {
-    const auto& send = *request.send;
-    const auto* endpoint = endpoints_.find(send.handle);
-    if (endpoint == nullptr) {
-      return false;
-    }
-    const auto timeSinceLastByte = now - std::max(send.lastByteAt, endpoint->lastByteAt);
-    if (send.firstByteReceived) {
-      return timeSinceLastByte > kMaxTimeBetweenBytes;
-    }
-    const auto minFirstByteTimeout =
-      send.trial ? kTrialTimeoutTenths * request.target / 10 : request.target;
-    if (timeSinceLastByte >
-        std::max(minFirstByteTimeout, kFirstByteTimeoutFactor * send.predictedTtft)) {
-      return true;
-    }
-    const auto maxSendAge =
-      std::max(request.target, kOverdueFactor * send.predictedTtft) + kOverdueMargin;
-    return now - send.sentAt > maxSendAge;
-  }
-
   void recordEnd(Time now,
                  const RequestState& request,
                  const Send& send,
