fleet: limits that change with every answer are reported at most ten times a second

Each change of a limit sent a message to control, which replied and sent an update to every process. An endpoint that names another limit in each answer would have caused that for each request.

--- a/modules/fleet/FleetSubscriber.cpp
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -250,6 +250,9 @@
   message.incarnation = settings_.incarnation;
   message.entriesDigest = digestOf(entries_);
   message.rateLimits = rateLimits_;
+  if (std::exchange(hasUrgentLimits_, false)) {
+    urgentLimitsSentAt_ = now;
+  }
   message.requestsPerSecond = requestsPerSecond_;
   message.crashReports = ownReports_.changedSince(now, now - kCrashReportTime);
   outgoing_.push_back({ to, std::move(message) });
@@ -285,8 +288,15 @@
 void FleetSubscriber::setRateLimits(Time now, std::vector<RateLimit> limits, bool isUrgent)
 {
   rateLimits_ = std::move(limits);
-  if (isUrgent) {
+  if (!isUrgent) {
+    return;
+  }
+  hasUrgentLimits_ = true;
+  const auto dueAt = urgentLimitsSentAt_ + kMinLimitInterval;
+  if (searching_ || now >= dueAt) {
     sendReports(now);
+  } else {
+    nextSubscribeAt_ = std::min(nextSubscribeAt_, dueAt);
   }
 }
 
--- a/modules/fleet/FleetSubscriber.h
+++ b/modules/fleet/FleetSubscriber.h
@@ -72,6 +72,9 @@
   static constexpr Duration kRoundPause = std::chrono::seconds(1);
   /** Minimum interval between two requests for a missed update. */
   static constexpr Duration kResubscribeInterval = std::chrono::milliseconds(100);
+  /** Minimum interval between two messages because of limits: an endpoint may name another one in
+      each answer. */
+  static constexpr Duration kMinLimitInterval = std::chrono::milliseconds(100);
   /** Crashes and refutations of this process are sent repeatedly for this time. */
   static constexpr Duration kCrashReportTime = std::chrono::seconds(60);
   /** Maximum number of control addresses. */
@@ -102,7 +105,8 @@
   }
 
   /** Sets the rate limits that this process observed recently, to be sent with the next message.
-      @param isUrgent  a limit began, changed or ended, so the message is sent immediately */
+      @param isUrgent  a limit began, changed or ended, so the message is sent within
+                       kMinLimitInterval */
   void setRateLimits(Time now, std::vector<RateLimit> limits, bool isUrgent);
 
   /** Replaces the configured control addresses. Other known addresses are kept. */
@@ -194,6 +198,10 @@
   /** Crashes that this process observed, and reports that it refuted. */
   CrashReportStore ownReports_;
   std::vector<RateLimit> rateLimits_;
+  /** A limit began, changed or ended since the last message. */
+  bool hasUrgentLimits_ = false;
+  /** When the last message with such a limit was sent. */
+  Time urgentLimitsSentAt_;
   float requestsPerSecond_ = 0;
   /** A crash or a limit was observed while no control process was in use. */
   bool hasUnsentReport_ = false;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -470,6 +470,22 @@
   CHECK(receivedLimits[ProcessId("e1")].find(5)->limit.isLimited);
 }
 
+// Guards against a message and an update to every process for each answer of an endpoint whose
+// limit changes all the time.
+TEST_CASE_FIXTURE(TwoControls, "RateLimit_changesWithEveryAnswer_causesFewMessages")
+{
+  run(ms(1100));
+  const auto updatesBefore = updatesSent;
+  for (int i = 0; i < 100; ++i) {
+    entry("e0").setRateLimits(now, { { 5, true, 2 + i * 0.01, 0 } }, true);
+    run(ms(20));
+  }
+  // 20 messages in 2 s, each with a reply and an update to the other process.
+  CHECK(updatesSent - updatesBefore <= 50);
+  run(ms(200));
+  CHECK(receivedLimits[ProcessId("e1")].find(5)->limit.requestsPerSecond == doctest::Approx(2.99));
+}
+
 // Guards against a limit that is unknown to a process whose first message about it was lost, or
 // that started later.
 TEST_CASE_FIXTURE(TwoControls, "RateLimit_processStartsLater_learnsIt")
