ledger: a witness keeps the records of older incarnations until they are retired

Cause: WitnessForget said that its incarnation and all older ones of the process were retired. Control retires each incarnation when its own witnesses have reported, so a newer one can be first.

Ruled out by a trace of all records: a transfer that a settlement leaves out, a report that control refuses (none was), an older record of the witness (it held 4,523, which was right), and the tally of the check.

Change: the message names the incarnation and the oldest one that is not completely retired, and the witness drops only older ones than that. A witness that has dropped a record no longer answers a request for it.

--- a/modules/ledger/BudgetLedgerRetirement.cpp
+++ b/modules/ledger/BudgetLedgerRetirement.cpp
@@ -258,9 +258,10 @@
                                       std::vector<OutgoingMessage>& outgoing)
 {
   auto& holder = holders_.at(id);
+  const auto oldest = holders_.lower_bound(HolderId{ id.process, Incarnation{ 0 } });
   for (const auto& witness : holder.witnesses) {
     if (witness != id) {
-      outgoing.push_back({ witness.process, WitnessForget{ id } });
+      outgoing.push_back({ witness.process, WitnessForget{ id, oldest->first.incarnation } });
     }
   }
   for (const auto& [sequence, charge] : holder.reportedKeyedCharges) {
--- a/modules/ledger/Message.h
+++ b/modules/ledger/Message.h
@@ -172,10 +172,12 @@
    be dropped. If the message is lost, the witness only keeps the records longer. */
 struct WitnessForget
 {
-  /** This incarnation and all older ones of the process are retired. */
-  HolderId newestRetired;
+  HolderId retired;
+  /** All incarnations of the process before this one are completely retired as well. An older one
+      may still wait for reports when a newer one is retired. */
+  Incarnation oldestPending;
 
-  MSGPACK_DEFINE(newestRetired)
+  MSGPACK_DEFINE(retired, oldestPending)
 };
 
 /** Any message of the ledger. */
--- a/modules/ledger/Witness.cpp
+++ b/modules/ledger/Witness.cpp
@@ -1,5 +1,6 @@
 #include "ledger/Witness.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figchute::ledger {
@@ -18,7 +19,7 @@
     sendReport(from, *request);
   }
   if (const auto* forgetMessage = std::get_if<WitnessForget>(&message)) {
-    dropRecords(forgetMessage->newestRetired);
+    dropRecords(*forgetMessage);
   }
 }
 
@@ -35,6 +36,20 @@
   return false;
 }
 
+bool Witness::isDropped(const HolderId& holder) const
+{
+  for (auto recordEntry = storedRecords_.lower_bound(holder);
+       recordEntry != storedRecords_.end() && recordEntry->first.process == holder.process;
+       ++recordEntry) {
+    const auto& [recordHolder, stored] = *recordEntry;
+    const bool isOlder = holder.incarnation < stored.oldestPending;
+    if (stored.holderRetired && (recordHolder == holder || isOlder)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void Witness::storeRecord(const ProcessId& from, const WitnessRecord& message)
 {
   const auto& holder = message.record.holder;
@@ -64,6 +79,9 @@
 
 void Witness::sendReport(const ProcessId& from, const WitnessReportRequest& message)
 {
+  if (isDropped(message.holder)) {
+    return;
+  }
   auto& stored = storedRecords_[message.holder];
   stored.reported = true;
   HolderRecord record{ message.holder, {}, {} };
@@ -81,16 +99,18 @@
   return std::exchange(outgoing_, {});
 }
 
-void Witness::dropRecords(const HolderId& newestRetired)
+void Witness::dropRecords(const WitnessForget& message)
 {
-  const auto first =
-    storedRecords_.lower_bound(HolderId{ newestRetired.process, Incarnation{ 0 } });
-  const auto last = storedRecords_.lower_bound(newestRetired);
+  const auto& retired = message.retired;
+  const auto end = std::min(message.oldestPending, retired.incarnation);
+  const auto first = storedRecords_.lower_bound(HolderId{ retired.process, Incarnation{ 0 } });
+  const auto last = storedRecords_.lower_bound(HolderId{ retired.process, end });
   storedRecords_.erase(first, last);
-  auto& stored = storedRecords_[newestRetired];
+  auto& stored = storedRecords_[retired];
   stored.totals.clear();
   stored.keyedCharges.clear();
   stored.holderRetired = true;
+  stored.oldestPending = std::max(stored.oldestPending, end);
 }
 
 std::size_t Witness::size() const
--- a/modules/ledger/Witness.h
+++ b/modules/ledger/Witness.h
@@ -33,15 +33,19 @@
     std::uint64_t sequence = 0;
     /** Set by the first report. No later record is accepted. */
     bool reported = false;
-    /** Set when control has retired this incarnation and all older ones. */
+    /** Set when control has completely retired this incarnation. */
     bool holderRetired = false;
+    /** With holderRetired: all incarnations before this one are completely retired, too. */
+    Incarnation oldestPending;
     std::map<BudgetId, AccountTotals> totals;
     std::map<std::uint64_t, KeyedCharge> keyedCharges;
   };
 
   void storeRecord(const ProcessId& from, const WitnessRecord& message);
-  void dropRecords(const HolderId& newestRetired);
+  void dropRecords(const WitnessForget& message);
   [[nodiscard]] bool isReportedOrRetired(const HolderId& holder) const;
+  /** Returns whether the records of a holder were dropped, so that nothing is known about it. */
+  [[nodiscard]] bool isDropped(const HolderId& holder) const;
   void sendReport(const ProcessId& from, const WitnessReportRequest& message);
 
   HolderId self_;
--- a/tests/ledger_control_test.cpp
+++ b/tests/ledger_control_test.cpp
@@ -199,6 +199,46 @@
   CHECK(state.budget(kBudget)->free == Tokens{ 930 });
 }
 
+// Guards against bills that are lost because a witness drops the record of an older incarnation
+// whose retirement is not complete, when a newer one of the same process is retired before it.
+TEST_CASE_FIXTURE(Control, "Retire_newerIncarnationFirst_keepsTheRecordsOfTheOlder")
+{
+  const HolderId second{ a.process, Incarnation{ 2 } };
+  const HolderId third{ a.process, Incarnation{ 3 } };
+  const HolderRecord record{ a, { { kBudget, Tokens{ 70 }, Tokens{ 0 }, {}, {} } }, {} };
+  Witness witness(b);
+  const auto deliverToWitness = [&] {
+    for (const auto& outgoing : state.takeOutgoing()) {
+      witness.receive(now, ProcessId("control"), outgoing.message);
+    }
+  };
+  const auto reportOf = [&](const HolderId& holder) {
+    witness.takeOutgoing();
+    witness.receive(now, ProcessId("control"), WitnessReportRequest{ holder });
+    const auto outgoing = witness.takeOutgoing();
+    REQUIRE(outgoing.size() == 1);
+    return std::get<WitnessReport>(outgoing[0].message).record;
+  };
+  grant(a, 1, 600);
+  witness.receive(now, a.process, WitnessRecord{ 1, record, 0, {} });
+  run<RegisterResult>(RegisterHolder{ second, ZoneId("z1"), 1, { b } });
+  run<RegisterResult>(RegisterHolder{ third, ZoneId("z1"), 1, { b } });
+  state.takeOutgoing();
+  CHECK(run<RetireResult>(Retire{ second, b, reportOf(second) }).missingWitnesses ==
+        std::vector<HolderId>{ b });
+  deliverToWitness();
+  const auto result = run<RetireResult>(Retire{ a, b, reportOf(a) });
+  CHECK(result.missingWitnesses.empty());
+  CHECK(state.budget(kBudget)->settled == Tokens{ 70 });
+  CHECK(state.budget(kBudget)->free == Tokens{ 930 });
+  deliverToWitness();
+  CHECK(witness.size() == 0);
+  // A witness that has dropped a record does not report that there was none.
+  witness.receive(now, ProcessId("control"), WitnessReportRequest{ a });
+  witness.receive(now, ProcessId("control"), WitnessReportRequest{ second });
+  CHECK(witness.takeOutgoing().empty());
+}
+
 // Guards against an operator's retire command that prevents later incarnations from registering.
 TEST_CASE_FIXTURE(Control, "Retire_allIncarnations_allowsLaterOnes")
 {
--- a/tests/random_test.sh
+++ b/tests/random_test.sh
@@ -17,6 +17,9 @@
   "$program" --part log --seed "$seed" --intensity 6
 done
 
+# 770041 found bills that a witness dropped before it had reported them.
+"$program" --seed 770041 --steps 200000 --deployment ferreira
+
 for part in log all; do
   first_output=$("$program" --part "$part" --seed 11 --steps 50000 || true)
   second_output=$("$program" --part "$part" --seed 11 --steps 50000 || true)
