figchute-random: no process fails after the faults have ended

figchute-random: "no leader after all faults ended". The trace shows that the group did elect: the faults ended at 61.904 s, k4 led until 65.283 s, and the check ran at 65.290 s. At 65.283 s a restart that a fault had scheduled earlier stopped the running leader, 6.5 ms before the check. All five voters had the same membership, term and log; none counted with a lost disk.

So the run did not keep its own premise. A restart that is due after the end of the faults now leaves a running process alone, and disks that were set to fail later work. The check and its bounds are unchanged, and it no longer passes only because a fault came a little later.

--- a/tests/random_test.sh
+++ b/tests/random_test.sh
@@ -20,6 +20,9 @@
 # 770041 found bills that a witness dropped before it had reported them.
 "$program" --seed 770041 --steps 200000 --deployment ferreira
 
+# 2277757 restarted the leader after the end of the faults, just before the check that there is one.
+"$program" --seed 2277757 --steps 250000 --deployment ferreira
+
 for part in log all; do
   first_output=$("$program" --part "$part" --seed 11 --steps 50000 || true)
   second_output=$("$program" --part "$part" --seed 11 --steps 50000 || true)
--- a/tools/figchute-random/Simulation.cpp
+++ b/tools/figchute-random/Simulation.cpp
@@ -138,6 +138,7 @@
   network_.heal();
   network_.setFaults({});
   for (auto& process : controls_) {
+    process->disk().clearFailure();
     if (!process->isRunning()) {
       process->start();
     }
--- a/tools/figchute-random/SimulationFaults.cpp
+++ b/tools/figchute-random/SimulationFaults.cpp
@@ -107,6 +107,9 @@
                        static_cast<std::int64_t>(options_.intensity));
   schedule_.callAt(schedule_.now() + delay, [this, &process] {
     if (process.isRunning()) {
+      if (!faultsEnabled_) {
+        return;
+      }
       // The disk has not reached its failing operation, or another restart ran first.
       process.crash();
     }
