dispatch, router, http: answers that say that an endpoint leaves or wants no requests for a time; late requests of a planned stop

Cause: nothing read the two header fields; a stopping process accepted calls while twice their target was left, however long their deadline; drain() took a new connection for an idle one; parseLoad wanted exactly three figures.

Change: EndpointRestrictions holds both kinds of restriction per incarnation of an endpoint; choose(), trials, repeats and delayed sends respect it. After normal service has ended, a call that may run once is accepted only if its deadline lies before the last answer; calls without a response get a final answer before the exit. A new connection has 1 s for its first request.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/Admission.h"
 #include "dispatch/EndpointHealth.h"
+#include "dispatch/EndpointRestrictions.h"
 #include "dispatch/EndpointTable.h"
 #include "dispatch/EngineSelector.h"
 #include "dispatch/LimitedEngineSelector.h"
@@ -158,7 +159,7 @@
     }
     now_ = std::max(now_, now);
     const auto send = requests_.endSend(*request);
-    if (outcome == Outcome::notConnected) {
+    if (outcome == Outcome::notConnected || outcome == Outcome::withdrawn) {
       // Nothing reached an endpoint, so the request has used neither an attempt nor a repeat.
       --request->sends;
     }
@@ -204,6 +205,7 @@
     now_ = now;
     health_.crashes().expire(now);
     limits_.expire(now);
+    restrictions_.expire(now);
     for (auto& [id, request] : requests_.all()) {
       auto* endpoint = request.send ? endpoints_.find(request.send->handle) : nullptr;
       if (endpoint != nullptr && !request.send->overdue &&
@@ -229,6 +231,50 @@
     }
   }
 
+  void endpointLeaving(Time now, std::uint64_t requestId)
+  {
+    const auto* send = currentSend(requestId);
+    if (send != nullptr && restrictions_.recordLeaving(now, send->incarnation)) {
+      noteRestriction(*send, std::nullopt);
+    }
+  }
+
+  void endpointBackoff(Time now, std::uint64_t requestId, Duration duration)
+  {
+    const auto* send = currentSend(requestId);
+    if (send != nullptr && restrictions_.recordBackoff(now, send->incarnation, duration)) {
+      noteRestriction(*send, *restrictions_.backoffEnd(now, send->incarnation) - now);
+    }
+  }
+
+  [[nodiscard]] bool maySend(Time now, std::uint64_t requestId)
+  {
+    const auto* send = currentSend(requestId);
+    if (send == nullptr) {
+      return false;
+    }
+    const auto* endpoint = endpoints_.find(send->handle);
+    return endpoint != nullptr && acceptsRequests(now, *endpoint);
+  }
+
+  [[nodiscard]] Duration timeUntilBackoffEnds(Time now, const ServiceName& service)
+  {
+    std::optional<Time> firstEnd;
+    for (const auto handle : endpoints_.handlesOf(service)) {
+      const auto& endpoint = *endpoints_.find(handle);
+      if (acceptsRequests(now, endpoint)) {
+        return Duration(0);
+      }
+      const auto end = restrictions_.backoffEnd(now, endpoint.incarnation);
+      if (end && !isLeaving(endpoint)) {
+        firstEnd = firstEnd ? std::min(*firstEnd, *end) : *end;
+      }
+    }
+    return firstEnd ? *firstEnd - now : Duration(0);
+  }
+
+  std::vector<EndpointRestricted> takeRestrictions() { return std::exchange(newRestrictions_, {}); }
+
   std::vector<RateLimitChange> takeRateLimitChanges() { return std::exchange(limitChanges_, {}); }
 
   RateLimitShares& limits() { return limits_; }
@@ -357,13 +403,39 @@
                                 const ServiceState& service,
                                 std::span<const EndpointId> excluded)
   {
-    return endpoint.record.state == fleet::EndpointState::ready &&
+    return acceptsRequests(now, endpoint) &&
            endpoint.load.ownRequests() <
              admissionFor(requestInfo).connectionLimit(connectionsPerProcess(service)) &&
            std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end() &&
            limits_.maySend(now, limitKeyOf(endpoint));
   }
 
+  [[nodiscard]] const Send* currentSend(std::uint64_t requestId)
+  {
+    const auto* request = requests_.find(requestId);
+    return request != nullptr && request->send ? &*request->send : nullptr;
+  }
+
+  void noteRestriction(const Send& send, std::optional<Duration> backoff)
+  {
+    if (const auto* endpoint = endpoints_.find(send.handle)) {
+      newRestrictions_.push_back({ endpoint->record.id, backoff });
+    }
+  }
+
+  [[nodiscard]] bool isLeaving(const Endpoint& endpoint) const
+  {
+    return endpoint.record.state != fleet::EndpointState::ready ||
+           restrictions_.isLeaving(endpoint.incarnation);
+  }
+
+  /** Returns whether neither the registry nor the answers of an endpoint forbid to send to it. */
+  [[nodiscard]] bool acceptsRequests(Time now, const Endpoint& endpoint) const
+  {
+    return endpoint.record.state == fleet::EndpointState::ready &&
+           restrictions_.maySend(now, endpoint.incarnation);
+  }
+
   static RateLimitShares::EndpointKey limitKeyOf(const Endpoint& endpoint)
   {
     return { endpoint.incarnation, endpoint.record.zone };
@@ -504,9 +576,14 @@
   {
     bool hasConnectionInUse = false;
     bool isRateLimited = false;
+    bool hasAcceptingEndpoint = false;
     auto retryAfter = kMaxRetryAfter;
     for (const auto handle : endpoints_.handlesOf(requestInfo.service)) {
       const auto& endpoint = *endpoints_.find(handle);
+      if (!acceptsRequests(now, endpoint)) {
+        continue;
+      }
+      hasAcceptingEndpoint = true;
       const auto nextSendAt = limits_.nextSendAt(now, limitKeyOf(endpoint));
       if (endpoint.breaker.isOpen()) {
         retryAfter = std::min(retryAfter, endpoint.breaker.nextTrialAt() - now);
@@ -517,6 +594,9 @@
         hasConnectionInUse = true;
       }
     }
+    if (!hasAcceptingEndpoint) {
+      return refuseWhileRestricted(now, requestInfo);
+    }
     if (hasConnectionInUse) {
       const auto service = services_.find(requestInfo.service);
       return refuse(now,
@@ -535,6 +615,19 @@
     return refuse(now, requestInfo, ErrorKind::noEndpoint, retryAfter, "no endpoint is available");
   }
 
+  /** Refuses a request because all endpoints of its service leave or asked for a back-off. */
+  tl::unexpected<Refusal> refuseWhileRestricted(Time now, const RequestInfo& requestInfo)
+  {
+    const auto backoff = timeUntilBackoffEnds(now, requestInfo.service);
+    if (backoff == Duration(0)) {
+      return refuse(
+        now, requestInfo, ErrorKind::noEndpoint, kMaxRetryAfter, "no endpoint is available");
+    }
+    return tl::unexpected<Refusal>(Refusal{ ErrorKind::overloaded,
+                                            std::min(backoff, requestInfo.deadline - now),
+                                            "all endpoints asked for a back-off" });
+  }
+
   ChosenEndpoint recordSend(Time now,
                             const RequestInfo& requestInfo,
                             ServiceState& service,
@@ -581,8 +674,9 @@
       return;
     }
     auto& service = serviceEntry->second;
+    const bool isBackingOff = restrictions_.backoffEnd(now, endpoint.incarnation).has_value();
     const bool refusedBecauseFull =
-      outcome == Outcome::notExecuted && isLikelyFull(endpoint, service);
+      outcome == Outcome::notExecuted && (isBackingOff || isLikelyFull(endpoint, service));
     if (refusedBecauseFull) {
       endpoint.fullUntil = now + service.serviceTime / std::max(endpoint.slots, 1);
     }
@@ -615,6 +709,8 @@
   RepeatBudget totalRepeats_;
   EndpointHealth health_{ endpoints_ };
   RateLimitShares limits_;
+  EndpointRestrictions restrictions_;
+  std::vector<EndpointRestricted> newRestrictions_;
   routing::DecayedSum newRequests_{ kRequestRateWindow };
   std::vector<RateLimitChange> limitChanges_;
   std::vector<std::uint64_t> stalled_;
@@ -691,6 +787,31 @@
   impl_->answerHead(now, requestId, requestsPerSecond);
 }
 
+void Dispatcher::endpointLeaving(Time now, std::uint64_t requestId)
+{
+  impl_->endpointLeaving(now, requestId);
+}
+
+void Dispatcher::endpointBackoff(Time now, std::uint64_t requestId, Duration duration)
+{
+  impl_->endpointBackoff(now, requestId, duration);
+}
+
+bool Dispatcher::maySend(Time now, std::uint64_t requestId)
+{
+  return impl_->maySend(now, requestId);
+}
+
+Duration Dispatcher::timeUntilBackoffEnds(Time now, const ServiceName& service)
+{
+  return impl_->timeUntilBackoffEnds(now, service);
+}
+
+std::vector<EndpointRestricted> Dispatcher::takeRestrictions()
+{
+  return impl_->takeRestrictions();
+}
+
 void Dispatcher::addRateLimits(Time now, std::span<const fleet::RateLimit> limits)
 {
   impl_->limits().addLimits(now, limits);
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -33,6 +33,14 @@
   std::optional<double> requestsPerSecond;
 };
 
+/** A restriction that an endpoint asked for and that began. */
+struct EndpointRestricted
+{
+  EndpointId endpoint;
+  /** How long this process sends it nothing; nothing if the endpoint leaves. */
+  std::optional<Duration> backoff;
+};
+
 /** Chooses an endpoint for each send of a request. It does no I/O and reads no clock: the same
     calls with the same seed give the same results.
     Thread safety: use one instance from one thread only. */
@@ -91,6 +99,26 @@
   /** Reports the rate limit that the answer to the current send of a request named, if any. */
   void answerHead(Time now, std::uint64_t requestId, std::optional<double> requestsPerSecond);
 
+  /** Reports that the answer to the current send of a request said that its endpoint leaves. This
+      process sends nothing more to that incarnation of the endpoint. */
+  void endpointLeaving(Time now, std::uint64_t requestId);
+
+  /** Reports that the answer to the current send of a request asked this process to send nothing to
+      the endpoint for some time.
+      @param duration  at least 0 */
+  void endpointBackoff(Time now, std::uint64_t requestId, Duration duration);
+
+  /** Returns whether the endpoint chosen for the current send of a request may still get it. A
+      delayed send may have to be withdrawn: report it with Outcome::withdrawn. */
+  [[nodiscard]] bool maySend(Time now, std::uint64_t requestId);
+
+  /** Returns the time until the first endpoint of a service ends its back-off; 0 if an endpoint has
+      none, or if none will accept requests again. */
+  [[nodiscard]] Duration timeUntilBackoffEnds(Time now, const ServiceName& service);
+
+  /** Returns the restrictions that answers to this process set since the last call. */
+  std::vector<EndpointRestricted> takeRestrictions();
+
   /** Adds rate limits that other processes observed. */
   void addRateLimits(Time now, std::span<const fleet::RateLimit> limits);
 
--- a/modules/dispatch/EndpointHealth.cpp
+++ b/modules/dispatch/EndpointHealth.cpp
@@ -22,6 +22,7 @@
       return FailureKind::unreachable;
     case Outcome::answered:
     case Outcome::cancelled:
+    case Outcome::withdrawn:
       break;
   }
   return std::nullopt;
--- a/modules/dispatch/RequestInfo.cpp
+++ b/modules/dispatch/RequestInfo.cpp
@@ -38,6 +38,8 @@
       return "timed_out";
     case Outcome::malformed:
       return "malformed";
+    case Outcome::withdrawn:
+      return "withdrawn";
     case Outcome::cancelled:
       break;
   }
--- a/modules/dispatch/RequestInfo.h
+++ b/modules/dispatch/RequestInfo.h
@@ -88,6 +88,8 @@
   malformed,
   /** The caller disconnected or this process ended the call; says nothing about the endpoint. */
   cancelled,
+  /** A delayed send was given up before it began; says nothing about the endpoint. */
+  withdrawn,
 };
 
 /** Returns the name used in logs. Safe from any thread. */
--- a/modules/http/Server.cpp
+++ b/modules/http/Server.cpp
@@ -98,6 +98,14 @@
 
   [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
+  [[nodiscard]] bool expectsFirstRequests() const
+  {
+    const auto now = detail::bootTime();
+    return std::any_of(connections_.begin(), connections_.end(), [now](const auto& connection) {
+      return connection->awaitsFirstRequest(now);
+    });
+  }
+
   void shutDown()
   {
     stopAccepting();
@@ -244,4 +252,9 @@
   return impl_->openRequests;
 }
 
+bool Server::expectsFirstRequests() const
+{
+  return impl_->expectsFirstRequests();
+}
+
 } // namespace figchute::http
--- a/modules/http/Server.h
+++ b/modules/http/Server.h
@@ -111,7 +111,7 @@
   void stopAccepting();
 
   /** Closes idle connections and adds Connection: close to all further responses. New connections
-      are accepted until stopAccepting() is called. */
+      are accepted until stopAccepting() is called; those without a request are closed after 1 s. */
   void drain();
 
   /** Returns the number of open connections. */
@@ -120,6 +120,10 @@
   /** Returns the number of requests that were passed to the handler and have not ended. */
   [[nodiscard]] std::size_t openRequests() const;
 
+  /** Returns whether a new connection has not sent its first request yet; 1 s after it was accepted
+      none is expected any more. */
+  [[nodiscard]] bool expectsFirstRequests() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/modules/http/ServerConnection.cpp
+++ b/modules/http/ServerConnection.cpp
@@ -19,6 +19,9 @@
 /** How often a connection that is not being read is checked for a disconnect. */
 constexpr Duration kDisconnectCheckInterval = std::chrono::milliseconds(100);
 
+/** How long a draining server waits for the first request of a new connection. */
+constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
+
 /** Maximum capacity of the output buffer that a connection keeps between responses, in bytes. */
 constexpr std::size_t kMaxRetainedCapacity = 2048;
 
@@ -68,7 +71,8 @@
 
 void ServerConnection::start()
 {
-  setDeadline(bootTime() + context_->limits.idleTimeout);
+  const auto& limits = context_->limits;
+  setDeadline(acceptedAt_ + (context_->draining ? kFirstRequestTime : limits.idleTimeout));
   startReadWait();
 }
 
@@ -105,10 +109,19 @@
   // Unread bytes may be the start of another request.
   if (!isIdle() || hasInput(socket_.native_handle()))
     return false;
+  if (awaitsFirstRequest(bootTime())) {
+    setDeadline(acceptedAt_ + kFirstRequestTime);
+    return false;
+  }
   startLingering();
   return true;
 }
 
+bool ServerConnection::awaitsFirstRequest(Duration now) const
+{
+  return phase_ == Phase::serving && !hadRequest_ && now < acceptedAt_ + kFirstRequestTime;
+}
+
 void ServerConnection::startReadWait()
 {
   if (readWaiting_ || phase_ == Phase::closed)
@@ -354,6 +367,7 @@
   if (!framing.keepAlive)
     request->closeAfterResponse();
   openRequest_ = request.get();
+  hadRequest_ = true;
   ++context_->openRequests;
   context_->handler(std::move(request));
 }
--- a/modules/http/ServerConnection.h
+++ b/modules/http/ServerConnection.h
@@ -133,10 +133,14 @@
   /** Closes the connection immediately, without calling a callback. */
   void close();
 
-  /** Closes the connection if it is idle.
-      @returns whether it was idle */
+  /** Closes the connection if it is idle. A new connection is closed only after some time without a
+      request, because the caller has usually sent its first request already.
+      @returns whether it was closed */
   bool closeIfIdle();
 
+  /** Returns whether the connection is new and its first request is still to be expected. */
+  [[nodiscard]] bool awaitsFirstRequest(Duration now) const;
+
   /** Returns whether no request is being received or handled and all output has been written. */
   [[nodiscard]] bool isIdle() const;
 
@@ -209,11 +213,13 @@
   OpenRequest* openRequest_ = nullptr;
   HeadScanner scanner_;
   Duration deadline_ = kNever;
+  Duration acceptedAt_ = bootTime();
   Phase phase_ = Phase::serving;
   /** Holds back the last byte of output_ until the request ends, so that abort() can still leave
       the response incomplete. */
   bool holdLastByte_ = false;
   bool headStarted_ = false;
+  bool hadRequest_ = false;
   bool readWaiting_ = false;
   bool writeWaiting_ = false;
   bool flushScheduled_ = false;
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -3,9 +3,9 @@
 #include "control/ControlNode.h"
 #include "fleet/fleet.h"
 #include "http/http.h"
-#include "router/Exchange.h"
 #include "router/LoadMonitor.h"
 #include "router/Role.h"
+#include "router/WorkspaceBudgets.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -36,6 +36,8 @@
   /** The requests per second, a decimal number, that an endpoint accepts from all processes
    * together; present in its responses for as long as the limit holds. */
   std::string rateLimit = "X-Endpoint-Rate-Limit";
+  /** "1" in all responses of an endpoint that leaves and expects no further requests. */
+  std::string leaving = "X-Endpoint-Leaving";
   /** The id of the last event that the caller has received; sent to an endpoint that continues a
    * stream. */
   std::string lastEventId = "Last-Event-Id";
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -2,6 +2,7 @@
 
 #include "router/BootClock.h"
 #include "router/ErrorResponse.h"
+#include "router/WorkspaceBudgets.h"
 
 #include <algorithm>
 #include <charconv>
@@ -17,6 +18,9 @@
  * signal was sent; the period is shorter because the signal arrives later. */
 constexpr Duration kServeTimeAfterStop = std::chrono::milliseconds(2700);
 
+/** Time for the last error responses of a stopping process to be sent before it exits. */
+constexpr Duration kLastAnswerMargin = std::chrono::milliseconds(200);
+
 /** Rate limits that were observed within this time are sent with each message to control, which is
  * sent once a second. */
 constexpr Duration kRateLimitReportTime = std::chrono::seconds(2);
@@ -394,6 +398,7 @@
     context_.log.line(now, "crash_cause", { { "detail", event } });
   }
   reportRateLimits(now);
+  logRestrictions(now);
   probeEndpoints();
   for (auto& message : subscriber_.takeOutgoing()) {
     context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
@@ -414,6 +419,21 @@
     now, dispatcher_.rateLimitsSince(now, now - kRateLimitReportTime), !changes.empty());
 }
 
+void EntryRole::logRestrictions(Time now)
+{
+  for (const auto& restriction : dispatcher_.takeRestrictions()) {
+    if (restriction.backoff) {
+      const auto backoffMs = restriction.backoff->count() / 1000;
+      context_.log.line(
+        now,
+        "endpoint_backoff",
+        { { "endpoint", restriction.endpoint.value }, { "for_ms", std::to_string(backoffMs) } });
+    } else {
+      context_.log.line(now, "endpoint_leaving", { { "endpoint", restriction.endpoint.value } });
+    }
+  }
+}
+
 void EntryRole::probeEndpoints()
 {
   for (const auto& probe : dispatcher_.takeProbes()) {
@@ -440,13 +460,15 @@
 {
   stopping_ = true;
   stopStartedAt_ = bootTime();
-  services_.lastStreamStart = stopStartedAt_ + kServeTimeAfterStop;
-  services_.stopDeadline = stopStartedAt_ + context_.settings.bounds.grace - kGraceMargin;
+  services_.normalServiceEnd = stopStartedAt_ + kServeTimeAfterStop;
+  services_.stopDeadline =
+    stopStartedAt_ + context_.settings.bounds.grace - kGraceMargin - kLastAnswerMargin;
 }
 
 bool EntryRole::isStopped() const
 {
   return servingStopped_ && exchanges_.empty() && callers_.openRequests() == 0 &&
+         !callers_.expectsFirstRequests() &&
          (quotaManager_.isDrained() || quotaManager_.isHandedOver());
 }
 
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -44,6 +44,7 @@
   /** Sends crashes and rate limits that this process observed to control. */
   void reportObservations(Time now);
   void reportRateLimits(Time now);
+  void logRestrictions(Time now);
   /** Attempts to connect to the endpoints that may have crashed. */
   void probeEndpoints();
   void updateQuotaManager(Time now);
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -4,6 +4,7 @@
 #include "router/BootClock.h"
 #include "router/ErrorResponse.h"
 #include "router/RequestBody.h"
+#include "router/WorkspaceBudgets.h"
 #include "settings/settings.h"
 
 #include <algorithm>
@@ -18,6 +19,8 @@
 namespace figchute::router {
 namespace {
 
+/** The status of an endpoint that is not the one that the request names. */
+constexpr int kMisdirectedRequest = 421;
 constexpr std::string_view kBearerPrefix = "Bearer ";
 /** Reading from the endpoint is paused while more response bytes than this wait for a slow caller.
  */
@@ -29,12 +32,14 @@
  * latency target. */
 constexpr int kStallTargetMultiple = 3;
 constexpr Duration kMinStallTime = std::chrono::milliseconds(250);
-/** A stopping process accepts a request only if this multiple of its latency target, and at least
- * kMinRequiredTime, is left. */
+/** After normal service has ended, a stopping process accepts a repeatable request only if this
+ * multiple of its latency target, and at least kMinRequiredTime, is left. */
 constexpr int kRequiredTargetMultiple = 2;
 constexpr Duration kMinRequiredTime = std::chrono::milliseconds(500);
 /** Short, because another entry process can take the request immediately. */
 constexpr Duration kStopRetryAfter = std::chrono::milliseconds(100);
+/** Short, because another endpoint may accept the request. */
+constexpr Duration kRetryAfterRefusal = std::chrono::milliseconds(100);
 /** An endpoint needs up to this time to stop a request whose connection was closed. */
 constexpr Duration kEndpointCancelTime = std::chrono::milliseconds(400);
 /** After reading is resumed for a slow caller, the request is not moved to another endpoint for
@@ -53,35 +58,6 @@
   return value;
 }
 
-/** Parses "running,waiting,slots". */
-std::optional<dispatch::LoadReport> parseLoad(std::string_view text)
-{
-  std::vector<int> numbers;
-  for (const auto& part : ini::splitList(text)) {
-    const auto number = parseInteger(part);
-    if (!number) {
-      return std::nullopt;
-    }
-    numbers.push_back(static_cast<int>(*number));
-  }
-  if (numbers.size() != 3) {
-    return std::nullopt;
-  }
-  return dispatch::LoadReport{ numbers[0], numbers[1], numbers[2] };
-}
-
-/** Parses a decimal number of at least 0. */
-std::optional<double> parseRate(std::string_view text)
-{
-  double rate = 0;
-  const auto* const end = text.data() + text.size();
-  const auto [parsedEnd, error] = std::from_chars(text.data(), end, rate, std::chars_format::fixed);
-  if (error != std::errc() || parsedEnd != end || !std::isfinite(rate) || rate < 0) {
-    return std::nullopt;
-  }
-  return rate;
-}
-
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
 {
   const auto address = settings::parseAddress(text);
@@ -123,22 +99,6 @@
 
 } // namespace
 
-BudgetId budgetOf(std::string_view workspace)
-{
-  return BudgetId("w:" + std::string(workspace));
-}
-
-std::vector<ledger::PrepaidBudget> budgetsOf(const fleet::Configuration& configuration)
-{
-  std::vector<ledger::PrepaidBudget> budgets;
-  for (const auto& workspace : configuration.workspaces) {
-    if (workspace.prepaid) {
-      budgets.push_back({ budgetOf(workspace.name), *workspace.prepaid });
-    }
-  }
-  return budgets;
-}
-
 Exchange::Exchange(EntryServices& services,
                    std::shared_ptr<http::ServerRequest> request,
                    std::uint64_t id,
@@ -183,17 +143,28 @@
 
 bool Exchange::exceedsStopDeadline(Time now) const
 {
-  if (!services_.stopDeadline) {
+  if (!services_.stopDeadline || now <= *services_.normalServiceEnd) {
     return false;
   }
   if (requestInfo_.kind == fleet::RouteKind::stream) {
-    return now > *services_.lastStreamStart;
+    return true;
+  }
+  if (!isRepeatable()) {
+    return deadline_ > *services_.stopDeadline;
   }
   const auto needed =
     std::max<Duration>(requestInfo_.target * kRequiredTargetMultiple, kMinRequiredTime);
   return now + needed > *services_.stopDeadline;
 }
 
+Time Exchange::lastAnswerTime() const
+{
+  if (services_.stopDeadline && stage_ != Stage::relaying) {
+    return std::min(deadline_, *services_.stopDeadline);
+  }
+  return deadline_;
+}
+
 Expected<void> Exchange::resolveRoute(Time now)
 {
   table_ = services_.table;
@@ -405,8 +376,9 @@
     head.fields.set(names.lastEventId, std::to_string(*lastId));
   }
   head.fields.set(names.expectEndpoint, choice.endpoint.value);
-  head.fields.set(names.deadlineMs,
-                  std::to_string(std::max<std::int64_t>(1, millis(deadline_ - now))));
+  const bool isStream = requestInfo_.kind == fleet::RouteKind::stream;
+  const auto timeLeft = (isStream ? deadline_ : lastAnswerTime()) - now;
+  head.fields.set(names.deadlineMs, std::to_string(std::max<std::int64_t>(1, millis(timeLeft))));
   return head;
 }
 
@@ -420,16 +392,11 @@
 {
   const Time now = bootTime();
   reusedConnectionFailed_ = false;
-  const auto& names = services_.dialect.fields();
-  if (const auto* load = head.fields.find(names.load)) {
-    if (const auto report = parseLoad(*load)) {
-      services_.dispatcher.load(now, endpoint_, *report);
-    }
-  }
-  const bool marked = head.fields.find(names.endpointAnswer) != nullptr;
-  const bool notExecuted = head.fields.find(names.notExecuted) != nullptr;
-  recordRateLimit(now, head, marked);
-  if (head.status == 421) {
+  const auto report = parseEndpointReport(services_.dialect.fields(), head);
+  const bool marked = report.marked;
+  const bool notExecuted = report.notExecuted;
+  recordReport(now, head, report);
+  if (head.status == kMisdirectedRequest) {
     handleFailedSend(
       now, dispatch::Outcome::wrongEndpoint, false, "another endpoint uses this address");
     return;
@@ -460,23 +427,27 @@
   startRelay(head);
 }
 
-void Exchange::recordRateLimit(Time now, const http::ResponseHead& head, bool marked)
+void Exchange::recordReport(Time now, const http::ResponseHead& head, const EndpointReport& report)
 {
-  const auto* text = head.fields.find(services_.dialect.fields().rateLimit);
-  if (text == nullptr) {
-    if (marked && head.status / 100 == 2) {
-      services_.dispatcher.answerHead(now, id_, std::nullopt);
-    }
-    return;
+  auto& dispatcher = services_.dispatcher;
+  if (report.load) {
+    dispatcher.load(now, endpoint_, *report.load);
   }
-  if (const auto limit = parseRate(*text)) {
-    services_.dispatcher.answerHead(now, id_, limit);
-    return;
+  const bool namesLimit = head.fields.find(services_.dialect.fields().rateLimit) != nullptr;
+  const bool endsLimit = !namesLimit && report.marked && head.status / 100 == 2;
+  if (report.rateLimit || endsLimit) {
+    dispatcher.answerHead(now, id_, report.rateLimit);
   }
-  services_.log.line(
-    now,
-    "endpoint_rate_limit_unreadable",
-    { { "request", requestId_ }, { "endpoint", endpoint_.value }, { "detail", *text } });
+  // With status 421, another endpoint speaks about itself.
+  if (head.status != kMisdirectedRequest) {
+    if (report.leaving) {
+      dispatcher.endpointLeaving(now, id_);
+    }
+    if (report.backoff) {
+      dispatcher.endpointBackoff(now, id_, *report.backoff);
+    }
+  }
+  logUnreadableFields(now, report);
 }
 
 void Exchange::startRelay(const http::ResponseHead& head)
@@ -697,33 +668,10 @@
     sendErrorResponse(now, Error{ ErrorKind::endpointFailed, detail }, Duration{ 0 });
     return;
   }
+  const auto backoff = services_.dispatcher.timeUntilBackoffEnds(now, requestInfo_.service);
   sendErrorResponse(now,
                     Error{ ErrorKind::overloaded, "no endpoint accepted the request" },
-                    std::chrono::milliseconds(100));
-}
-
-void Exchange::logLostConnection(Time now)
-{
-  const auto candidates = dispatch::crashCandidatesOf(requestInfo_);
-  services_.log.line(now,
-                     "connection_lost",
-                     { { "request", requestId_ },
-                       { "endpoint", endpoint_.value },
-                       { "answered", firstByteReported_ ? "yes" : "no" },
-                       { "fingerprint", fmt::format("{:x}", candidates.request) },
-                       { "parts", fmt::format("{:x}", fmt::join(candidates.parts, ",")) },
-                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
-}
-
-void Exchange::logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail)
-{
-  services_.log.line(now,
-                     "send_failed",
-                     { { "request", requestId_ },
-                       { "endpoint", endpoint_.value },
-                       { "outcome", std::string(dispatch::toString(outcome)) },
-                       { "detail", detail },
-                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+                    std::max<Duration>(backoff, kRetryAfterRefusal));
 }
 
 void Exchange::refuse(Time now, const dispatch::Refusal& refusal)
@@ -740,7 +688,7 @@
   if (stage_ == Stage::ended || stage_ == Stage::created) {
     return;
   }
-  if (now >= deadline_) {
+  if (now >= lastAnswerTime()) {
     const bool running = call_ && requestSent_;
     if (call_) {
       call_->cancel();
@@ -759,7 +707,7 @@
   }
   if (sendAt_) {
     if (now >= *sendAt_) {
-      startSend(now);
+      startDelayedSend(now);
     }
     return;
   }
@@ -770,6 +718,18 @@
   }
 }
 
+void Exchange::startDelayedSend(Time now)
+{
+  if (services_.dispatcher.maySend(now, id_)) {
+    startSend(now);
+    return;
+  }
+  sendAt_.reset();
+  services_.dispatcher.finished(now, id_, dispatch::Outcome::withdrawn);
+  triedEndpoints_.pop_back();
+  sendNext(now);
+}
+
 void Exchange::moveToAnotherEndpoint(Time now)
 {
   const bool possible = stage_ == Stage::relaying ? canContinue() : isRepeatable();
@@ -846,30 +806,9 @@
     services_.dispatcher.forget(id_);
   }
   chargeBudget(now);
-  const bool answered = firstByteAt_.micros > 0;
   services_.metrics.count(fmt::format("requests_{}", outcome));
   services_.metrics.record("request", now - arrivedAt_);
-  services_.log.line(
-    now,
-    "request",
-    { { "request", requestId_ },
-      { "route", route_ != nullptr ? route_->name : std::string() },
-      { "workspace", requestInfo_.workspace },
-      { "service", requestInfo_.service.value },
-      { "endpoint", endpoint_.value },
-      { "outcome", std::string(outcome) },
-      { "status", std::to_string(status) },
-      { "sends", std::to_string(sendCount_) },
-      { "first_byte_ms", answered ? std::to_string(millis(firstByteAt_ - arrivedAt_)) : "-" },
-      { "pause_ms", std::to_string(millis(longestPause_)) },
-      { "total_ms", std::to_string(millis(now - arrivedAt_)) },
-      { "limit_ms", std::to_string(millis(deadline_ - arrivedAt_)) },
-      { "prompt", std::to_string(requestInfo_.promptTokens) },
-      { "output", std::to_string(deliveredTokens_) },
-      { "bytes", std::to_string(deliveredBytes_) },
-      { "configuration", std::to_string(table_ ? table_->configuration().version : 0) },
-      { "registry", std::to_string(services_.endpointRevision) },
-      { "detail", std::string(detail) } });
+  logEnd(now, outcome, status, detail);
   const auto self = shared_from_this();
   auto ended = std::move(onEnded_);
   ended(id_);
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -6,6 +6,7 @@
 #include "http/http.h"
 #include "ledger/ledger.h"
 #include "router/Dialect.h"
+#include "router/EndpointReport.h"
 #include "router/EventCounter.h"
 #include "router/EventRelay.h"
 #include "router/LogWriter.h"
@@ -34,18 +35,14 @@
   std::uint64_t endpointRevision = 0;
   /** Called after a send failed in a way that may indicate an endpoint crash. */
   std::function<void(Time)> onConnectionFailure;
-  /** Set when the process stops: streams that arrive later are rejected without being executed. */
-  std::optional<Time> lastStreamStart = std::nullopt;
-  /** Set when the process stops: requests that are still open at this time are aborted. */
+  /** Set when the process stops: requests that arrive later are rejected without being executed,
+   * unless they end before the stop deadline in any case. */
+  std::optional<Time> normalServiceEnd = std::nullopt;
+  /** Set when the process stops: requests without a response at this time get an error response,
+   * because the process exits soon after and aborts those that are still open. */
   std::optional<Time> stopDeadline = std::nullopt;
 };
 
-/** Returns the budget id of a workspace. Thread safety: safe from any thread. */
-BudgetId budgetOf(std::string_view workspace);
-
-/** Returns the prepaid budgets of a configuration. Thread safety: safe from any thread. */
-std::vector<ledger::PrepaidBudget> budgetsOf(const fleet::Configuration& configuration);
-
 /** Handles one request from its arrival to the end of its response: it matches the route, checks
  * the API key, reserves budget, chooses an endpoint and relays the response. Statuses such as 503
  * guarantee that no endpoint executed the request, so they are sent only when that is certain. A
@@ -102,9 +99,12 @@
   Expected<void> resolveRoute(Time now);
   Expected<void> authenticate(const fleet::Route& route);
   Expected<void> fillRequestInfo(Time now, const fleet::Route& route);
-  /** Returns whether the stopping process would probably abort the request before its response is
-   * complete. */
+  /** Returns whether the stopping process might abort the request before its response is complete.
+   */
   [[nodiscard]] bool exceedsStopDeadline(Time now) const;
+  /** Returns when a request without a response gets an error response: at its deadline, or before
+   * the process exits. */
+  [[nodiscard]] Time lastAnswerTime() const;
   void reserve(Time now);
   void sendNext(Time now, Duration pause = Duration{ 0 });
   [[nodiscard]] tl::expected<dispatch::ChosenEndpoint, dispatch::Refusal> chooseNext(Time now);
@@ -122,8 +122,11 @@
   void sendErrorResponse(Time now, const Error& error, Duration retryAfter);
   void abortResponse(Time now, std::string_view outcome);
   void onCallerDisconnected();
-  /** Reports the rate limit that an answer names, or that a served answer names none. */
-  void recordRateLimit(Time now, const http::ResponseHead& head, bool marked);
+  /** Passes to the dispatcher what the endpoint reported about itself. */
+  void recordReport(Time now, const http::ResponseHead& head, const EndpointReport& report);
+  void logUnreadableFields(Time now, const EndpointReport& report);
+  /** Starts a delayed send, or chooses again if its endpoint accepts no requests any more. */
+  void startDelayedSend(Time now);
   void startRelay(const http::ResponseHead& head);
   void continueResponse(Time now, const http::ResponseHead& head, bool marked);
   bool relayEvents(std::string_view bytes);
@@ -136,6 +139,7 @@
   [[nodiscard]] bool isBrokenOff() const;
   void chargeBudget(Time now);
   void end(Time now, std::string_view outcome, int status, std::string_view detail);
+  void logEnd(Time now, std::string_view outcome, int status, std::string_view detail);
 
   EntryServices& services_;
   std::shared_ptr<http::ServerRequest> request_;
--- /dev/null
+++ b/modules/router/ExchangeLog.cpp
@@ -0,0 +1,77 @@
+#include "router/Exchange.h"
+
+#include <fmt/format.h>
+
+namespace figchute::router {
+namespace {
+
+std::int64_t millis(Duration duration)
+{
+  return duration.count() / 1000;
+}
+
+} // namespace
+
+void Exchange::logLostConnection(Time now)
+{
+  const auto candidates = dispatch::crashCandidatesOf(requestInfo_);
+  services_.log.line(now,
+                     "connection_lost",
+                     { { "request", requestId_ },
+                       { "endpoint", endpoint_.value },
+                       { "answered", firstByteReported_ ? "yes" : "no" },
+                       { "fingerprint", fmt::format("{:x}", candidates.request) },
+                       { "parts", fmt::format("{:x}", fmt::join(candidates.parts, ",")) },
+                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+}
+
+void Exchange::logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail)
+{
+  services_.log.line(now,
+                     "send_failed",
+                     { { "request", requestId_ },
+                       { "endpoint", endpoint_.value },
+                       { "outcome", std::string(dispatch::toString(outcome)) },
+                       { "detail", detail },
+                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+}
+
+void Exchange::logUnreadableFields(Time now, const EndpointReport& report)
+{
+  for (const auto& field : report.unreadableFields) {
+    services_.log.line(now,
+                       "endpoint_field_unreadable",
+                       { { "request", requestId_ },
+                         { "endpoint", endpoint_.value },
+                         { "field", std::string(field.name) },
+                         { "detail", std::string(field.value) } });
+  }
+}
+
+void Exchange::logEnd(Time now, std::string_view outcome, int status, std::string_view detail)
+{
+  const bool answered = firstByteAt_.micros > 0;
+  services_.log.line(
+    now,
+    "request",
+    { { "request", requestId_ },
+      { "route", route_ != nullptr ? route_->name : std::string() },
+      { "workspace", requestInfo_.workspace },
+      { "service", requestInfo_.service.value },
+      { "endpoint", endpoint_.value },
+      { "outcome", std::string(outcome) },
+      { "status", std::to_string(status) },
+      { "sends", std::to_string(sendCount_) },
+      { "first_byte_ms", answered ? std::to_string(millis(firstByteAt_ - arrivedAt_)) : "-" },
+      { "pause_ms", std::to_string(millis(longestPause_)) },
+      { "total_ms", std::to_string(millis(now - arrivedAt_)) },
+      { "limit_ms", std::to_string(millis(deadline_ - arrivedAt_)) },
+      { "prompt", std::to_string(requestInfo_.promptTokens) },
+      { "output", std::to_string(deliveredTokens_) },
+      { "bytes", std::to_string(deliveredBytes_) },
+      { "configuration", std::to_string(table_ ? table_->configuration().version : 0) },
+      { "registry", std::to_string(services_.endpointRevision) },
+      { "detail", std::string(detail) } });
+}
+
+} // namespace figchute::router
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -690,6 +690,25 @@
   CHECK(afterDrain.has("Connection: close\r\n\r\ndone"));
 }
 
+// Guards against closing a connection that was just accepted while its first request is on its way.
+TEST_CASE_FIXTURE(ServerFixture, "Server_drainBeforeFirstRequest_answersIt")
+{
+  echo = true;
+  auto before = connect();
+  runFor(io, 5ms);
+  server->drain();
+  auto after = connect();
+  runFor(io, 5ms);
+  server->drain();
+  CHECK(server->expectsFirstRequests());
+  for (auto* caller : { &before, &after }) {
+    caller->send(kGet);
+    CHECK(waitForClose(*caller));
+    CHECK(caller->has("HTTP/1.1 200 OK"));
+  }
+  CHECK_FALSE(server->expectsFirstRequests());
+}
+
 // Guards against losing a request that arrived just before drain().
 TEST_CASE_FIXTURE(ServerFixture, "Server_drainWithUnreadRequest_answersIt")
 {
--- a/tools/figchute-random-router/ControlProcess.cpp
+++ b/tools/figchute-random-router/ControlProcess.cpp
@@ -1,6 +1,6 @@
 #include "ControlProcess.h"
 
-#include "router/Exchange.h"
+#include "router/WorkspaceBudgets.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/tools/figchute-random-router/EntryProcess.cpp
+++ b/tools/figchute-random-router/EntryProcess.cpp
@@ -1,6 +1,6 @@
 #include "EntryProcess.h"
 
-#include "router/Exchange.h"
+#include "router/WorkspaceBudgets.h"
 
 #include <algorithm>
 #include <charconv>
