ledger: budgets are divided among holders only while shares cover requests; commands do not grow with the fleet

Cause, from counts by kind of command (new: proposals_grant, grant_items, proposals_settle, settle_items): before any request came, the holders sent 295 commands with 11,800 items every 2 s to adjust their reserves, 38 us of the leader's time each, because a command added up all accounts of a budget several times and counted all holders. Under load, a budget was divided into shares smaller than one request (0.4 unlocked, 0.6 reserve, nothing free), so each request recalled tokens from eight holders, retried every 30 ms and was refused after 100 ms; the leader saturated (980 ms of work a second), proposals were sent again (4,600 a second) and the leadership was lost.

Reserve checks, settlements and demand requests slow down with the number of holders. A budget whose equal shares do not cover whole requests stays at control.

Ruled out: disk syncs and links (leader busy, 4.7 MB a second sent), processor of entry processes.

The replicated state gets new fields at the end; replicas of earlier releases decide grants differently, so the members of control have to be replaced together.

--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -95,7 +95,8 @@
     ++proposalCounts_.repeated;
     return;
   }
-  if (const auto command = wire::decode<ledger::Command>(propose.command)) {
+  const auto command = wire::decode<ledger::Command>(propose.command);
+  if (command) {
     proposeMemberCommand(now, *command);
   }
   const auto index = appendCommand(now, propose.command);
@@ -104,6 +105,9 @@
     return;
   }
   ++proposalCounts_.appended;
+  if (command) {
+    countAppended(*command);
+  }
   pendingProposals_.add(*index, { from, propose.proposalId, node_.term() });
 }
 
@@ -156,6 +160,17 @@
   }
 }
 
+void ControlCore::countAppended(const ledger::Command& command)
+{
+  if (const auto* grant = std::get_if<ledger::Grant>(&command)) {
+    ++proposalCounts_.grants;
+    proposalCounts_.grantItems += grant->items.size();
+  } else if (const auto* settle = std::get_if<ledger::Settle>(&command)) {
+    ++proposalCounts_.settles;
+    proposalCounts_.settleItems += settle->totals.size();
+  }
+}
+
 void ControlCore::replyWithLeaderHint(const ProcessId& to, std::uint64_t proposalId)
 {
   ledger::ProposeReply proposeReply;
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -63,6 +63,12 @@
   std::uint64_t repeated = 0;
   /** Answered with the name of the leader. */
   std::uint64_t redirected = 0;
+  /** Appended grant requests, and the budgets that they name. */
+  std::uint64_t grants = 0;
+  std::uint64_t grantItems = 0;
+  /** Appended settlements, and the accounts whose totals they report. */
+  std::uint64_t settles = 0;
+  std::uint64_t settleItems = 0;
 };
 
 /** The settings of a ControlCore. */
@@ -169,6 +175,7 @@
   void replyToReportRequest(Time now, const ProcessId& from, const ReportRequest& request);
   Expected<replication::LogIndex> appendCommand(Time now, std::string command);
   void proposeMemberCommand(Time now, const ledger::Command& command);
+  void countAppended(const ledger::Command& command);
   void replyWithLeaderHint(const ProcessId& to, std::uint64_t proposalId);
   void reply(const ProcessId& to, ledger::ProposeReply reply);
   void sendLedger(const ProcessId& to, const ledger::Message& message);
--- a/modules/ledger/Budget.cpp
+++ b/modules/ledger/Budget.cpp
@@ -9,6 +9,20 @@
     of a workspace. */
 constexpr Duration kUsageInterval{ 5'000'000 };
 
+/** How long a holder counts as active on a budget after a grant request. */
+constexpr Duration kActiveHolderTime{ 30'000'000 };
+/** The interval at which holders that became idle are no longer counted as active. */
+constexpr Duration kActiveCountInterval{ 1'000'000 };
+
+/** The largest bound decays by one part in this many per grant request that names a bound. */
+constexpr std::int64_t kBoundDecayDivisor = 256;
+
+bool isActive(Time time, const HolderAccount& account)
+{
+  return account.lastGrantRequestAt != Time{} &&
+         account.lastGrantRequestAt + kActiveHolderTime >= time;
+}
+
 /** Compares an account with a holder, for binary searches in the sorted accounts. */
 constexpr auto kOrderByHolder = [](const HolderAccount& account, const HolderId& holder) {
   return account.holder < holder;
@@ -52,10 +66,31 @@
   }
 }
 
+AccountAmounts& AccountAmounts::operator+=(const AccountAmounts& other)
+{
+  netGranted += other.netGranted;
+  settled += other.settled;
+  held += other.held;
+  return *this;
+}
+
+AccountAmounts& AccountAmounts::operator-=(const AccountAmounts& other)
+{
+  netGranted -= other.netGranted;
+  settled -= other.settled;
+  held -= other.held;
+  return *this;
+}
+
+AccountAmounts amountsOf(const HolderAccount& account)
+{
+  return { account.granted - account.returned, account.settled(), account.held() };
+}
+
 HolderAccount* Budget::findAccount(const HolderId& holder)
 {
   const auto account = std::lower_bound(accounts.begin(), accounts.end(), holder, kOrderByHolder);
-  return account != accounts.end() && account->holder == holder ? &*account : nullptr;
+  return account != accounts.end() && account->holder == holder ? beginChange(account) : nullptr;
 }
 
 const HolderAccount* Budget::findAccount(const HolderId& holder) const
@@ -68,9 +103,11 @@
 {
   auto account = std::lower_bound(accounts.begin(), accounts.end(), holder, kOrderByHolder);
   if (account != accounts.end() && account->holder == holder) {
-    return *account;
+    return *beginChange(account);
   }
+  finishChanges();
   account = accounts.insert(account, HolderAccount{});
+  beginChange(account);
   account->holder = holder;
   for (const auto& [pair, transfer] : transfers.totals) {
     if (pair.contains(holder)) {
@@ -121,7 +158,7 @@
   transfers.totals.erase(transfer);
 }
 
-void Budget::rebuildTransferSums()
+void Budget::rebuildSums()
 {
   for (auto& account : accounts) {
     account.transferredNet = Tokens{ 0 };
@@ -131,33 +168,94 @@
     countPair(pair, 1);
     moveTokens(pair, transfer.total());
   }
+  changedAccounts_.clear();
+  sums_ = addUpAccounts();
 }
 
-Tokens Budget::held() const
+HolderAccount* Budget::beginChange(std::vector<HolderAccount>::iterator account)
 {
-  Tokens sum;
-  for (const auto& account : accounts) {
-    sum += account.held();
+  const auto index = static_cast<std::size_t>(account - accounts.begin());
+  const bool isListed =
+    std::any_of(changedAccounts_.begin(), changedAccounts_.end(), [index](const auto& changed) {
+      return changed.index == index;
+    });
+  if (!isListed) {
+    changedAccounts_.push_back({ index, amountsOf(*account) });
+  }
+  return &*account;
+}
+
+void Budget::finishChanges()
+{
+  sums();
+  changedAccounts_.clear();
+}
+
+std::vector<const HolderAccount*> Budget::changedAccounts() const
+{
+  std::vector<const HolderAccount*> changed;
+  for (const auto& account : changedAccounts_) {
+    changed.push_back(&accounts[account.index]);
+  }
+  return changed;
+}
+
+const AccountAmounts& Budget::sums() const
+{
+  for (auto& changed : changedAccounts_) {
+    const auto amounts = amountsOf(accounts[changed.index]);
+    sums_ -= changed.included;
+    sums_ += amounts;
+    changed.included = amounts;
   }
-  return sum;
+  return sums_;
 }
 
-Tokens Budget::settled() const
+AccountAmounts Budget::addUpAccounts() const
 {
-  auto sum = closedSettled;
+  AccountAmounts total;
   for (const auto& account : accounts) {
-    sum += account.settled();
+    total += amountsOf(account);
   }
-  return sum;
+  return total;
 }
 
 Tokens Budget::free() const
 {
-  auto freeTokens = bought - closedNetGranted;
-  for (const auto& account : accounts) {
-    freeTokens -= account.granted - account.returned;
+  return bought - closedNetGranted - sums().netGranted;
+}
+
+void Budget::addGrantRequest(Time time, HolderAccount& account, Tokens bound)
+{
+  if (bound > Tokens{ 0 }) {
+    const Tokens decayedBound{ largestBound.count - largestBound.count / kBoundDecayDivisor };
+    largestBound = std::max(bound, decayedBound);
+  }
+  if (!isActive(time, account)) {
+    ++activeHolders;
+  }
+  account.lastGrantRequestAt = time;
+  if (firstGrantRequestAt == Time{}) {
+    firstGrantRequestAt = time;
+  }
+}
+
+bool Budget::coversRequestsOfEachHolder(Time time, double part, std::int64_t requests)
+{
+  const auto remaining = std::max(Tokens{ 0 }, bought - settled());
+  const auto needed = requests * largestBound.count * countActiveHolders(time);
+  return static_cast<double>(remaining.count) * part >= static_cast<double>(needed);
+}
+
+std::int64_t Budget::countActiveHolders(Time time)
+{
+  if (time >= activeHoldersAt + kActiveCountInterval || activeHolders == 0) {
+    activeHoldersAt = time;
+    activeHolders = std::count_if(accounts.begin(), accounts.end(), [time](const auto& account) {
+      return isActive(time, account);
+    });
   }
-  return freeTokens;
+  return std::max<std::int64_t>(1, activeHolders);
 }
 
 Tokens Budget::grantable() const
@@ -167,9 +265,11 @@
 
 void Budget::closeAccount(const HolderId& holder)
 {
+  finishChanges();
   const auto account = std::lower_bound(accounts.begin(), accounts.end(), holder, kOrderByHolder);
   closedSettled += account->settled();
   closedNetGranted += account->granted - account->returned;
+  sums_ -= amountsOf(*account);
   accounts.erase(account);
   accounts.shrink_to_fit();
 }
--- a/modules/ledger/Budget.h
+++ b/modules/ledger/Budget.h
@@ -68,6 +68,22 @@
                  usage)
 };
 
+/** The amounts of an account, or of all accounts of a budget, that count for the budget. */
+struct AccountAmounts
+{
+  /** Granted minus returned tokens. */
+  Tokens netGranted;
+  Tokens settled;
+  Tokens held;
+
+  AccountAmounts& operator+=(const AccountAmounts& other);
+  AccountAmounts& operator-=(const AccountAmounts& other);
+  bool operator==(const AccountAmounts&) const = default;
+};
+
+/** Returns the amounts of an account. */
+AccountAmounts amountsOf(const HolderAccount& account);
+
 /** The sender and the receiver of transfers. */
 struct TransferPair
 {
@@ -136,7 +152,8 @@
   /** Granted minus returned tokens of closed and retired accounts. */
   Tokens closedNetGranted;
   Time recalledAt;
-  /** Sorted by holder. */
+  /** Sorted by holder. Amounts may be changed only through findAccount(), findOrOpenAccount() and
+      the functions for transfers, which keep the sums over all accounts up to date. */
   std::vector<HolderAccount> accounts;
   /** Change it only with changeTransfer(), changeTransfersOf() and eraseTransfer(). */
   TransferTable transfers;
@@ -151,7 +168,32 @@
   Time firstGrantRequestAt;
   /** Recent charges of all holders that keep no records of charges. */
   UsageWindow usage;
+  /** The number of holders with recent grant requests. Exact at activeHoldersAt; holders that
+      became active since then are added, and those that became idle are still included. */
+  std::int64_t activeHolders = 0;
+  Time activeHoldersAt;
+  /** The largest upper bound of recent requests, 0 before the first one. */
+  Tokens largestBound;
+  /** Holders get reserves. */
+  bool hasReserves = true;
+
+  /** Records a grant request of an account.
+      @param bound  the largest upper bound of the holder's recent requests, or 0 */
+  void addGrantRequest(Time time, HolderAccount& account, Tokens bound);
+
+  /** Returns whether equal shares of a part of the unsettled tokens cover some of the largest
+     recent requests. If they do not, the tokens have to stay at control until requests need them: a
+      divided budget would refuse requests although the holders together have enough tokens.
+      @param part      the part of the unsettled tokens that would be divided, 0 to 1
+      @param requests  the number of requests that a share has to cover */
+  [[nodiscard]] bool coversRequestsOfEachHolder(Time time, double part, std::int64_t requests);
+
+  /** Returns the number of holders with grant requests in the last 30 s, at least 1. Holders that
+      became idle count for up to 1 s more. */
+  std::int64_t countActiveHolders(Time time);
 
+  /** Returns the account of a holder for changes, or nullptr. The pointer is valid until an account
+      is opened or closed, or until finishChanges(). */
   HolderAccount* findAccount(const HolderId& holder);
   [[nodiscard]] const HolderAccount* findAccount(const HolderId& holder) const;
   HolderAccount& findOrOpenAccount(const HolderId& holder);
@@ -198,11 +240,20 @@
     });
   }
 
-  /** Computes the derived members of all accounts. Call it after decoding. */
-  void rebuildTransferSums();
+  /** Computes the derived members of the budget and of all accounts. Call it after decoding. */
+  void rebuildSums();
 
-  [[nodiscard]] Tokens held() const;
-  [[nodiscard]] Tokens settled() const;
+  /** Ends the changes to the accounts that were returned for changes. */
+  void finishChanges();
+
+  /** Returns the accounts that were returned for changes since the last finishChanges(). */
+  [[nodiscard]] std::vector<const HolderAccount*> changedAccounts() const;
+
+  /** Returns the sum of the amounts of all accounts by adding them up. */
+  [[nodiscard]] AccountAmounts addUpAccounts() const;
+
+  [[nodiscard]] Tokens held() const { return sums().held; }
+  [[nodiscard]] Tokens settled() const { return closedSettled + sums().settled; }
   /** Returns the tokens that are neither settled nor held. Negative when a prepaid budget was
       lowered below the sum of both. */
   [[nodiscard]] Tokens free() const;
@@ -221,13 +272,31 @@
                  closed,
                  largestPrepaid,
                  firstGrantRequestAt,
-                 usage)
+                 usage,
+                 activeHolders,
+                 activeHoldersAt,
+                 largestBound,
+                 hasReserves)
 
 private:
+  /** An account that may have changed, and its amounts that are included in the sums. */
+  struct ChangedAccount
+  {
+    std::size_t index = 0;
+    AccountAmounts included;
+  };
+
+  /** Returns the sums of the amounts of all accounts. */
+  [[nodiscard]] const AccountAmounts& sums() const;
+  HolderAccount* beginChange(std::vector<HolderAccount>::iterator account);
+
   /** Adds @p change to the number of pairs of both accounts. */
   void countPair(const TransferPair& pair, std::int32_t change);
   /** Moves tokens between the accounts of a pair, as far as they exist. */
   void moveTokens(const TransferPair& pair, Tokens amount);
+
+  mutable AccountAmounts sums_;
+  mutable std::vector<ChangedAccount> changedAccounts_;
 };
 
 } // namespace figchute::ledger::detail
--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -6,8 +6,6 @@
 namespace figchute::ledger::detail {
 namespace {
 
-/** How long a holder counts as active on a budget after a grant request. */
-constexpr Duration kActiveHolderTime{ 30'000'000 };
 /** The minimum time between two recalls of the same budget. */
 constexpr Duration kRecallInterval{ 10'000 };
 /** The minimum time between two recalls of the same budget from the same holder. A recalled holder
@@ -17,9 +15,6 @@
    would settle at the same moment. */
 constexpr std::size_t kMaxHoldersPerRecall = 8;
 
-/** The unlocked tokens of all holders together are at most this share of the unsettled part of a
-    prepaid budget. */
-constexpr double kUnlockedShare = 0.4;
 /** A holder gets unlocked tokens for its recent usage over this many seconds. They have to last
     until the holder may unlock its reserve, kMinDetachTime after its last contact. */
 constexpr double kUsageSeconds = 5;
@@ -87,15 +82,6 @@
   }
 }
 
-std::int64_t activeHolders(const Budget& budget, Time time)
-{
-  const auto active = std::count_if(
-    budget.accounts.begin(), budget.accounts.end(), [time](const HolderAccount& account) {
-      return account.lastGrantRequestAt + kActiveHolderTime >= time;
-    });
-  return std::max<std::int64_t>(1, active);
-}
-
 } // namespace
 
 std::optional<Error> BudgetLedger::checkPurchases(const TeamId& team,
@@ -172,7 +158,10 @@
                                     const GrantItem& item,
                                     std::vector<OutgoingMessage>& outgoing)
 {
-  GrantedItem granted{ item.budget, item.sequence, {}, {}, true, {}, {} };
+  GrantedItem granted;
+  granted.budget = item.budget;
+  granted.sequence = item.sequence;
+  granted.budgetLow = true;
   const auto budgetEntry = budgets_.find(item.budget);
   if (budgetEntry == budgets_.end()) {
     return granted;
@@ -189,10 +178,7 @@
   }
   auto& account = openAccount(id, budgetEntry);
   account.lastGrantSequence = item.sequence;
-  account.lastGrantRequestAt = time;
-  if (budget.firstGrantRequestAt == Time{}) {
-    budget.firstGrantRequestAt = time;
-  }
+  budget.addGrantRequest(time, account, item.largestBound);
   changedBudgetIds_.push_back(&budgetEntry->first);
   if (budget.prepaid) {
     return grantPrepaid(time, id, item, budget, outgoing);
@@ -215,10 +201,10 @@
   return granted;
 }
 
-Tokens BudgetLedger::demandGrantLimit(Time time, const Budget& budget, const HolderAccount& account)
+Tokens BudgetLedger::demandGrantLimit(Time time, Budget& budget, const HolderAccount& account)
 {
   const auto free = budget.grantable();
-  const auto active = activeHolders(budget, time);
+  const auto active = budget.countActiveHolders(time);
   if (!budget.prepaid) {
     return Tokens{ free.count / (2 * active) };
   }
@@ -230,11 +216,11 @@
 }
 
 Tokens BudgetLedger::limitedDemand(Time time,
-                                   const Budget& budget,
+                                   Budget& budget,
                                    const HolderAccount& account,
                                    Tokens requested)
 {
-  const auto active = static_cast<double>(activeHolders(budget, time));
+  const auto active = static_cast<double>(budget.countActiveHolders(time));
   const auto unlockedTokens = static_cast<double>(account.unlockedHeld().count);
   const auto usageShortfall = account.usage.perSecond(time) * kUsageSeconds - unlockedTokens;
   if (time < budget.firstGrantRequestAt + kUsageWarmupTime) {
@@ -471,24 +457,33 @@
 void BudgetLedger::checkChangedBudgets()
 {
   for (const auto* budgetId : std::exchange(changedBudgetIds_, {})) {
-    const auto& budget = budgets_.at(*budgetId);
-    Tokens held;
-    for (const auto& account : budget.accounts) {
-      const auto accountHeld = account.held();
+    auto& budget = budgets_.at(*budgetId);
+    for (const auto* account : budget.changedAccounts()) {
       // For holders that record no charges, control may receive the report of a transfer before
       // that of an earlier transfer that covers it. The sum of settled and held tokens is exact
       // nevertheless.
-      invariant(budget.prepaid || accountHeld >= Tokens{ 0 }, "held is never negative");
-      invariant(account.charged >= Tokens{ 0 } && account.keyedCharged >= Tokens{ 0 },
+      invariant(budget.prepaid || account->held() >= Tokens{ 0 }, "held is never negative");
+      invariant(account->charged >= Tokens{ 0 } && account->keyedCharged >= Tokens{ 0 },
                 "settled is never negative");
-      held += accountHeld;
     }
     const auto settled = budget.settled();
+    const auto held = budget.held();
     const auto free = budget.free();
     const auto maximum = budget.prepaid ? budget.largestPrepaid : budget.bought;
     invariant(budget.prepaid || free >= Tokens{ 0 }, "free is never negative");
     invariant(settled + held <= maximum, "settled and held never exceed the amount of the budget");
     invariant(budget.bought == settled + held + free, "bought = settled + held + free");
+    budget.finishChanges();
+  }
+}
+
+void BudgetLedger::checkSums() const
+{
+  for (const auto& [budgetId, budget] : budgets_) {
+    const auto total = budget.addUpAccounts();
+    invariant(total.held == budget.held() &&
+                budget.closedSettled + total.settled == budget.settled(),
+              "the sums of a budget are those of its accounts");
   }
 }
 
@@ -497,8 +492,9 @@
   budgetsByHolder_.clear();
   changedBudgetIds_.clear();
   newlyRetiringHolders_.clear();
+  liveReserveHolders_.reset();
   for (auto& [budgetId, budget] : budgets_) {
-    budget.rebuildTransferSums();
+    budget.rebuildSums();
     for (const auto& account : budget.accounts) {
       budgetsByHolder_[account.holder].insert(&budgetId);
     }
--- a/modules/ledger/BudgetLedger.h
+++ b/modules/ledger/BudgetLedger.h
@@ -78,6 +78,10 @@
   MSGPACK_DEFINE(firstSettledAt, key)
 };
 
+/** The unlocked tokens of all holders together are at most this share of the unsettled part of a
+    prepaid budget. */
+inline constexpr double kUnlockedShare = 0.4;
+
 /** Manages budgets, holders, grants, settlement and retirement.
     Thread safety: use one instance from one thread only. */
 class BudgetLedger
@@ -111,6 +115,8 @@
   void expire(Time time);
   /** Checks the invariants of the budgets touched since the last call. */
   void checkChangedBudgets();
+  /** Checks that the sums of each budget are those of its accounts. */
+  void checkSums() const;
   /** Rebuilds the index by holder, which is not part of a snapshot. */
   void rebuildIndex();
 
@@ -148,6 +154,12 @@
                                      const Holder& holder,
                                      const Budget& budget,
                                      const HolderAccount& account) const;
+  /** Decides whether a budget has reserves. When equal reserves no longer cover a request of each
+      holder, all holders are asked to return theirs. */
+  void updateReserves(Time time,
+                      const BudgetId& id,
+                      Budget& budget,
+                      std::vector<OutgoingMessage>& outgoing) const;
   [[nodiscard]] UnlockedAmountStatus unlockedAmountStatus(const Holder& holder) const;
   [[nodiscard]] bool isRetired(const HolderId& id) const;
   static void recall(Time time,
@@ -157,10 +169,10 @@
                      const std::map<HolderId, Holder>& holders,
                      std::vector<OutgoingMessage>& outgoing);
   /** Returns the limit of a grant for expected demand. Waiting requests are not subject to it. */
-  static Tokens demandGrantLimit(Time time, const Budget& budget, const HolderAccount& account);
+  static Tokens demandGrantLimit(Time time, Budget& budget, const HolderAccount& account);
   /** Limits the expected demand that a holder requests by its recent usage, once that is known. */
   static Tokens limitedDemand(Time time,
-                              const Budget& budget,
+                              Budget& budget,
                               const HolderAccount& account,
                               Tokens requested);
   void recallAll(const BudgetId& id,
@@ -213,6 +225,8 @@
                         std::vector<OutgoingMessage>& outgoing);
   [[nodiscard]] Tokens totalHeldBy(const HolderId& id) const;
   HolderAccount& openAccount(const HolderId& id, std::map<BudgetId, Budget>::iterator budget);
+  /** Returns the number of holders that have reserves and are not retiring. */
+  [[nodiscard]] std::int64_t countLiveReserveHolders() const;
 
   std::map<BudgetId, Budget> budgets_;
   std::map<HolderId, Holder> holders_;
@@ -224,6 +238,8 @@
   std::map<HolderId, BudgetIdSet> budgetsByHolder_;
   std::vector<const BudgetId*> changedBudgetIds_;
   std::vector<HolderId> newlyRetiringHolders_;
+  /** The result of countLiveReserveHolders(), until a holder is added or starts to retire. */
+  mutable std::optional<std::int64_t> liveReserveHolders_;
   /** Kept for logging only, at most kMaxRetirementViews entries. */
   std::vector<RetirementView> retirements_;
 };
--- a/modules/ledger/BudgetLedgerPrepaid.cpp
+++ b/modules/ledger/BudgetLedgerPrepaid.cpp
@@ -9,6 +9,12 @@
 /** The reserves of all holders together get this share of the unsettled part of a budget. The rest
     stays free, so that most grants need no recall. */
 constexpr double kReserveShare = 0.6;
+/** The part of the reserves that is divided equally. */
+constexpr double kEqualReserveShare = kReserveShare / 2;
+/** Unlocked tokens are divided among the holders while they cover this many requests of each. */
+constexpr std::int64_t kMinUnlockedRequests = 2;
+/** The same for reserves. */
+constexpr std::int64_t kMinReservedRequests = 1;
 /** No reserves are granted once less than one part in this many of a budget is unsettled, because
     they would have to be recalled for single requests. */
 constexpr std::int64_t kReserveCutoffDivisor = 10;
@@ -28,7 +34,9 @@
   const auto grantableToHolder =
     grantsAllowed ? budget.grantable() + account.reserveAmount() : Tokens{ 0 };
   const auto demandLimit = std::min(demandGrantLimit(time, budget, account), grantableToHolder);
-  const auto demand = limitedDemand(time, budget, account, item.demand);
+  const bool undivided =
+    !budget.coversRequestsOfEachHolder(time, kUnlockedShare, kMinUnlockedRequests);
+  const auto demand = undivided ? Tokens{ 0 } : limitedDemand(time, budget, account, item.demand);
   auto amount = std::max({ item.requested, std::min(demand, demandLimit), Tokens{ 0 } });
   const bool budgetLow = item.requested > grantableToHolder;
   if (budgetLow) {
@@ -38,7 +46,12 @@
   account.granted += std::min(amount, budget.grantable());
   account.unlocked += amount;
   invariant(account.unlocked <= account.granted, "unlocked tokens never exceed granted ones");
-  GrantedItem granted{ item.budget, item.sequence, {}, {}, budgetLow || budget.closed, {}, {} };
+  GrantedItem granted;
+  granted.budget = item.budget;
+  granted.sequence = item.sequence;
+  granted.budgetLow = budgetLow || budget.closed;
+  granted.undivided = undivided;
+  updateReserves(time, item.budget, budget, outgoing);
   const auto target = reserveTarget(time, holders_.at(id), budget, account);
   const auto maxReserve = static_cast<double>(target.count) * kReserveTolerance;
   if (!budgetLow && target > account.reserveAmount()) {
@@ -52,6 +65,20 @@
   return granted;
 }
 
+void BudgetLedger::updateReserves(Time time,
+                                  const BudgetId& id,
+                                  Budget& budget,
+                                  std::vector<OutgoingMessage>& outgoing) const
+{
+  // The higher limit for a return to reserves prevents that they are granted and recalled in turn.
+  const auto requests = budget.hasReserves ? kMinReservedRequests : 2 * kMinReservedRequests;
+  const bool hasReserves = budget.coversRequestsOfEachHolder(time, kEqualReserveShare, requests);
+  if (budget.hasReserves && !hasReserves) {
+    recallAll(id, budget, outgoing);
+  }
+  budget.hasReserves = hasReserves;
+}
+
 Tokens BudgetLedger::reserveTarget(Time time,
                                    const Holder& holder,
                                    const Budget& budget,
@@ -60,13 +87,10 @@
   const auto remaining = budget.bought - budget.settled();
   // A holder cannot unlock a reserve without a witness.
   if (budget.closed || holder.witnesses.empty() ||
-      remaining.count * kReserveCutoffDivisor < budget.bought.count) {
+      remaining.count * kReserveCutoffDivisor < budget.bought.count || !budget.hasReserves) {
     return {};
   }
-  const auto liveHolders = std::count_if(holders_.begin(), holders_.end(), [](const auto& item) {
-    return item.second.hasReserves && !item.second.retiring;
-  });
-  const auto equalShare = 1.0 / static_cast<double>(std::max<std::int64_t>(1, liveHolders));
+  const auto equalShare = 1.0 / static_cast<double>(countLiveReserveHolders());
   const auto totalUsage = budget.usage.perSecond(time);
   const auto usageShare =
     totalUsage > 0 ? std::min(1.0, account.usage.perSecond(time) / totalUsage) : equalShare;
@@ -75,6 +99,17 @@
                                            weight) };
 }
 
+std::int64_t BudgetLedger::countLiveReserveHolders() const
+{
+  if (!liveReserveHolders_) {
+    const auto count = std::count_if(holders_.begin(), holders_.end(), [](const auto& item) {
+      return item.second.hasReserves && !item.second.retiring;
+    });
+    liveReserveHolders_ = std::max<std::int64_t>(1, count);
+  }
+  return *liveReserveHolders_;
+}
+
 std::vector<OutgoingMessage> BudgetLedger::setPrepaid(std::span<const PrepaidBudget> budgets)
 {
   std::vector<OutgoingMessage> outgoing;
--- a/modules/ledger/BudgetLedgerRetirement.cpp
+++ b/modules/ledger/BudgetLedgerRetirement.cpp
@@ -26,6 +26,7 @@
   }
   const bool isFirstRegistration = !holders_.contains(command.holder);
   auto& holder = holders_[command.holder];
+  liveReserveHolders_.reset();
   if (command.sequence > holder.registration) {
     holder.registration = command.sequence;
     holder.zone = command.zone;
@@ -94,6 +95,7 @@
                                  Incarnation lastIncarnation,
                                  Time startedAt)
 {
+  liveReserveHolders_.reset();
   auto& newestRetired = newestRetired_[process];
   newestRetired = std::max(newestRetired, lastIncarnation);
   for (auto holderEntry = holders_.lower_bound(HolderId{ process, Incarnation{ 0 } });
@@ -301,6 +303,7 @@
     retirements_.push_back(retirement);
   }
   holders_.erase(id);
+  liveReserveHolders_.reset();
 }
 
 void BudgetLedger::closeTransfers(const HolderId& id,
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -143,8 +143,10 @@
   /** The amount that the holder expects to reserve soon. Granted only as far as the budget allows.
    */
   Tokens demand;
+  /** The largest upper bound of the holder's recent requests. */
+  Tokens largestBound;
 
-  MSGPACK_DEFINE(budget, sequence, requested, minimum, demand)
+  MSGPACK_DEFINE(budget, sequence, requested, minimum, demand, largestBound)
 };
 
 /** Requests grants. Idempotent by (holder, budget, sequence). */
@@ -172,8 +174,11 @@
   Tokens unlocked;
   /** The part of its reserve that the holder has to return, because it exceeds its target. */
   Tokens excessReserve;
+  /** True when the budget is too small to be divided among its holders. The holder then requests
+      tokens for waiting requests only and returns what it does not need with its next Settle. */
+  bool undivided = false;
 
-  MSGPACK_DEFINE(budget, sequence, granted, free, budgetLow, unlocked, excessReserve)
+  MSGPACK_DEFINE(budget, sequence, granted, free, budgetLow, unlocked, excessReserve, undivided)
 };
 
 /** The outcome of Grant. */
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -225,6 +225,7 @@
 
 std::string ControlState::snapshot() const
 {
+  state_->budgetLedger.checkSums();
   return wire::encode(*state_);
 }
 
--- a/modules/ledger/QuotaAccount.h
+++ b/modules/ledger/QuotaAccount.h
@@ -77,6 +77,8 @@
   Tokens availableAfterGrant;
   /** The largest bound of recent requests. */
   Tokens largestBound;
+  /** Control keeps the tokens of the budget until requests need them. */
+  bool isUndivided = false;
   /** The index of the last peer that was sent a transfer request; peers are selected in turn. */
   std::size_t transferPeerIndex = 0;
   /** The peer whose answer to a transfer request is awaited. */
@@ -84,8 +86,6 @@
   /** The number of peers that have refused a transfer in this round. */
   std::size_t transferRefusals = 0;
   Time transferRequestedAt;
-  /** The next time at which control is requested to adjust the reserve. */
-  Time nextReserveCheckAt;
   /** The tokens that another holder requested without success, and the time until which they count
       as demand. */
   Tokens peerShortfall;
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -19,8 +19,14 @@
 /** The pause before the next grant request after control refused one, for example because the
     holder is not registered. */
 constexpr Duration kRefusedGrantPause{ 50'000 };
-/** The interval at which a holder requests an adjustment of its reserve. */
-constexpr Duration kReserveCheckInterval{ 2'000'000 };
+/** The minimum interval at which a holder requests an adjustment of all its reserves. */
+constexpr Duration kMinReserveCheckInterval{ 2'000'000 };
+/** The interval at which control gets such requests from all holders together. With more holders,
+    each of them sends fewer. */
+constexpr Duration kFleetReserveCheckInterval{ 60'000 };
+/** The interval at which control gets periodic commands of one kind from all holders together. With
+    more holders, each of them sends fewer. */
+constexpr Duration kFleetCommandInterval{ 4'000 };
 /** How long the unsuccessful transfer request of a peer counts as demand. The peer repeats its
     request within this time. */
 constexpr Duration kPeerShortfallTime{ 300'000 };
@@ -71,6 +77,12 @@
   return { budgets.begin(), budgets.end() };
 }
 
+Duration QuotaManager::Impl::scaledToFleet(Duration interval) const
+{
+  return settings_.usesWitnesses ? interval
+                                 : std::max(interval, kFleetCommandInterval * entryCount_);
+}
+
 Tokens QuotaManager::Impl::idleAmount(Time now, const Account& account) const
 {
   const auto share = now < account.initialGrantUntil ? settings_.initialShare : settings_.idleShare;
@@ -89,7 +101,8 @@
 
 std::optional<GrantItem> QuotaManager::Impl::makeGrantItem(Time now,
                                                            const BudgetId& id,
-                                                           const Account& account)
+                                                           const Account& account,
+                                                           GrantReason reason)
 {
   if (account.grantProposal != 0 || account.closing) {
     return std::nullopt;
@@ -120,7 +133,7 @@
   }
   const auto requested = std::max(Tokens{ 0 }, waitingAmount - available);
   Tokens demand;
-  if (!account.isBudgetLow(now) &&
+  if (!account.isBudgetLow(now) && !account.isUndivided &&
       (smallestShortfall > Tokens{ 0 } || now >= account.nextDemandRequestAt)) {
     const auto expectedAmount = expectedDemand(now, account);
     // The next grant is requested early, so that requests at a busy holder seldom wait.
@@ -136,24 +149,27 @@
     }
   }
   if (smallestShortfall == Tokens{ 0 } && demand == Tokens{ 0 } &&
-      !isReserveCheckDue(now, account)) {
+      reason != GrantReason::reserveCheck) {
     return std::nullopt;
   }
   return GrantItem{ id,
                     ++grantSequence_,
                     smallestShortfall == Tokens{ 0 } ? Tokens{ 0 } : requested,
                     smallestShortfall,
-                    demand };
+                    demand,
+                    account.largestBound };
 }
 
-void QuotaManager::Impl::requestGrants(Time now, std::span<const BudgetId> budgets)
+void QuotaManager::Impl::requestGrants(Time now,
+                                       std::span<const BudgetId> budgets,
+                                       GrantReason reason)
 {
   if (!isRegistered() || draining_ || handingOver_ || retired_) {
     return;
   }
   Grant command{ settings_.self, {} };
   for (const auto& id : budgets) {
-    if (const auto item = makeGrantItem(now, id, findOrOpenAccount(id))) {
+    if (const auto item = makeGrantItem(now, id, findOrOpenAccount(id), reason)) {
       command.items.push_back(*item);
     }
   }
@@ -217,7 +233,7 @@
   for (const auto& id : grantProposals_[proposal]) {
     auto& account = accounts_.at(id);
     account.grantProposal = 0;
-    account.nextDemandRequestAt = now + settings_.demandRequestInterval;
+    account.nextDemandRequestAt = now + scaledToFleet(settings_.demandRequestInterval);
     account.nextGrantRequestAt = grantAccepted ? now : now + kRefusedGrantPause;
   }
   grantProposals_.erase(proposal);
@@ -226,9 +242,9 @@
     account.granted = std::max(account.granted, item.granted);
     account.unlocked = std::max(account.unlocked, item.unlocked);
     account.confirmedUnlocked = std::max(account.confirmedUnlocked, item.unlocked);
-    account.nextReserveCheckAt = now + kReserveCheckInterval;
     returnReserve(item.budget, account, std::min(item.excessReserve, account.reserveAmount()));
     account.budgetLowUntil = item.budgetLow ? now + kBudgetLowTime : Time{};
+    account.isUndivided = item.undivided;
     if (!settings_.usesWitnesses) {
       account.availableAfterGrant = account.available();
     }
@@ -279,6 +295,19 @@
   settleImmediately_ = true;
 }
 
+void QuotaManager::Impl::returnUndividedTokens()
+{
+  for (auto& [id, account] : accounts_) {
+    if (account.isUndivided && !account.closing && account.available() > Tokens{ 0 } &&
+        !hasWaitingRequests(id)) {
+      account.returned += account.available();
+      account.updateMaxGrantUsed();
+      account.hasUnsettledTotals = true;
+      unsettledBudgets_.insert(id);
+    }
+  }
+}
+
 void QuotaManager::Impl::returnReserve(const BudgetId& id, Account& account, Tokens amount)
 {
   if (amount > Tokens{ 0 }) {
@@ -382,6 +411,9 @@
   if (!batchDue && !settleImmediately_) {
     return;
   }
+  if (batchDue && isControlReachable(now)) {
+    returnUndividedTokens();
+  }
   Settle settle{ settings_.self, settleSequence_ + 1, {}, {}, {}, {} };
   SettleInFlight inFlight{ 0, settle.sequence, {}, {}, {} };
   auto& pendingBudgets = batchDue ? unsettledBudgets_ : immediateSettleBudgets_;
@@ -403,7 +435,7 @@
       }
     }
     addClosableAccounts(settle);
-    nextSettleAt_ = now + settings_.settleInterval;
+    nextSettleAt_ = now + scaledToFleet(settings_.settleInterval);
   }
   settleImmediately_ = !immediateSettleBudgets_.empty();
   if (settle.totals.empty() && settle.keyedCharges.empty() && settle.closingBudgets.empty()) {
@@ -736,14 +768,27 @@
     return;
   }
   lastMaintenanceAt_ = now;
-  std::vector<BudgetId> budgetsToCheck;
   for (auto& [id, account] : accounts_) {
     maintainAccountBalance(now, id, account);
-    if (isReserveCheckDue(now, account)) {
-      budgetsToCheck.push_back(id);
+  }
+  checkReserves(now);
+}
+
+void QuotaManager::Impl::checkReserves(Time now)
+{
+  const bool mayHaveReserves = !settings_.usesWitnesses && !registeredWitnesses_.empty();
+  if (!mayHaveReserves || now < nextReserveCheckAt_ || !isControlReachable(now)) {
+    return;
+  }
+  std::vector<BudgetId> budgets;
+  for (const auto& [id, account] : accounts_) {
+    if (account.prepaid > Tokens{ 0 } && !account.isBudgetLow(now)) {
+      budgets.push_back(id);
     }
   }
-  requestGrants(now, budgetsToCheck);
+  requestGrants(now, budgets, GrantReason::reserveCheck);
+  nextReserveCheckAt_ =
+    now + std::max(kMinReserveCheckInterval, kFleetReserveCheckInterval * entryCount_);
 }
 
 void QuotaManager::Impl::maintainAccountBalance(Time now, const BudgetId& id, Account& account)
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -60,6 +60,15 @@
 private:
   using Account = detail::QuotaAccount;
 
+  /** Why grants are requested. */
+  enum class GrantReason : std::uint8_t
+  {
+    /** Requests wait for tokens, or the expected demand is not covered. */
+    demand,
+    /** The reserves may need to be adjusted, in addition to the demand. */
+    reserveCheck,
+  };
+
   struct Reservation
   {
     std::optional<RequestKey> key;
@@ -171,13 +180,18 @@
   Account& findOrOpenAccount(const BudgetId& id);
 
   // Grants, settlement and transfers.
-  void requestGrants(Time now, std::span<const BudgetId> budgets);
+  void requestGrants(Time now,
+                     std::span<const BudgetId> budgets,
+                     GrantReason reason = GrantReason::demand);
   /** Returns the tokens that an idle holder keeps, so that it can admit first requests while
      control is unreachable. */
   [[nodiscard]] Tokens idleAmount(Time now, const Account& account) const;
   [[nodiscard]] Tokens expectedDemand(Time now, const Account& account) const;
   void requestInitialGrants(Time now);
-  std::optional<GrantItem> makeGrantItem(Time now, const BudgetId& id, const Account& account);
+  std::optional<GrantItem> makeGrantItem(Time now,
+                                         const BudgetId& id,
+                                         const Account& account,
+                                         GrantReason reason);
   [[nodiscard]] std::vector<BudgetId> waitingBudgets() const;
   [[nodiscard]] bool hasWaitingRequests(const BudgetId& id) const;
   /** Returns the sum of the bounds of all requests that wait for a budget. */
@@ -189,6 +203,10 @@
   void sendSettle(Time now);
   void addClosableAccounts(Settle& settle);
   void maintainAccounts(Time now);
+  /** Requests an adjustment of the reserves of all budgets when it is due. */
+  void checkReserves(Time now);
+  /** Returns an interval of periodic commands that is long enough for the number of holders. */
+  [[nodiscard]] Duration scaledToFleet(Duration interval) const;
   void maintainAccountBalance(Time now, const BudgetId& id, Account& account);
   [[nodiscard]] bool canCloseAccount(Time now, const BudgetId& id, const Account& account) const;
   void handleReply(Time now, const Proposer::Reply& reply);
@@ -215,6 +233,8 @@
   void sendTransfer(Time now, const TransferKey& transferKey, OutTransfer& transfer);
   void resendTransfers(Time now);
   void returnUnreserved(Time now, const BudgetId& id);
+  /** Returns the unreserved tokens of undivided budgets with the next Settle. */
+  void returnUndividedTokens();
   void returnReserve(const BudgetId& id, Account& account, Tokens amount);
 
   // Reserves.
@@ -226,7 +246,6 @@
   [[nodiscard]] std::vector<HolderId> selectReserveWitnesses() const;
   [[nodiscard]] bool isAllUnlockedConfirmed() const;
   /** Returns whether a grant request is due only to let control adjust the reserve. */
-  [[nodiscard]] bool isReserveCheckDue(Time now, const Account& account) const;
   [[nodiscard]] Tokens amountToUnlock(Time now, const BudgetId& id, const Account& account) const;
   void unlockReserves(Time now);
   void sendUnlock(Time now);
@@ -283,6 +302,8 @@
   std::optional<UnlockAttempt> pendingUnlock_;
   bool retired_ = false;
   Time lastMaintenanceAt_;
+  /** The next time at which control is requested to adjust the reserves. */
+  Time nextReserveCheckAt_;
 
   std::map<BudgetId, Account> accounts_;
   std::map<RequestId, Reservation> reservations_;
--- a/modules/ledger/QuotaManagerReserve.cpp
+++ b/modules/ledger/QuotaManagerReserve.cpp
@@ -47,13 +47,6 @@
   });
 }
 
-bool QuotaManager::Impl::isReserveCheckDue(Time now, const Account& account) const
-{
-  return !settings_.usesWitnesses && account.prepaid > Tokens{ 0 } && !account.isBudgetLow(now) &&
-         now >= account.nextReserveCheckAt && !registeredWitnesses_.empty() &&
-         isControlReachable(now);
-}
-
 Tokens QuotaManager::Impl::amountToUnlock(Time now,
                                           const BudgetId& id,
                                           const Account& account) const
--- a/modules/router/LoadMonitor.cpp
+++ b/modules/router/LoadMonitor.cpp
@@ -49,6 +49,10 @@
   totals_.proposals.appended += counts.appended;
   totals_.proposals.repeated += counts.repeated;
   totals_.proposals.redirected += counts.redirected;
+  totals_.proposals.grants += counts.grants;
+  totals_.proposals.grantItems += counts.grantItems;
+  totals_.proposals.settles += counts.settles;
+  totals_.proposals.settleItems += counts.settleItems;
 }
 
 bool LoadMonitor::addTimerDelay(Time now, Duration delay)
@@ -84,6 +88,10 @@
   add("proposals_appended", totals.proposals.appended);
   add("proposals_repeated", totals.proposals.repeated);
   add("proposals_redirected", totals.proposals.redirected);
+  add("proposals_grant", totals.proposals.grants);
+  add("grant_items", totals.proposals.grantItems);
+  add("proposals_settle", totals.proposals.settles);
+  add("settle_items", totals.proposals.settleItems);
   if (totals.maxTimerDelay > kMaxTimerDelay) {
     log_.line(now,
               "event_loop_late",
--- a/tests/ledger_scale_test.cpp
+++ b/tests/ledger_scale_test.cpp
@@ -127,3 +127,126 @@
   CHECK(recalls >= kHolders);
   CHECK(recalls <= 5 * kSeconds * kHolders);
 }
+
+namespace {
+
+/** A quota manager that is one of many holders, with a control process that answers its commands.
+ */
+struct HolderOfLargeFleet
+{
+  static constexpr int kEntries = 295;
+  static constexpr int kWorkspaces = 40;
+
+  HolderOfLargeFleet()
+    : holder(routerQuotaSettings(LargeFleet::holderId(0), ZoneId("z")))
+  {
+    std::vector<Peer> peers{ { { kControl, {} }, {}, false, true, true } };
+    for (int entry = 0; entry < kEntries; ++entry) {
+      peers.push_back({ LargeFleet::holderId(entry), ZoneId("z"), true, false, true });
+    }
+    std::vector<PrepaidBudget> budgets;
+    for (int budget = 0; budget < kWorkspaces; ++budget) {
+      budgets.push_back({ LargeFleet::budgetId(budget), Tokens{ 100'000'000 } });
+    }
+    control.apply(++index, time, PutConfiguration{ 1, "configuration", budgets });
+    for (int entry = 0; entry < kEntries; ++entry) {
+      control.apply(
+        ++index, time, RegisterHolder{ LargeFleet::holderId(entry), ZoneId("z"), 1, {}, true, {} });
+    }
+    holder.setPeers(time, peers);
+    holder.setBudgets(time, budgets);
+  }
+
+  /** Lets time pass and returns the number of commands that the holder sends. */
+  int countCommands(Duration duration)
+  {
+    int commands = 0;
+    for (const auto end = time + duration; time < end; time = time + Duration{ 10'000 }) {
+      holder.tick(time);
+      for (const auto& outgoing : holder.takeOutgoing()) {
+        const auto* propose = std::get_if<Propose>(&outgoing.message);
+        if (propose == nullptr) {
+          continue;
+        }
+        ++commands;
+        auto result = control.applyEncoded(++index, time, propose->command);
+        REQUIRE(result.has_value());
+        holder.receive(
+          time, kControl, ProposeReply{ propose->proposalId, true, {}, std::move(*result) });
+      }
+    }
+    return commands;
+  }
+
+  static inline const ProcessId kControl{ "10.9.0.1:7300" };
+  ControlState control;
+  QuotaManager holder;
+  std::uint64_t index = 0;
+  Time time{ 1'700'000'000'000'000 };
+};
+
+} // namespace
+
+// Guards against periodic commands whose number at the leader grows with the number of holders: 295
+// holders that adjusted the reserves of 40 budgets every 2 s kept it busy while no request came.
+TEST_CASE_FIXTURE(HolderOfLargeFleet, "QuotaManager_idleInLargeFleet_sendsFewCommands")
+{
+  countCommands(Duration{ 30'000'000 });
+  CHECK(countCommands(Duration{ 60'000'000 }) <= 6);
+}
+
+// Guards against sums of a budget that differ from its accounts, and against the time that adding
+// up all accounts takes for each command.
+TEST_CASE_FIXTURE(LargeFleet, "ControlState_grantsOfManyHolders_takeLittleTimeAndKeepTheSums")
+{
+  settleAll(false);
+  const auto before = threadTime();
+  constexpr int kRounds = 20;
+  for (std::uint64_t sequence = 2; sequence < 2 + kRounds; ++sequence) {
+    for (int holder = 0; holder < kHolders; ++holder) {
+      const Tokens bound{ 1000 };
+      apply(Grant{ holderId(holder),
+                   { { budgetId(0), sequence, bound, bound, Tokens{}, Tokens{ 1000 } } } });
+    }
+  }
+  const auto used = std::chrono::duration<double>(threadTime() - before).count();
+  INFO("processor time in seconds: ", used);
+  CHECK(used / (kRounds * kHolders) < 200e-6);
+  const auto view = control.budget(budgetId(0));
+  Tokens held;
+  for (const auto& account : view->holders) {
+    held += account.held;
+  }
+  CHECK(view->held == held);
+  CHECK(view->bought == view->settled + view->held + view->free);
+  static_cast<void>(control.snapshot());
+}
+
+// Guards against refusals of requests that a budget covers: divided among many holders, no share
+// covered a request, and the tokens had to be recalled from a few holders at a time.
+TEST_CASE_FIXTURE(LargeFleet, "ControlState_budgetTooSmallToDivide_grantsEachRequestAtOnce")
+{
+  const Tokens bound{ 20'000 };
+  constexpr std::int64_t kRequests = 300;
+  std::vector<PrepaidBudget> budgets{ { budgetId(kBudgets), Tokens{ kRequests * bound.count } } };
+  apply(PutConfiguration{ 2, "configuration", budgets });
+  for (int holder = 0; holder < kHolders; ++holder) {
+    apply(Grant{ holderId(holder), { { budgetId(kBudgets), 1, {}, {}, {}, {} } } });
+  }
+  std::int64_t granted = 0;
+  for (std::uint64_t sequence = 2; granted < kRequests * 3 / 4; ++sequence) {
+    for (int holder = 0; holder < kHolders && granted < kRequests * 3 / 4; ++holder) {
+      const Grant grant{
+        holderId(holder),
+        { { budgetId(kBudgets), sequence, bound, bound, Tokens{ 4 * bound.count }, bound } }
+      };
+      time = time + Duration{ 1000 };
+      const auto result = control.apply(++index, time, grant);
+      const auto& item = std::get<GrantResult>(result).items.at(0);
+      REQUIRE(item.unlocked.count >= static_cast<std::int64_t>(sequence - 1) * bound.count);
+      REQUIRE_FALSE(item.budgetLow);
+      REQUIRE(item.undivided);
+      ++granted;
+    }
+  }
+}
