--- a/modules/ledger/Budget.cpp
+++ b/modules/ledger/Budget.cpp
@@ -227,7 +227,8 @@
 
 void Budget::addGrantRequest(Time time, HolderAccount& account, Tokens bound)
 {
-  if (bound > Tokens{ 0 }) {
+  // A request that the whole budget cannot cover says nothing about those that it serves.
+  if (bound > Tokens{ 0 } && bound <= bought) {
     const Tokens decayedBound{ largestBound.count - largestBound.count / kBoundDecayDivisor };
     largestBound = std::max(bound, decayedBound);
   }
@@ -243,8 +244,9 @@
 bool Budget::coversRequestsOfEachHolder(Time time, double part, std::int64_t requests)
 {
   const auto remaining = std::max(Tokens{ 0 }, bought - settled());
-  const auto needed = requests * largestBound.count * countActiveHolders(time);
-  return static_cast<double>(remaining.count) * part >= static_cast<double>(needed);
+  const auto needed = static_cast<double>(largestBound.count) * static_cast<double>(requests) *
+                      static_cast<double>(countActiveHolders(time));
+  return static_cast<double>(remaining.count) * part >= needed;
 }
 
 std::int64_t Budget::countActiveHolders(Time time)
--- a/tests/ledger_scale_test.cpp
+++ b/tests/ledger_scale_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -250,3 +251,15 @@
     }
   }
 }
+
+// Guards against a single request that no budget can cover and that would keep the tokens of its
+// budget at control, or overflow the estimate.
+TEST_CASE_FIXTURE(LargeFleet, "ControlState_requestLargerThanTheBudget_leavesTheBudgetDivided")
+{
+  const Tokens huge{ std::numeric_limits<std::int64_t>::max() / 2 };
+  apply(Grant{ holderId(0), { { budgetId(0), 2, huge, huge, Tokens{}, huge } } });
+  const Grant grant{ holderId(1), { { budgetId(0), 2, {}, {}, Tokens{ 100 }, Tokens{ 100 } } } };
+  time = time + Duration{ 1000 };
+  const auto result = control.apply(++index, time, grant);
+  CHECK_FALSE(std::get<GrantResult>(result).items.at(0).undivided);
+}
