ledger: budgets are divided among holders as before; periodic commands scale only in fleets above 100 holders

The rule that kept small budgets at control took the reserves and unlocked tokens that serve a partition from control.

--- a/modules/ledger/Budget.cpp
+++ b/modules/ledger/Budget.cpp
@@ -14,9 +14,6 @@
 /** The interval at which holders that became idle are no longer counted as active. */
 constexpr Duration kActiveCountInterval{ 1'000'000 };
 
-/** The largest bound decays by one part in this many per grant request that names a bound. */
-constexpr std::int64_t kBoundDecayDivisor = 256;
-
 bool isActive(Time time, const HolderAccount& account)
 {
   return account.lastGrantRequestAt != Time{} &&
@@ -225,13 +222,8 @@
   return bought - closedNetGranted - sums().netGranted;
 }
 
-void Budget::addGrantRequest(Time time, HolderAccount& account, Tokens bound)
+void Budget::addGrantRequest(Time time, HolderAccount& account)
 {
-  // A request that the whole budget cannot cover says nothing about those that it serves.
-  if (bound > Tokens{ 0 } && bound <= bought) {
-    const Tokens decayedBound{ largestBound.count - largestBound.count / kBoundDecayDivisor };
-    largestBound = std::max(bound, decayedBound);
-  }
   if (!isActive(time, account)) {
     ++activeHolders;
   }
@@ -241,14 +233,6 @@
   }
 }
 
-bool Budget::coversRequestsOfEachHolder(Time time, double part, std::int64_t requests)
-{
-  const auto remaining = std::max(Tokens{ 0 }, bought - settled());
-  const auto needed = static_cast<double>(largestBound.count) * static_cast<double>(requests) *
-                      static_cast<double>(countActiveHolders(time));
-  return static_cast<double>(remaining.count) * part >= needed;
-}
-
 std::int64_t Budget::countActiveHolders(Time time)
 {
   if (time >= activeHoldersAt + kActiveCountInterval || activeHolders == 0) {
--- a/modules/ledger/Budget.h
+++ b/modules/ledger/Budget.h
@@ -172,21 +172,9 @@
       became active since then are added, and those that became idle are still included. */
   std::int64_t activeHolders = 0;
   Time activeHoldersAt;
-  /** The largest upper bound of recent requests, 0 before the first one. */
-  Tokens largestBound;
-  /** Holders get reserves. */
-  bool hasReserves = true;
-
-  /** Records a grant request of an account.
-      @param bound  the largest upper bound of the holder's recent requests, or 0 */
-  void addGrantRequest(Time time, HolderAccount& account, Tokens bound);
-
-  /** Returns whether equal shares of a part of the unsettled tokens cover some of the largest
-     recent requests. If they do not, the tokens have to stay at control until requests need them: a
-      divided budget would refuse requests although the holders together have enough tokens.
-      @param part      the part of the unsettled tokens that would be divided, 0 to 1
-      @param requests  the number of requests that a share has to cover */
-  [[nodiscard]] bool coversRequestsOfEachHolder(Time time, double part, std::int64_t requests);
+
+  /** Records a grant request of an account. */
+  void addGrantRequest(Time time, HolderAccount& account);
 
   /** Returns the number of holders with grant requests in the last 30 s, at least 1. Holders that
       became idle count for up to 1 s more. */
@@ -274,9 +262,7 @@
                  firstGrantRequestAt,
                  usage,
                  activeHolders,
-                 activeHoldersAt,
-                 largestBound,
-                 hasReserves)
+                 activeHoldersAt)
 
 private:
   /** An account that may have changed, and its amounts that are included in the sums. */
--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -15,6 +15,9 @@
    would settle at the same moment. */
 constexpr std::size_t kMaxHoldersPerRecall = 8;
 
+/** The unlocked tokens of all holders together are at most this share of the unsettled part of a
+    prepaid budget. */
+constexpr double kUnlockedShare = 0.4;
 /** A holder gets unlocked tokens for its recent usage over this many seconds. They have to last
     until the holder may unlock its reserve, kMinDetachTime after its last contact. */
 constexpr double kUsageSeconds = 5;
@@ -178,7 +181,7 @@
   }
   auto& account = openAccount(id, budgetEntry);
   account.lastGrantSequence = item.sequence;
-  budget.addGrantRequest(time, account, item.largestBound);
+  budget.addGrantRequest(time, account);
   changedBudgetIds_.push_back(&budgetEntry->first);
   if (budget.prepaid) {
     return grantPrepaid(time, id, item, budget, outgoing);
--- a/modules/ledger/BudgetLedger.h
+++ b/modules/ledger/BudgetLedger.h
@@ -78,10 +78,6 @@
   MSGPACK_DEFINE(firstSettledAt, key)
 };
 
-/** The unlocked tokens of all holders together are at most this share of the unsettled part of a
-    prepaid budget. */
-inline constexpr double kUnlockedShare = 0.4;
-
 /** Manages budgets, holders, grants, settlement and retirement.
     Thread safety: use one instance from one thread only. */
 class BudgetLedger
@@ -154,12 +150,6 @@
                                      const Holder& holder,
                                      const Budget& budget,
                                      const HolderAccount& account) const;
-  /** Decides whether a budget has reserves. When equal reserves no longer cover a request of each
-      holder, all holders are asked to return theirs. */
-  void updateReserves(Time time,
-                      const BudgetId& id,
-                      Budget& budget,
-                      std::vector<OutgoingMessage>& outgoing) const;
   [[nodiscard]] UnlockedAmountStatus unlockedAmountStatus(const Holder& holder) const;
   [[nodiscard]] bool isRetired(const HolderId& id) const;
   static void recall(Time time,
--- a/modules/ledger/BudgetLedgerPrepaid.cpp
+++ b/modules/ledger/BudgetLedgerPrepaid.cpp
@@ -9,12 +9,6 @@
 /** The reserves of all holders together get this share of the unsettled part of a budget. The rest
     stays free, so that most grants need no recall. */
 constexpr double kReserveShare = 0.6;
-/** The part of the reserves that is divided equally. */
-constexpr double kEqualReserveShare = kReserveShare / 2;
-/** Unlocked tokens are divided among the holders while they cover this many requests of each. */
-constexpr std::int64_t kMinUnlockedRequests = 2;
-/** The same for reserves. */
-constexpr std::int64_t kMinReservedRequests = 1;
 /** No reserves are granted once less than one part in this many of a budget is unsettled, because
     they would have to be recalled for single requests. */
 constexpr std::int64_t kReserveCutoffDivisor = 10;
@@ -34,9 +28,7 @@
   const auto grantableToHolder =
     grantsAllowed ? budget.grantable() + account.reserveAmount() : Tokens{ 0 };
   const auto demandLimit = std::min(demandGrantLimit(time, budget, account), grantableToHolder);
-  const bool undivided =
-    !budget.coversRequestsOfEachHolder(time, kUnlockedShare, kMinUnlockedRequests);
-  const auto demand = undivided ? Tokens{ 0 } : limitedDemand(time, budget, account, item.demand);
+  const auto demand = limitedDemand(time, budget, account, item.demand);
   auto amount = std::max({ item.requested, std::min(demand, demandLimit), Tokens{ 0 } });
   const bool budgetLow = item.requested > grantableToHolder;
   if (budgetLow) {
@@ -50,8 +42,6 @@
   granted.budget = item.budget;
   granted.sequence = item.sequence;
   granted.budgetLow = budgetLow || budget.closed;
-  granted.undivided = undivided;
-  updateReserves(time, item.budget, budget, outgoing);
   const auto target = reserveTarget(time, holders_.at(id), budget, account);
   const auto maxReserve = static_cast<double>(target.count) * kReserveTolerance;
   if (!budgetLow && target > account.reserveAmount()) {
@@ -65,20 +55,6 @@
   return granted;
 }
 
-void BudgetLedger::updateReserves(Time time,
-                                  const BudgetId& id,
-                                  Budget& budget,
-                                  std::vector<OutgoingMessage>& outgoing) const
-{
-  // The higher limit for a return to reserves prevents that they are granted and recalled in turn.
-  const auto requests = budget.hasReserves ? kMinReservedRequests : 2 * kMinReservedRequests;
-  const bool hasReserves = budget.coversRequestsOfEachHolder(time, kEqualReserveShare, requests);
-  if (budget.hasReserves && !hasReserves) {
-    recallAll(id, budget, outgoing);
-  }
-  budget.hasReserves = hasReserves;
-}
-
 Tokens BudgetLedger::reserveTarget(Time time,
                                    const Holder& holder,
                                    const Budget& budget,
@@ -87,7 +63,7 @@
   const auto remaining = budget.bought - budget.settled();
   // A holder cannot unlock a reserve without a witness.
   if (budget.closed || holder.witnesses.empty() ||
-      remaining.count * kReserveCutoffDivisor < budget.bought.count || !budget.hasReserves) {
+      remaining.count * kReserveCutoffDivisor < budget.bought.count) {
     return {};
   }
   const auto equalShare = 1.0 / static_cast<double>(countLiveReserveHolders());
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -143,10 +143,8 @@
   /** The amount that the holder expects to reserve soon. Granted only as far as the budget allows.
    */
   Tokens demand;
-  /** The largest upper bound of the holder's recent requests. */
-  Tokens largestBound;
 
-  MSGPACK_DEFINE(budget, sequence, requested, minimum, demand, largestBound)
+  MSGPACK_DEFINE(budget, sequence, requested, minimum, demand)
 };
 
 /** Requests grants. Idempotent by (holder, budget, sequence). */
@@ -174,11 +172,8 @@
   Tokens unlocked;
   /** The part of its reserve that the holder has to return, because it exceeds its target. */
   Tokens excessReserve;
-  /** True when the budget is too small to be divided among its holders. The holder then requests
-      tokens for waiting requests only and returns what it does not need with its next Settle. */
-  bool undivided = false;
 
-  MSGPACK_DEFINE(budget, sequence, granted, free, budgetLow, unlocked, excessReserve, undivided)
+  MSGPACK_DEFINE(budget, sequence, granted, free, budgetLow, unlocked, excessReserve)
 };
 
 /** The outcome of Grant. */
--- a/modules/ledger/QuotaAccount.h
+++ b/modules/ledger/QuotaAccount.h
@@ -77,8 +77,6 @@
   Tokens availableAfterGrant;
   /** The largest bound of recent requests. */
   Tokens largestBound;
-  /** Control keeps the tokens of the budget until requests need them. */
-  bool isUndivided = false;
   /** The index of the last peer that was sent a transfer request; peers are selected in turn. */
   std::size_t transferPeerIndex = 0;
   /** The peer whose answer to a transfer request is awaited. */
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -23,10 +23,10 @@
 constexpr Duration kMinReserveCheckInterval{ 2'000'000 };
 /** The interval at which control gets such requests from all holders together. With more holders,
     each of them sends fewer. */
-constexpr Duration kFleetReserveCheckInterval{ 60'000 };
+constexpr Duration kFleetReserveCheckInterval{ 25'000 };
 /** The interval at which control gets periodic commands of one kind from all holders together. With
     more holders, each of them sends fewer. */
-constexpr Duration kFleetCommandInterval{ 4'000 };
+constexpr Duration kFleetCommandInterval{ 3'000 };
 /** How long the unsuccessful transfer request of a peer counts as demand. The peer repeats its
     request within this time. */
 constexpr Duration kPeerShortfallTime{ 300'000 };
@@ -133,7 +133,7 @@
   }
   const auto requested = std::max(Tokens{ 0 }, waitingAmount - available);
   Tokens demand;
-  if (!account.isBudgetLow(now) && !account.isUndivided &&
+  if (!account.isBudgetLow(now) &&
       (smallestShortfall > Tokens{ 0 } || now >= account.nextDemandRequestAt)) {
     const auto expectedAmount = expectedDemand(now, account);
     // The next grant is requested early, so that requests at a busy holder seldom wait.
@@ -156,8 +156,7 @@
                     ++grantSequence_,
                     smallestShortfall == Tokens{ 0 } ? Tokens{ 0 } : requested,
                     smallestShortfall,
-                    demand,
-                    account.largestBound };
+                    demand };
 }
 
 void QuotaManager::Impl::requestGrants(Time now,
@@ -244,7 +243,6 @@
     account.confirmedUnlocked = std::max(account.confirmedUnlocked, item.unlocked);
     returnReserve(item.budget, account, std::min(item.excessReserve, account.reserveAmount()));
     account.budgetLowUntil = item.budgetLow ? now + kBudgetLowTime : Time{};
-    account.isUndivided = item.undivided;
     if (!settings_.usesWitnesses) {
       account.availableAfterGrant = account.available();
     }
@@ -295,19 +293,6 @@
   settleImmediately_ = true;
 }
 
-void QuotaManager::Impl::returnUndividedTokens()
-{
-  for (auto& [id, account] : accounts_) {
-    if (account.isUndivided && !account.closing && account.available() > Tokens{ 0 } &&
-        !hasWaitingRequests(id)) {
-      account.returned += account.available();
-      account.updateMaxGrantUsed();
-      account.hasUnsettledTotals = true;
-      unsettledBudgets_.insert(id);
-    }
-  }
-}
-
 void QuotaManager::Impl::returnReserve(const BudgetId& id, Account& account, Tokens amount)
 {
   if (amount > Tokens{ 0 }) {
@@ -411,9 +396,6 @@
   if (!batchDue && !settleImmediately_) {
     return;
   }
-  if (batchDue && isControlReachable(now)) {
-    returnUndividedTokens();
-  }
   Settle settle{ settings_.self, settleSequence_ + 1, {}, {}, {}, {} };
   SettleInFlight inFlight{ 0, settle.sequence, {}, {}, {} };
   auto& pendingBudgets = batchDue ? unsettledBudgets_ : immediateSettleBudgets_;
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -233,8 +233,6 @@
   void sendTransfer(Time now, const TransferKey& transferKey, OutTransfer& transfer);
   void resendTransfers(Time now);
   void returnUnreserved(Time now, const BudgetId& id);
-  /** Returns the unreserved tokens of undivided budgets with the next Settle. */
-  void returnUndividedTokens();
   void returnReserve(const BudgetId& id, Account& account, Tokens amount);
 
   // Reserves.
