--- a/tests/router_stop_test.py
+++ b/tests/router_stop_test.py
@@ -11,6 +11,18 @@
 from router_fleet import StartedFleet, check, run_cases, wait_until  # noqa: E402
 
 
+def stop_during_stream(fleet, events):
+    """Opens a stream of so many events and stops its entry process. Returns the started thread of
+    the caller."""
+    for endpoint in fleet.endpoints:
+        endpoint.events = events
+    thread = threading.Thread(target=lambda: fleet.call("POST", "chat.example", "/chat/long", "b"))
+    thread.start()
+    time.sleep(0.3)
+    fleet.entries[0].send_signal(signal.SIGTERM)
+    return thread
+
+
 def stop_completes_open_requests(build):
     """Guards against a planned stop that aborts a stream or never completes."""
     with StartedFleet(build) as fleet:
@@ -32,13 +44,7 @@
 def stopping_process_accepts_connections_until_exit(build):
     """Guards against refused connections while the load balancer still sends to a stopping process."""
     with StartedFleet(build) as fleet:
-        for endpoint in fleet.endpoints:
-            endpoint.events = 220
-        thread = threading.Thread(target=lambda: fleet.call("POST", "chat.example", "/chat/long",
-                                                            "b"))
-        thread.start()
-        time.sleep(0.3)
-        fleet.entries[0].send_signal(signal.SIGTERM)
+        thread = stop_during_stream(fleet, 220)
         time.sleep(3.6)
         check(fleet.entries[0].process.poll() is None, "the open stream keeps the process up")
         check(fleet.call("GET", "app.example", "/look/x").status == 200, "a new call is served")
@@ -48,13 +54,7 @@
 def stopping_process_rejects_streams_it_would_abort(build):
     """Guards against a stopping process that accepts streams which it would abort."""
     with StartedFleet(build) as fleet:
-        for endpoint in fleet.endpoints:
-            endpoint.events = 260
-        thread = threading.Thread(target=lambda: fleet.call("POST", "chat.example", "/chat/long",
-                                                            "b"))
-        thread.start()
-        time.sleep(0.3)
-        fleet.entries[0].send_signal(signal.SIGTERM)
+        thread = stop_during_stream(fleet, 260)
         time.sleep(2.85)
         stream = fleet.call("POST", "chat.example", "/chat/x", "b")
         check(stream.status == 503, f"a late stream is refused as not run: {stream.status}")
@@ -65,13 +65,7 @@
     """Guards against a request that runs once and arrives late in the grace time: it was passed on
     and its connection was closed without an answer when the process exited."""
     with StartedFleet(build) as fleet:
-        for endpoint in fleet.endpoints:
-            endpoint.events = 260
-        threads = [threading.Thread(target=lambda: fleet.call("POST", "chat.example", "/chat/long",
-                                                              "b"))]
-        threads[0].start()
-        time.sleep(0.3)
-        fleet.entries[0].send_signal(signal.SIGTERM)
+        threads = [stop_during_stream(fleet, 260)]
         time.sleep(2.9)
         outcomes = []
 
