--- a/review/standins.py
+++ b/review/standins.py
@@ -26,12 +26,17 @@
 HEARTBEAT_S = 1.2
 EVENT_TOKENS = 6
 EVENTS = 8
+EVENT_S = 0.01
+FIRST_EVENT_S = 0.0
 KEY = "n2ctnfzs989anu6wsjnb"
 HOST = "ficu95.example"
 MODEL, PLAIN = "huvo11a", "wuno96b"
 
 COULD_NOT_RUN, BROKEN, HELD = 2, 1, 0
 
+# The class of the engines of the plain service; a case may replace it.
+PLAIN_ENGINE = None
+
 
 class CannotRun(Exception):
     pass
@@ -220,8 +225,9 @@
             for name, value in {**stamp, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}.items():
                 handler.send_header(name, value)
             handler.end_headers()
+            time.sleep(FIRST_EVENT_S)
             for number in range(1, EVENTS + 1):
-                time.sleep(0.01)
+                time.sleep(EVENT_S)
                 event = f"id: {number}\ndata: {'x' * 40}\n\n".encode()
                 handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             handler.wfile.write(b"0\r\n\r\n")
@@ -338,7 +344,8 @@
         for zone in range(3):
             for node in range(2):
                 self.engines.append(Engine(self, MODEL, ZONES[zone], f"127.{self.net}.{zone + 1}.{100 + node}"))
-            self.engines.append(Engine(self, PLAIN, ZONES[zone], f"127.{self.net}.{zone + 1}.110"))
+            self.engines.append((PLAIN_ENGINE or Engine)(self, PLAIN, ZONES[zone], f"127.{self.net}.{zone + 1}.110"))
+        self.engines.append((PLAIN_ENGINE or Engine)(self, PLAIN, ZONES[0], f"127.{self.net}.1.111"))
         if not self.configure():
             raise CannotRun("the first configuration was not accepted")
         self.wait_ready(20)
@@ -353,7 +360,7 @@
         connection = http.client.HTTPConnection(entry.ip, self.ports["frontend"], timeout=12)
         retry_after = 0.0
         try:
-            connection.request("POST", "/pufi791/2f", b"x" * 200, headers)
+            connection.request("POST", "/pufi791/2f", request.encode() * 12, headers)
             response = connection.getresponse()
             body = response.read()
             whole = response.status == 200 and body.count(b"\n\n") == EVENTS
