ledger: a holder unlocks at most a third of its reserve without control, so the loss of all witnesses writes off only that

Control gets the unlocked part of a dead holder's reserve from its witnesses. When these were gone as well, it counted the whole reserve as spent, because a holder could have unlocked all of it unnoticed.

What a holder without contact may unlock is now limited by a number that both sides derive from confirmed totals (unlockLimit()): the unlocked total that control has confirmed plus a third of the reserve. The limit never falls while the totals grow, and control's totals are never behind the confirmed ones, so control's limit covers the holder's. Without a report of a witness, control writes off up to the limit and returns the rest. No clock is involved.

The limit is a trade: the more a holder may unlock in a partition, the more is lost when all processes end.

RouterReserve_allCrashAfterUnlocking_everythingCountsAsSpent demanded that everything held counts as spent, which is the fault. RouterRetirement_allDownAfterUnlocking_spentTokensStaySpent replaces it: all tokens that any process had unlocked must count as spent, and nothing beyond what the processes could have spent.

--- a/modules/ledger/BudgetLedgerPrepaid.cpp
+++ b/modules/ledger/BudgetLedgerPrepaid.cpp
@@ -1,4 +1,5 @@
 #include "ledger/BudgetLedger.h"
+#include "ledger/UnlockLimit.h"
 
 #include <algorithm>
 
@@ -208,10 +209,12 @@
                                            RetirementView& retirement)
 {
   if (auto* account = budget.findAccount(id)) {
-    if (retirement.unlockedStatus == UnlockedAmountStatus::known) {
-      account->returned += account->reserveAmount();
-      retirement.returned += account->reserveAmount();
+    if (retirement.unlockedStatus == UnlockedAmountStatus::lost) {
+      account->unlocked = unlockLimit(account->granted, account->unlocked);
     }
+    const auto reserve = account->reserveAmount();
+    account->returned += reserve;
+    retirement.returned += reserve;
     const auto held = account->held();
     retirement.writtenOff += held;
     account->charged += held;
--- a/modules/ledger/QuotaAccount.cpp
+++ b/modules/ledger/QuotaAccount.cpp
@@ -1,5 +1,7 @@
 #include "ledger/QuotaAccount.h"
 
+#include "ledger/UnlockLimit.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -79,6 +81,11 @@
   return std::max(Tokens{ 0 }, std::min(available(), unusedGrant));
 }
 
+Tokens QuotaAccount::unlockableAmount() const
+{
+  return std::max(Tokens{ 0 }, unlockLimit(granted, confirmedUnlocked) - unlocked);
+}
+
 double QuotaAccount::demandRateAt(Time now, Duration window) const
 {
   const auto age = static_cast<double>((now - demandUpdatedAt).count());
--- a/modules/ledger/QuotaAccount.h
+++ b/modules/ledger/QuotaAccount.h
@@ -102,6 +102,9 @@
   /** Returns the granted tokens that are not unlocked. */
   [[nodiscard]] Tokens reserveAmount() const { return granted - unlocked; }
 
+  /** Returns the part of the reserve that may be unlocked without a confirmation from control. */
+  [[nodiscard]] Tokens unlockableAmount() const;
+
   /** Returns the tokens that new requests may reserve. */
   [[nodiscard]] Tokens available() const { return held() - reserveAmount() - reserved; }
 
--- a/modules/ledger/QuotaManagerReserve.cpp
+++ b/modules/ledger/QuotaManagerReserve.cpp
@@ -1,4 +1,5 @@
 #include "ledger/QuotaManagerImpl.h"
+#include "ledger/UnlockLimit.h"
 
 #include <algorithm>
 
@@ -60,9 +61,8 @@
   // Unlocks tokens early, so that requests at a busy holder seldom wait for the witnesses.
   const bool belowHalf = 2 * account.available().count < neededAmount.count;
   const bool unlockNeeded = waitingAmount > account.available() || belowHalf;
-  return unlockNeeded
-           ? std::clamp(neededAmount - account.available(), Tokens{ 0 }, account.reserveAmount())
-           : Tokens{};
+  const auto shortfall = unlockNeeded ? neededAmount - account.available() : Tokens{};
+  return std::clamp(shortfall, Tokens{ 0 }, account.unlockableAmount());
 }
 
 void QuotaManager::Impl::unlockReserves(Time now)
