--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -129,6 +129,11 @@
   }
 }
 
+void ControlCore::handle(Time now, const ProcessId& from, const ledger::ClockRequest& request)
+{
+  sendLedger(from, ledger::ClockReply{ request.holder, config_.bootClock.readingAt(now) });
+}
+
 void ControlCore::replyToReportRequest(Time now,
                                        const ProcessId& from,
                                        const ReportRequest& request)
@@ -242,7 +247,7 @@
   return {};
 }
 
-void ControlCore::applyEntry(Time /*now*/, const replication::Entry& entry)
+void ControlCore::applyEntry(Time now, const replication::Entry& entry)
 {
   appliedIndex_ = entry.index;
   bytesSinceSnapshot_ += entry.payload.size();
@@ -265,6 +270,7 @@
   proposeReply.proposalId = pendingProposal->proposalId;
   proposeReply.accepted = accepted;
   proposeReply.result = accepted ? std::move(result) : std::string();
+  proposeReply.clockReading = config_.bootClock.readingAt(now);
   // A proposer that is a member can read its own state only after it has applied this entry.
   node_.sendCommitIndex(pendingProposal->from);
   reply(pendingProposal->from, std::move(proposeReply));
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -71,6 +71,21 @@
   std::uint64_t settleItems = 0;
 };
 
+/** Converts the times that a node is called with to readings of its VM's boot clock. */
+struct BootClock
+{
+  /** Identifies one boot of the VM, @see ledger::ClockReading::clock. 0 if it is unknown; the node
+      then gives no readings. */
+  std::uint64_t id = 0;
+  /** The time that the node is called with when the clock reads 0. */
+  Time origin;
+
+  [[nodiscard]] ledger::ClockReading readingAt(Time now) const
+  {
+    return id == 0 ? ledger::ClockReading{} : ledger::ClockReading{ id, Time{} + (now - origin) };
+  }
+};
+
 /** The settings of a ControlCore. */
 struct CoreConfig
 {
@@ -81,6 +96,8 @@
   /** Promotes learners that have caught up. False when the owner of the core changes the members
       itself. */
   bool promoteLearners = true;
+  /** The clock of this VM that continues across restarts of the process. */
+  BootClock bootClock;
 };
 
 /** The replicated state machine of one control VM: a LogNode, its storage and the ControlState to
@@ -167,6 +184,7 @@
   void handle(Time now, const ProcessId& from, const ledger::Propose& propose);
   void handle(Time now, const ProcessId& from, const ledger::DocumentPoll& poll);
   void handle(Time now, const ProcessId& from, const ledger::WitnessReport& report);
+  void handle(Time now, const ProcessId& from, const ledger::ClockRequest& request);
   template<typename Other>
   void handle(Time /*now*/, const ProcessId& /*from*/, const Other& /*message*/)
   {
--- a/modules/control/ControlNode.cpp
+++ b/modules/control/ControlNode.cpp
@@ -136,6 +136,7 @@
   CoreConfig coreConfig;
   coreConfig.snapshotIntervalBytes = kSnapshotIntervalBytes;
   coreConfig.promoteLearners = false;
+  coreConfig.bootClock = settings_.bootClock;
   auto core = ControlCore::create(
     [folder = folder_.get()](const replication::Ready& ready) { return folder->save(ready); },
     std::move(logConfig),
--- a/modules/control/ControlNode.h
+++ b/modules/control/ControlNode.h
@@ -69,6 +69,8 @@
       must differ between processes and between the starts of one process. */
   std::uint64_t seed = 1;
   ControlTimings timings;
+  /** The clock of the VM, for the holders of budgets. */
+  BootClock bootClock;
   /** Opens the data folder. When it is not set, the node opens @ref dataFolder as a FileDisk. */
   OpenDataFolder openDataFolder;
 };
--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -40,6 +40,17 @@
   return fmt::format("{}/{}", id.process.value, id.incarnation.number);
 }
 
+/** Adopts a clock reading that a holder reports. Commands may be applied in another order than they
+    were created, so an earlier reading of the same clock is ignored. */
+void updateContact(Holder& holder, const ClockReading& contact)
+{
+  const bool isOutdated =
+    contact.clock == holder.contact.clock && contact.time < holder.contact.time;
+  if (contact.isValid() && !isOutdated) {
+    holder.contact = contact;
+  }
+}
+
 bool raiseTotal(Tokens& total, Tokens reported)
 {
   if (reported <= total) {
@@ -149,6 +160,7 @@
     return result;
   }
   auto& holder = holders_.at(command.holder);
+  updateContact(holder, command.contact);
   for (const auto& item : command.items) {
     result.items.push_back(grantItem(time, command.holder, holder, item, outgoing));
   }
@@ -375,7 +387,7 @@
     return command.sequence == holder.settleSequence ? holder.lastSettle : result;
   }
   holder.settleSequence = command.sequence;
-  holder.contactAt = std::max(holder.contactAt, command.createdAt);
+  updateContact(holder, command.contact);
   for (const auto& totals : command.totals) {
     if (!mergeTotals(time, command.holder, totals)) {
       result.verdict = refuse(ErrorKind::badRequest,
--- a/modules/ledger/BudgetLedger.h
+++ b/modules/ledger/BudgetLedger.h
@@ -25,11 +25,11 @@
   /** True when the holder records no charges; its witnesses record only the unlocked part of its
       reserves. */
   bool hasReserves = false;
-  /** The wall-clock time of the holder's VM when it created its last Settle, or when it started. */
-  Time contactAt;
-  /** The wall-clock time of that VM when the next incarnation started; 0 until that is
-      registered. */
-  Time replacedAt;
+  /** The last clock reading that the holder has reported to have received. */
+  ClockReading contact;
+  /** True when the next incarnation has proved with a later reading of the same clock that the
+     holder ended within kMinDetachTime of its last contact. */
+  bool endedInContact = false;
   std::uint64_t settleSequence = 0;
   /** The result of the last Settle, returned again when the command is resent. */
   SettleResult lastSettle;
@@ -46,8 +46,8 @@
                  registration,
                  witnesses,
                  hasReserves,
-                 contactAt,
-                 replacedAt,
+                 contact,
+                 endedInContact,
                  settleSequence,
                  lastSettle,
                  settledKeyedSequence,
@@ -151,6 +151,7 @@
                                      const Budget& budget,
                                      const HolderAccount& account) const;
   [[nodiscard]] UnlockedAmountStatus unlockedAmountStatus(const Holder& holder) const;
+  [[nodiscard]] static RetirementProof retirementProof(const Holder& holder);
   [[nodiscard]] bool isRetired(const HolderId& id) const;
   static void recall(Time time,
                      const HolderId& requester,
@@ -192,8 +193,10 @@
                  const HolderRecord& record,
                  Holder& holder,
                  std::vector<OutgoingMessage>& outgoing);
-  /** @param startedAt  the wall-clock time at which the next incarnation started, or 0 */
-  void startRetiring(const ProcessId& process, Incarnation lastIncarnation, Time startedAt);
+  /** @param clockReadings  readings made after the next incarnation started; may be empty */
+  void startRetiring(const ProcessId& process,
+                     Incarnation lastIncarnation,
+                     std::span<const ClockReading> clockReadings);
   /** Completes retirements that waited for a witness that no longer runs. */
   void completeRetirementsWithout(Time time,
                                   const ProcessId& witness,
--- a/modules/ledger/BudgetLedgerPrepaid.cpp
+++ b/modules/ledger/BudgetLedgerPrepaid.cpp
@@ -209,7 +209,7 @@
                                            RetirementView& retirement)
 {
   if (auto* account = budget.findAccount(id)) {
-    if (retirement.unlockedStatus == UnlockedAmountStatus::lost) {
+    if (retirement.proof == RetirementProof::none) {
       account->unlocked = unlockLimit(account->granted, account->unlocked);
     }
     const auto reserve = account->reserveAmount();
--- a/modules/ledger/BudgetLedgerRetirement.cpp
+++ b/modules/ledger/BudgetLedgerRetirement.cpp
@@ -32,12 +32,11 @@
     holder.zone = command.zone;
     holder.witnesses = command.witnesses;
     holder.hasReserves = command.hasReserves;
-    holder.contactAt = std::max(holder.contactAt, command.startedAt);
   }
   if (command.holder.incarnation.number > 0) {
     startRetiring(command.holder.process,
                   Incarnation{ command.holder.incarnation.number - 1 },
-                  command.startedAt);
+                  command.clockReadings);
   }
   for (const auto& id : retiringIncarnations(command.holder.process)) {
     completeRetirementIfPossible(time, id, isFirstRegistration, outgoing);
@@ -78,10 +77,7 @@
   if (holder.witnesses.empty() || !holder.reported.empty()) {
     return UnlockedAmountStatus::known;
   }
-  const bool clockKnown = holder.contactAt > Time{} && holder.replacedAt > Time{};
-  const auto contactGap = holder.replacedAt - holder.contactAt;
-  // A negative duration shows that the clock was set back.
-  if (clockKnown && contactGap >= Duration{ 0 } && contactGap < kMinDetachTime) {
+  if (holder.endedInContact) {
     return UnlockedAmountStatus::known;
   }
   const bool witnessRemains =
@@ -91,9 +87,20 @@
   return witnessRemains ? UnlockedAmountStatus::awaited : UnlockedAmountStatus::lost;
 }
 
+RetirementProof BudgetLedger::retirementProof(const Holder& holder)
+{
+  if (!holder.reported.empty()) {
+    return RetirementProof::report;
+  }
+  if (holder.endedInContact) {
+    return RetirementProof::contact;
+  }
+  return holder.witnesses.empty() ? RetirementProof::noWitness : RetirementProof::none;
+}
+
 void BudgetLedger::startRetiring(const ProcessId& process,
                                  Incarnation lastIncarnation,
-                                 Time startedAt)
+                                 std::span<const ClockReading> clockReadings)
 {
   liveReserveHolders_.reset();
   auto& newestRetired = newestRetired_[process];
@@ -102,9 +109,11 @@
        holderEntry != holders_.end() && holderEntry->first.process == process &&
        holderEntry->first.incarnation <= lastIncarnation;
        ++holderEntry) {
-    if (!holderEntry->second.retiring) {
-      holderEntry->second.retiring = true;
-      holderEntry->second.replacedAt = startedAt;
+    auto& holder = holderEntry->second;
+    if (!holder.retiring) {
+      const auto unheardTime = elapsedSince(holder.contact, clockReadings);
+      holder.retiring = true;
+      holder.endedInContact = unheardTime && *unheardTime < kMinDetachTime;
       newlyRetiringHolders_.push_back(holderEntry->first);
     }
   }
@@ -271,12 +280,7 @@
       settleKeyedCharge(time, id, charge);
     }
   }
-  RetirementView retirement{ id,
-                             unlockedAmountStatus(holder),
-                             !holder.reported.empty(),
-                             holder.replacedAt - holder.contactAt,
-                             {},
-                             {} };
+  RetirementView retirement{ id, retirementProof(holder), {}, {} };
   const auto budgetIndex = budgetsByHolder_.find(id);
   if (budgetIndex != budgetsByHolder_.end()) {
     const auto budgetIds = budgetIndex->second;
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "fleet/Commands.h"
+#include "ledger/ClockReading.h"
 #include "wire/wire.h"
 
 #include <cstdint>
@@ -75,8 +76,9 @@
 
 namespace figchute::ledger {
 
-/** A holder unlocks its reserves only when it has created no Settle command for longer than this
-    time. A holder that is replaced sooner has therefore unlocked nothing. */
+/** A holder unlocks its reserves only when it has received no clock reading from control for longer
+    than this time. A holder that was replaced sooner after such a reading has therefore unlocked
+    nothing since. */
 constexpr Duration kMinDetachTime{ 3'000'000 };
 
 /** The cumulative amount bought for one budget, as stated in a document. */
@@ -152,8 +154,10 @@
 {
   HolderId holder;
   std::vector<GrantItem> items;
+  /** The last clock reading that the holder has received, as in Settle. */
+  ClockReading contact;
 
-  MSGPACK_DEFINE(holder, items)
+  MSGPACK_DEFINE(holder, items, contact)
 };
 
 /** The answer for one budget. */
@@ -235,10 +239,11 @@
   std::vector<KeyedCharge> keyedCharges;
   /** Empty accounts to close. A later grant opens a new account whose totals start at 0. */
   std::vector<BudgetId> closingBudgets;
-  /** The wall-clock time of the holder's VM when the command was created, or 0. */
-  Time createdAt{};
+  /** The last clock reading that the holder has received. Not valid when the holder has unlocked
+      reserves that neither this command nor an earlier, confirmed one reports. */
+  ClockReading contact;
 
-  MSGPACK_DEFINE(holder, sequence, totals, keyedCharges, closingBudgets, createdAt)
+  MSGPACK_DEFINE(holder, sequence, totals, keyedCharges, closingBudgets, contact)
 };
 
 /** The amounts that one keyed charge added to the bill of its key, one per budget of the charge. */
@@ -362,10 +367,10 @@
       it unlocked. When it is retired, all unlocked tokens that it has not settled count as spent.
    */
   bool hasReserves = false;
-  /** The wall-clock time of the holder's VM when its process started, or 0. */
-  Time startedAt{};
+  /** Clock readings that the control VMs made after the process had started. */
+  std::vector<ClockReading> clockReadings;
 
-  MSGPACK_DEFINE(holder, zone, sequence, witnesses, hasReserves, startedAt)
+  MSGPACK_DEFINE(holder, zone, sequence, witnesses, hasReserves, clockReadings)
 };
 
 /** The outcome of RegisterHolder. */
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -104,17 +104,24 @@
   lost,
 };
 
+/** How it is known what a failed holder had unlocked. */
+enum class RetirementProof : std::uint8_t
+{
+  /** It is not known; the holder may have unlocked up to its limit. */
+  none,
+  /** A witness or the holder itself reported. */
+  report,
+  /** The holder ended so soon after its last contact that it had unlocked nothing since. */
+  contact,
+  /** The holder had no witnesses, without which it unlocks nothing. */
+  noWitness,
+};
+
 /** The retirement of a failed holder with reserves. */
 struct RetirementView
 {
   HolderId holder;
-  UnlockedAmountStatus unlockedStatus = UnlockedAmountStatus::known;
-  /** True when a witness reported. Otherwise the retirement was decided by the wall clocks or by
-      the lack of witnesses. */
-  bool reported = false;
-  /** The time from its last contact to the start of its next incarnation, by the wall clock of its
-      VM. */
-  Duration contactGap{ 0 };
+  RetirementProof proof = RetirementProof::none;
   /** The tokens returned to their budgets and the tokens counted as spent without a report, summed
       over all budgets. */
   Tokens returned;
--- a/modules/ledger/Message.h
+++ b/modules/ledger/Message.h
@@ -32,8 +32,11 @@
   ProcessId leaderHint;
   /** An encoded Result. */
   std::string result;
+  /** The clock of the sender when it created the answer; not valid if it has no clock that
+     continues across restarts of the process. */
+  ClockReading clockReading;
 
-  MSGPACK_DEFINE(proposalId, accepted, leaderHint, result)
+  MSGPACK_DEFINE(proposalId, accepted, leaderHint, result, clockReading)
 };
 
 /** Sent by control to request that a holder return the unused part of its grant. */
@@ -180,6 +183,26 @@
   MSGPACK_DEFINE(retired, oldestPending)
 };
 
+/** Requests a reading of the boot clock of a control VM. Sent by a process that has just started;
+   the answer shows how long ago its former incarnation was in contact with that VM at most. */
+struct ClockRequest
+{
+  /** The new incarnation. */
+  HolderId holder;
+
+  MSGPACK_DEFINE(holder)
+};
+
+/** Answers a ClockRequest. */
+struct ClockReply
+{
+  /** The incarnation that asked. */
+  HolderId holder;
+  ClockReading clockReading;
+
+  MSGPACK_DEFINE(holder, clockReading)
+};
+
 /** Any message of the ledger. */
 using Message = std::variant<Propose,
                              ProposeReply,
@@ -193,7 +216,9 @@
                              WitnessReport,
                              DocumentPoll,
                              DocumentPush,
-                             WitnessForget>;
+                             WitnessForget,
+                             ClockRequest,
+                             ClockReply>;
 
 /** A message with the process that it is sent to. */
 struct OutgoingMessage
--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -36,6 +36,7 @@
 QuotaManager::Impl::Impl(QuotaSettings settings)
   : settings_(std::move(settings))
   , proposer_(settings_.proposalIdBase)
+  , contactClocks_(settings_.self)
 {
   writeJournal(JournalStart{ settings_.self });
 }
@@ -311,6 +312,7 @@
     return;
   }
   tickWitnesses(now);
+  contactClocks_.tick(now);
   registerIfNeeded(now);
   refuseExpiredWaiting(now);
   unlockReserves(now);
@@ -412,6 +414,8 @@
   auto outgoing = std::exchange(outgoing_, {});
   auto proposals = proposer_.takeOutgoing();
   std::move(proposals.begin(), proposals.end(), std::back_inserter(outgoing));
+  auto clockRequests = contactClocks_.takeOutgoing();
+  std::move(clockRequests.begin(), clockRequests.end(), std::back_inserter(outgoing));
   return outgoing;
 }
 
@@ -429,7 +433,10 @@
                       account.spent(),
                       account.returned,
                       account.reserved,
-                      account.available() };
+                      account.available(),
+                      account.reserveAmount(),
+                      account.unlockableAmount(),
+                      account.grantProposal != 0 };
 }
 
 std::vector<AccountView> QuotaManager::Impl::accounts() const
@@ -522,11 +529,6 @@
   impl_->drain(now);
 }
 
-void QuotaManager::setWallTime(Time wall)
-{
-  impl_->setWallTime(wall);
-}
-
 void QuotaManager::setControlLost(bool lost)
 {
   impl_->setControlLost(lost);
--- a/modules/ledger/QuotaManager.h
+++ b/modules/ledger/QuotaManager.h
@@ -42,12 +42,10 @@
   /** False for processes without a disk that record no charges. A charge is final at once, and the
       witnesses record only how much of the reserves is unlocked. */
   bool usesWitnesses = true;
-  /** A holder that has created no Settle for this time and cannot reach control may unlock its
-      reserves. Must be longer than kMinDetachTime, from which control concludes that a dead holder
-      cannot have unlocked any. */
+  /** A holder that has received no clock reading for this time and cannot reach control may unlock
+      its reserves. Must be longer than kMinDetachTime, from which control concludes that a dead
+      holder cannot have unlocked any. */
   Duration detachTimeout{ 3'200'000 };
-  /** The wall-clock time when the process started, or 0. */
-  Time startedAt;
   /** A waiting request is refused when the budget still does not cover it this long after the first
       insufficient grant. Recalled tokens are back by then. */
   Duration recallTimeout{ 400'000 };
@@ -172,6 +170,11 @@
   Tokens returned;
   Tokens reserved;
   Tokens available;
+  Tokens reserve;
+  /** The part of `reserve` that may be unlocked without a confirmation from control. */
+  Tokens unlockable;
+  /** True when a grant was requested and its answer has not arrived. */
+  bool grantInFlight = false;
 };
 
 /** Manages the tokens granted to one process incarnation. As long as they suffice, requests are
@@ -194,10 +197,6 @@
       control VMs and the peers for transfers. */
   void setPeers(Time now, std::span<const Peer> peers);
 
-  /** Sets the wall-clock time of the VM, which is included in reports to control. An outdated value
-      is safe. */
-  void setWallTime(Time wall);
-
   /** Sets whether the process knows that control is unreachable. Waiting requests are then refused
       once the other entry processes have had time to transfer tokens. */
   void setControlLost(bool lost);
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -166,7 +166,7 @@
   if (!isRegistered() || draining_ || handingOver_ || retired_) {
     return;
   }
-  Grant command{ settings_.self, {} };
+  Grant command{ settings_.self, {}, isAllUnlockedConfirmed() ? contact_ : ClockReading{} };
   for (const auto& id : budgets) {
     if (const auto item = makeGrantItem(now, id, findOrOpenAccount(id), reason)) {
       command.items.push_back(*item);
@@ -184,11 +184,23 @@
 
 void QuotaManager::Impl::handle(Time now, const ProcessId& from, const ProposeReply& message)
 {
+  if (message.clockReading.isValid()) {
+    contact_ = message.clockReading;
+    lastContactAt_ = now;
+  }
   if (const auto reply = proposer_.receive(now, from, message)) {
     handleReply(now, *reply);
   }
 }
 
+void QuotaManager::Impl::handle(Time now, const ProcessId& from, const ClockReply& message)
+{
+  if (message.holder == settings_.self) {
+    contactClocks_.receive(from, message.clockReading);
+    registerIfNeeded(now);
+  }
+}
+
 void QuotaManager::Impl::handleReply(Time now, const Proposer::Reply& reply)
 {
   if (const auto* grantResult = std::get_if<GrantResult>(&reply.result)) {
@@ -388,7 +400,7 @@
   if (settleInFlight_ || !isRegistered() || retired_) {
     return;
   }
-  // A Settle that cannot arrive would count as contact and delay the unlocking of reserves.
+  // The report is sent with the totals of that time once control can be reached again.
   if (!settings_.usesWitnesses && controlLost_) {
     return;
   }
@@ -423,15 +435,8 @@
   if (settle.totals.empty() && settle.keyedCharges.empty() && settle.closingBudgets.empty()) {
     return;
   }
-  // A Settle that does not report all unlocked tokens must not count as contact for control.
-  const bool allUnlockedReported =
-    std::all_of(accounts_.begin(), accounts_.end(), [&inFlight](const auto& item) {
-      return item.second.unlocked <= item.second.confirmedUnlocked ||
-             inFlight.totals.contains(item.first);
-    });
-  settle.createdAt = allUnlockedReported ? wallTime_ : Time{};
+  settle.contact = isAllUnlockedConfirmed(inFlight.totals) ? contact_ : ClockReading{};
   ++settleSequence_;
-  lastContactAt_ = now;
   inFlight.closingBudgets = settle.closingBudgets;
   inFlight.proposal = proposer_.propose(now, settle);
   settleInFlight_ = std::move(inFlight);
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ledger/ContactClocks.h"
 #include "ledger/Proposer.h"
 #include "ledger/QuotaAccount.h"
 #include "ledger/QuotaManager.h"
@@ -43,7 +44,6 @@
   void tick(Time now);
   void handOver(Time now);
   void setControlLost(bool lost) { controlLost_ = lost; }
-  void setWallTime(Time wall) { wallTime_ = wall; }
   [[nodiscard]] bool isHandedOver() const;
   void drain(Time now);
   [[nodiscard]] bool isDrained() const;
@@ -225,6 +225,7 @@
   void handle(Time now, const ProcessId& from, const TransferAck& message);
   void handle(Time now, const ProcessId& from, const WitnessAck& message);
   void handle(Time now, const ProcessId& from, const ProposeReply& message);
+  void handle(Time now, const ProcessId& from, const ClockReply& message);
   template<typename Other>
   void handle(Time /*now*/, const ProcessId& /*from*/, const Other& /*message*/)
   {
@@ -243,6 +244,10 @@
   [[nodiscard]] std::vector<HolderId> rotateToStartAfterSelf(std::vector<HolderId> peers) const;
   [[nodiscard]] std::vector<HolderId> selectReserveWitnesses() const;
   [[nodiscard]] bool isAllUnlockedConfirmed() const;
+  /** Returns whether control has confirmed all unlocked tokens except those that @p reported
+      contains. */
+  [[nodiscard]] bool isAllUnlockedConfirmed(
+    const std::map<BudgetId, AccountTotals>& reported) const;
   /** Returns whether a grant request is due only to let control adjust the reserve. */
   [[nodiscard]] Tokens amountToUnlock(Time now, const BudgetId& id, const Account& account) const;
   void unlockReserves(Time now);
@@ -294,9 +299,11 @@
   bool draining_ = false;
   bool handingOver_ = false;
   bool controlLost_ = false;
-  Time wallTime_;
-  /** The time at which this process last created a Settle or RegisterHolder command. */
+  /** The last clock reading received from control, and the time at which it was received. */
+  ClockReading contact_;
   Time lastContactAt_;
+  /** Readings of the control VMs' clocks for the registration. */
+  detail::ContactClocks contactClocks_;
   std::optional<UnlockAttempt> pendingUnlock_;
   bool retired_ = false;
   Time lastMaintenanceAt_;
--- a/modules/ledger/QuotaManagerRecords.cpp
+++ b/modules/ledger/QuotaManagerRecords.cpp
@@ -194,16 +194,18 @@
   if (settings_.usesWitnesses ? newWitnesses.empty() : unlockUnconfirmed) {
     return;
   }
+  if (!settings_.usesWitnesses && !contactClocks_.isComplete(now)) {
+    return;
+  }
   proposedWitnesses_ = std::move(newWitnesses);
   nextRegisterAt_ = now + kRegistrationInterval;
-  lastContactAt_ = now;
   registerProposal_ = proposer_.propose(now,
                                         RegisterHolder{ settings_.self,
                                                         settings_.zone,
                                                         ++registrationSequence_,
                                                         proposedWitnesses_,
                                                         !settings_.usesWitnesses,
-                                                        settings_.startedAt });
+                                                        contactClocks_.readings() });
 }
 
 void QuotaManager::Impl::handleRegister(Time now, const RegisterResult& result)
@@ -244,6 +246,9 @@
       controls.push_back(peer.id.process);
     }
   }
+  if (!settings_.usesWitnesses) {
+    contactClocks_.setControls(now, controls);
+  }
   proposer_.setControls(std::move(controls));
   entryCount_ = static_cast<std::int64_t>(transferPeers().size()) + 1;
   transferPartners_ = selectTransferPartners();
--- a/modules/ledger/QuotaManagerReserve.cpp
+++ b/modules/ledger/QuotaManagerReserve.cpp
@@ -43,8 +43,14 @@
 
 bool QuotaManager::Impl::isAllUnlockedConfirmed() const
 {
-  return std::all_of(accounts_.begin(), accounts_.end(), [](const auto& item) {
-    return item.second.unlocked <= item.second.confirmedUnlocked;
+  return isAllUnlockedConfirmed({});
+}
+
+bool QuotaManager::Impl::isAllUnlockedConfirmed(
+  const std::map<BudgetId, AccountTotals>& reported) const
+{
+  return std::all_of(accounts_.begin(), accounts_.end(), [&reported](const auto& item) {
+    return item.second.unlocked <= item.second.confirmedUnlocked || reported.contains(item.first);
   });
 }
 
@@ -120,8 +126,8 @@
   if (pendingUnlock_->acknowledged.size() < registeredWitnesses_.size()) {
     return;
   }
-  // Since the quota manager has contacted control meanwhile, control may conclude from the time of
-  // that contact that nothing was unlocked.
+  // A clock reading has arrived meanwhile, from which control may conclude that nothing was
+  // unlocked within kMinDetachTime of it.
   if (now < lastContactAt_ + settings_.detachTimeout) {
     pendingUnlock_.reset();
     return;
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -43,6 +43,21 @@
   return std::visit([](const auto& typed) { return ledger::Command(typed); }, command);
 }
 
+std::string_view nameOf(ledger::RetirementProof proof)
+{
+  switch (proof) {
+    case ledger::RetirementProof::report:
+      return "witness";
+    case ledger::RetirementProof::contact:
+      return "contact";
+    case ledger::RetirementProof::noWitness:
+      return "no_witness";
+    case ledger::RetirementProof::none:
+      break;
+  }
+  return "none";
+}
+
 std::string_view pathOf(std::string_view target)
 {
   return target.substr(0, target.find('?'));
@@ -68,6 +83,7 @@
   settings.seeds = context_.settings.seedProcesses();
   settings.bootstrap = context_.settings.bootstrap;
   settings.seed = context_.incarnation.number;
+  settings.bootClock = { bootId(settings.self.value), bootTimeOrigin() };
   const Time now = bootTime();
   node_ = std::make_unique<control::ControlNode>(std::move(settings), now);
   if (auto listening = operators_.listen(toEndpoint(*context_.settings.operators)); !listening) {
@@ -436,16 +452,12 @@
 void ControlRole::logRetirements(Time now)
 {
   for (const auto& retirement : node_->takeRetirements()) {
-    const bool isUnlockedAmountLost =
-      retirement.unlockedStatus == ledger::UnlockedAmountStatus::lost;
-    context_.log.line(
-      now,
-      "holder_retired",
-      { { "holder", retirement.holder.process.value },
-        { "proof", isUnlockedAmountLost ? "none" : (retirement.reported ? "witness" : "clock") },
-        { "unheard_ms", std::to_string(retirement.contactGap.count() / 1000) },
-        { "returned", std::to_string(retirement.returned.count) },
-        { "written_off", std::to_string(retirement.writtenOff.count) } });
+    context_.log.line(now,
+                      "holder_retired",
+                      { { "holder", retirement.holder.process.value },
+                        { "proof", std::string(nameOf(retirement.proof)) },
+                        { "returned", std::to_string(retirement.returned.count) },
+                        { "written_off", std::to_string(retirement.writtenOff.count) } });
   }
 }
 
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -37,13 +37,6 @@
                                                          : dispatch::ProbeResult::timedOut;
 }
 
-/** Returns the wall clock time. Only budgets use it, to determine how long a process was down. */
-Time wallTime()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return Time{ std::chrono::duration_cast<std::chrono::microseconds>(now).count() };
-}
-
 HolderId holderOf(const RoleContext& context)
 {
   return { ProcessId(settings::toString(context.settings.peers)), context.incarnation };
@@ -53,7 +46,6 @@
 {
   auto settings = ledger::routerQuotaSettings(holderOf(context), context.settings.zone);
   settings.proposalIdBase = context.incarnation.number;
-  settings.startedAt = wallTime();
   return settings;
 }
 
@@ -118,7 +110,6 @@
   if (auto listening = readiness_.listen(toEndpoint(*context_.settings.readiness)); !listening) {
     return listening;
   }
-  quotaManager_.setWallTime(wallTime());
   update(bootTime());
   scheduleTick();
   return {};
@@ -138,7 +129,6 @@
 void EntryRole::onTimer()
 {
   const Time now = bootTime();
-  quotaManager_.setWallTime(wallTime());
   dispatcher_.tick(now);
   for (const auto id : dispatcher_.takeStalled()) {
     if (const auto exchangeEntry = exchanges_.find(id); exchangeEntry != exchanges_.end()) {
--- a/tests/EntryVm.h
+++ b/tests/EntryVm.h
@@ -248,7 +248,7 @@
         continue;
       }
       const auto result = control.applyEncoded(++logIndex_, now, propose->command);
-      const ledger::ProposeReply reply{ propose->proposalId, true, ProcessId("ctl"), *result };
+      const ledger::ProposeReply reply{ propose->proposalId, true, ProcessId("ctl"), *result, {} };
       quotaManager.receive(now, ProcessId("ctl"), reply);
       if (const auto proposerReply = proposer.receive(now, ProcessId("ctl"), reply)) {
         coordinator.handleProposalReply(now, *proposerReply);
--- a/tests/LedgerCluster.h
+++ b/tests/LedgerCluster.h
@@ -63,7 +63,6 @@
     entry.syncedRecordCount = 0;
     auto settings = makeSettings(holder(name), entry.zone);
     settings.hasJournal = hasJournal;
-    settings.startedAt = wallTime(name);
     entry.quotaManager = std::make_unique<QuotaManager>(settings);
     entry.witness = std::make_unique<Witness>(settings.self);
     entry.quotaManager->recover(now, entry.journal);
@@ -93,11 +92,8 @@
     }
   }
 
-  /** Returns the wall-clock time of a VM, which deviates from `now` by up to 1 s. */
-  Time wallTime(const std::string& name) const
-  {
-    return now + Duration(1'000'000 * (name.empty() ? 0 : name[0] % 3 - 1));
-  }
+  /** Returns a reading of the control VM's clock. */
+  ClockReading readClock() const { return { controlClock, now }; }
 
   Result apply(const Command& command) { return control.apply(++index, now, command); }
 
@@ -221,6 +217,8 @@
   double duplicationProbability = 0;
   Duration maxExtraDelay{ 0 };
   bool controlDown = false;
+  /** The identity of the control VM's clock. It changes when that VM is restarted. */
+  std::uint64_t controlClock = 1;
   /** Whether grant requests are lost on their way to control. */
   bool losesGrants = false;
   /** Whether processes call setControlLost() when their link to control is cut. */
@@ -228,6 +226,8 @@
   std::map<std::string, std::vector<Decision>> decisions;
   std::set<std::string> recordedRequests;
   std::set<std::string> unresponsiveWitnesses;
+  /** Processes whose VM is suspended. They lose the messages that arrive meanwhile. */
+  std::set<std::string> suspended;
 };
 
 inline void Cluster::deliver(const Packet& packet)
@@ -236,7 +236,7 @@
   const ProcessId from(packet.from);
   if (packet.to != "ctl") {
     const auto& entry = entries.at(packet.to);
-    if (entry.alive) {
+    if (entry.alive && !suspended.contains(packet.to)) {
       entry.quotaManager->receive(now, from, message);
       if (!unresponsiveWitnesses.contains(packet.to)) {
         entry.witness->receive(now, from, message);
@@ -253,21 +253,25 @@
       return;
     }
     const auto result = *control.applyEncoded(++index, now, propose->command);
-    send("ctl", { from, ProposeReply{ propose->proposalId, true, ProcessId("ctl"), result } });
+    send(
+      "ctl",
+      { from, ProposeReply{ propose->proposalId, true, ProcessId("ctl"), result, readClock() } });
   }
   if (const auto* report = std::get_if<WitnessReport>(&message)) {
     apply(ControlState::makeRetireCommand(*report));
   }
+  if (const auto* request = std::get_if<ClockRequest>(&message)) {
+    send("ctl", { from, ClockReply{ request->holder, readClock() } });
+  }
   controlWitness.receive(now, from, message);
 }
 
 inline void Cluster::step()
 {
   for (auto& [name, entry] : entries) {
-    if (!entry.alive) {
+    if (!entry.alive || suspended.contains(name)) {
       continue;
     }
-    entry.quotaManager->setWallTime(wallTime(name));
     if (reportsControlLost) {
       entry.quotaManager->setControlLost(!connected(name, "ctl"));
     }
--- a/tests/ledger_control_test.cpp
+++ b/tests/ledger_control_test.cpp
@@ -200,6 +200,22 @@
 }
 
 // Guards against bills that are lost because a witness drops the record of an older incarnation
+
+// Guards against a proof of contact from readings of different clocks, or from a clock that was
+// reset.
+TEST_CASE("ElapsedSince_otherOrResetClock_isUnknown")
+{
+  const ClockReading earlier{ 7, Time{ 5'000'000 } };
+  const auto elapsed = [&earlier](std::vector<ClockReading> later) {
+    return ledger::detail::elapsedSince(earlier, later);
+  };
+  CHECK(elapsed({ { 6, Time{ 9'000'000 } }, { 7, Time{ 6'000'000 } } }) == Duration(1'000'000));
+  CHECK_FALSE(elapsed({ { 6, Time{ 6'000'000 } } }).has_value());
+  CHECK_FALSE(elapsed({ { 7, Time{ 4'999'999 } } }).has_value());
+  CHECK_FALSE(elapsed({}).has_value());
+  CHECK_FALSE(ledger::detail::elapsedSince({}, std::vector<ClockReading>{ {} }).has_value());
+}
+
 // whose retirement is not complete, when a newer one of the same process is retired before it.
 TEST_CASE_FIXTURE(Control, "Retire_newerIncarnationFirst_keepsTheRecordsOfTheOlder")
 {
--- a/tests/random_router_test.sh
+++ b/tests/random_router_test.sh
@@ -3,7 +3,8 @@
 # purpose at a time.
 # Guards against overspend, against configurations that are lost, reverted or applied although they
 # are invalid, a second control group, requests to drained endpoints, records of older incarnations,
-# too many repeats and fleets that do not recover; against output that differs between two runs with
+# too many repeats, budgets that count as spent although nobody can have spent them, and fleets that do
+# not recover; against output that differs between two runs with
 # the same seed, and against checks that never fail.
 set -euo pipefail
 program=$1/figchute-random-router
@@ -56,5 +57,6 @@
 old_incarnation old_incarnation 1
 repeats repeats 1 2 3 4 5 6 7 8
 recovery recovery 1
+write_off write_off 1 2 3 4 5 6 7 8
 ROWS
 echo "all randomised runs passed"
--- a/tests/router_retirement_test.cpp
+++ b/tests/router_retirement_test.cpp
@@ -54,6 +54,15 @@
     crash(name);
   }
 
+  Tokens spentBy(const std::vector<std::string>& names)
+  {
+    Tokens sum;
+    for (const auto& name : names) {
+      sum += quotaManager(name).account(BudgetId("w:t/x"))->spent;
+    }
+    return sum;
+  }
+
   void endAll()
   {
     for (const auto& [name, entry] : entries) {
@@ -103,10 +112,7 @@
 // Guards against the loss of a zone's share: the witnesses of a holder are in its own zone.
 TEST_CASE_FIXTURE(FailingRouters, "RouterRetirement_zoneDownForFiveSeconds_reservesAreReturned")
 {
-  Tokens spentByOthers;
-  for (const auto* name : { "b", "c", "e", "f", "h", "i" }) {
-    spentByOthers += quotaManager(name).account(BudgetId("w:t/x"))->spent;
-  }
+  const auto spentByOthers = spentBy({ "b", "c", "e", "f", "h", "i" });
   for (const auto* name : { "a", "d", "g" }) {
     end(name);
   }
@@ -166,6 +172,86 @@
   checkSettled();
 }
 
+// Guards against returning a reserve that its holder unlocked and spent, because a clock that was
+// set back made the time without contact look too short for that.
+TEST_CASE_FIXTURE(FailingRouters,
+                  "RouterRetirement_replacedSoonAfterUnlocking_spentTokensStaySpent")
+{
+  disconnectControl();
+  advance(3500 * kMs);
+  CHECK(runRequests("a", 20, 1000, 10 * kMs) == 0);
+  const auto spentByOthers = spentBy({ "b", "c", "d", "e", "f", "g", "h", "i" });
+  end("a");
+  disconnectedLinks.clear();
+  advance(100 * kMs);
+  restart("a");
+  advance(3 * kSecond);
+  checkSettled(spentByOthers);
+}
+
+// Guards against a holder of which control does not know whether it was in contact, because the
+// control VM was restarted, and against taking a reading of another clock for proof of contact.
+TEST_CASE_FIXTURE(FailingRouters, "RouterRetirement_controlClockIsNew_writesOffUpToTheLimit")
+{
+  endAll();
+  ++controlClock;
+  advance(500 * kMs);
+  restartAll();
+  advance(2 * kSecond);
+  checkSettled();
+  CHECK(budget().settled.count >= maxSpentByEnded.count - 9);
+}
+
+// Guards against waiting for witnesses that have ended, or writing off tokens, although the clock
+// of control shows that the holders ended before they could unlock anything.
+TEST_CASE_FIXTURE(FailingRouters,
+                  "RouterRetirement_allReplacedWithinASecond_nothingUnlockedIsAssumed")
+{
+  endAll();
+  advance(kSecond);
+  restartAll();
+  advance(2 * kSecond);
+  CHECK(budget().settled == unlockedByEnded);
+}
+
+// Guards against a proof of contact from a reading that the holder got before it unlocked tokens
+// which control does not know of.
+TEST_CASE_FIXTURE(FailingRouters, "RouterRetirement_endsAfterReconnecting_unlockedTokensStaySpent")
+{
+  disconnectControl();
+  advance(4 * kSecond);
+  CHECK(runRequests("a", 20, 1000, 10 * kMs) == 0);
+  disconnectedLinks.clear();
+  for (int i = 0; i < 40; ++i) {
+    advance(10 * kMs);
+    reserve("a", "late" + std::to_string(i), 10);
+  }
+  endAll();
+  advance(300 * kMs);
+  restartAll();
+  advance(3 * kSecond);
+  checkSettled();
+}
+
+// Guards against a suspended holder that wakes and unlocks tokens with witnesses that were
+// restarted meanwhile, so that nobody would know of it.
+TEST_CASE_FIXTURE(FailingRouters, "RouterReserve_wakesAfterWitnessesWereRestarted_unlocksNothing")
+{
+  disconnectControl();
+  advance(kSecond);
+  suspended.insert("a");
+  for (const auto* name : { "b", "c", "d", "e", "f", "g", "h", "i" }) {
+    crash(name);
+    restart(name);
+  }
+  advance(6 * kSecond);
+  suspended.clear();
+  const auto limit = unlocked("a");
+  runRequests("a", 30, 1000, 10 * kMs);
+  const auto account = *quotaManager("a").account(BudgetId("w:t/x"));
+  CHECK(account.spent + account.transferredOut - account.transferredIn <= limit);
+}
+
 // Guards against a holder that unlocks more without a message from control than control assumes
 // after the loss of all witnesses.
 TEST_CASE_FIXTURE(FailingRouters, "RouterReserve_demandExceedsTheLimit_staysWithinTheLimit")
--- a/tools/figchute-bench/LedgerBench.cpp
+++ b/tools/figchute-bench/LedgerBench.cpp
@@ -94,8 +94,9 @@
   {
     if (const auto* propose = std::get_if<ledger::Propose>(&outgoing.message)) {
       const auto result = control.applyEncoded(++index, now, propose->command);
-      const ledger::Message reply =
-        ledger::ProposeReply{ propose->proposalId, true, kControl, result.value_or(std::string()) };
+      const ledger::Message reply = ledger::ProposeReply{
+        propose->proposalId, true, kControl, result.value_or(std::string()), {}
+      };
       bytes += wire::encode(reply).size();
       quotaManager.receive(now, kControl, reply);
     }
@@ -178,7 +179,7 @@
   const HolderId holder{ ProcessId("entry-1"), Incarnation{ 1 } };
   std::uint64_t index = 0;
   std::vector<ledger::Purchase> purchases;
-  ledger::Grant grant{ holder, {} };
+  ledger::Grant grant{ holder, {}, {} };
   purchases.reserve(kMemoryBudgetCount);
   grant.items.reserve(kMemoryBudgetCount);
   for (int i = 0; i < kMemoryBudgetCount; ++i) {
@@ -195,7 +196,7 @@
   const auto bytesWhenEmpty = allocatedBytes();
   control.apply(++index, now, documentCommand);
   const auto bytesWithPurchases = allocatedBytes();
-  control.apply(++index, now, ledger::RegisterHolder{ holder, ZoneId("z"), 1, {} });
+  control.apply(++index, now, ledger::RegisterHolder{ holder, ZoneId("z"), 1, {}, false, {} });
   control.apply(++index, now, grantCommand);
   const auto bytesWithGrants = allocatedBytes();
   out << fmt::format("control_memory_per_budget\t{}\tbytes\n",
--- a/tools/figchute-measure/LedgerFleet.cpp
+++ b/tools/figchute-measure/LedgerFleet.cpp
@@ -138,8 +138,11 @@
     send(now,
          kControlVm,
          { processIdOf(from),
-           ledger::ProposeReply{
-             propose->proposalId, true, processIdOf(kControlVm), result.value_or(std::string()) } },
+           ledger::ProposeReply{ propose->proposalId,
+                                 true,
+                                 processIdOf(kControlVm),
+                                 result.value_or(std::string()),
+                                 {} } },
          commitDelay);
   }
   if (const auto* report = std::get_if<ledger::WitnessReport>(&message)) {
--- a/tools/figchute-measure/RouterBudgetFleet.cpp
+++ b/tools/figchute-measure/RouterBudgetFleet.cpp
@@ -137,7 +137,7 @@
   if (const auto* propose = std::get_if<ledger::Propose>(&*message)) {
     const auto result = control_.applyEncoded(++traffic_.commands, now, propose->command);
     const ledger::ProposeReply reply{
-      propose->proposalId, true, processIdOf(controlIndex()), result.value_or(std::string())
+      propose->proposalId, true, processIdOf(controlIndex()), result.value_or(std::string()), {}
     };
     const Duration commitDelay(random_.between(kMinCommitDelayMicros, kMaxCommitDelayMicros));
     send(now, controlIndex(), { processIdOf(packet.from), reply }, commitDelay);
--- a/tools/figchute-random-router/ControlProcess.cpp
+++ b/tools/figchute-random-router/ControlProcess.cpp
@@ -9,6 +9,9 @@
 namespace figchute::simulation {
 namespace {
 
+/** The largest step of a VM's wall clock between two starts of its process. */
+constexpr std::int64_t kMaxClockStepMicros = 2'500'000;
+
 // Same as in router::ControlRole.
 constexpr Duration kMinTickInterval = std::chrono::milliseconds(5);
 constexpr Duration kMaxTickInterval = std::chrono::milliseconds(100);
@@ -47,6 +50,8 @@
   settings.seeds = seeds_;
   settings.bootstrap = bootstrap;
   settings.seed = world_.random.next();
+  clockOffset_ = std::max(Duration{ 0 }, clockOffset_ + randomClockStep());
+  settings.bootClock = bootClock();
   settings.openDataFolder = [disk = disk_]() -> Expected<std::unique_ptr<control::DataFolder>> {
     return std::make_unique<control::DiskDataFolder<replication::MemoryDisk>>(disk);
   };
@@ -61,6 +66,19 @@
   scheduleTick();
 }
 
+Duration ControlProcess::randomClockStep()
+{
+  return Duration(world_.random.chance(0.3)
+                    ? world_.random.between(-kMaxClockStepMicros, kMaxClockStepMicros)
+                    : 0);
+}
+
+control::BootClock ControlProcess::bootClock() const
+{
+  return { std::hash<std::string>()(fmt::format("{}/{}", id_.value, bootCount_)) | 1U,
+           Time{} + clockOffset_ };
+}
+
 void ControlProcess::kill(bool losesPower)
 {
   publisher_.reset();
@@ -72,6 +90,7 @@
   queuedActions_.clear();
   frozen_ = false;
   if (losesPower) {
+    ++bootCount_;
     disk_->crash(world_.random);
   }
 }
@@ -183,10 +202,19 @@
   }
   if (node_->appliedIndex() != previousIndex) {
     onApplied();
+    checkRetirements();
   }
   answerReads();
 }
 
+void ControlProcess::checkRetirements()
+{
+  for (const auto& retirement : node_->takeRetirements()) {
+    const bool isBroken = world_.isBroken("write_off");
+    world_.tally.checkRetirement(retirement.holder, isBroken ? Tokens{} : retirement.returned);
+  }
+}
+
 void ControlProcess::rebindState()
 {
   const auto* state = &node_->state().fleet();
--- a/tools/figchute-random-router/ControlProcess.h
+++ b/tools/figchute-random-router/ControlProcess.h
@@ -23,7 +23,8 @@
   using Reply = std::function<void(const Expected<void>&)>;
   using ReadReply = std::function<void(const Expected<std::string>&)>;
 
-  /** @param clockOffset  how far this VM's clock is ahead of the schedule */
+  /** @param clockOffset  how far this VM's clock is ahead of the schedule at first; it changes at
+                          each restart, as after a step of the wall clock */
   ControlProcess(World& world, ProcessId id, int zone, Duration clockOffset);
 
   /** Starts the process from its disk. */
@@ -87,10 +88,15 @@
   void expireEndpoints();
   void send(const ProcessId& to, wire::Channel channel, std::string body);
   void checkState();
+  void checkRetirements();
+  [[nodiscard]] control::BootClock bootClock() const;
+  [[nodiscard]] Duration randomClockStep();
 
   World& world_;
   ProcessId id_;
   Duration clockOffset_;
+  /** The number of times that the VM lost power. */
+  std::uint64_t bootCount_ = 0;
   std::vector<ProcessId> seeds_;
   std::shared_ptr<replication::MemoryDisk> disk_;
   Incarnation incarnation_;
--- a/tools/figchute-random-router/EntryProcess.cpp
+++ b/tools/figchute-random-router/EntryProcess.cpp
@@ -22,16 +22,11 @@
 
 } // namespace
 
-EntryProcess::EntryProcess(World& world,
-                           ProcessId id,
-                           int zone,
-                           Duration clockOffset,
-                           Duration wallClockOffset)
+EntryProcess::EntryProcess(World& world, ProcessId id, int zone, Duration clockOffset)
   : world_(world)
   , id_(std::move(id))
   , zone_("z" + std::to_string(zone))
   , clockOffset_(clockOffset)
-  , wallClockOffset_(wallClockOffset)
 {
   world_.network.setZone(id_, zone);
   world_.network.setReceiver(
@@ -48,7 +43,6 @@
   incarnation_ = world_.nextIncarnation();
   auto quotaManager = ledger::routerQuotaSettings({ id_, incarnation_ }, zone_);
   quotaManager.proposalIdBase = incarnation_.number << 24U;
-  quotaManager.startedAt = wallTime();
   dispatch::DispatcherSettings dispatcher;
   dispatcher.zone = zone_;
   dispatcher.seed = incarnation_.number;
@@ -56,11 +50,20 @@
   queuedActions_.clear();
   onStopped_ = nullptr;
   runState_ = std::make_unique<RunState>(subscriberSettings(), quotaManager, dispatcher);
-  runState_->quotaManager.setWallTime(wallTime());
   update();
   scheduleTick();
 }
 
+Tokens EntryProcess::unspendableTokens(const ledger::QuotaManager& quotaManager)
+{
+  Tokens sum;
+  for (const auto& account : quotaManager.accounts()) {
+    // Control may already have unlocked tokens of a reserve for a grant that is on its way.
+    sum += account.grantInFlight ? Tokens{ 0 } : account.reserve - account.unlockable;
+  }
+  return sum;
+}
+
 void EntryProcess::kill()
 {
   if (!isRunning()) {
@@ -68,6 +71,7 @@
   }
   // The callbacks below may start the next request of a caller immediately.
   const auto endedRun = std::exchange(runState_, nullptr);
+  world_.tally.recordHolderEnd({ id_, incarnation_ }, unspendableTokens(endedRun->quotaManager));
   queuedActions_.clear();
   frozen_ = false;
   onStopped_ = nullptr;
@@ -156,7 +160,6 @@
 
 void EntryProcess::onTimer()
 {
-  runState_->quotaManager.setWallTime(wallTime());
   std::vector<std::uint64_t> requestIds;
   for (const auto& [id, openRequest] : runState_->openRequests) {
     requestIds.push_back(id);
--- a/tools/figchute-random-router/EntryProcess.h
+++ b/tools/figchute-random-router/EntryProcess.h
@@ -48,13 +48,8 @@
 class EntryProcess
 {
 public:
-  /** @param clockOffset      how far this VM's clock since its start is ahead of the schedule
-      @param wallClockOffset  how far its wall clock is ahead of the schedule */
-  EntryProcess(World& world,
-               ProcessId id,
-               int zone,
-               Duration clockOffset,
-               Duration wallClockOffset);
+  /** @param clockOffset  how far this VM's clock since its start is ahead of the schedule */
+  EntryProcess(World& world, ProcessId id, int zone, Duration clockOffset);
 
   void start();
 
@@ -138,8 +133,9 @@
     bool isUpdating = false;
   };
 
+  /** Returns the tokens that the holder can neither have spent nor unlocked. */
+  [[nodiscard]] static Tokens unspendableTokens(const ledger::QuotaManager& quotaManager);
   [[nodiscard]] Time now() const { return world_.schedule.now() + clockOffset_; }
-  [[nodiscard]] Time wallTime() const { return world_.schedule.now() + wallClockOffset_; }
   [[nodiscard]] fleet::SubscriberSettings subscriberSettings() const;
   void runOrQueue(std::function<void()> action);
   void receive(const Packet& packet);
@@ -172,7 +168,6 @@
   ProcessId id_;
   ZoneId zone_;
   Duration clockOffset_;
-  Duration wallClockOffset_;
   std::vector<ProcessId> seeds_;
   Incarnation incarnation_;
   std::unique_ptr<RunState> runState_;
--- a/tools/figchute-random-router/FleetTally.cpp
+++ b/tools/figchute-random-router/FleetTally.cpp
@@ -183,4 +183,18 @@
                       maxPrepaid_[budget].count));
 }
 
+void FleetTally::checkRetirement(const HolderId& holder, Tokens returned)
+{
+  const auto unspendable = unspendableTokens_.find(holder);
+  if (unspendable == unspendableTokens_.end()) {
+    return;
+  }
+  ++retirementCheckCount_;
+  require(returned >= unspendable->second,
+          fmt::format("write_off: {} of {} tokens that {} cannot have spent were returned",
+                      returned.count,
+                      unspendable->second.count,
+                      holder.process.value));
+}
+
 } // namespace figchute::simulation
--- a/tools/figchute-random-router/FleetTally.h
+++ b/tools/figchute-random-router/FleetTally.h
@@ -108,6 +108,19 @@
   /** Records used tokens of a budget and checks that its largest prepaid amount covers them. */
   void checkCharge(const BudgetId& budget, Tokens tokens);
 
+  /** Records that an entry process ended.
+      @param unspendable  the tokens of its reserves that it can neither have spent nor unlocked */
+  void recordHolderEnd(const HolderId& holder, Tokens unspendable)
+  {
+    unspendableTokens_[holder] = unspendable;
+  }
+
+  /** Checks that control returns all tokens to their budgets that an ended entry process cannot
+     have spent.
+      @param returned  the tokens that control returned */
+  void checkRetirement(const HolderId& holder, Tokens returned);
+
+  [[nodiscard]] std::uint64_t retirementCheckCount() const { return retirementCheckCount_; }
   [[nodiscard]] std::uint64_t chargeCount() const { return chargeCount_; }
   [[nodiscard]] std::uint64_t readCount() const { return readCount_; }
   [[nodiscard]] std::uint64_t repeatCount() const { return repeatCount_; }
@@ -124,6 +137,7 @@
   std::set<std::string> forbiddenConfigurations_;
   std::map<BudgetId, Tokens> maxPrepaid_;
   std::map<BudgetId, Tokens> chargedTokens_;
+  std::map<HolderId, Tokens> unspendableTokens_;
   std::uint64_t acknowledgedVersion_ = 0;
   std::uint64_t lastReadVersion_ = 0;
   std::map<std::uint64_t, std::string> contentByVersion_;
@@ -139,6 +153,7 @@
   std::deque<Time> repeatTimes_;
 
   std::uint64_t chargeCount_ = 0;
+  std::uint64_t retirementCheckCount_ = 0;
   std::uint64_t readCount_ = 0;
   std::uint64_t repeatCount_ = 0;
   std::uint64_t drainCheckCount_ = 0;
--- a/tools/figchute-random-router/Simulation.cpp
+++ b/tools/figchute-random-router/Simulation.cpp
@@ -34,8 +34,10 @@
 
 std::vector<std::string> breakNames()
 {
-  return { "overspend", "revert",       "lost_configuration", "stale_read", "invalid", "content",
-           "one_group", "drained_work", "old_incarnation",    "repeats",    "recovery" };
+  return {
+    "overspend", "revert",       "lost_configuration", "stale_read", "invalid",  "content",
+    "one_group", "drained_work", "old_incarnation",    "repeats",    "recovery", "write_off"
+  };
 }
 
 Simulation::Simulation(Options options)
@@ -88,8 +90,8 @@
 {
   for (int i = 0; i < kEntryCount; ++i) {
     const ProcessId id("e" + std::to_string(i + 1));
-    entries_.push_back(std::make_unique<EntryProcess>(
-      world_, id, i % zoneCount_, randomDuration(1, 5'000'000), randomDuration(0, 2'000)));
+    entries_.push_back(
+      std::make_unique<EntryProcess>(world_, id, i % zoneCount_, randomDuration(1, 5'000'000)));
     entries_.back()->setSeeds(controls_[0]->seeds());
     entries_.back()->start();
   }
@@ -138,6 +140,10 @@
     if (!requestsEnabled_) {
       return;
     }
+    if (world_.schedule.now() < noRequestsUntil_) {
+      scheduleRequest();
+      return;
+    }
     CallerRequest request;
     const auto kind = world_.random.below(10);
     request.path = kind < 6 ? "/chat/a" : (kind < 8 ? "/orders/a" : "/stock/a");
@@ -319,7 +325,7 @@
     "seed={} deployment={} steps={} seconds={} messages={} faults={} control_kills={} wipes={} "
     "replacements={} entry_kills={} partitions={} freezes={} versions={} sent={} refused={} "
     "reads={} requests={} answered={} budget_refusals={} charges={} repeats={} most_repeats={} "
-    "drains={} drain_checks={}",
+    "drains={} drain_checks={} retirement_checks={}",
     options_.seed,
     options_.deployment,
     world_.schedule.stepCount(),
@@ -343,7 +349,8 @@
     world_.tally.repeatCount(),
     world_.tally.maxRepeatCount(),
     world_.tally.drainCount(),
-    world_.tally.drainCheckCount());
+    world_.tally.drainCheckCount(),
+    world_.tally.retirementCheckCount());
 }
 
 } // namespace figchute::simulation
--- a/tools/figchute-random-router/Simulation.h
+++ b/tools/figchute-random-router/Simulation.h
@@ -111,6 +111,8 @@
   int lastControl_ = 0;
   int lastEndpoint_ = 0;
   Time noFaultsUntil_;
+  /** The end of a period without requests, in which holders have nothing to report. */
+  Time noRequestsUntil_;
   bool faultsEnabled_ = true;
   bool requestsEnabled_ = true;
   std::uint64_t lastFingerprint_ = 0;
--- a/tools/figchute-random-router/SimulationFaults.cpp
+++ b/tools/figchute-random-router/SimulationFaults.cpp
@@ -131,6 +131,9 @@
   } else {
     // A period without faults, in which the group can be repaired and drains must be observed.
     noFaultsUntil_ = world_.schedule.now() + randomDuration(3'000, 9'000);
+    if (world_.random.chance(0.5)) {
+      noRequestsUntil_ = noFaultsUntil_ + randomDuration(1'000, 3'000);
+    }
   }
 }
 
--- a/tools/figchute-random/Network.cpp
+++ b/tools/figchute-random/Network.cpp
@@ -19,7 +19,7 @@
                                     "TransferRequest", "Transfer",     "TransferAck",
                                     "WitnessRecord",   "WitnessAck",   "WitnessReportRequest",
                                     "WitnessReport",   "DocumentPoll", "DocumentPush",
-                                    "WitnessForget" };
+                                    "WitnessForget",   "ClockRequest", "ClockReply" };
 constexpr std::array kCommandNames{ "ApplyDocument", "Grant",          "Settle",
                                     "Claim",         "Outcome",        "RegisterHolder",
                                     "Retire",        "CrashReport",    "AddMember",
