--- a/tests/control_node_test.cpp
+++ b/tests/control_node_test.cpp
@@ -490,6 +490,28 @@
   }
 }
 
+// Guards against a group that refuses changes for good after the disks of all its members were
+// full, one after another.
+TEST_CASE_FIXTURE(ReadyCluster, "ControlNode_disksFillInTurn_commitsAfterwards")
+{
+  for (std::uint64_t operations = 0; operations < 8; ++operations) {
+    CAPTURE(operations);
+    for (const auto& name : names()) {
+      processes[name].disk->failAfterOperations(operations);
+      const auto otherName = names()[0] == name ? names()[1] : names()[0];
+      CHECK(canCommit(otherName));
+      run(3s);
+      processes[name].disk->clearFailure();
+    }
+    run(2s);
+    for (const auto& name : names()) {
+      CHECK(canCommit(name));
+      CHECK_FALSE(node(name).storageError().has_value());
+    }
+    checkStable();
+  }
+}
+
 // Guards against a removed member with an old log that deposes the leader when it returns.
 TEST_CASE_FIXTURE(ReadyFourNodeCluster, "ControlNode_removedMemberReturns_leaderStays")
 {
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -309,6 +309,12 @@
   const std::vector<std::string> responses = {
     "",
     "HTTP/1.1 200",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\n",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Unfinished",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r",
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfour",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
