--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -13,10 +13,10 @@
 
 namespace figchute::ledger {
 
-/** The implementation of QuotaManager, in four source files: QuotaManager.cpp contains admission
-   and charges, QuotaManagerControl.cpp grants, settlement and transfers, QuotaManagerRecords.cpp
-   witnesses and the journal, and QuotaManagerReserve.cpp the reserves of processes that record no
-   charges. */
+/** The implementation of QuotaManager, in five source files: QuotaManager.cpp contains admission
+    and charges, QuotaManagerControl.cpp grants and settlement, QuotaManagerTransfer.cpp transfers,
+    QuotaManagerRecords.cpp witnesses and the journal, and QuotaManagerReserve.cpp the reserves of
+    processes that record no charges. */
 class QuotaManager::Impl
 {
 public:
