ledger: the contact of a command is determined only when the command is sent

requestGrants() runs at every tick and request and looked through all accounts for unconfirmed tokens before it knew whether there was anything to request. The same choice stood twice; reportableContact() serves Grant and Settle.

--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -155,7 +155,7 @@
   if (!isRegistered() || draining_ || handingOver_ || retired_) {
     return;
   }
-  Grant command{ settings_.self, {}, isAllUnlockedConfirmed() ? contact_ : ClockReading{} };
+  Grant command{ settings_.self, {}, {} };
   for (const auto& id : budgets) {
     if (const auto item = makeGrantItem(now, id, findOrOpenAccount(id), reason)) {
       command.items.push_back(*item);
@@ -164,6 +164,7 @@
   if (command.items.empty()) {
     return;
   }
+  command.contact = reportableContact({});
   const auto proposal = proposer_.propose(now, command);
   for (const auto& item : command.items) {
     accounts_.at(item.budget).grantProposal = proposal;
@@ -425,7 +426,7 @@
   if (settle.totals.empty() && settle.keyedCharges.empty() && settle.closingBudgets.empty()) {
     return;
   }
-  settle.contact = isAllUnlockedConfirmed(inFlight.totals) ? contact_ : ClockReading{};
+  settle.contact = reportableContact(inFlight.totals);
   ++settleSequence_;
   inFlight.closingBudgets = settle.closingBudgets;
   inFlight.proposal = proposer_.propose(now, settle);
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -243,11 +243,14 @@
       the records of the fleet over its processes. */
   [[nodiscard]] std::vector<HolderId> rotateToStartAfterSelf(std::vector<HolderId> peers) const;
   [[nodiscard]] std::vector<HolderId> selectReserveWitnesses() const;
-  [[nodiscard]] bool isAllUnlockedConfirmed() const;
   /** Returns whether control has confirmed all unlocked tokens except those that @p reported
       contains. */
   [[nodiscard]] bool isAllUnlockedConfirmed(
     const std::map<BudgetId, AccountTotals>& reported) const;
+  /** Returns the reading that a command may report as the last contact.
+      @param reported  the totals that the same command reports */
+  [[nodiscard]] ClockReading reportableContact(
+    const std::map<BudgetId, AccountTotals>& reported) const;
   /** Returns whether a grant request is due only to let control adjust the reserve. */
   [[nodiscard]] Tokens amountToUnlock(Time now, const BudgetId& id, const Account& account) const;
   void unlockReserves(Time now);
--- a/modules/ledger/QuotaManagerRecords.cpp
+++ b/modules/ledger/QuotaManagerRecords.cpp
@@ -190,7 +190,7 @@
   // Control must have confirmed all unlocked tokens before other witnesses replace the ones that
   // recorded them.
   const bool unlockUnconfirmed =
-    isRegistered() && (pendingUnlock_.has_value() || !isAllUnlockedConfirmed());
+    isRegistered() && (pendingUnlock_.has_value() || !isAllUnlockedConfirmed({}));
   if (settings_.usesWitnesses ? newWitnesses.empty() : unlockUnconfirmed) {
     return;
   }
--- a/modules/ledger/QuotaManagerReserve.cpp
+++ b/modules/ledger/QuotaManagerReserve.cpp
@@ -41,11 +41,6 @@
   return witnesses;
 }
 
-bool QuotaManager::Impl::isAllUnlockedConfirmed() const
-{
-  return isAllUnlockedConfirmed({});
-}
-
 bool QuotaManager::Impl::isAllUnlockedConfirmed(
   const std::map<BudgetId, AccountTotals>& reported) const
 {
@@ -54,6 +49,12 @@
   });
 }
 
+ClockReading QuotaManager::Impl::reportableContact(
+  const std::map<BudgetId, AccountTotals>& reported) const
+{
+  return isAllUnlockedConfirmed(reported) ? contact_ : ClockReading{};
+}
+
 Tokens QuotaManager::Impl::amountToUnlock(Time now,
                                           const BudgetId& id,
                                           const Account& account) const
