--- a/modules/ledger/BudgetLedger.h
+++ b/modules/ledger/BudgetLedger.h
@@ -150,7 +150,9 @@
                                      const Holder& holder,
                                      const Budget& budget,
                                      const HolderAccount& account) const;
-  [[nodiscard]] UnlockedAmountStatus unlockedAmountStatus(const Holder& holder) const;
+  /** Returns whether a witness that still runs may report what a holder had unlocked, which is not
+      known otherwise. */
+  [[nodiscard]] bool isReportAwaited(const Holder& holder) const;
   [[nodiscard]] static RetirementProof retirementProof(const Holder& holder);
   [[nodiscard]] bool isRetired(const HolderId& id) const;
   static void recall(Time time,
--- a/modules/ledger/BudgetLedgerRetirement.cpp
+++ b/modules/ledger/BudgetLedgerRetirement.cpp
@@ -72,19 +72,12 @@
   return newestRetired != newestRetired_.end() && id.incarnation <= newestRetired->second;
 }
 
-UnlockedAmountStatus BudgetLedger::unlockedAmountStatus(const Holder& holder) const
+bool BudgetLedger::isReportAwaited(const Holder& holder) const
 {
-  if (holder.witnesses.empty() || !holder.reported.empty()) {
-    return UnlockedAmountStatus::known;
-  }
-  if (holder.endedInContact) {
-    return UnlockedAmountStatus::known;
-  }
-  const bool witnessRemains =
-    std::any_of(holder.witnesses.begin(), holder.witnesses.end(), [this](const HolderId& witness) {
-      return !isRetired(witness);
-    });
-  return witnessRemains ? UnlockedAmountStatus::awaited : UnlockedAmountStatus::lost;
+  return retirementProof(holder) == RetirementProof::none &&
+         std::any_of(holder.witnesses.begin(),
+                     holder.witnesses.end(),
+                     [this](const HolderId& witness) { return !isRetired(witness); });
 }
 
 RetirementProof BudgetLedger::retirementProof(const Holder& holder)
@@ -217,7 +210,7 @@
   if (holder.reported.contains(id)) {
     return missingWitnesses;
   }
-  if (holder.hasReserves && unlockedAmountStatus(holder) != UnlockedAmountStatus::awaited) {
+  if (holder.hasReserves && !isReportAwaited(holder)) {
     return missingWitnesses;
   }
   for (const auto& witness : holder.witnesses) {
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -94,16 +94,6 @@
   bool retiring = false;
 };
 
-/** Whether it is known how much of its reserves a failed holder had unlocked. */
-enum class UnlockedAmountStatus : std::uint8_t
-{
-  known,
-  /** A witness may still report it. */
-  awaited,
-  /** All witnesses have been retired without a report. */
-  lost,
-};
-
 /** How it is known what a failed holder had unlocked. */
 enum class RetirementProof : std::uint8_t
 {
