--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -155,7 +155,7 @@
   HolderId holder;
   std::vector<GrantItem> items;
   /** The last clock reading that the holder has received, as in Settle. */
-  ClockReading contact;
+  ClockReading contact{};
 
   MSGPACK_DEFINE(holder, items, contact)
 };
@@ -241,7 +241,7 @@
   std::vector<BudgetId> closingBudgets;
   /** The last clock reading that the holder has received. Not valid when the holder has unlocked
       reserves that neither this command nor an earlier, confirmed one reports. */
-  ClockReading contact;
+  ClockReading contact{};
 
   MSGPACK_DEFINE(holder, sequence, totals, keyedCharges, closingBudgets, contact)
 };
@@ -368,7 +368,7 @@
    */
   bool hasReserves = false;
   /** Clock readings that the control VMs made after the process had started. */
-  std::vector<ClockReading> clockReadings;
+  std::vector<ClockReading> clockReadings{};
 
   MSGPACK_DEFINE(holder, zone, sequence, witnesses, hasReserves, clockReadings)
 };
