router: lateness of entry processes, waits for grants and the age of proposals are logged and counted

The logs could not tell an entry process that is late from a leader that is late or a reply that is lost. - event_loop_late and the counters of messages and work are there for entry processes too - grant_ms of a request line and the histogram grant_wait: how long a request waited for a grant or a transfer - proposal_age_ms: the longest time from the append of a proposal to the reply at the leader; a line is written above 120 ms - the 503 of a request that control granted too little is told from one that control did not answer

--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -108,7 +108,7 @@
   if (command) {
     countAppended(*command);
   }
-  pendingProposals_.add(*index, { from, propose.proposalId, node_.term() });
+  pendingProposals_.add(*index, { from, propose.proposalId, node_.term(), now });
 }
 
 void ControlCore::handle(Time now, const ProcessId& from, const ledger::DocumentPoll& poll)
@@ -264,6 +264,7 @@
   if (!pendingProposal) {
     return;
   }
+  proposalCounts_.maxAge = std::max(proposalCounts_.maxAge, now - pendingProposal->appendedAt);
   // Another leader may have replaced the proposed entry.
   const bool accepted = pendingProposal->term == entry.term && !result.empty();
   ledger::ProposeReply proposeReply;
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -69,6 +69,8 @@
   /** Appended settlements, and the accounts whose totals they report. */
   std::uint64_t settles = 0;
   std::uint64_t settleItems = 0;
+  /** The longest time from the append of a proposal to the reply. */
+  Duration maxAge{ 0 };
 };
 
 /** Converts the times that a node is called with to readings of its VM's boot clock. */
--- a/modules/control/PendingProposals.h
+++ b/modules/control/PendingProposals.h
@@ -18,6 +18,8 @@
   ProcessId from;
   std::uint64_t proposalId = 0;
   replication::Term term = 0;
+  /** When the leader appended it. */
+  Time appendedAt{};
 };
 
 /** The proposals that a leader appended and that are not applied yet. All operations take
--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -158,8 +158,11 @@
       decisions_.push_back(
         refuse(waitingRequest->request, ErrorKind::noQuorum, "no witness is reachable"));
     } else if (!isGrantAnswered) {
-      decisions_.push_back(refuse(
-        waitingRequest->request, ErrorKind::noQuorum, "no control VM answered the grant request"));
+      const bool grantedTooLittle = waitingRequest->insufficientSince.has_value();
+      decisions_.push_back(refuse(waitingRequest->request,
+                                  ErrorKind::noQuorum,
+                                  grantedTooLittle ? "control granted too little, then fell silent"
+                                                   : "no control VM answered the grant request"));
     } else {
       decisions_.push_back(refuse(waitingRequest->request,
                                   ErrorKind::budgetExhausted,
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -98,6 +98,7 @@
       context.io,
       http::ServerLimits{},
       [this](const std::shared_ptr<http::ServerRequest>& request) { sendReadiness(*request); })
+  , load_(context_.metrics, context_.log)
   , timer_(context.io)
 {
 }
@@ -117,18 +118,24 @@
 
 void EntryRole::scheduleTick()
 {
-  timer_.expires_after(exchanges_.empty() && !stopping_ ? kIdleTickInterval : kBusyTickInterval);
+  const Duration wait = exchanges_.empty() && !stopping_ ? kIdleTickInterval : kBusyTickInterval;
+  tickDueAt_ = bootTime() + wait;
+  timer_.expires_after(wait);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      onTimer();
+      const Time firedAt = bootTime();
+      if (load_.addTimerDelay(firedAt, firedAt - tickDueAt_)) {
+        load_.report(firedAt);
+      }
+      onTimer(firedAt);
       scheduleTick();
     }
   });
 }
 
-void EntryRole::onTimer()
+void EntryRole::onTimer(Time now)
 {
-  const Time now = bootTime();
+  const WorkTimer timer(load_, LoopWork::timer);
   dispatcher_.tick(now);
   for (const auto id : dispatcher_.takeStalled()) {
     if (const auto exchangeEntry = exchanges_.find(id); exchangeEntry != exchanges_.end()) {
@@ -213,7 +220,10 @@
                         std::string body)
 {
   const Time now = bootTime();
-  if (channel == wire::Channel::fleet) {
+  const bool isFleet = channel == wire::Channel::fleet;
+  load_.addReceived(channel, body.size());
+  const WorkTimer timer(load_, isFleet ? LoopWork::fleet : LoopWork::ledger);
+  if (isFleet) {
     if (const auto message = wire::decode<fleet::Message>(body)) {
       subscriber_.receive(now, from, *message);
     }
@@ -360,10 +370,16 @@
 void EntryRole::sendLedger(const std::vector<ledger::OutgoingMessage>& messages)
 {
   for (const auto& message : messages) {
-    context_.mesh.send(message.to, wire::Channel::ledger, wire::encode(message.message));
+    send(message.to, wire::Channel::ledger, wire::encode(message.message));
   }
 }
 
+void EntryRole::send(const ProcessId& to, wire::Channel channel, std::string body)
+{
+  load_.addSent(channel, body.size());
+  context_.mesh.send(to, channel, std::move(body));
+}
+
 void EntryRole::logEndpointEvents(Time now)
 {
   for (const auto& event : dispatcher_.takeEvents()) {
@@ -391,7 +407,7 @@
   logRestrictions(now);
   probeEndpoints();
   for (auto& message : subscriber_.takeOutgoing()) {
-    context_.mesh.send(message.to, wire::Channel::fleet, wire::encode(message.message));
+    send(message.to, wire::Channel::fleet, wire::encode(message.message));
   }
 }
 
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -2,6 +2,7 @@
 
 #include "fleet/fleet.h"
 #include "router/Exchange.h"
+#include "router/LoadMonitor.h"
 #include "router/Role.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -32,7 +33,7 @@
   void sendReadiness(http::ServerRequest& request) const;
   [[nodiscard]] bool isReady() const;
   void scheduleTick();
-  void onTimer();
+  void onTimer(Time now);
   void stopServing(Time now);
   void returnTokens(Time now);
   void update(Time now);
@@ -48,6 +49,7 @@
   /** Attempts to connect to the endpoints that may have crashed. */
   void probeEndpoints();
   void updateQuotaManager(Time now);
+  void send(const ProcessId& to, wire::Channel channel, std::string body);
   void sendLedger(const std::vector<ledger::OutgoingMessage>& messages);
   void logEndpointEvents(Time now);
 
@@ -61,7 +63,9 @@
   EntryServices services_;
   http::Server callers_;
   http::Server readiness_;
+  LoadMonitor load_;
   boost::asio::steady_timer timer_;
+  Time tickDueAt_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t lastExchangeId_ = 0;
   std::size_t endpointCount_ = 0;
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -270,6 +270,10 @@
   if (stage_ != Stage::waitingForGrant || decision.status == ledger::ReserveStatus::waiting) {
     return;
   }
+  if (now > arrivedAt_) {
+    grantWait_ = now - arrivedAt_;
+    services_.metrics.record("grant_wait", *grantWait_);
+  }
   if (decision.status == ledger::ReserveStatus::admitted) {
     sendNext(now);
     return;
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -160,6 +160,8 @@
 
   Stage stage_ = Stage::created;
   bool reserved_ = false;
+  /** How long the request waited for a grant; nothing if it was decided at once. */
+  std::optional<Duration> grantWait_;
   bool dispatched_ = false;
   std::shared_ptr<http::Call> call_;
   std::vector<EndpointId> triedEndpoints_;
--- a/modules/router/ExchangeLog.cpp
+++ b/modules/router/ExchangeLog.cpp
@@ -62,6 +62,7 @@
       { "outcome", std::string(outcome) },
       { "status", std::to_string(status) },
       { "sends", std::to_string(sendCount_) },
+      { "grant_ms", grantWait_ ? std::to_string(millis(*grantWait_)) : "-" },
       { "first_byte_ms", answered ? std::to_string(millis(firstByteAt_ - arrivedAt_)) : "-" },
       { "pause_ms", std::to_string(millis(longestPause_)) },
       { "total_ms", std::to_string(millis(now - arrivedAt_)) },
--- a/modules/router/LoadMonitor.cpp
+++ b/modules/router/LoadMonitor.cpp
@@ -14,7 +14,7 @@
 };
 
 constexpr std::array<std::string_view, kLoopWorkKinds> kWorkNames = {
-  "replication", "ledger", "fleet", "log", "publish",
+  "replication", "ledger", "fleet", "log", "publish", "timer",
 };
 
 } // namespace
@@ -53,6 +53,7 @@
   totals_.proposals.grantItems += counts.grantItems;
   totals_.proposals.settles += counts.settles;
   totals_.proposals.settleItems += counts.settleItems;
+  totals_.proposals.maxAge = std::max(totals_.proposals.maxAge, counts.maxAge);
 }
 
 bool LoadMonitor::addTimerDelay(Time now, Duration delay)
@@ -92,10 +93,11 @@
   add("grant_items", totals.proposals.grantItems);
   add("proposals_settle", totals.proposals.settles);
   add("settle_items", totals.proposals.settleItems);
-  if (totals.maxTimerDelay > kMaxTimerDelay) {
+  if (totals.maxTimerDelay > kMaxTimerDelay || totals.proposals.maxAge > kMaxProposalAge) {
     log_.line(now,
               "event_loop_late",
               { { "delay_ms", std::to_string(totals.maxTimerDelay.count() / 1000) },
+                { "proposal_age_ms", std::to_string(totals.proposals.maxAge.count() / 1000) },
                 { "transfer_pairs", std::to_string(transferPairs_) },
                 { "detail", detail } });
   }
--- a/modules/router/LoadMonitor.h
+++ b/modules/router/LoadMonitor.h
@@ -16,27 +16,32 @@
 {
   /** Messages of the replicated log. */
   replication,
-  /** Proposals and other ledger messages. */
+  /** Ledger messages. */
   ledger,
-  /** Subscriptions and reports of other control processes. */
+  /** Fleet messages: subscriptions, reports and updates. */
   fleet,
   /** Saving and applying log entries. */
   log,
   /** Encoding and sending fleet updates. */
   publish,
+  /** Periodic work of an entry process. */
+  timer,
 };
 
-constexpr std::size_t kLoopWorkKinds = 5;
+constexpr std::size_t kLoopWorkKinds = 6;
 
-/** Measures where a control process spends its time: messages by channel, time by kind of work and
-    the delay of its timer. The totals are counters of the metrics page; a log line reports them at
-    most once a second, and only while the timer is late.
+/** Measures where a process spends its time: messages by channel, time by kind of work and the
+    delay of its timer. The totals are counters of the metrics page; a log line reports them at most
+    once a second, and only while the timer or the replies to proposals are late.
     Thread safety: use one instance from one thread only. */
 class LoadMonitor
 {
 public:
   /** Timers that fire later than this are reported. */
   static constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(200);
+  /** Proposals that are answered later than this are reported. A holder that waits longer considers
+      control unreachable. */
+  static constexpr Duration kMaxProposalAge = std::chrono::milliseconds(120);
   /** The minimum interval between two log lines. */
   static constexpr Duration kReportInterval = std::chrono::seconds(1);
 
@@ -59,7 +64,7 @@
       @returns whether a report is due */
   [[nodiscard]] bool addTimerDelay(Time now, Duration delay);
 
-  /** Adds the totals to the metrics, and writes a log line if the timer was late. */
+  /** Adds the totals to the metrics, and writes a log line if the timer or a reply was late. */
   void report(Time now);
 
 private:
