ledger: the lists of peers are computed when the peers change, not for each message

Cause: QuotaManager::tick() runs for each message and chose the witnesses of the reserve anew: it built the list of all peers and compared each with all chosen before it, to keep two. Each transfer request built that list as well, and each tick compared each unacknowledged transfer with all peers. So an entry process paid with the square of the size of the fleet for each message, and more of them send more messages. Class: work in proportion to the fleet that is done per message instead of per change. FleetPeers computes all lists in set().

QuotaManager_messagesInLargerFleets_takeNoMoreTimeEach, us a message with 30, 100, 300, 1000 entry processes: 5.4, 34.6, 183.5, 2606 before (it failed), 0.88, 0.89, 0.91, 0.93 after, both beside other work.

--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -36,6 +36,7 @@
 QuotaManager::Impl::Impl(QuotaSettings settings)
   : settings_(std::move(settings))
   , proposer_(settings_.proposalIdBase)
+  , peers_(settings_.self, settings_.zone, settings_.usesWitnesses)
   , contactClocks_(settings_.self)
 {
   writeJournal(JournalStart{ settings_.self });
@@ -347,7 +348,7 @@
     handingOver_ = true;
     refuseWaiting(ErrorKind::shuttingDown, "the process is shutting down");
   }
-  const auto& peers = transferPartners_;
+  const auto peers = peers_.transferPartners();
   if (peers.empty() || retired_) {
     return;
   }
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ledger/ContactClocks.h"
+#include "ledger/FleetPeers.h"
 #include "ledger/Proposer.h"
 #include "ledger/QuotaAccount.h"
 #include "ledger/QuotaManager.h"
@@ -233,16 +234,15 @@
   void handleTransferRefusal(Time now, const Transfer& message);
   void sendTransfer(Time now, const TransferKey& transferKey, OutTransfer& transfer);
   void resendTransfers(Time now);
+  /** Drops the transfers to incarnations that were replaced. They receive nothing more, and the
+      tokens sent to them count as spent. */
+  void dropTransfersToReplaced();
   void returnUnreserved(Time now, const BudgetId& id);
   void returnReserve(const BudgetId& id, Account& account, Tokens amount);
 
   // Reserves.
   /** Returns whether control has been unreachable for long enough that reserves may be unlocked. */
   [[nodiscard]] bool isDetached(Time now) const;
-  /** Rotates a sorted list so that it starts with the first peer after this process, which spreads
-      the records of the fleet over its processes. */
-  [[nodiscard]] std::vector<HolderId> rotateToStartAfterSelf(std::vector<HolderId> peers) const;
-  [[nodiscard]] std::vector<HolderId> selectReserveWitnesses() const;
   /** Returns whether control has confirmed all unlocked tokens except those that @p reported
       contains. */
   [[nodiscard]] bool isAllUnlockedConfirmed(
@@ -256,9 +256,6 @@
   void unlockReserves(Time now);
   void sendUnlock(Time now);
   void handleUnlockAck(Time now, const WitnessAck& message);
-  [[nodiscard]] std::vector<HolderId> zonePeers() const;
-  [[nodiscard]] std::vector<HolderId> transferPeers() const;
-  [[nodiscard]] std::vector<HolderId> selectTransferPartners() const;
   [[nodiscard]] Tokens transferAmount(Time now,
                                       const TransferRequest& message,
                                       const Account& account) const;
@@ -276,8 +273,6 @@
   /** Returns whether a witness is registered and stays registered when the registration in flight
       is committed. */
   [[nodiscard]] bool isEffectiveWitness(const HolderId& witness) const;
-  [[nodiscard]] bool isLive(const HolderId& id) const;
-  [[nodiscard]] std::vector<HolderId> findWitnessCandidates() const;
   [[nodiscard]] std::vector<HolderId> selectWitnesses() const;
   /** Returns whether a witness may be replaced: it holds no records that are still needed, or one
      of the kept witnesses holds them too. */
@@ -294,9 +289,7 @@
 
   QuotaSettings settings_;
   Proposer proposer_;
-  std::vector<Peer> peers_;
-  /** The holders with which this one exchanges tokens. */
-  std::vector<HolderId> transferPartners_;
+  detail::FleetPeers peers_;
   /** The number of entry processes that tokens can be exchanged with, including this one. */
   std::int64_t entryCount_ = 1;
   bool draining_ = false;
--- a/modules/ledger/QuotaManagerRecords.cpp
+++ b/modules/ledger/QuotaManagerRecords.cpp
@@ -72,12 +72,6 @@
   }
 }
 
-bool QuotaManager::Impl::isLive(const HolderId& id) const
-{
-  return std::any_of(
-    peers_.begin(), peers_.end(), [&id](const Peer& peer) { return peer.id == id && peer.live; });
-}
-
 bool QuotaManager::Impl::isEffectiveWitness(const HolderId& witness) const
 {
   return contains(registeredWitnesses_, witness) &&
@@ -90,32 +84,6 @@
          (!registeredWitnesses_.empty() && (activeWitness_.has_value() || settings_.hasJournal));
 }
 
-std::vector<HolderId> QuotaManager::Impl::rotateToStartAfterSelf(std::vector<HolderId> peers) const
-{
-  const auto& ownProcess = settings_.self.process;
-  const auto firstAfterSelf =
-    std::find_if(peers.begin(), peers.end(), [&ownProcess](const HolderId& id) {
-      return id.process > ownProcess;
-    });
-  std::rotate(peers.begin(), firstAfterSelf, peers.end());
-  return peers;
-}
-
-std::vector<HolderId> QuotaManager::Impl::findWitnessCandidates() const
-{
-  auto candidates = rotateToStartAfterSelf(zonePeers());
-  const auto ownProcess = settings_.self.process;
-  for (const bool sameZone : { true, false }) {
-    for (const auto& peer : peers_) {
-      const bool usable = peer.control && peer.live && peer.id.process != ownProcess;
-      if (usable && (peer.zone == settings_.zone) == sameZone && !contains(candidates, peer.id)) {
-        candidates.push_back(peer.id);
-      }
-    }
-  }
-  return candidates;
-}
-
 bool QuotaManager::Impl::canReplaceWitness(const HolderId& witness,
                                            std::span<const HolderId> keptWitnesses) const
 {
@@ -142,8 +110,8 @@
 
 std::vector<HolderId> QuotaManager::Impl::selectWitnesses() const
 {
-  const auto candidates = findWitnessCandidates();
-  const auto peersInZone = zonePeers();
+  const auto candidates = peers_.witnessCandidates();
+  const auto peersInZone = peers_.zoneEntries();
   std::vector<HolderId> chosenWitnesses;
   const auto addWitness = [&chosenWitnesses](const HolderId& id) {
     if (chosenWitnesses.size() < kWitnessCount && !contains(chosenWitnesses, id)) {
@@ -182,7 +150,10 @@
   if (registerProposal_ != 0 || now < nextRegisterAt_ || !journalReady || retired_ || draining_) {
     return;
   }
-  auto newWitnesses = settings_.usesWitnesses ? selectWitnesses() : selectReserveWitnesses();
+  const auto reserveWitnesses = peers_.reserveWitnesses();
+  auto newWitnesses = settings_.usesWitnesses
+                        ? selectWitnesses()
+                        : std::vector(reserveWitnesses.begin(), reserveWitnesses.end());
   if (newWitnesses == registeredWitnesses_ &&
       (registeredWithoutWitnesses_ || settings_.usesWitnesses)) {
     return;
@@ -238,20 +209,14 @@
 
 void QuotaManager::Impl::setPeers(Time now, std::span<const Peer> peers)
 {
-  peers_.assign(peers.begin(), peers.end());
-  std::sort(peers_.begin(), peers_.end(), [](const Peer& a, const Peer& b) { return a.id < b.id; });
-  std::vector<ProcessId> controls;
-  for (const auto& peer : peers_) {
-    if (peer.control) {
-      controls.push_back(peer.id.process);
-    }
-  }
+  peers_.set(peers);
+  std::vector<ProcessId> controls(peers_.controls().begin(), peers_.controls().end());
   if (!settings_.usesWitnesses) {
     contactClocks_.setControls(now, controls);
   }
   proposer_.setControls(std::move(controls));
-  entryCount_ = static_cast<std::int64_t>(transferPeers().size()) + 1;
-  transferPartners_ = selectTransferPartners();
+  entryCount_ = static_cast<std::int64_t>(peers_.transferPeers().size()) + 1;
+  dropTransfersToReplaced();
   chooseActiveWitness(now);
   registerIfNeeded(now);
   flushRecords(now);
@@ -265,10 +230,10 @@
   std::optional<HolderId> bestWitness;
   int bestScore = -1;
   for (const auto& id : registeredWitnesses_) {
-    if (id == settings_.self || !isEffectiveWitness(id) || !isLive(id)) {
+    if (id == settings_.self || !isEffectiveWitness(id) || !peers_.isLive(id)) {
       continue;
     }
-    const auto peersInZone = zonePeers();
+    const auto peersInZone = peers_.zoneEntries();
     const bool trusted = witnessStates_[id].suspectUntil <= now;
     const int score =
       (trusted ? 4 : 0) + (contains(peersInZone, id) ? 2 : 0) + (activeWitness_ == id ? 1 : 0);
@@ -361,7 +326,7 @@
 void QuotaManager::Impl::tickWitnesses(Time now)
 {
   for (auto& [id, state] : witnessStates_) {
-    if (!isEffectiveWitness(id) || !isLive(id)) {
+    if (!isEffectiveWitness(id) || !peers_.isLive(id)) {
       continue;
     }
     const bool awaitingAck = !state.sent.empty();
--- a/modules/ledger/QuotaManagerReserve.cpp
+++ b/modules/ledger/QuotaManagerReserve.cpp
@@ -7,10 +7,6 @@
 namespace figchute::ledger {
 namespace {
 
-/** The number of witnesses of a holder's reserves. All of them must acknowledge, so with more it
-    would be likelier that a failed witness blocks unlocking while control is unreachable. With only
-    one, the reserve would be lost when the witness and the holder fail together. */
-constexpr std::size_t kReserveWitnessCount = 2;
 /** The time after which an unacknowledged unlock record is resent. The network delay between
     availability zones is about 1 ms. */
 constexpr Duration kUnlockResendInterval{ 30'000 };
@@ -27,20 +23,6 @@
          (controlLost_ || !isControlReachable(now));
 }
 
-std::vector<HolderId> QuotaManager::Impl::selectReserveWitnesses() const
-{
-  // Witnesses in the same availability zone stay reachable when the zone is isolated.
-  auto witnesses = rotateToStartAfterSelf(zonePeers());
-  for (const auto& peer : rotateToStartAfterSelf(transferPeers())) {
-    if (std::find(witnesses.begin(), witnesses.end(), peer) == witnesses.end()) {
-      witnesses.push_back(peer);
-    }
-  }
-  witnesses.resize(std::min(witnesses.size(), kReserveWitnessCount));
-  std::sort(witnesses.begin(), witnesses.end());
-  return witnesses;
-}
-
 bool QuotaManager::Impl::isAllUnlockedConfirmed(
   const std::map<BudgetId, AccountTotals>& reported) const
 {
--- a/modules/ledger/QuotaManagerTransfer.cpp
+++ b/modules/ledger/QuotaManagerTransfer.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/** The maximum number of holders from which a holder requests tokens. Control keeps the totals of
-    each pair of holders and budget, so with all pairs its state would grow with the square of the
-    number of holders. */
-constexpr std::size_t kMaxTransferPartners = 16;
 /** How long the unsuccessful transfer request of a peer counts as demand. The peer repeats its
     request within this time. */
 constexpr Duration kPeerShortfallTime{ 300'000 };
@@ -23,53 +19,6 @@
 
 } // namespace
 
-std::vector<HolderId> QuotaManager::Impl::zonePeers() const
-{
-  std::vector<HolderId> peers;
-  for (const auto& peer : peers_) {
-    if (peer.entry && peer.live && peer.zone == settings_.zone &&
-        peer.id.process != settings_.self.process) {
-      peers.push_back(peer.id);
-    }
-  }
-  return peers;
-}
-
-std::vector<HolderId> QuotaManager::Impl::transferPeers() const
-{
-  if (settings_.usesWitnesses) {
-    return zonePeers();
-  }
-  std::vector<HolderId> peers;
-  for (const auto& peer : peers_) {
-    if (peer.entry && peer.live && peer.id.process != settings_.self.process) {
-      peers.push_back(peer.id);
-    }
-  }
-  return peers;
-}
-
-std::vector<HolderId> QuotaManager::Impl::selectTransferPartners() const
-{
-  auto peers = transferPeers();
-  if (peers.size() <= kMaxTransferPartners) {
-    return peers;
-  }
-  // Half of the partners are in the same availability zone, which may be isolated. The others are
-  // spread evenly over the fleet. Both start after this holder, so they differ between holders.
-  auto partners = rotateToStartAfterSelf(zonePeers());
-  partners.resize(std::min(partners.size(), kMaxTransferPartners / 2));
-  peers = rotateToStartAfterSelf(std::move(peers));
-  std::erase_if(peers, [&partners](const HolderId& peer) {
-    return std::find(partners.begin(), partners.end(), peer) != partners.end();
-  });
-  const auto others = kMaxTransferPartners - partners.size();
-  for (std::size_t i = 0; i < others; ++i) {
-    partners.push_back(peers[i * peers.size() / others]);
-  }
-  return partners;
-}
-
 void QuotaManager::Impl::requestTransfers(Time now)
 {
   // For holders with witnesses, control treats a transfer to an unregistered holder as not
@@ -92,20 +41,20 @@
     account.transferRefusals = 0;
   }
   auto shortfall = waitingTokens(id) - account.available();
-  if (shortfall <= Tokens{ 0 } || transferPartners_.empty()) {
+  const auto partners = peers_.transferPartners();
+  if (shortfall <= Tokens{ 0 } || partners.empty()) {
     return;
   }
   shortfall += account.demandWithin(now, settings_.demandWindow, settings_.transferHorizon);
   account.transferRequestedAt = now;
-  const auto& peer = transferPartners_[++account.transferPeerIndex % transferPartners_.size()];
+  const auto& peer = partners[++account.transferPeerIndex % partners.size()];
   account.transferRequestedFrom = peer;
   outgoing_.push_back({ peer.process, TransferRequest{ settings_.self, id, shortfall } });
 }
 
 void QuotaManager::Impl::handle(Time now, const ProcessId& from, const TransferRequest& message)
 {
-  const auto peers = transferPeers();
-  if (retired_ || std::find(peers.begin(), peers.end(), message.holder) == peers.end()) {
+  if (retired_ || !peers_.isTransferPeer(message.holder)) {
     return;
   }
   const TransferKey transferKey{ message.budget, message.holder };
@@ -170,15 +119,6 @@
 
 void QuotaManager::Impl::resendTransfers(Time now)
 {
-  if (!settings_.usesWitnesses) {
-    // A replaced incarnation receives nothing more; the tokens sent to it count as spent.
-    std::erase_if(outTransfers_, [this](const auto& item) {
-      const auto& receiver = item.first.peer;
-      return std::any_of(peers_.begin(), peers_.end(), [&receiver](const Peer& peer) {
-        return peer.id.process == receiver.process && peer.id.incarnation > receiver.incarnation;
-      });
-    });
-  }
   for (auto& [transferKey, transfer] : outTransfers_) {
     if (transfer.recorded && transfer.sentAt + kTransferResendInterval <= now) {
       sendTransfer(now, transferKey, transfer);
@@ -186,6 +126,14 @@
   }
 }
 
+void QuotaManager::Impl::dropTransfersToReplaced()
+{
+  if (!settings_.usesWitnesses) {
+    std::erase_if(outTransfers_,
+                  [this](const auto& item) { return peers_.isReplaced(item.first.peer); });
+  }
+}
+
 void QuotaManager::Impl::handle(Time now, const ProcessId& from, const Transfer& message)
 {
   if (message.to != settings_.self || retired_) {
@@ -225,7 +173,7 @@
   // Each peer gets one request per round. A duplicate answer must not cause another request.
   auto& account = accountEntry->second;
   account.transferRequestedFrom = HolderId{};
-  if (++account.transferRefusals < transferPartners_.size()) {
+  if (++account.transferRefusals < peers_.transferPartners().size()) {
     account.transferRequestedAt = Time{};
     requestTransfers(now);
   }
--- a/tests/ledger_scale_test.cpp
+++ b/tests/ledger_scale_test.cpp
@@ -2,6 +2,7 @@
 #include "ledger/ledger.h"
 #include "ThreadTime.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <doctest/doctest.h>
@@ -137,26 +138,29 @@
   static constexpr int kEntries = 295;
   static constexpr int kWorkspaces = 40;
 
-  HolderOfLargeFleet()
-    : holder(routerQuotaSettings(LargeFleet::holderId(0), ZoneId("z")))
+  explicit HolderOfLargeFleet(int entries = kEntries)
+    : holder(routerQuotaSettings(LargeFleet::holderId(0), ZoneId("z0")))
   {
     std::vector<Peer> peers{ { { kControl, {} }, {}, false, true, true } };
-    for (int entry = 0; entry < kEntries; ++entry) {
-      peers.push_back({ LargeFleet::holderId(entry), ZoneId("z"), true, false, true });
+    for (int entry = 0; entry < entries; ++entry) {
+      peers.push_back({ LargeFleet::holderId(entry), zoneOf(entry), true, false, true });
     }
     std::vector<PrepaidBudget> budgets;
     for (int budget = 0; budget < kWorkspaces; ++budget) {
       budgets.push_back({ LargeFleet::budgetId(budget), Tokens{ 100'000'000 } });
     }
     control.apply(++index, time, PutConfiguration{ 1, "configuration", budgets });
-    for (int entry = 0; entry < kEntries; ++entry) {
-      control.apply(
-        ++index, time, RegisterHolder{ LargeFleet::holderId(entry), ZoneId("z"), 1, {}, true, {} });
+    for (int entry = 0; entry < entries; ++entry) {
+      control.apply(++index,
+                    time,
+                    RegisterHolder{ LargeFleet::holderId(entry), zoneOf(entry), 1, {}, true, {} });
     }
     holder.setPeers(time, peers);
     holder.setBudgets(time, budgets);
   }
 
+  static ZoneId zoneOf(int entry) { return ZoneId(fmt::format("z{}", entry % 5)); }
+
   /** Lets time pass and returns the number of commands that the holder sends. */
   int countCommands(Duration duration)
   {
@@ -195,6 +199,47 @@
   CHECK(countCommands(Duration{ 60'000'000 }) <= 12);
 }
 
+namespace {
+
+/** Returns the processor time that a holder in a fleet of this size takes for one message of
+   another holder, handled as the router daemon does: each message is followed by a tick. */
+double microsPerMessage(int entries)
+{
+  constexpr int kRounds = 5;
+  constexpr int kMessages = 400;
+  HolderOfLargeFleet fleet(entries);
+  fleet.countCommands(Duration{ 5'000'000 });
+  auto shortest = Duration::max();
+  for (int round = 0; round < kRounds; ++round) {
+    const auto before = threadTime();
+    for (int message = 0; message < kMessages; ++message) {
+      const auto peer = LargeFleet::holderId(1 + message % (entries - 1));
+      fleet.holder.receive(
+        fleet.time,
+        peer.process,
+        TransferRequest{ peer, LargeFleet::budgetId(0), Tokens{ 1'000'000'000 } });
+      fleet.holder.tick(fleet.time);
+      static_cast<void>(fleet.holder.takeOutgoing());
+    }
+    shortest = std::min(shortest, threadTime() - before);
+  }
+  return static_cast<double>(shortest.count()) / kMessages;
+}
+
+} // namespace
+
+// Guards against work in proportion to the fleet that is done for each message: 295 entry processes
+// that chose the witnesses of their reserves anew for each message were seconds late.
+TEST_CASE("QuotaManager_messagesInLargerFleets_takeNoMoreTimeEach")
+{
+  const auto small = microsPerMessage(30);
+  for (const int entries : { 100, 300, 1000 }) {
+    const auto large = microsPerMessage(entries);
+    INFO("entry processes: ", entries, ", us a message: ", large, ", with 30: ", small);
+    CHECK(large < 3 * small);
+  }
+}
+
 // Guards against sums of a budget that differ from its accounts, and against the time that adding
 // up all accounts takes for each command.
 TEST_CASE_FIXTURE(LargeFleet, "ControlState_grantsOfManyHolders_takeLittleTimeAndKeepTheSums")
