ledger: a holder has at most two unanswered grant requests, further needs share the next one

Cause: a holder sent one grant request for each need, and kept each of them until it was answered, also when its request no longer waited. After a partition of 7 s a leader got 4,000 to 9,000 of them in its first second, 1.1 budgets each, and needs about 50 us of processor time for each message besides 1.2 us for a budget. It fell behind by seconds, so holders sent again, asked each other for transfers, and the followers elected another leader, which got the same. Class: needs that pile up one by one while a dependency is down and are all replayed. Now needs that come while two grant requests are in flight are requested together, by what is needed when a reply arrives.

--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -10,6 +10,10 @@
 
 /** How long unreserved tokens are returned at once after control reported a low budget. */
 constexpr Duration kBudgetLowTime{ 1'000'000 };
+/** The maximum number of unanswered grant requests of a holder. Further needs wait for a reply and
+    are requested together. With one request for each need, a leader that had been unreachable got
+    thousands of them at once, most of them for requests that no longer waited. */
+constexpr std::size_t kMaxGrantsInFlight = 2;
 /** The longest pause between two grant requests for waiting requests. */
 constexpr Duration kMaxGrantRequestPause{ 40'000 };
 /** The pause before the next grant request after control refused one, for example because the
@@ -155,6 +159,10 @@
   if (!isRegistered() || draining_ || handingOver_ || retired_) {
     return;
   }
+  if (grantProposals_.size() >= kMaxGrantsInFlight) {
+    deferredGrantBudgets_.insert(budgets.begin(), budgets.end());
+    return;
+  }
   Grant command{ settings_.self, {}, {} };
   for (const auto& id : budgets) {
     if (const auto item = makeGrantItem(now, id, findOrOpenAccount(id), reason)) {
@@ -267,10 +275,18 @@
     }
     returnTokensIfBudgetLow(now, item.budget, account);
   }
+  requestDeferredGrants(now);
   requestTransfers(now);
   sendSettle(now);
 }
 
+void QuotaManager::Impl::requestDeferredGrants(Time now)
+{
+  const auto deferred = std::exchange(deferredGrantBudgets_, {});
+  const std::vector<BudgetId> budgets(deferred.begin(), deferred.end());
+  requestGrants(now, budgets);
+}
+
 void QuotaManager::Impl::returnTokensIfBudgetLow(Time now, const BudgetId& id, Account& account)
 {
   // Tokens returned while control is unreachable could not be granted to anyone, but kept tokens
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -189,6 +189,8 @@
   [[nodiscard]] Tokens idleAmount(Time now, const Account& account) const;
   [[nodiscard]] Tokens expectedDemand(Time now, const Account& account) const;
   void requestInitialGrants(Time now);
+  /** Requests the needs that waited for the reply to an earlier grant request. */
+  void requestDeferredGrants(Time now);
   std::optional<GrantItem> makeGrantItem(Time now,
                                          const BudgetId& id,
                                          const Account& account,
@@ -314,6 +316,8 @@
   std::uint64_t grantSequence_ = 0;
   /** The budgets of each grant request in flight, by proposal id. */
   std::map<std::uint64_t, std::vector<BudgetId>> grantProposals_;
+  /** Budgets whose needs were not requested because too many grant requests were in flight. */
+  std::set<BudgetId> deferredGrantBudgets_;
   std::uint64_t settleSequence_ = 0;
   std::optional<SettleInFlight> settleInFlight_;
   std::set<BudgetId> unsettledBudgets_;
--- a/tests/random_test.sh
+++ b/tests/random_test.sh
@@ -55,6 +55,6 @@
 one_bill one_bill all 2
 one_run one_run all 2
 revision revision all 2
-conservation conservation all 4
+conservation conservation all 5
 ROWS
 echo "all randomised runs passed"
