--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -7,6 +7,8 @@
 namespace figchute::control {
 namespace {
 
+/** The bytes that an entry takes in the log in addition to its payload. */
+constexpr std::uint64_t kEntryOverheadBytes = 16;
 /** The interval at which the leader requests missing witness reports and promotes learners. */
 constexpr Duration kMaintenanceInterval = std::chrono::seconds(1);
 
@@ -53,6 +55,7 @@
                   "cannot decode the snapshot: " + restored.error().detail);
     }
     core.appliedIndex_ = snapshot.meta.index;
+    core.snapshotBytes_ = snapshot.data.size();
   }
   return core;
 }
@@ -236,6 +239,7 @@
     invariant(restoreResult.has_value(), "a snapshot from the leader can be decoded");
     appliedIndex_ = ready.snapshot->meta.index;
     bytesSinceSnapshot_ = 0;
+    snapshotBytes_ = ready.snapshot->data.size();
     // The results of the entries that the snapshot covers are unknown here. Their proposers send
     // the proposals again; a remaining pending proposal of the same id would suppress them.
     pendingProposals_.removeUpTo(appliedIndex_);
@@ -279,14 +283,19 @@
 
 void ControlCore::compactIfDue()
 {
-  const bool isSnapshotDue =
-    appliedIndex_ >= node_.snapshotIndex() + config_.snapshotIntervalEntries ||
-    bytesSinceSnapshot_ >= config_.snapshotIntervalBytes;
-  if (!isSnapshotDue || appliedIndex_ <= node_.snapshotIndex()) {
+  const auto entries = appliedIndex_ - node_.snapshotIndex();
+  const bool isSnapshotDue = entries >= config_.snapshotIntervalEntries ||
+                             bytesSinceSnapshot_ >= config_.snapshotIntervalBytes;
+  // Each snapshot encodes and writes the whole state, so it must not be larger than the entries
+  // that it replaces.
+  const bool isWorthwhile = bytesSinceSnapshot_ + entries * kEntryOverheadBytes >= snapshotBytes_;
+  if (entries == 0 || !isSnapshotDue || !isWorthwhile) {
     return;
   }
   bytesSinceSnapshot_ = 0;
-  const auto compactResult = node_.compact(appliedIndex_, state_.snapshot());
+  auto snapshot = state_.snapshot();
+  snapshotBytes_ = snapshot.size();
+  const auto compactResult = node_.compact(appliedIndex_, std::move(snapshot));
   invariant(compactResult.has_value(), "an applied entry can be covered by a snapshot");
 }
 
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -91,7 +91,8 @@
 /** The settings of a ControlCore. */
 struct CoreConfig
 {
-  /** The number of applied entries after which a snapshot is taken. */
+  /** The number of applied entries after which a snapshot is taken, unless the last snapshot is
+      larger than these entries. The same holds for snapshotIntervalBytes. */
   std::uint64_t snapshotIntervalEntries = 4096;
   /** The total payload bytes of applied entries after which a snapshot is taken. */
   std::uint64_t snapshotIntervalBytes = std::numeric_limits<std::uint64_t>::max();
@@ -215,6 +216,8 @@
   std::vector<OutgoingMessage> outgoing_;
   replication::LogIndex appliedIndex_ = 0;
   std::uint64_t bytesSinceSnapshot_ = 0;
+  /** The size of the last snapshot. */
+  std::uint64_t snapshotBytes_ = 0;
   Time lastCommandTime_;
   Time nextReportRequestAt_;
   Time nextPromotionAt_;
--- a/tests/control_node_test.cpp
+++ b/tests/control_node_test.cpp
@@ -614,6 +614,32 @@
   checkStable();
 }
 
+// Guards against snapshots of a large state that take most of the leader's time: one was taken
+// every 4,096 entries, although it was many times as large as these entries.
+TEST_CASE_FIXTURE(ReadyCluster, "ControlNode_stateIsLargerThanTheEntries_takesFewSnapshots")
+{
+  ledger::ApplyDocument large;
+  large.team = TeamId("large");
+  large.change = ChangeId("large");
+  large.text = std::string(4UL * 1024 * 1024, 'x');
+  node("a").proposeLocal(now, large, 2s, [](const auto& result) { CHECK(result); });
+  processes["a"].tickNeeded = true;
+  run(500ms);
+  const auto firstSnapshot = node("a").log()->snapshotIndex();
+  REQUIRE(firstSnapshot > 0);
+  constexpr int kCommands = 10'000;
+  for (int i = 0; i < kCommands; ++i) {
+    node("a").proposeLocal(now, ledger::ReadBarrier{}, 2s, [](const auto& /*result*/) {});
+    if (i % 100 == 0) {
+      processes["a"].tickNeeded = true;
+      run(20ms);
+    }
+  }
+  run(500ms);
+  REQUIRE(node("a").appliedIndex() >= firstSnapshot + kCommands);
+  CHECK(node("a").log()->snapshotIndex() == firstSnapshot);
+}
+
 // Guards against a FileDisk that loses the origin, the disk id or the state at a restart.
 TEST_CASE("ControlNode_onFileDisk_keepsIdentityAndState")
 {
