--- a/modules/ledger/Message.h
+++ b/modules/ledger/Message.h
@@ -34,7 +34,7 @@
   std::string result;
   /** The clock of the sender when it created the answer; not valid if it has no clock that
      continues across restarts of the process. */
-  ClockReading clockReading;
+  ClockReading clockReading{};
 
   MSGPACK_DEFINE(proposalId, accepted, leaderHint, result, clockReading)
 };
@@ -198,7 +198,7 @@
 {
   /** The incarnation that asked. */
   HolderId holder;
-  ClockReading clockReading;
+  ClockReading clockReading{};
 
   MSGPACK_DEFINE(holder, clockReading)
 };
