router: a process whose network link is congested refuses requests at once

On the large deployment the clients of one workspace reach a few entry processes only, which get 100 to 500 requests a second on links of 10 Mbit/s. Each of these requests was held for up to three connection attempts of 500 ms and then refused, and endpoints were taken for unreachable.

Cause: the process took its own congested link for failures of the endpoints. Class: the effects of an own overload are blamed on others and retried. LinkMonitor tells them apart: connections to three endpoints timed out within 500 ms and no endpoint answered within 150 ms, as others do when a zone or a service is unreachable. Requests are then refused with 503 and a short Retry-After, because another process can take them, and the timeouts do not count against the endpoints.

Tests: linkMonitor_withTimeoutsOfSeveralEndpoints_..., linkMonitor_withPromptAnswerOfAnyEndpoint_...; a congested link has no test with real processes.

--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -37,7 +37,7 @@
 constexpr int kRequiredTargetMultiple = 2;
 constexpr Duration kMinRequiredTime = std::chrono::milliseconds(500);
 /** Short, because another entry process can take the request immediately. */
-constexpr Duration kStopRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kOtherProcessRetryAfter = std::chrono::milliseconds(100);
 /** Short, because another endpoint may accept the request. */
 constexpr Duration kRetryAfterRefusal = std::chrono::milliseconds(100);
 /** An endpoint needs up to this time to stop a request whose connection was closed. */
@@ -135,7 +135,11 @@
   }
   if (exceedsStopDeadline(now)) {
     sendErrorResponse(
-      now, Error{ ErrorKind::shuttingDown, "the process is stopping" }, kStopRetryAfter);
+      now, Error{ ErrorKind::shuttingDown, "the process is stopping" }, kOtherProcessRetryAfter);
+    return;
+  }
+  if (isLinkCongested(now)) {
+    refuseWhileCongested(now);
     return;
   }
   reserve(now);
@@ -157,6 +161,18 @@
   return now + needed > *services_.stopDeadline;
 }
 
+bool Exchange::isLinkCongested(Time now) const
+{
+  return services_.link.isCongested(now);
+}
+
+void Exchange::refuseWhileCongested(Time now)
+{
+  sendErrorResponse(now,
+                    Error{ ErrorKind::overloaded, "the network link of this process is congested" },
+                    kOtherProcessRetryAfter);
+}
+
 Time Exchange::lastAnswerTime() const
 {
   if (services_.stopDeadline && stage_ != Stage::relaying) {
@@ -395,6 +411,7 @@
 void Exchange::onHead(const http::ResponseHead& head)
 {
   const Time now = bootTime();
+  services_.link.answered(now, now - sendStartedAt_);
   reusedConnectionFailed_ = false;
   const auto report = parseEndpointReport(services_.dialect.fields(), head);
   const bool marked = report.marked;
@@ -618,6 +635,11 @@
   }
   reusedConnectionFailed_ = failure.sent && failure.reused && !failure.headReceived &&
                             (failure.kind == Kind::reset || failure.kind == Kind::closed);
+  if (failure.kind == Kind::connectTimeout) {
+    services_.link.connectTimedOut(now, endpoint_);
+    // The timeout says nothing about the endpoint then.
+    outcome = isLinkCongested(now) ? dispatch::Outcome::withdrawn : outcome;
+  }
   const auto detail =
     fmt::format("{}{}", toString(failure.kind), failure.reused ? " on a reused connection" : "");
   if (stage_ == Stage::relaying && !canContinue()) {
@@ -656,7 +678,12 @@
   }
   endSend(now, outcome);
   logFailedSend(now, outcome, detail);
-  const bool unsent = outcome == dispatch::Outcome::notConnected;
+  const bool isCongested = outcome == dispatch::Outcome::withdrawn;
+  const bool unsent = outcome == dispatch::Outcome::notConnected || isCongested;
+  if (isCongested && !mayHaveRun_) {
+    refuseWhileCongested(now);
+    return;
+  }
   const bool again =
     unsent ? ++connectFailures_ < kMaxConnectFailures && (!mayHaveRun_ || isRepeatable())
            : mayRetry();
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -9,6 +9,7 @@
 #include "router/EndpointReport.h"
 #include "router/EventCounter.h"
 #include "router/EventRelay.h"
+#include "router/LinkMonitor.h"
 #include "router/LogWriter.h"
 
 #include <cstdint>
@@ -35,6 +36,7 @@
   std::uint64_t endpointRevision = 0;
   /** Called after a send failed in a way that may indicate an endpoint crash. */
   std::function<void(Time)> onConnectionFailure;
+  LinkMonitor link{};
   /** Set when the process stops: requests that arrive later are rejected without being executed,
    * unless they end before the stop deadline in any case. */
   std::optional<Time> normalServiceEnd = std::nullopt;
@@ -105,6 +107,9 @@
   /** Returns when a request without a response gets an error response: at its deadline, or before
    * the process exits. */
   [[nodiscard]] Time lastAnswerTime() const;
+  /** Returns whether the network link of this VM is too congested for further requests. */
+  [[nodiscard]] bool isLinkCongested(Time now) const;
+  void refuseWhileCongested(Time now);
   void reserve(Time now);
   void sendNext(Time now, Duration pause = Duration{ 0 });
   [[nodiscard]] tl::expected<dispatch::ChosenEndpoint, dispatch::Refusal> chooseNext(Time now);
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -2,6 +2,7 @@
 #include "router/EventCounter.h"
 #include "router/EventRelay.h"
 #include "router/JsonDialect.h"
+#include "router/LinkMonitor.h"
 #include "router/LogWriter.h"
 #include "router/RouterSettings.h"
 #include "ThreadTime.h"
@@ -451,6 +452,50 @@
   CHECK_FALSE(relay.canContinue());
 }
 
+namespace {
+
+struct LinkFixture
+{
+  void timeOut(std::initializer_list<const char*> endpoints)
+  {
+    for (const auto* endpoint : endpoints) {
+      link.connectTimedOut(now, EndpointId(endpoint));
+    }
+  }
+
+  LinkMonitor link;
+  Time now{ 1'000'000'000 };
+};
+
+} // namespace
+
+// Guards against requests that a process with a congested link accepts and holds until it is too
+// late for another process to serve them.
+TEST_CASE_FIXTURE(LinkFixture, "linkMonitor_withTimeoutsOfSeveralEndpoints_isCongestedForTheWindow")
+{
+  timeOut({ "a", "b", "b" });
+  CHECK_FALSE(link.isCongested(now));
+  timeOut({ "c" });
+  CHECK(link.isCongested(now));
+  CHECK(link.isCongested(now + LinkMonitor::kWindow));
+  CHECK_FALSE(link.isCongested(now + LinkMonitor::kWindow + Duration{ 1 }));
+}
+
+// Guards against refusals by a process whose link is sound while a zone or a service is
+// unreachable.
+TEST_CASE_FIXTURE(LinkFixture, "linkMonitor_withPromptAnswerOfAnyEndpoint_isNotCongested")
+{
+  timeOut({ "a", "b", "c", "d" });
+  link.answered(now, LinkMonitor::kPromptAnswer + Duration{ 1 });
+  CHECK(link.isCongested(now));
+  link.answered(now, LinkMonitor::kPromptAnswer);
+  CHECK_FALSE(link.isCongested(now));
+  now = now + LinkMonitor::kWindow;
+  timeOut({ "a", "b", "c" });
+  CHECK_FALSE(link.isCongested(now));
+  CHECK(link.isCongested(now + Duration{ 1 }));
+}
+
 // Guards against a full pipe that blocks the daemon or exhausts its memory, and against dropped
 // lines that are not counted: the lines read and the lines reported as dropped must add up to all
 // lines.
