--- a/modules/router/LinkMonitor.cpp
+++ b/modules/router/LinkMonitor.cpp
@@ -26,16 +26,12 @@
     return false;
   }
   std::set<EndpointId> endpoints;
-  for (auto timeout = timeouts_.rbegin(); timeout != timeouts_.rend(); ++timeout) {
-    if (timeout->at < windowStart) {
-      break;
-    }
-    endpoints.insert(timeout->endpoint);
-    if (endpoints.size() >= kMinEndpoints) {
-      return true;
+  for (const auto& timeout : timeouts_) {
+    if (timeout.at >= windowStart) {
+      endpoints.insert(timeout.endpoint);
     }
   }
-  return false;
+  return endpoints.size() >= kMinEndpoints;
 }
 
 } // namespace figchute::router
