router: log lines name the software version of an endpoint and the request that a stream resumes

The logs could not tell a stream that the router continued at another software version from one that a caller took up at another version: the version of an announcement was read and dropped. Endpoint records keep it now (new field at the end, empty for records of earlier releases); request, send_failed and stream_continued print it, request also prints the id in Resumes.

No change of logic.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -660,7 +660,8 @@
     endpoint.cache.recordPrompt(now, keys, candidate.uncachedTokens);
     return ChosenEndpoint{ endpoint.record.id,
                            endpoint.record.address,
-                           connectionsPerProcess(service) };
+                           connectionsPerProcess(service),
+                           endpoint.record.softwareVersion };
   }
 
   void recordEnd(Time now,
--- a/modules/dispatch/RequestInfo.h
+++ b/modules/dispatch/RequestInfo.h
@@ -56,6 +56,7 @@
   std::string address;
   /** Maximum number of connections that this process may have to the endpoint. */
   std::size_t maxConnections = 100;
+  std::string softwareVersion{};
 };
 
 /** A refusal of a request that was not sent. */
--- a/modules/fleet/Endpoint.h
+++ b/modules/fleet/Endpoint.h
@@ -65,6 +65,8 @@
   std::int64_t startedAtMs = 0;
   /** Index of the log entry that last changed the record. */
   std::uint64_t revision = 0;
+  /** The version of the software, as announced; endpoints that announce none have the same one. */
+  std::string softwareVersion{};
   bool operator==(const EndpointRecord&) const = default;
   MSGPACK_DEFINE(id,
                  service,
@@ -75,7 +77,8 @@
                  warmupMs,
                  sequence,
                  startedAtMs,
-                 revision)
+                 revision,
+                 softwareVersion)
 };
 
 } // namespace figchute::fleet
--- a/modules/fleet/EndpointStore.cpp
+++ b/modules/fleet/EndpointStore.cpp
@@ -16,8 +16,12 @@
 bool hasSameContent(const EndpointRecord& record, const Announcement& announcement)
 {
   const auto& a = announcement;
-  return std::tie(record.startedAtMs, record.service, record.address, record.zone) ==
-           std::tie(a.startedAtMs, a.service, a.address, a.zone) &&
+  return std::tie(record.startedAtMs,
+                  record.service,
+                  record.address,
+                  record.zone,
+                  record.softwareVersion) ==
+           std::tie(a.startedAtMs, a.service, a.address, a.zone, a.softwareVersion) &&
          record.slots == a.slots && record.state == a.state &&
          isWarmupUnchanged(record.warmupMs, a.warmupMs);
 }
@@ -25,8 +29,8 @@
 EndpointRecord makeRecord(std::uint64_t revision, const Announcement& announcement)
 {
   const auto& a = announcement;
-  return { a.id,    a.service,  a.address,  a.zone,        a.slots,
-           a.state, a.warmupMs, a.sequence, a.startedAtMs, revision };
+  return { a.id,       a.service,  a.address,     a.zone,   a.slots,          a.state,
+           a.warmupMs, a.sequence, a.startedAtMs, revision, a.softwareVersion };
 }
 
 } // namespace
--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -41,6 +41,9 @@
   /** The id of the last event that the caller has received; sent to an endpoint that continues a
    * stream. */
   std::string lastEventId = "Last-Event-Id";
+  /** The id of the request whose response brought the first event of the stream that the caller
+   * takes up again. */
+  std::string resumes = "X-Resumes";
   /** Header fields that only the router may set; they are removed from callers' requests. */
   std::vector<std::string> reserved;
 };
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -506,6 +506,7 @@
                      "stream_continued",
                      { { "request", requestId_ },
                        { "endpoint", endpoint_.value },
+                       { "version", chosenEndpoint_.softwareVersion },
                        { "last_event", std::to_string(eventRelay_.lastId().value_or(0)) } });
   if (!modelService_) {
     recordFirstByte(now);
--- a/modules/router/ExchangeLog.cpp
+++ b/modules/router/ExchangeLog.cpp
@@ -31,6 +31,7 @@
                      "send_failed",
                      { { "request", requestId_ },
                        { "endpoint", endpoint_.value },
+                       { "version", chosenEndpoint_.softwareVersion },
                        { "outcome", std::string(dispatch::toString(outcome)) },
                        { "detail", detail },
                        { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
@@ -51,6 +52,7 @@
 void Exchange::logEnd(Time now, std::string_view outcome, int status, std::string_view detail)
 {
   const bool answered = firstByteAt_.micros > 0;
+  const auto resumes = request_->head().fields.get(services_.dialect.fields().resumes);
   services_.log.line(
     now,
     "request",
@@ -59,6 +61,8 @@
       { "workspace", requestInfo_.workspace },
       { "service", requestInfo_.service.value },
       { "endpoint", endpoint_.value },
+      { "version", chosenEndpoint_.softwareVersion },
+      { "resumes", resumes.empty() ? "-" : std::string(resumes) },
       { "outcome", std::string(outcome) },
       { "status", std::to_string(status) },
       { "sends", std::to_string(sendCount_) },
