router: a stream goes on only at the software version that began it

Cause: the version of an endpoint took part in no decision. The router continued broken streams at any engine, and a request that takes a stream up again went to any engine; nobody remembered which version had begun a stream, so it was unknown for certain once the entry process was gone.

Change: the dispatcher keeps a stream at the version of its first event; entry processes report origins of streams to two control processes, and find them there when a caller names the request in Resumes; an unknown origin is known only while the registry proves that one version can have begun it; otherwise the request is refused at once with resume_unavailable.

--- a/modules/core/ErrorKind.h
+++ b/modules/core/ErrorKind.h
@@ -43,10 +43,11 @@
   timeout,
   internal,
   quarantinedPart,
+  resumeUnavailable,
 };
 
 /** Number of error kinds. */
-constexpr std::size_t kErrorKindCount = static_cast<std::size_t>(ErrorKind::quarantinedPart) + 1;
+constexpr std::size_t kErrorKindCount = static_cast<std::size_t>(ErrorKind::resumeUnavailable) + 1;
 
 /** Whether an endpoint executed a request that was refused or failed. */
 enum class Ran
--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -397,13 +397,21 @@
              requests_.isSmallWorkspace(requestInfo.service, requestInfo.workspace) };
   }
 
+  /** Returns whether the software of an endpoint can go on with the stream of a request, if it goes
+      on with one. */
+  [[nodiscard]] static bool hasVersionFor(const RequestInfo& requestInfo, const Endpoint& endpoint)
+  {
+    return !requestInfo.softwareVersion ||
+           endpoint.record.softwareVersion == *requestInfo.softwareVersion;
+  }
+
   [[nodiscard]] bool isEligible(Time now,
                                 const Endpoint& endpoint,
                                 const RequestInfo& requestInfo,
                                 const ServiceState& service,
                                 std::span<const EndpointId> excluded)
   {
-    return acceptsRequests(now, endpoint) &&
+    return hasVersionFor(requestInfo, endpoint) && acceptsRequests(now, endpoint) &&
            endpoint.load.ownRequests() <
              admissionFor(requestInfo).connectionLimit(connectionsPerProcess(service)) &&
            std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end() &&
@@ -580,7 +588,7 @@
     auto retryAfter = kMaxRetryAfter;
     for (const auto handle : endpoints_.handlesOf(requestInfo.service)) {
       const auto& endpoint = *endpoints_.find(handle);
-      if (!acceptsRequests(now, endpoint)) {
+      if (!acceptsRequests(now, endpoint) || !hasVersionFor(requestInfo, endpoint)) {
         continue;
       }
       hasAcceptingEndpoint = true;
@@ -594,6 +602,12 @@
         hasConnectionInUse = true;
       }
     }
+    if (!hasAcceptingEndpoint && requestInfo.softwareVersion) {
+      return tl::unexpected<Refusal>(
+        Refusal{ ErrorKind::resumeUnavailable,
+                 Duration(0),
+                 "no endpoint of the software version that began the stream is in service" });
+    }
     if (!hasAcceptingEndpoint) {
       return refuseWhileRestricted(now, requestInfo);
     }
--- a/modules/dispatch/RequestInfo.h
+++ b/modules/dispatch/RequestInfo.h
@@ -6,6 +6,7 @@
 #include "fleet/Endpoint.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
   Time deadline;
   Duration target = std::chrono::seconds(1);
   int maxAttempts = 1;
+  /** Set when the request goes on with a stream: only endpoints of this software version can write
+      the events that follow. */
+  std::optional<std::string> softwareVersion{};
   /** Equal for requests with the same path, caller and body. */
   std::uint64_t fingerprint = 0;
 };
--- a/modules/fleet/EndpointStore.cpp
+++ b/modules/fleet/EndpointStore.cpp
@@ -118,6 +118,7 @@
   }
   tombstones_.erase(announcement.id);
   auto& entry = entries_[announcement.id];
+  endVersion(time, entry.record);
   // A new entry has an empty address, which is not in the index.
   idByAddress_.erase(entry.record.address);
   entry = { makeRecord(index, announcement), announcement.sequence };
@@ -172,11 +173,44 @@
 void EndpointStore::replaceWithTombstone(std::uint64_t index, EndpointId id, Tombstone tombstone)
 {
   idByAddress_.erase(tombstone.address);
-  entries_.erase(id);
+  if (const auto entry = entries_.find(id); entry != entries_.end()) {
+    endVersion(tombstone.time, entry->second.record);
+    entries_.erase(entry);
+  }
   tombstones_[std::move(id)] = std::move(tombstone);
   revision_ = index;
 }
 
+void EndpointStore::endVersion(Time time, const EndpointRecord& record)
+{
+  // A new entry has a record without a service.
+  if (!record.service.empty()) {
+    endedVersions_.add(time, record.service, record.softwareVersion);
+  }
+}
+
+std::optional<std::string> EndpointStore::onlyVersionOf(const ServiceName& service) const
+{
+  std::optional<std::string> version;
+  for (const auto& [ended, time] : endedVersions_.of(service)) {
+    if (version) {
+      return std::nullopt;
+    }
+    version = ended;
+  }
+  for (const auto& [id, entry] : entries_) {
+    const auto& record = entry.record;
+    if (record.service != service) {
+      continue;
+    }
+    if (version && *version != record.softwareVersion) {
+      return std::nullopt;
+    }
+    version = record.softwareVersion;
+  }
+  return version;
+}
+
 void EndpointStore::addTombstoneForUnknown(Time time, const RemoveEndpoint& command)
 {
   auto& tombstone = tombstones_[command.id];
@@ -192,6 +226,7 @@
 
 void EndpointStore::forget(Time time)
 {
+  endedVersions_.forget(time);
   std::erase_if(tombstones_, [this, time](const auto& item) {
     const bool isExpired = item.second.time + kTombstoneRetention <= time;
     if (isExpired) {
--- a/modules/fleet/EndpointStore.h
+++ b/modules/fleet/EndpointStore.h
@@ -2,10 +2,12 @@
 
 #include "core/core.h"
 #include "fleet/Commands.h"
+#include "fleet/EndedVersions.h"
 #include "fleet/Endpoint.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -97,6 +99,10 @@
 
   [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
+  /** Returns the software version of a service if its endpoints, and those that left it within
+      EndedVersions::kRetention, have only one. */
+  [[nodiscard]] std::optional<std::string> onlyVersionOf(const ServiceName& service) const;
+
   /** Returns the changes after a revision, or all records if removals since then have been
       forgotten. There are no changes after a revision that has not been reached yet. */
   [[nodiscard]] EndpointChanges changesSince(std::uint64_t revision) const;
@@ -104,7 +110,7 @@
   /** Rebuilds the index, which is not part of a snapshot. Call it after decoding. */
   void rebuildIndex();
 
-  MSGPACK_DEFINE(revision_, maxForgottenRevision_, entries_, tombstones_)
+  MSGPACK_DEFINE(revision_, maxForgottenRevision_, entries_, tombstones_, endedVersions_)
 
 private:
   struct Entry
@@ -131,6 +137,8 @@
   [[nodiscard]] bool isBlockedByTombstone(const Announcement& announcement) const;
   [[nodiscard]] const EndpointRecord* findOtherAtAddress(const Announcement& announcement) const;
   void replaceWithTombstone(std::uint64_t index, EndpointId id, Tombstone tombstone);
+  /** Records that an endpoint no longer serves with the version of its record. */
+  void endVersion(Time time, const EndpointRecord& record);
   void addTombstoneForUnknown(Time time, const RemoveEndpoint& command);
 
   std::uint64_t revision_ = 0;
@@ -140,6 +148,7 @@
   std::map<EndpointId, Entry> entries_;
   /** An id never has both an entry and a tombstone. */
   std::map<EndpointId, Tombstone> tombstones_;
+  EndedVersions endedVersions_;
   std::unordered_map<std::string, EndpointId> idByAddress_;
 };
 
--- a/modules/fleet/FleetPublisher.h
+++ b/modules/fleet/FleetPublisher.h
@@ -119,6 +119,10 @@
   void handle(Time now, const ProcessId& from, const Unsubscribe& message);
   void handle(Time now, const ProcessId& from, const FleetUpdate& message);
   void handle(Time now, const ProcessId& from, const PeerReport& message);
+  // StreamOriginServer handles the messages on the origins of streams.
+  void handle(Time /*now*/, const ProcessId& /*from*/, const StreamOriginReport& /*message*/) {}
+  void handle(Time /*now*/, const ProcessId& /*from*/, const StreamOriginQuery& /*message*/) {}
+  void handle(Time /*now*/, const ProcessId& /*from*/, const StreamOriginReply& /*message*/) {}
   /** Merges reports of a subscriber or of another control process.
       @returns whether one of them is new */
   bool mergeCrashReports(Time now, const std::vector<CrashReport>& reports);
--- a/modules/fleet/Messages.h
+++ b/modules/fleet/Messages.h
@@ -5,6 +5,7 @@
 #include "fleet/CrashReport.h"
 #include "fleet/Endpoint.h"
 #include "fleet/RateLimit.h"
+#include "fleet/StreamOrigin.h"
 #include "wire/Codec.h"
 
 #include <cstdint>
@@ -174,7 +175,13 @@
 };
 
 /** A message of the fleet channel. */
-using Message = std::variant<Subscribe, Unsubscribe, FleetUpdate, PeerReport>;
+using Message = std::variant<Subscribe,
+                             Unsubscribe,
+                             FleetUpdate,
+                             PeerReport,
+                             StreamOriginReport,
+                             StreamOriginQuery,
+                             StreamOriginReply>;
 
 /** A message and its receiver. */
 struct OutgoingMessage
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -17,3 +17,5 @@
 #include "fleet/Messages.h"
 #include "fleet/RateLimitStore.h"
 #include "fleet/RouteTable.h"
+#include "fleet/StreamOriginClient.h"
+#include "fleet/StreamOriginServer.h"
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -294,6 +294,8 @@
     const WorkTimer timer(load_, LoopWork::fleet);
     if (const auto message = wire::decode<fleet::Message>(body)) {
       publisher_->receive(now, from, *message);
+      origins_.receive(now, from, *message, *state_, node_->hasLeaderContact(now));
+      sendFleet(origins_.takeOutgoing());
     }
   } else {
     const WorkTimer timer(
@@ -348,7 +350,12 @@
 {
   const WorkTimer timer(load_, LoopWork::publish);
   publisher_->tick(now);
-  for (auto& message : publisher_->takeOutgoing()) {
+  sendFleet(publisher_->takeOutgoing());
+}
+
+void ControlRole::sendFleet(const std::vector<fleet::OutgoingMessage>& messages)
+{
+  for (const auto& message : messages) {
     send(message.to, wire::Channel::fleet, wire::encode(message.message));
   }
 }
@@ -414,6 +421,7 @@
     return;
   }
   nextExpiryAt_ = now + kExpiryInterval;
+  origins_.tick(now);
   for (const auto& command : announcementTracker_->proposeExpirations(now)) {
     context_.log.line(now, "endpoint_expired", { { "endpoint", command.id.value } });
     node_->proposeLocal(
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -50,6 +50,7 @@
   void propose(const RequestPointer& request, const ledger::Command& command);
   void scheduleUpdate();
   void send(const ProcessId& to, wire::Channel channel, std::string body);
+  void sendFleet(const std::vector<fleet::OutgoingMessage>& messages);
   void publishUpdates(Time now);
   void reportLoad(Time now, Duration timerDelay);
   void update(Time now);
@@ -70,6 +71,7 @@
   const fleet::FleetState* state_ = nullptr;
   std::unique_ptr<fleet::AnnouncementTracker> announcementTracker_;
   std::unique_ptr<fleet::FleetPublisher> publisher_;
+  fleet::StreamOriginServer origins_;
   http::Server operators_;
   LoadMonitor load_;
   boost::asio::steady_timer timer_;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -88,12 +88,14 @@
   , services_{ context.dialect,
                dispatcher_,
                quotaManager_,
+               origins_,
                pool_,
                context.log,
                context.metrics,
                {},
                0,
-               [this](Time now) { reportObservations(now); } }
+               [this](Time now) { reportObservations(now); },
+               [this] { sendOriginMessages(); } }
   , callers_(context.io,
              http::ServerLimits{},
              [this](std::shared_ptr<http::ServerRequest> request) { handle(std::move(request)); })
@@ -121,7 +123,8 @@
 
 void EntryRole::scheduleTick()
 {
-  const Duration wait = exchanges_.empty() && !stopping_ ? kIdleTickInterval : kBusyTickInterval;
+  const bool isBusy = !exchanges_.empty() || stopping_ || origins_.isBusy();
+  const Duration wait = isBusy ? kBusyTickInterval : kIdleTickInterval;
   tickDueAt_ = bootTime() + wait;
   timer_.expires_after(wait);
   timer_.async_wait([this](const boost::system::error_code& error) {
@@ -229,6 +232,9 @@
   if (isFleet) {
     if (const auto message = wire::decode<fleet::Message>(body)) {
       subscriber_.receive(now, from, *message);
+      if (const auto* reply = std::get_if<fleet::StreamOriginReply>(&*message)) {
+        origins_.receive(from, *reply);
+      }
     }
   } else if (channel == wire::Channel::ledger) {
     if (const auto message = wire::decode<ledger::Message>(body)) {
@@ -250,8 +256,10 @@
     nextTickAt_ = now + kMinTickInterval;
     subscriber_.tick(now);
     quotaManager_.tick(now);
+    origins_.tick(now);
   }
   applyUpdates(now);
+  updateOrigins(now);
   updateQuotaManager(now);
   reportObservations(now);
   logEndpointEvents(now);
@@ -282,10 +290,30 @@
   }
 }
 
+void EntryRole::updateOrigins(Time now)
+{
+  for (const auto& answer : origins_.takeAnswers()) {
+    if (const auto exchangeEntry = exchanges_.find(answer.queryId);
+        exchangeEntry != exchanges_.end()) {
+      const auto exchange = exchangeEntry->second;
+      exchange->handleOrigin(now, answer.origin);
+    }
+  }
+  sendOriginMessages();
+}
+
+void EntryRole::sendOriginMessages()
+{
+  for (const auto& message : origins_.takeOutgoing()) {
+    send(message.to, wire::Channel::fleet, wire::encode(message.message));
+  }
+}
+
 void EntryRole::applyControl(Time now)
 {
   setQuotaPeers(now);
   const auto control = subscriber_.control();
+  origins_.setControls(control, subscriber_.controls());
   quotaManager_.setControlLost(!control);
   if (control == control_) {
     return;
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -49,6 +49,9 @@
   /** Attempts to connect to the endpoints that may have crashed. */
   void probeEndpoints();
   void updateQuotaManager(Time now);
+  /** Passes the origins that were found to their exchanges. */
+  void updateOrigins(Time now);
+  void sendOriginMessages();
   void send(const ProcessId& to, wire::Channel channel, std::string body);
   void sendLedger(const std::vector<ledger::OutgoingMessage>& messages);
   void logEndpointEvents(Time now);
@@ -59,6 +62,7 @@
   /** Records how much of their reserves other entry processes have unlocked. */
   ledger::Witness witness_;
   dispatch::Dispatcher dispatcher_;
+  fleet::StreamOriginClient origins_;
   http::ClientPool pool_;
   EntryServices services_;
   http::Server callers_;
--- a/modules/router/ErrorResponse.cpp
+++ b/modules/router/ErrorResponse.cpp
@@ -31,7 +31,7 @@
   head.status = traits.httpStatus;
   head.fields.add("Content-Type", "application/json");
   head.fields.add("X-Figchute-Error", std::string(traits.name));
-  if (guaranteesNotExecuted(head.status)) {
+  if (guaranteesNotExecuted(head.status) && traits.retry != RetryAdvice::never) {
     const auto wait = std::max(kMinRetryAfter, retryAfter);
     head.fields.add("Retry-After", fmt::format("{:.3f}", static_cast<double>(wait.count()) / 1e6));
   }
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -142,6 +142,10 @@
     refuseWhileCongested(now);
     return;
   }
+  if (resumedRequestId_) {
+    findOrigin(now);
+    return;
+  }
   reserve(now);
 }
 
@@ -200,7 +204,10 @@
   if (auto authenticated = authenticate(*route_); !authenticated) {
     return authenticated;
   }
-  return fillRequestInfo(now, *route_);
+  if (auto filled = fillRequestInfo(now, *route_); !filled) {
+    return filled;
+  }
+  return readResumption();
 }
 
 Expected<void> Exchange::authenticate(const fleet::Route& route)
@@ -239,7 +246,6 @@
   }
   deadline_ = now + wait;
   requestInfo_.id = id_;
-  requestInfo_.service = fleet::RouteTable::pickService(route, requestId_);
   requestInfo_.kind = route.kind;
   requestInfo_.resumable = route.resumable;
   requestInfo_.priority = std::clamp(
@@ -255,10 +261,16 @@
   requestInfo_.target = route.target;
   requestInfo_.maxAttempts = route.maxAttempts;
   requestInfo_.fingerprint = requestFingerprint(head, requestInfo_.workspace, bodyOf(*request_));
-  const auto* service = table_->service(requestInfo_.service);
+  setService(fleet::RouteTable::pickService(route, requestId_));
+  return {};
+}
+
+void Exchange::setService(const ServiceName& name)
+{
+  requestInfo_.service = name;
+  const auto* service = table_->service(name);
   modelService_ = service != nullptr && service->engine.has_value();
   tokensPerEvent_ = modelService_ ? std::max(1, service->engine->tokensPerEvent) : 1;
-  return {};
 }
 
 void Exchange::reserve(Time now)
@@ -272,6 +284,7 @@
   const BudgetId budget = budgetOf(workspace_->name);
   stage_ = Stage::waitingForGrant;
   reserved_ = true;
+  reservedAt_ = now;
   handleDecision(now,
                  services_.quotaManager.reserve(
                    now,
@@ -286,8 +299,8 @@
   if (stage_ != Stage::waitingForGrant || decision.status == ledger::ReserveStatus::waiting) {
     return;
   }
-  if (now > arrivedAt_) {
-    grantWait_ = now - arrivedAt_;
+  if (now > reservedAt_) {
+    grantWait_ = now - reservedAt_;
     services_.metrics.record("grant_wait", *grantWait_);
   }
   if (decision.status == ledger::ReserveStatus::admitted) {
@@ -538,6 +551,9 @@
     const bool hasEvents = modelService_ || requestInfo_.kind == fleet::RouteKind::stream;
     if (hasEvents && status_ < 300) {
       const auto events = events_.feed(bytes);
+      if (events > 0) {
+        recordOrigin(bootTime());
+      }
       recordProgress(modelService_ ? events : 0);
     }
     relay(bytes);
@@ -551,6 +567,9 @@
 bool Exchange::relayEvents(std::string_view bytes)
 {
   const auto part = eventRelay_.feed(bytes);
+  if (part.events > 0) {
+    recordOrigin(bootTime());
+  }
   recordProgress(part.events);
   relay(part.buffered);
   relay(part.remainder);
@@ -833,6 +852,9 @@
 
 void Exchange::end(Time now, std::string_view outcome, int status, std::string_view detail)
 {
+  if (stage_ == Stage::waitingForOrigin) {
+    services_.origins.cancel(id_);
+  }
   stage_ = Stage::ended;
   if (dispatched_) {
     services_.dispatcher.forget(id_);
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 #include "dispatch/dispatch.h"
 #include "fleet/RouteTable.h"
+#include "fleet/StreamOriginClient.h"
 #include "http/http.h"
 #include "ledger/ledger.h"
 #include "router/Dialect.h"
@@ -27,6 +28,7 @@
   const Dialect& dialect;
   dispatch::Dispatcher& dispatcher;
   ledger::QuotaManager& quotaManager;
+  fleet::StreamOriginClient& origins;
   http::ClientPool& pool;
   LogWriter& log;
   Metrics& metrics;
@@ -36,6 +38,8 @@
   std::uint64_t endpointRevision = 0;
   /** Called after a send failed in a way that may indicate an endpoint crash. */
   std::function<void(Time)> onConnectionFailure;
+  /** Called after the origin of a stream was added, to send the report at once. */
+  std::function<void()> onOriginAdded;
   LinkMonitor link{};
   /** Set when the process stops: requests that arrive later are rejected without being executed,
    * unless they end before the stop deadline in any case. */
@@ -75,6 +79,9 @@
   /** Handles the quota manager's decision on the reservation of this request. */
   void handleDecision(Time now, const ledger::Decision& decision);
 
+  /** Handles the result of the search for the origin of the stream that this request takes up. */
+  void handleOrigin(Time now, const std::optional<fleet::StreamOrigin>& origin);
+
   /** Records that the dispatcher considers the endpoint unresponsive. The next checkTimeouts()
    * sends a repeatable request to another endpoint, or continues the stream there if possible. */
   void markStalled() { stalled_ = true; }
@@ -92,6 +99,7 @@
   enum class Stage : std::uint8_t
   {
     created,
+    waitingForOrigin,
     waitingForGrant,
     waitingForHead,
     relaying,
@@ -101,6 +109,15 @@
   Expected<void> resolveRoute(Time now);
   Expected<void> authenticate(const fleet::Route& route);
   Expected<void> fillRequestInfo(Time now, const fleet::Route& route);
+  /** Sets the service that the request is sent to. */
+  void setService(const ServiceName& service);
+  /** Reads which stream the request takes up, if it does. */
+  Expected<void> readResumption();
+  [[nodiscard]] bool isResumableStream() const;
+  void findOrigin(Time now);
+  /** Records which software version sends the events of this stream, at its first event. */
+  void recordOrigin(Time now);
+  void refuseResumption(Time now, std::string detail);
   /** Returns whether the stopping process might abort the request before its response is complete.
    */
   [[nodiscard]] bool exceedsStopDeadline(Time now) const;
@@ -155,6 +172,10 @@
   const fleet::Route* route_ = nullptr;
   const fleet::WorkspaceSettings* workspace_ = nullptr;
   std::string requestId_;
+  /** The id of the request that began the stream, if this one takes it up; it is empty if the
+   * caller did not name it. */
+  std::optional<std::string> resumedRequestId_;
+  bool isOriginRecorded_ = false;
   RequestId quotaRequestId_;
   dispatch::RequestInfo requestInfo_;
   int tokensPerEvent_ = 1;
@@ -165,6 +186,7 @@
 
   Stage stage_ = Stage::created;
   bool reserved_ = false;
+  Time reservedAt_;
   /** How long the request waited for a grant; nothing if it was decided at once. */
   std::optional<Duration> grantWait_;
   bool dispatched_ = false;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -497,6 +497,26 @@
   CHECK(refusedChoice.error().kind == ErrorKind::overloaded);
 }
 
+TEST_CASE_FIXTURE(Fixture, "resumedStream_twoSoftwareVersions_staysAtTheFirstOne")
+{
+  // Guards against a stream that is joined from the events of two software versions.
+  for (auto& endpoint : endpoints) {
+    endpoint.softwareVersion = endpoint.id.value == "mb2" ? "v1" : "v2";
+  }
+  dispatcher->setEndpoints(now, endpoints);
+  auto request = makeRequestWithPrefix(1);
+  request.softwareVersion = "v1";
+  CHECK(sendAndFinish(request) == "mb2");
+  const std::vector<EndpointId> excluded{ EndpointId("mb2") };
+  const auto busy = dispatcher->choose(now, request, excluded);
+  REQUIRE(!busy);
+  CHECK(busy.error().kind != ErrorKind::resumeUnavailable);
+  request.softwareVersion = "v0";
+  const auto ended = dispatcher->choose(now, request, {});
+  REQUIRE(!ended);
+  CHECK(ended.error().kind == ErrorKind::resumeUnavailable);
+}
+
 TEST_CASE_FIXTURE(Fixture, "plain_equalLoad_usesOwnZoneThenLeastLoaded")
 {
   // Guards against calls to other zones without need, and against queues in the own zone.
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -110,11 +110,12 @@
     set, all answers say so. While backoff is set, requests are refused with it as Retry-After.
     arrivals has the times of all requests, including those that are refused."""
 
-    def __init__(self, fleet, name, service, ip, events=5):
+    def __init__(self, fleet, name, service, ip, events=5, version="v1"):
         self.fleet = fleet
         self.name = name
         self.service = service
         self.events = events
+        self.version = version
         self.runs = []
         self.disconnected_streams = 0
         self.stall_ended_at = 0
@@ -159,9 +160,9 @@
 
     def announcement(self):
         self.sequence += 1
-        return {"service": self.service, "address": self.address, "zone": "a", "version": "v1",
-                "slots": 8, "state": self.state, "warmupMs": 0, "sequence": self.sequence,
-                "born": self.born}
+        return {"service": self.service, "address": self.address, "zone": "a",
+                "version": self.version, "slots": 8, "state": self.state, "warmupMs": 0,
+                "sequence": self.sequence, "born": self.born}
 
     def announce(self):
         """Announces the endpoint to the first control process that accepts it. Returns 200, or 0
@@ -526,8 +527,9 @@
     return bool(lines) and lines[-1].endswith(f" count={count}")
 
 
-def start_fleet(build, controls=1, entries=1, engines=2, apps=2):
+def start_fleet(build, controls=1, entries=1, engines=2, apps=2, versions=()):
     """Starts a fleet and waits until every entry process has all endpoints and serves requests.
+    versions are the software versions of the engines, if they differ.
 
     A request that is sent before the last announcement has arrived may find no second endpoint, so
     cases that need one would fail on a slow machine."""
@@ -535,7 +537,8 @@
     fleet.__enter__()
     try:
         for index in range(engines):
-            fleet.add_endpoint(f"engine{index}", "engines")
+            fleet.add_endpoint(f"engine{index}", "engines",
+                               version=versions[index] if versions else "v1")
         for index in range(apps):
             fleet.add_endpoint(f"app{index}", "app")
         fleet.apply()
