router: a stream whose origin control did not tell in time may be taken up again

Cause: StreamOriginClient reported a timeout like an unknown origin. It tells them apart now; after a timeout the response is no_quorum with Retry-After.

--- a/modules/fleet/StreamOriginClient.cpp
+++ b/modules/fleet/StreamOriginClient.cpp
@@ -28,12 +28,12 @@
                               const ServiceName& service)
 {
   if (auto origin = origins_.find(stream)) {
-    answers_.push_back({ queryId, std::move(origin) });
+    answers_.push_back({ queryId, std::move(origin), false });
     return;
   }
   const auto queried = std::min(controls_.size(), kMaxQueried);
   if (queried == 0 || origins_.isAmbiguous(stream)) {
-    answers_.push_back({ queryId, std::nullopt });
+    answers_.push_back({ queryId, std::nullopt, false });
     return;
   }
   auto& query = queries_[queryId];
@@ -61,10 +61,10 @@
     return;
   }
   if (reply.isKnown) {
-    answers_.push_back({ reply.queryId, reply.origin });
+    answers_.push_back({ reply.queryId, reply.origin, false });
     queries_.erase(query);
   } else if (query->second.waitingFor.empty()) {
-    answers_.push_back({ reply.queryId, std::nullopt });
+    answers_.push_back({ reply.queryId, std::nullopt, false });
     queries_.erase(query);
   }
 }
@@ -75,7 +75,7 @@
   reportIfDue(now);
   for (auto query = queries_.begin(); query != queries_.end();) {
     if (now >= query->second.startedAt + kQueryTimeout) {
-      answers_.push_back({ query->first, std::nullopt });
+      answers_.push_back({ query->first, std::nullopt, true });
       query = queries_.erase(query);
       continue;
     }
--- a/modules/fleet/StreamOriginClient.h
+++ b/modules/fleet/StreamOriginClient.h
@@ -32,8 +32,11 @@
   struct Answer
   {
     std::uint64_t queryId = 0;
-    /** Nothing if the origin is unknown or no control process answered. */
+    /** Nothing if the origin is unknown. */
     std::optional<StreamOrigin> origin;
+    /** Whether control processes did not answer in time, so that a later query may find an origin.
+     */
+    bool isTimeout = false;
   };
 
   /** Sets the known control processes.
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -296,7 +296,7 @@
     if (const auto exchangeEntry = exchanges_.find(answer.queryId);
         exchangeEntry != exchanges_.end()) {
       const auto exchange = exchangeEntry->second;
-      exchange->handleOrigin(now, answer.origin);
+      exchange->handleOrigin(now, answer);
     }
   }
   sendOriginMessages();
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -80,7 +80,7 @@
   void handleDecision(Time now, const ledger::Decision& decision);
 
   /** Handles the result of the search for the origin of the stream that this request takes up. */
-  void handleOrigin(Time now, const std::optional<fleet::StreamOrigin>& origin);
+  void handleOrigin(Time now, const fleet::StreamOriginClient::Answer& answer);
 
   /** Records that the dispatcher considers the endpoint unresponsive. The next checkTimeouts()
    * sends a repeatable request to another endpoint, or continues the stream there if possible. */
--- a/modules/router/ExchangeResumption.cpp
+++ b/modules/router/ExchangeResumption.cpp
@@ -5,6 +5,12 @@
 /** The part of Exchange that keeps the events of a stream at one software version, also when a
    caller takes the stream up again at another entry process. */
 namespace figchute::router {
+namespace {
+
+/** Short, because another entry process may have begun the stream and know its origin. */
+constexpr Duration kRetryAfterTimeout = std::chrono::milliseconds(100);
+
+} // namespace
 
 bool Exchange::isResumableStream() const
 {
@@ -36,11 +42,18 @@
                          fleet::RouteTable::pickService(*route_, streamId));
 }
 
-void Exchange::handleOrigin(Time now, const std::optional<fleet::StreamOrigin>& origin)
+void Exchange::handleOrigin(Time now, const fleet::StreamOriginClient::Answer& answer)
 {
   if (stage_ != Stage::waitingForOrigin) {
     return;
   }
+  if (answer.isTimeout) {
+    const Error error{ ErrorKind::noQuorum,
+                       "control VMs did not answer which software version began the stream" };
+    sendErrorResponse(now, error, kRetryAfterTimeout);
+    return;
+  }
+  const auto& origin = answer.origin;
   if (!origin) {
     refuseResumption(now, "it is not known which software version began the stream");
     return;
--- a/tests/stream_origin_test.cpp
+++ b/tests/stream_origin_test.cpp
@@ -229,9 +229,27 @@
   const auto answers = client->takeAnswers();
   REQUIRE(answers.size() == 1);
   CHECK_FALSE(answers.front().origin);
+  CHECK(answers.front().isTimeout);
   CHECK_FALSE(client->isBusy());
 }
 
+// Guards against telling a caller to give up a stream whose origin is only not known yet, because
+// the control process that has it did not answer.
+TEST_CASE_FIXTURE(Origins, "StreamOriginClient_oneControlProcessSilent_isNoFinalAnswer")
+{
+  put(announcementOf("old", "v1"));
+  put(announcementOf("new", "v2"));
+  servers.erase(kControl2);
+  const auto silent = find(kStream);
+  REQUIRE(silent);
+  CHECK(silent->isTimeout);
+  servers.emplace(kControl2, StreamOriginServer());
+  const auto answered = find(kStream);
+  REQUIRE(answered);
+  CHECK_FALSE(answered->isTimeout);
+  CHECK_FALSE(answered->origin);
+}
+
 // Guards against origins that are lost with their process although they could have been sent, and
 // against a message for each stream of a busy process.
 TEST_CASE_FIXTURE(Origins, "StreamOriginClient_newOrigins_areReportedAtOnceThenTogether")
