fleet: the removal of an endpoint that has expired is recorded

The endpoint had announced itself to a control process that was cut off; it expired, went to another control process to be removed, and a delayed announcement registered it again.

Cause: a process without a record took the incarnation to be removed for 0, found the tombstone of the expired endpoint newer than that, and acknowledged the request without a command. The tombstone kept the reason 'expired', after which the incarnation may be registered again.

Change: EndpointStore::removalOf() names the newest incarnation that is known, from the record or the tombstone, and withdraw() uses it. The randomised run uses the same function. Later announcements of a removed incarnation were refused before and are now too.

--- a/modules/fleet/AnnouncementTracker.cpp
+++ b/modules/fleet/AnnouncementTracker.cpp
@@ -39,8 +39,9 @@
                               std::tie(key.second, state.sequence);
 }
 
-std::optional<EndpointCommand> AnnouncementTracker::withdraw(const RemoveEndpoint& command) const
+std::optional<EndpointCommand> AnnouncementTracker::withdraw(const EndpointId& id) const
 {
+  auto command = state_->endpoints.removalOf(id);
   if (state_->endpoints.isRemoved(command.id, command.startedAtMs)) {
     return std::nullopt;
   }
--- a/modules/fleet/AnnouncementTracker.h
+++ b/modules/fleet/AnnouncementTracker.h
@@ -45,7 +45,7 @@
   /** Handles an endpoint's request to be removed.
       @returns the command that must be committed before the request is acknowledged; nothing if it
                can be acknowledged immediately */
-  [[nodiscard]] std::optional<EndpointCommand> withdraw(const RemoveEndpoint& command) const;
+  [[nodiscard]] std::optional<EndpointCommand> withdraw(const EndpointId& id) const;
 
   /** Adds announcements that another control process received. */
   void mergeAnnouncements(Time now, std::span<const ReceivedAnnouncement> announcements);
--- a/modules/fleet/EndpointStore.cpp
+++ b/modules/fleet/EndpointStore.cpp
@@ -248,6 +248,17 @@
   return entry == entries_.end() ? 0 : entry->second.sequence;
 }
 
+RemoveEndpoint EndpointStore::removalOf(const EndpointId& id) const
+{
+  if (const auto entry = entries_.find(id); entry != entries_.end()) {
+    return { id, entry->second.record.startedAtMs, entry->second.sequence };
+  }
+  if (const auto tombstone = tombstones_.find(id); tombstone != tombstones_.end()) {
+    return { id, tombstone->second.startedAtMs, tombstone->second.sequence };
+  }
+  return { id, 0, 0 };
+}
+
 bool EndpointStore::isRemoved(const EndpointId& id, std::int64_t startedAtMs) const
 {
   const auto tombstoneEntry = tombstones_.find(id);
--- a/modules/fleet/EndpointStore.h
+++ b/modules/fleet/EndpointStore.h
@@ -90,6 +90,11 @@
       nothing. */
   [[nodiscard]] std::uint64_t sequenceOf(const EndpointId& id) const;
 
+  /** Returns the command that removes the newest known incarnation of an endpoint. An endpoint
+      without a record, for example one that expired, is removed as well, because it could announce
+      itself again. */
+  [[nodiscard]] RemoveEndpoint removalOf(const EndpointId& id) const;
+
   /** Returns whether an incarnation was removed or a later one has left the registry; false if it
       only expired. */
   [[nodiscard]] bool isRemoved(const EndpointId& id, std::int64_t startedAtMs) const;
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -249,11 +249,7 @@
 void ControlRole::removeEndpoint(const RequestPointer& request, const EndpointId& id)
 {
   const Time now = bootTime();
-  const auto* record = node_->state().fleet().endpoints.find(id);
-  const auto command =
-    announcementTracker_->withdraw({ id,
-                                     record != nullptr ? record->startedAtMs : 0,
-                                     node_->state().fleet().endpoints.sequenceOf(id) });
+  const auto command = announcementTracker_->withdraw(id);
   context_.log.line(now, "endpoint_leaves", { { "endpoint", id.value } });
   if (!command) {
     sendJsonResponse(*request, "{}");
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -176,12 +176,28 @@
   commit(PutEndpoint{ announcement });
   CHECK_FALSE(announcementTracker.announce(now, announcement).has_value());
   const RemoveEndpoint removal{ announcement.id, announcement.startedAtMs, 11 };
-  CHECK(announcementTracker.withdraw(removal).has_value());
+  CHECK(announcementTracker.withdraw(announcement.id).has_value());
   commit(removal);
-  CHECK_FALSE(announcementTracker.withdraw(removal).has_value());
+  CHECK_FALSE(announcementTracker.withdraw(announcement.id).has_value());
   CHECK_FALSE(announcementTracker.announce(now, announcement).has_value());
 }
 
+// Guards against an acknowledged removal that is not recorded because the endpoint had expired
+// before, so that a late announcement registers it again.
+TEST_CASE_FIXTURE(AnnouncementTrackerFixture,
+                  "AnnouncementTracker_removalAfterExpiry_keepsLateAnnouncementsOut")
+{
+  commit(ExpireEndpoint{ announcement.id, announcement.startedAtMs, announcement.sequence });
+  const auto removal = announcementTracker.withdraw(announcement.id);
+  REQUIRE(removal.has_value());
+  commit(std::get<RemoveEndpoint>(*removal));
+  announcement.sequence = 15;
+  CHECK_FALSE(announcementTracker.announce(now, announcement).has_value());
+  CHECK_FALSE(announcementTracker.withdraw(announcement.id).has_value());
+  announcement.startedAtMs += 1;
+  CHECK(announcementTracker.announce(now, announcement).has_value());
+}
+
 // Guards against a follower or a new leader that expires an endpoint too early, and against a
 // silent endpoint that never expires.
 TEST_CASE_FIXTURE(AnnouncementTrackerFixture,
--- a/tools/figchute-random-router/ControlProcess.cpp
+++ b/tools/figchute-random-router/ControlProcess.cpp
@@ -397,11 +397,7 @@
 void ControlProcess::withdraw(const EndpointId& id, Reply reply)
 {
   runOrQueue([this, id, reply = std::move(reply)] {
-    const auto& endpoints = node_->state().fleet().endpoints;
-    const auto* record = endpoints.find(id);
-    const auto command = announcementTracker_->withdraw(
-      { id, record != nullptr ? record->startedAtMs : 0, endpoints.sequenceOf(id) });
-    if (command) {
+    if (const auto command = announcementTracker_->withdraw(id)) {
       propose(toCommand(*command), reply);
     } else {
       reply({});
