fleet: a removal takes effect although the process that received it had an older copy

Cause: the command named the incarnation and the sequence of the receiver's copy; apply() ignored it if the log had a later announcement.

Change: the sequence is not compared any more, because an endpoint announces nothing after its removal. A receiver without a record (start time 0) removes the incarnation that is registered; one that names an older incarnation still changes nothing.

Remove_sameIncarnation_staysRemovedFor60Seconds checked that a lower sequence is ignored, which is the fault; it checks an older incarnation with a higher sequence now. Commands of the log are interpreted differently: replace the control members together.

--- a/modules/fleet/Commands.h
+++ b/modules/fleet/Commands.h
@@ -20,6 +20,8 @@
 struct RemoveEndpoint
 {
   EndpointId id;
+  /** The newest incarnation that the proposing process knows; 0 if it knows none, which removes the
+      incarnation that is registered. */
   std::int64_t startedAtMs = 0;
   std::uint64_t sequence = 0;
 
--- a/modules/fleet/EndpointStore.cpp
+++ b/modules/fleet/EndpointStore.cpp
@@ -135,13 +135,16 @@
     return false;
   }
   const auto& [record, sequence] = entry->second;
-  if (std::tie(command.startedAtMs, command.sequence) < std::tie(record.startedAtMs, sequence)) {
+  // The start time is 0 if the process that received the request had no record. The sequence is
+  // not compared: it may come from an older copy of the registry, and an endpoint announces nothing
+  // after its removal.
+  if (command.startedAtMs != 0 && command.startedAtMs < record.startedAtMs) {
     return false;
   }
   replaceWithTombstone(index,
                        command.id,
-                       { command.startedAtMs,
-                         command.sequence,
+                       { std::max(command.startedAtMs, record.startedAtMs),
+                         std::max(command.sequence, sequence),
                          record.address,
                          TombstoneReason::removed,
                          time,
@@ -214,12 +217,11 @@
 void EndpointStore::addTombstoneForUnknown(Time time, const RemoveEndpoint& command)
 {
   auto& tombstone = tombstones_[command.id];
-  if (std::tie(command.startedAtMs, command.sequence) <
-      std::tie(tombstone.startedAtMs, tombstone.sequence)) {
+  if (command.startedAtMs != 0 && command.startedAtMs < tombstone.startedAtMs) {
     return;
   }
-  tombstone.startedAtMs = command.startedAtMs;
-  tombstone.sequence = command.sequence;
+  tombstone.startedAtMs = std::max(command.startedAtMs, tombstone.startedAtMs);
+  tombstone.sequence = std::max(command.sequence, tombstone.sequence);
   tombstone.reason = TombstoneReason::removed;
   tombstone.time = time;
 }
