router, http: an entry process accepts no more connections than its link carries

About 300 requests a second of one workspace reach one entry VM with a link of 10 Mbit/s.

Cause: requests are refused only after they have passed the link, and come back up to three times; what is admitted waits behind them, so the number of answers falls as the overload grows.

Change: LinkBudget counts the bytes of callers, endpoints and processes in both directions.

--- a/modules/http/ClientConnection.cpp
+++ b/modules/http/ClientConnection.cpp
@@ -190,6 +190,7 @@
       return;
     }
     requestBytesWritten_ += writeResult.size;
+    context_->traffic.sentBytes += writeResult.size;
     if (!std::exchange(exchange->sent, true)) {
       exchange->listener->onSent();
       if (exchange_ != exchange || !isActive())
@@ -232,6 +233,7 @@
       fail(CallFailureKind::reset, errorText(readResult.error));
       return;
     }
+    context_->traffic.receivedBytes += readResult.size;
     onReceived({ context_->buffer.data(), readResult.size });
     if (exchange_ != exchange || phase_ != Phase::busy || readResult.size < context_->buffer.size())
       break;
--- a/modules/http/ClientConnection.h
+++ b/modules/http/ClientConnection.h
@@ -4,6 +4,7 @@
 #include "http/DeadlineTimer.h"
 #include "http/FlushScheduler.h"
 #include "http/Message.h"
+#include "http/Traffic.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -44,6 +45,7 @@
   std::shared_ptr<DeadlineTimer> timer;
   /** Read buffer. Connections use it in turn, so that an idle connection needs none of its own. */
   std::array<char, 64U * 1024> buffer{};
+  Traffic traffic;
 
   virtual ~PoolContext() = default;
 
--- a/modules/http/ClientPool.cpp
+++ b/modules/http/ClientPool.cpp
@@ -300,6 +300,11 @@
   return impl_->connections(address);
 }
 
+Traffic ClientPool::traffic() const
+{
+  return impl_->traffic;
+}
+
 std::uint64_t ClientPool::openedConnections() const
 {
   return impl_->openedConnections();
--- a/modules/http/ClientPool.h
+++ b/modules/http/ClientPool.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "http/Head.h"
+#include "http/Traffic.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -127,6 +128,9 @@
   /** Returns the number of connections to an address, idle and busy. */
   [[nodiscard]] std::size_t connections(const boost::asio::ip::tcp::endpoint& address) const;
 
+  /** Returns the bytes of all connections since the pool was created. */
+  [[nodiscard]] Traffic traffic() const;
+
   /** Returns the number of connections opened since the pool was created. */
   [[nodiscard]] std::uint64_t openedConnections() const;
 
--- a/modules/http/Server.cpp
+++ b/modules/http/Server.cpp
@@ -17,11 +17,12 @@
 
 using boost::asio::ip::tcp;
 
-constexpr int kBacklog = 4096;
-
 /** Maximum connections accepted per event, so that open connections are not starved. */
 constexpr int kMaxAcceptsPerEvent = 64;
 
+/** The same while an AcceptDelay is set, which has to see the bytes of the accepted connections. */
+constexpr int kMaxLimitedAcceptsPerEvent = 2;
+
 /** Connections above ServerLimits::maxConnections that are accepted only to send them a 503.
     Further ones are closed without a response. */
 constexpr std::size_t kMaxRefusedConnections = 64;
@@ -57,7 +58,7 @@
     if (!error)
       detail::setTcpOptions(acceptor_.native_handle(), limits.writeTimeout);
     if (!error)
-      acceptor_.listen(kBacklog, error);
+      acceptor_.listen(limits.backlog, error);
     if (!error) {
       boost::system::error_code ignored;
       port_ = acceptor_.local_endpoint(ignored).port();
@@ -81,6 +82,8 @@
       detail::setTcpOptions(acceptor_.native_handle(), limits.writeTimeout);
   }
 
+  void setAcceptDelay(Server::AcceptDelay delay) { acceptDelay_ = std::move(delay); }
+
   void stopAccepting()
   {
     acceptPausedUntil_ = detail::kNever;
@@ -141,7 +144,13 @@
       @returns false when accepting is paused */
   bool acceptPending()
   {
-    for (int count = 0; count < kMaxAcceptsPerEvent; ++count) {
+    const int maxAccepts = acceptDelay_ ? kMaxLimitedAcceptsPerEvent : kMaxAcceptsPerEvent;
+    for (int count = 0; count < maxAccepts; ++count) {
+      if (const auto delay = acceptDelay_ ? acceptDelay_() : Duration::zero();
+          delay > Duration::zero()) {
+        pauseAccepting(delay);
+        return false;
+      }
       tcp::endpoint peer;
       auto size = static_cast<socklen_t>(peer.capacity());
       const int socket = ::accept4(acceptor_.native_handle(), peer.data(), &size, SOCK_CLOEXEC);
@@ -151,8 +160,7 @@
       } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
         break;
       } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-        acceptPausedUntil_ = detail::bootTime() + kAcceptPause;
-        timer->schedule(acceptPausedUntil_);
+        pauseAccepting(kAcceptPause);
         return false;
       }
       // Any other error belongs to a single connection that failed before it was accepted.
@@ -160,6 +168,12 @@
     return true;
   }
 
+  void pauseAccepting(Duration duration)
+  {
+    acceptPausedUntil_ = detail::bootTime() + duration;
+    timer->schedule(acceptPausedUntil_);
+  }
+
   void addConnection(int descriptor, const tcp::endpoint& peer)
   {
     if (connections_.size() >= limits.maxConnections + kMaxRefusedConnections) {
@@ -202,6 +216,7 @@
   }
 
   tcp::acceptor acceptor_;
+  Server::AcceptDelay acceptDelay_;
   std::uint16_t port_ = 0;
   std::vector<std::shared_ptr<detail::ServerConnection>> connections_;
   Duration acceptPausedUntil_ = detail::kNever;
@@ -232,6 +247,11 @@
   impl_->setLimits(limits);
 }
 
+void Server::setAcceptDelay(AcceptDelay delay)
+{
+  impl_->setAcceptDelay(std::move(delay));
+}
+
 void Server::stopAccepting()
 {
   impl_->stopAccepting();
@@ -242,6 +262,11 @@
   impl_->drain();
 }
 
+Traffic Server::traffic() const
+{
+  return impl_->traffic;
+}
+
 std::size_t Server::connections() const
 {
   return impl_->connections();
--- a/modules/http/Server.h
+++ b/modules/http/Server.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "http/Head.h"
+#include "http/Traffic.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -28,6 +29,9 @@
   /** Maximum total bytes of all request bodies in memory; a request that exceeds it gets 503. */
   std::uint64_t totalBodyBytes = 16U * 1024 * 1024;
   std::size_t maxConnections = 3000;
+  /** Maximum number of connections that the operating system establishes before they are accepted.
+      It is read by listen(). */
+  int backlog = 4096;
 };
 
 /** A completely received request and its response. It remains valid after the caller has
@@ -86,6 +90,8 @@
 {
 public:
   using Handler = std::function<void(std::shared_ptr<ServerRequest>)>;
+  /** Returns how long accepting has to pause; zero if a connection may be accepted now. */
+  using AcceptDelay = std::function<Duration()>;
 
   /** @param io       the event loop that runs the server; it must outlive the server
       @param limits   the initial limits
@@ -107,6 +113,9 @@
   /** Replaces the limits for all further requests. */
   void setLimits(const ServerLimits& limits);
 
+  /** Sets the function that is asked before each connection is accepted. */
+  void setAcceptDelay(AcceptDelay delay);
+
   /** Stops accepting connections. */
   void stopAccepting();
 
@@ -114,6 +123,9 @@
       are accepted until stopAccepting() is called; those without a request are closed after 1 s. */
   void drain();
 
+  /** Returns the bytes of all connections since the start. */
+  [[nodiscard]] Traffic traffic() const;
+
   /** Returns the number of open connections. */
   [[nodiscard]] std::size_t connections() const;
 
--- a/modules/http/ServerConnection.cpp
+++ b/modules/http/ServerConnection.cpp
@@ -178,6 +178,7 @@
       onDisconnected();
       return;
     }
+    context_->traffic.receivedBytes += readResult.size;
     onReceived({ context_->buffer.data(), readResult.size });
     if (phase_ == Phase::closed)
       return;
@@ -428,6 +429,7 @@
       return;
     }
     outputSent_ += writeResult.size;
+    context_->traffic.sentBytes += writeResult.size;
   }
   onOutputDrained(wrote);
 }
--- a/modules/http/ServerConnection.h
+++ b/modules/http/ServerConnection.h
@@ -4,6 +4,7 @@
 #include "http/FlushScheduler.h"
 #include "http/Message.h"
 #include "http/Server.h"
+#include "http/Traffic.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -32,6 +33,7 @@
   bool draining = false;
   /** Read buffer. Connections use it in turn, so that an idle connection needs none of its own. */
   std::array<char, 64U * 1024> buffer{};
+  Traffic traffic;
 
   virtual ~ServerContext() = default;
 
--- a/modules/http/http.h
+++ b/modules/http/http.h
@@ -5,3 +5,4 @@
 #include "http/ClientPool.h"
 #include "http/Head.h"
 #include "http/Server.h"
+#include "http/Traffic.h"
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -40,6 +40,22 @@
                                                          : dispatch::ProbeResult::timedOut;
 }
 
+/** Returns the limits of the server for callers. On a slow link, connections that wait to be
+   accepted are limited to those whose requests the link carries in a short time. */
+http::ServerLimits callerLimits(const RouterSettings& settings)
+{
+  constexpr double kRequestBytes = 4096;
+  constexpr double kBacklogSeconds = 0.2;
+  constexpr int kMinBacklog = 32;
+  http::ServerLimits limits;
+  if (settings.linkBytesPerSecond) {
+    const auto requests = *settings.linkBytesPerSecond * kBacklogSeconds / kRequestBytes;
+    limits.backlog = static_cast<int>(
+      std::clamp<double>(requests, kMinBacklog, static_cast<double>(limits.backlog)));
+  }
+  return limits;
+}
+
 HolderId holderOf(const RoleContext& context)
 {
   return { ProcessId(settings::toString(context.settings.peers)), context.incarnation };
@@ -97,7 +113,7 @@
                [this](Time now) { reportObservations(now); },
                [this] { sendOriginMessages(); } }
   , callers_(context.io,
-             http::ServerLimits{},
+             callerLimits(context.settings),
              [this](std::shared_ptr<http::ServerRequest> request) { handle(std::move(request)); })
   , readiness_(
       context.io,
@@ -106,10 +122,16 @@
   , load_(context_.metrics, context_.log)
   , timer_(context.io)
 {
+  if (context.settings.linkBytesPerSecond) {
+    linkBudget_.emplace(*context.settings.linkBytesPerSecond);
+  }
 }
 
 Expected<void> EntryRole::start()
 {
+  if (linkBudget_) {
+    callers_.setAcceptDelay([this] { return linkDelay(bootTime()); });
+  }
   if (auto listening = callers_.listen(toEndpoint(*context_.settings.callers)); !listening) {
     return listening;
   }
@@ -190,6 +212,9 @@
       stopServing(now);
     }
   }
+  if (linkDelay(now) > Duration::zero()) {
+    request->closeAfterResponse();
+  }
   const auto id = ++lastExchangeId_;
   const auto exchange = std::make_shared<Exchange>(
     services_, std::move(request), id, [this](std::uint64_t ended) { exchanges_.erase(ended); });
@@ -203,6 +228,19 @@
   }
 }
 
+Duration EntryRole::linkDelay(Time now)
+{
+  if (!linkBudget_) {
+    return Duration::zero();
+  }
+  const auto callers = callers_.traffic();
+  const auto endpoints = pool_.traffic();
+  linkBudget_->update(now,
+                      { callers.receivedBytes + endpoints.receivedBytes + receivedMessageBytes_,
+                        callers.sentBytes + endpoints.sentBytes + context_.mesh.sentBytes() });
+  return linkBudget_->timeUntilAvailable();
+}
+
 void EntryRole::sendReadiness(http::ServerRequest& request) const
 {
   if (isReady()) {
@@ -228,6 +266,7 @@
   const Time now = bootTime();
   const bool isFleet = channel == wire::Channel::fleet;
   load_.addReceived(channel, body.size());
+  receivedMessageBytes_ += body.size();
   const WorkTimer timer(load_, isFleet ? LoopWork::fleet : LoopWork::ledger);
   if (isFleet) {
     if (const auto message = wire::decode<fleet::Message>(body)) {
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -2,6 +2,7 @@
 
 #include "fleet/fleet.h"
 #include "router/Exchange.h"
+#include "router/LinkBudget.h"
 #include "router/LoadMonitor.h"
 #include "router/Role.h"
 
@@ -53,6 +54,8 @@
   void updateOrigins(Time now);
   void sendOriginMessages();
   void send(const ProcessId& to, wire::Channel channel, std::string body);
+  /** Returns how long the traffic on the link allows no further work. */
+  [[nodiscard]] Duration linkDelay(Time now);
   void sendLedger(const std::vector<ledger::OutgoingMessage>& messages);
   void logEndpointEvents(Time now);
 
@@ -67,6 +70,9 @@
   EntryServices services_;
   http::Server callers_;
   http::Server readiness_;
+  std::optional<LinkBudget> linkBudget_;
+  /** Bytes of the messages from other processes. */
+  std::uint64_t receivedMessageBytes_ = 0;
   LoadMonitor load_;
   boost::asio::steady_timer timer_;
   Time tickDueAt_;
--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -14,7 +14,13 @@
 constexpr std::string_view kAddressDescription =
   "a numeric address IP:port with a port from 1 to 65535";
 constexpr std::string_view kDefaultPeerKey = "figchute";
-constexpr std::array<std::string_view, 4> kSections{ "process", "listen", "fleet", "bounds" };
+constexpr std::array<std::string_view, 5> kSections{ "process",
+                                                     "listen",
+                                                     "fleet",
+                                                     "bounds",
+                                                     "link" };
+
+constexpr double kBytesPerMegabit = 1e6 / 8;
 
 /** Keys whose changed values take effect in a running process. */
 constexpr std::array<std::string_view, 2> kReloadableKeys{ "seeds", "grace_s" };
@@ -40,6 +46,7 @@
     readListen();
     readFleet();
     readBounds();
+    readLink();
     rejectUnknownSections();
     rejectSharedAddresses();
     if (!faults_.empty()) {
@@ -155,6 +162,15 @@
     reader.rejectUnknownKeys();
   }
 
+  void readLink()
+  {
+    SectionReader reader(section("link"), faults_);
+    if (const auto megabits = reader.real("mbit_per_s", { 0.1, 1e6 }, Presence::optional)) {
+      settings_.linkBytesPerSecond = *megabits * kBytesPerMegabit;
+    }
+    reader.rejectUnknownKeys();
+  }
+
   // Two listeners of one process cannot share an address. Keys that the role does not use are
   // ignored, because all processes of a deployment may have the same keys.
   void rejectSharedAddresses()
@@ -222,14 +238,22 @@
     addEffective("bounds", "repeat_ratio", fmt::format("{}", bounds.repeatRatio), "of requests");
     addEffective("bounds", "repeat_slack", fmt::format("{}", bounds.repeatSlack), "repeats");
     addEffective("bounds", "repeat_window_s", fmt::format("{}", seconds(bounds.repeatWindow)), "s");
+    const auto& link = settings_.linkBytesPerSecond;
+    addEffective("link",
+                 "mbit_per_s",
+                 link ? fmt::format("{}", *link / kBytesPerMegabit) : std::string(),
+                 "Mbit/s");
   }
 
   void rejectUnknownSections()
   {
     for (const auto& section : file_.sections) {
       if (std::find(kSections.begin(), kSections.end(), section.name) == kSections.end()) {
-        faults_.push_back(ini::Fault{
-          section.name, "", "unknown section", "process, listen, fleet or bounds", section.line });
+        faults_.push_back(ini::Fault{ section.name,
+                                      "",
+                                      "unknown section",
+                                      "process, listen, fleet, bounds or link",
+                                      section.line });
       }
     }
   }
--- a/modules/router/RouterSettings.h
+++ b/modules/router/RouterSettings.h
@@ -66,6 +66,9 @@
   /** HMAC key of the messages between processes. */
   std::string peerKey;
   Bounds bounds;
+  /** The bandwidth of the VM's network link in each direction, in bytes per second; nothing if it
+     is not known. */
+  std::optional<double> linkBytesPerSecond;
   /** All keys in the order of the file format. */
   std::vector<EffectiveSetting> effective;
 
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -367,6 +367,7 @@
         self.ip = ip
         self.process = None
         self.bootstrap = True
+        self.more_settings = ""
         self.folder = os.path.join(fleet.folder, name)
         self.log_path = os.path.join(fleet.folder, name + ".log")
         self.settings_path = os.path.join(fleet.folder, name + ".ini")
@@ -385,7 +386,7 @@
                 f"metrics = {self.ip}:{self.metrics[1]}\n"
                 f"[fleet]\nseeds = {seeds}\n"
                 f"bootstrap = {'true' if self.bootstrap else 'false'}\n"
-                f"[bounds]\ngrace_s = 5\n")
+                f"[bounds]\ngrace_s = 5\n{self.more_settings}")
         with open(self.settings_path, "w", encoding="utf-8") as file:
             file.write(text)
 
--- /dev/null
+++ b/tests/router_link_test.py
@@ -0,0 +1,71 @@
+#!/usr/bin/env python3
+"""Tests an entry process on a slow network link. Usage: router_link_test.py BUILD_DIR [CASE...]"""
+
+import os
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from router_fleet import StartedFleet, check, has_all_endpoints, run_cases, wait_until  # noqa: E402
+
+REQUESTS = 60
+BODY = "b" * 8000
+# The link carries 62.5 KB a second, and a request passes it twice, in different directions.
+LINK = "[link]\nmbit_per_s = 0.5\n"
+
+
+def restart_on_slow_link(fleet):
+    entry = fleet.entries[0]
+    entry.kill()
+    entry.more_settings = LINK
+    entry.write_settings(fleet.seeds())
+    entry.start()
+    wait_until(entry.ready, "the entry process is ready again")
+    wait_until(lambda: has_all_endpoints(entry, len(fleet.endpoints)), "it has all endpoints")
+
+
+def entry_on_slow_link_accepts_no_more_than_it_carries(build):
+    """Guards against a link that is full of requests which are refused after they were received, so
+    that hardly any request is served."""
+    with StartedFleet(build) as fleet:
+        restart_on_slow_link(fleet)
+        statuses = []
+
+        def send():
+            try:
+                response = fleet.call("POST", "app.example", "/look/x", BODY)
+                statuses.append((response.status, time.monotonic()))
+            except OSError:
+                pass  # the connection was not accepted in time
+
+        started = time.monotonic()
+        threads = [threading.Thread(target=send) for _ in range(REQUESTS)]
+        for thread in threads:
+            thread.start()
+        time.sleep(2)
+        early = [status for status, _ in statuses]
+        check(5 <= len(early) <= 25, f"{len(early)} of {REQUESTS} requests answered within 2 s")
+        for thread in threads:
+            thread.join()
+        check(all(status == 200 for status, _ in statuses), f"no request is refused: {statuses}")
+        check(statuses[-1][1] - started > 4, "the last request waited for the link")
+
+
+def entry_on_slow_link_serves_at_once_below_its_bandwidth(build):
+    """Guards against a limit that delays callers although the link has room."""
+    with StartedFleet(build) as fleet:
+        restart_on_slow_link(fleet)
+        for _ in range(5):
+            started = time.monotonic()
+            check(fleet.call("POST", "app.example", "/look/x", "b" * 2000).status == 200, "served")
+            check(time.monotonic() - started < 0.5, "without a wait")
+            time.sleep(0.2)
+
+
+CASES = [entry_on_slow_link_accepts_no_more_than_it_carries,
+         entry_on_slow_link_serves_at_once_below_its_bandwidth]
+
+if __name__ == "__main__":
+    names = sys.argv[2:]
+    sys.exit(run_cases([case for case in CASES if not names or case.__name__ in names], sys.argv[1]))
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -162,6 +162,7 @@
     { "bootstrap = true", "[bounds]\nrepeat_ratio = nan", "expected a number from 0 to 10" },
     { "bootstrap = true", "[bounds]\nrepeat_slack = 1e7", "expected a number from 0 to 1000000" },
     { "bootstrap = true", "[bounds]\nrepeat_window_s = 0", "expected a number from 0.1 to 3600" },
+    { "bootstrap = true", "[link]\nmbit_per_s = 0", "expected a number from 0.1 to 1000000" },
   };
   for (const auto& [from, to, expected] : cases) {
     auto changed = text;
@@ -179,7 +180,7 @@
 // default, and against a peer key that is printed.
 TEST_CASE_FIXTURE(SettingsFixture, "settings_effective_listEveryKey")
 {
-  text += "peer_key = secret-of-peers\n[bounds]\nrepeat_ratio = 0.25\n";
+  text += "peer_key = secret-of-peers\n[bounds]\nrepeat_ratio = 0.25\n[link]\nmbit_per_s = 12.5\n";
   const auto settings = parseRouterSettings(text);
   REQUIRE(settings);
   CHECK(toString(settings->effective) == "[process] name = e1\n"
@@ -197,7 +198,8 @@
                                          "[bounds] grace_s = 8 s (default)\n"
                                          "[bounds] repeat_ratio = 0.25 of requests\n"
                                          "[bounds] repeat_slack = 58 repeats (default)\n"
-                                         "[bounds] repeat_window_s = 10 s (default)\n");
+                                         "[bounds] repeat_window_s = 10 s (default)\n"
+                                         "[link] mbit_per_s = 12.5 Mbit/s\n");
 }
 
 // Guards against a reload that reports a value as applied although the running process does not use
