router, http: entry VMs that are cut off from endpoints use tunnels of others

Cause: a VM has one path to each endpoint, the direct one. Its failure is local, and other entry VMs reach both the endpoint and the VM.

Change: EgressSelector recognises that direct connections to several endpoints fail and none is established, and then sends connections through tunnels (CONNECT, signed with the peer key) of other entry processes until direct connections work again. http::TunnelServer opens tunnels only to registered endpoints. The link does not count as congested meanwhile, and all circuit breakers are closed when the path changes. New setting '[listen] tunnels'; without it nothing changes.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -231,6 +231,13 @@
     }
   }
 
+  void closeBreakers()
+  {
+    for (auto& [handle, endpoint] : endpoints_.all()) {
+      endpoint.breaker = CircuitBreaker();
+    }
+  }
+
   void endpointLeaving(Time now, std::uint64_t requestId)
   {
     const auto* send = currentSend(requestId);
@@ -802,6 +809,11 @@
   impl_->answerHead(now, requestId, requestsPerSecond);
 }
 
+void Dispatcher::closeBreakers()
+{
+  impl_->closeBreakers();
+}
+
 void Dispatcher::endpointLeaving(Time now, std::uint64_t requestId)
 {
   impl_->endpointLeaving(now, requestId);
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -103,6 +103,9 @@
       process sends nothing more to that incarnation of the endpoint. */
   void endpointLeaving(Time now, std::uint64_t requestId);
 
+  /** Closes all circuit breakers. Call it when connections take another path than before. */
+  void closeBreakers();
+
   /** Reports that the answer to the current send of a request asked this process to send nothing to
       the endpoint for some time.
       @param duration  at least 0 */
--- a/modules/http/ClientConnection.cpp
+++ b/modules/http/ClientConnection.cpp
@@ -14,6 +14,10 @@
 
 constexpr std::size_t kMaxHeadBytes = 32U * 1024;
 
+/** Position and length of the status in the first line of a response. */
+constexpr std::size_t kStatusOffset = 9;
+constexpr std::size_t kStatusDigits = 3;
+
 /** Maximum reads from one connection per event, so that other connections are not starved. */
 constexpr int kMaxReadsPerEvent = 4;
 
@@ -43,18 +47,18 @@
 {
 }
 
-ClientConnection::ClientConnection(PoolContext& poolContext,
-                                   const boost::asio::ip::tcp::endpoint& address)
+ClientConnection::ClientConnection(PoolContext& poolContext, const Destination& destination)
   : context_(&poolContext)
   , socket_(poolContext.io)
-  , address_(address)
+  , destination_(destination)
 {
 }
 
 std::string ClientConnection::connect(const std::shared_ptr<Exchange>& exchange)
 {
   boost::system::error_code error;
-  socket_.open(address_.protocol(), error);
+  const auto& firstHop = usesProxy() ? destination_.proxy : destination_.address;
+  socket_.open(firstHop.protocol(), error);
   if (error)
     return error.message();
   setTcpOptions(socket_.native_handle(), kTcpUserTimeout);
@@ -62,7 +66,7 @@
   exchange_->connection = this;
   exchange_->reused = false;
   setDeadline(bootTime() + exchange->options.connectTimeout);
-  socket_.async_connect(address_,
+  socket_.async_connect(firstHop,
                         [self = shared_from_this()](const boost::system::error_code& result) {
                           if (self->phase_ != Phase::connecting)
                             return;
@@ -74,18 +78,81 @@
 
 void ClientConnection::onConnected(const boost::system::error_code& error)
 {
-  if (error == boost::asio::error::timed_out) {
+  if (error && usesProxy()) {
+    fail(CallFailureKind::proxyFailed, error.message());
+  } else if (error == boost::asio::error::timed_out) {
     fail(CallFailureKind::connectTimeout, error.message());
+  } else if (error) {
+    fail(CallFailureKind::connectRefused, error.message());
+  } else if (usesProxy()) {
+    openTunnel();
+  } else {
+    startFirstExchange();
+  }
+}
+
+bool ClientConnection::usesProxy() const
+{
+  return destination_.proxy != boost::asio::ip::tcp::endpoint();
+}
+
+void ClientConnection::openTunnel()
+{
+  phase_ = Phase::openingTunnel;
+  const auto target = addressText(destination_.address);
+  auto request =
+    fmt::format("CONNECT {0} HTTP/1.1\r\nHost: {0}\r\nProxy-Authorization: {1}\r\n\r\n",
+                target,
+                exchange_->options.proxy->authorization);
+  const iovec part{ request.data(), request.size() };
+  const auto result = send(socket_.native_handle(), std::span(&part, 1));
+  if (result.state != TransferResult::State::done || result.size != request.size()) {
+    fail(CallFailureKind::proxyFailed, "the request for a tunnel could not be sent");
     return;
   }
-  if (error) {
-    fail(CallFailureKind::connectRefused, error.message());
+  startReadWait();
+}
+
+void ClientConnection::readTunnelResponse()
+{
+  const auto result = receive(socket_.native_handle(), context_->buffer);
+  if (result.state == TransferResult::State::wouldBlock) {
+    startReadWait();
+    return;
+  }
+  if (result.state != TransferResult::State::done) {
+    fail(CallFailureKind::proxyFailed, "the proxy closed the connection");
+    return;
+  }
+  input_.append(context_->buffer.data(), result.size);
+  const auto state = scanner_.scan(input_, false);
+  if (state == HeadScanner::State::incomplete && input_.size() < kMaxHeadBytes) {
+    startReadWait();
     return;
   }
+  const auto status = input_.substr(std::min(input_.size(), kStatusOffset), kStatusDigits);
+  if (state == HeadScanner::State::complete && status == "200" &&
+      scanner_.size() == input_.size()) {
+    scanner_.reset();
+    input_.clear();
+    startFirstExchange();
+  } else if (status == "502") {
+    fail(CallFailureKind::connectRefused, "the proxy could not connect");
+  } else if (status == "504") {
+    fail(CallFailureKind::connectTimeout, "the connection attempt of the proxy timed out");
+  } else {
+    fail(CallFailureKind::proxyFailed, "the proxy opens no tunnel: status " + status);
+  }
+}
+
+void ClientConnection::startFirstExchange()
+{
   phase_ = Phase::busy;
   setDeadline(kNever);
   startReadWait();
   context_->flushScheduler.add(shared_from_this());
+  if (isActive())
+    exchange_->listener->onConnected();
 }
 
 void ClientConnection::startExchange(const std::shared_ptr<Exchange>& exchange)
@@ -213,6 +280,10 @@
     close();
     return;
   }
+  if (phase_ == Phase::openingTunnel) {
+    readTunnelResponse();
+    return;
+  }
   const auto exchange = exchange_;
   // The endpoint closed the connection just before it was taken from the idle list.
   if (exchange->reused && requestBytesWritten_ == 0 && hasInput(socket_.native_handle())) {
@@ -454,6 +525,8 @@
   deadline_ = kNever;
   if (phase_ == Phase::idle)
     close();
+  else if ((phase_ == Phase::connecting || phase_ == Phase::openingTunnel) && usesProxy())
+    fail(CallFailureKind::proxyFailed, "the proxy does not answer");
   else if (phase_ == Phase::connecting)
     fail(CallFailureKind::connectTimeout, "connection attempt timed out");
   return deadline_;
--- a/modules/http/ClientConnection.h
+++ b/modules/http/ClientConnection.h
@@ -14,18 +14,32 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace figchute::http::detail {
 
 class ClientConnection;
 
+/** Where a connection leads. */
+struct Destination
+{
+  boost::asio::ip::tcp::endpoint address;
+  /** The proxy that opens a tunnel to the address; the default endpoint for a direct connection. */
+  boost::asio::ip::tcp::endpoint proxy{};
+
+  friend bool operator<(const Destination& a, const Destination& b)
+  {
+    return std::tie(a.address, a.proxy) < std::tie(b.address, b.proxy);
+  }
+};
+
 /** One request and the progress of its response. */
 struct Exchange
 {
   /** Null once the call has ended or was cancelled. */
   CallListener* listener = nullptr;
   ClientConnection* connection = nullptr;
-  boost::asio::ip::tcp::endpoint address;
+  Destination destination;
   CallOptions options;
   std::string method;
   /** The request head as it is sent. */
@@ -69,7 +83,7 @@
   , public std::enable_shared_from_this<ClientConnection>
 {
 public:
-  ClientConnection(PoolContext& poolContext, const boost::asio::ip::tcp::endpoint& address);
+  ClientConnection(PoolContext& poolContext, const Destination& destination);
 
   /** Opens the connection for its first exchange.
       @returns the system's error message when no socket could be opened, else an empty string */
@@ -88,7 +102,7 @@
       @returns the next deadline, or kNever */
   Duration checkDeadline(Duration now);
 
-  [[nodiscard]] const boost::asio::ip::tcp::endpoint& address() const { return address_; }
+  [[nodiscard]] const Destination& destination() const { return destination_; }
   [[nodiscard]] bool isIdle() const { return phase_ == Phase::idle; }
   [[nodiscard]] bool isClosed() const { return phase_ == Phase::closed; }
   [[nodiscard]] Duration deadline() const { return deadline_; }
@@ -102,6 +116,8 @@
   enum class Phase
   {
     connecting,
+    /** Waiting for the response of the proxy. */
+    openingTunnel,
     busy,
     idle,
     closed,
@@ -118,6 +134,11 @@
   };
 
   void onConnected(const boost::system::error_code& error);
+  [[nodiscard]] bool usesProxy() const;
+  void openTunnel();
+  void readTunnelResponse();
+  /** Starts the first exchange on the established connection. */
+  void startFirstExchange();
   void startReadWait();
   void startWriteWait();
   void onReadable();
@@ -140,7 +161,7 @@
 
   PoolContext* context_;
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::ip::tcp::endpoint address_;
+  Destination destination_;
   std::shared_ptr<Exchange> exchange_;
   std::string input_;
   std::unique_ptr<MessageParser<false>> parser_;
--- a/modules/http/ClientPool.cpp
+++ b/modules/http/ClientPool.cpp
@@ -15,6 +15,7 @@
 
 using boost::asio::ip::tcp;
 using detail::ClientConnection;
+using detail::Destination;
 using detail::Exchange;
 
 class CallHandle final : public Call
@@ -82,6 +83,8 @@
       return "closed";
     case CallFailureKind::malformed:
       return "malformed";
+    case CallFailureKind::proxyFailed:
+      return "proxy_failed";
   }
   return "unknown";
 }
@@ -100,10 +103,10 @@
   {
     const auto now = detail::bootTime();
     while (!exchange->options.forceNewConnection) {
-      const auto addressEntry = addresses_.find(exchange->address);
-      if (addressEntry == addresses_.end() || addressEntry->second.idle.empty())
+      const auto entry = destinations_.find(exchange->destination);
+      if (entry == destinations_.end() || entry->second.idle.empty())
         break;
-      auto& idle = addressEntry->second.idle;
+      auto& idle = entry->second.idle;
       const auto connection = idle.back()->shared_from_this();
       idle.pop_back();
       // After the process was suspended, the deadline may have passed without the timer having run.
@@ -118,22 +121,22 @@
 
   void onConnectionIdle(ClientConnection& connection) override
   {
-    addresses_[connection.address()].idle.push_back(&connection);
+    destinations_[connection.destination()].idle.push_back(&connection);
   }
 
   void onConnectionClosed(ClientConnection& connection) override
   {
-    const auto addressEntry = addresses_.find(connection.address());
-    if (addressEntry == addresses_.end())
+    const auto entry = destinations_.find(connection.destination());
+    if (entry == destinations_.end())
       return;
-    auto& [addressConnections, idle] = addressEntry->second;
+    auto& [openConnections, idle] = entry->second;
     std::erase(idle, &connection);
-    auto& last = addressConnections.back();
+    auto& last = openConnections.back();
     last->index = connection.index;
-    std::swap(addressConnections[connection.index], last);
-    addressConnections.pop_back();
-    if (addressConnections.empty())
-      addresses_.erase(addressEntry);
+    std::swap(openConnections[connection.index], last);
+    openConnections.pop_back();
+    if (openConnections.empty())
+      destinations_.erase(entry);
   }
 
   void probe(const tcp::endpoint& address,
@@ -146,21 +149,21 @@
     probe->start(address, timeout);
   }
 
-  void closeIdle(const tcp::endpoint& address)
+  void closeIdle(const Destination& destination)
   {
-    const auto addressEntry = addresses_.find(address);
-    if (addressEntry == addresses_.end())
+    const auto entry = destinations_.find(destination);
+    if (entry == destinations_.end())
       return;
-    const auto addressConnections = addressEntry->second.connections;
-    for (const auto& connection : addressConnections)
+    const auto openConnections = entry->second.connections;
+    for (const auto& connection : openConnections)
       if (connection->isIdle())
         connection->close();
   }
 
-  [[nodiscard]] std::size_t connections(const tcp::endpoint& address) const
+  [[nodiscard]] std::size_t connections(const Destination& destination) const
   {
-    const auto addressEntry = addresses_.find(address);
-    return addressEntry == addresses_.end() ? 0 : addressEntry->second.connections.size();
+    const auto entry = destinations_.find(destination);
+    return entry == destinations_.end() ? 0 : entry->second.connections.size();
   }
 
   [[nodiscard]] std::uint64_t openedConnections() const { return openedConnections_; }
@@ -180,7 +183,7 @@
 private:
   using Connections = std::vector<std::shared_ptr<ClientConnection>>;
 
-  struct AddressConnections
+  struct DestinationConnections
   {
     Connections connections;
     /** Ordered by last use, the most recently used connection last. */
@@ -189,31 +192,31 @@
 
   void open(const std::shared_ptr<Exchange>& exchange)
   {
-    if (connections(exchange->address) >= exchange->options.maxConnections &&
-        !closeOldestIdle(exchange->address)) {
+    if (connections(exchange->destination) >= exchange->options.maxConnections &&
+        !closeOldestIdle(exchange->destination)) {
       postFailure(exchange,
                   CallFailureKind::connectionLimit,
                   "connection limit reached and all connections are busy");
       return;
     }
-    const auto connection = std::make_shared<ClientConnection>(*this, exchange->address);
+    const auto connection = std::make_shared<ClientConnection>(*this, exchange->destination);
     auto error = connection->connect(exchange);
     if (!error.empty()) {
       postFailure(exchange, CallFailureKind::connectRefused, std::move(error));
       return;
     }
     ++openedConnections_;
-    auto& addressConnections = addresses_[exchange->address].connections;
-    connection->index = addressConnections.size();
-    addressConnections.push_back(connection);
+    auto& openConnections = destinations_[exchange->destination].connections;
+    connection->index = openConnections.size();
+    openConnections.push_back(connection);
   }
 
-  bool closeOldestIdle(const tcp::endpoint& address)
+  bool closeOldestIdle(const Destination& destination)
   {
-    const auto addressEntry = addresses_.find(address);
-    if (addressEntry == addresses_.end() || addressEntry->second.idle.empty())
+    const auto entry = destinations_.find(destination);
+    if (entry == destinations_.end() || entry->second.idle.empty())
       return false;
-    const auto connection = addressEntry->second.idle.front()->shared_from_this();
+    const auto connection = entry->second.idle.front()->shared_from_this();
     connection->close();
     return true;
   }
@@ -236,7 +239,7 @@
   [[nodiscard]] Connections allConnections() const
   {
     Connections result;
-    for (const auto& [address, entry] : addresses_)
+    for (const auto& [destination, entry] : destinations_)
       result.insert(result.end(), entry.connections.begin(), entry.connections.end());
     return result;
   }
@@ -250,7 +253,7 @@
     return next;
   }
 
-  std::map<tcp::endpoint, AddressConnections> addresses_;
+  std::map<Destination, DestinationConnections> destinations_;
   std::vector<std::weak_ptr<detail::ConnectProbe>> probes_;
   std::uint64_t openedConnections_ = 0;
 };
@@ -273,7 +276,9 @@
 {
   auto exchange = std::make_shared<Exchange>();
   exchange->listener = &listener;
-  exchange->address = address;
+  exchange->destination.address = address;
+  if (options.proxy)
+    exchange->destination.proxy = options.proxy->address;
   exchange->options = std::move(options);
   const auto length = contentLength(head, body);
   detail::appendHead(exchange->requestHead, head, length, address);
@@ -292,12 +297,12 @@
 
 void ClientPool::closeIdle(const tcp::endpoint& address)
 {
-  impl_->closeIdle(address);
+  impl_->closeIdle({ address });
 }
 
 std::size_t ClientPool::connections(const tcp::endpoint& address) const
 {
-  return impl_->connections(address);
+  return impl_->connections({ address });
 }
 
 Traffic ClientPool::traffic() const
--- a/modules/http/ClientPool.h
+++ b/modules/http/ClientPool.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,8 @@
   closed,
   /** The received bytes are not a valid HTTP response. */
   malformed,
+  /** The proxy was not reached, or opens no tunnel for a reason of its own. */
+  proxyFailed,
 };
 
 /** Returns the name used in logs: "connect_refused" and so on. Safe from any thread. */
@@ -51,6 +54,9 @@
 public:
   virtual ~CallListener() = default;
 
+  /** Called when a new connection for the call has been established; not called if an idle one is
+      used. */
+  virtual void onConnected() {}
   /** Called when the first byte of the request has been written to the socket. */
   virtual void onSent() = 0;
   virtual void onHead(const ResponseHead& head) = 0;
@@ -59,9 +65,18 @@
   virtual void onFailure(const CallFailure& failure) = 0;
 };
 
+/** A proxy that opens a tunnel to the address of a call, see TunnelServer. */
+struct Proxy
+{
+  boost::asio::ip::tcp::endpoint address;
+  /** The value of the Proxy-Authorization field. */
+  std::string authorization;
+};
+
 /** Options of one call. */
 struct CallOptions
 {
+  /** Includes the time in which a proxy opens a tunnel. */
   Duration connectTimeout = std::chrono::seconds(1);
   /** Name of the response field that returns a request identifier; empty for none. A response whose
       field differs from correlationValue belongs to an earlier request and is discarded. One
@@ -72,6 +87,8 @@
   std::size_t maxConnections = 1000;
   /** Opens a new connection even if an idle one is available. */
   bool forceNewConnection = false;
+  /** The proxy to use; nothing for a direct connection. */
+  std::optional<Proxy> proxy = std::nullopt;
 };
 
 /** One call. Destroying the last pointer to it cancels the call.
@@ -122,10 +139,10 @@
              Duration timeout,
              std::function<void(const boost::system::error_code&)> finished);
 
-  /** Closes all idle connections to an address. */
+  /** Closes all idle direct connections to an address. */
   void closeIdle(const boost::asio::ip::tcp::endpoint& address);
 
-  /** Returns the number of connections to an address, idle and busy. */
+  /** Returns the number of direct connections to an address, idle and busy. */
   [[nodiscard]] std::size_t connections(const boost::asio::ip::tcp::endpoint& address) const;
 
   /** Returns the bytes of all connections since the pool was created. */
--- /dev/null
+++ b/modules/http/TunnelServer.cpp
@@ -0,0 +1,366 @@
+#include "http/TunnelServer.h"
+
+#include "http/Message.h"
+#include "http/Sockets.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <fmt/format.h>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace figchute::http {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::size_t kMaxHeadBytes = 4096;
+constexpr std::size_t kBufferBytes = 8192;
+/** How long a peer or a target may leave sent bytes unread or unacknowledged. */
+constexpr Duration kTcpUserTimeout = std::chrono::seconds(2);
+/** How long accepting pauses when no file descriptor is available. */
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/** Parses a target of the form IP:port. */
+std::optional<tcp::endpoint> parseTarget(std::string_view text)
+{
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::uint16_t port = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(std::string(text.substr(0, colon)), error);
+  if (error || parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(ip, port);
+}
+
+/** Parses the head of a CONNECT request. */
+std::optional<TunnelRequest> parseRequest(std::string_view head)
+{
+  detail::MessageParser<true> parser;
+  std::size_t used = 0;
+  if (!parser.parse(head, used) || !parser.is_header_done() || parser.head.method != "CONNECT") {
+    return std::nullopt;
+  }
+  const auto target = parseTarget(parser.head.target);
+  if (!target) {
+    return std::nullopt;
+  }
+  return TunnelRequest{ *target, std::string(parser.head.fields.get("Proxy-Authorization")) };
+}
+
+/** One tunnel. It keeps itself alive until both of its sockets are closed. */
+class Tunnel final : public std::enable_shared_from_this<Tunnel>
+{
+public:
+  using AuthorizePointer = std::shared_ptr<const TunnelServer::Authorize>;
+
+  Tunnel(asio::io_context& io, tcp::socket peer, AuthorizePointer authorize)
+    : peer_(std::move(peer))
+    , target_(io)
+    , timer_(io)
+    , authorize_(std::move(authorize))
+  {
+  }
+
+  void start()
+  {
+    detail::setTcpOptions(peer_.native_handle(), kTcpUserTimeout);
+    startTimer(TunnelServer::kRequestTimeout);
+    asio::async_read_until(peer_,
+                           asio::dynamic_buffer(head_, kMaxHeadBytes),
+                           "\r\n\r\n",
+                           [self = shared_from_this()](const auto& error, std::size_t size) {
+                             if (error) {
+                               self->close();
+                             } else {
+                               self->open(size);
+                             }
+                           });
+  }
+
+  /** Sends an error response, then closes the connection of the peer. */
+  void refuse(int status)
+  {
+    response_ = fmt::format("HTTP/1.1 {} Refused\r\nContent-Length: 0\r\n\r\n", status);
+    asio::async_write(peer_,
+                      asio::buffer(response_),
+                      [self = shared_from_this()](const auto& /*error*/, auto) { self->close(); });
+  }
+
+  void close()
+  {
+    boost::system::error_code ignored;
+    timer_.cancel();
+    peer_.close(ignored);
+    target_.close(ignored);
+  }
+
+  [[nodiscard]] bool isClosed() const { return !peer_.is_open(); }
+
+private:
+  using Buffer = std::array<char, kBufferBytes>;
+
+  void startTimer(Duration duration)
+  {
+    timer_.expires_after(duration);
+    timer_.async_wait([self = shared_from_this()](const auto& error) {
+      if (!error) {
+        self->onTimeout();
+      }
+    });
+  }
+
+  void onTimeout()
+  {
+    if (!target_.is_open()) {
+      close();
+      return;
+    }
+    boost::system::error_code ignored;
+    target_.close(ignored);
+    refuse(kGatewayTimeout);
+  }
+
+  void open(std::size_t headBytes)
+  {
+    // The peer sends nothing more before it has the response.
+    const auto request = headBytes == head_.size() ? parseRequest(head_) : std::nullopt;
+    const int status = request ? (*authorize_)(*request) : kBadRequest;
+    if (status != kOk) {
+      timer_.cancel();
+      refuse(status);
+      return;
+    }
+    boost::system::error_code error;
+    target_.open(request->target.protocol(), error);
+    if (error) {
+      timer_.cancel();
+      refuse(kServiceUnavailable);
+      return;
+    }
+    detail::setTcpOptions(target_.native_handle(), kTcpUserTimeout);
+    startTimer(TunnelServer::kConnectTimeout);
+    target_.async_connect(request->target, [self = shared_from_this()](const auto& result) {
+      if (result != asio::error::operation_aborted) {
+        self->onConnected(result);
+      }
+    });
+  }
+
+  void onConnected(const boost::system::error_code& error)
+  {
+    timer_.cancel();
+    if (error) {
+      boost::system::error_code ignored;
+      target_.close(ignored);
+      refuse(error == asio::error::timed_out ? kGatewayTimeout : kBadGateway);
+      return;
+    }
+    response_ = "HTTP/1.1 200 OK\r\n\r\n";
+    asio::async_write(
+      peer_, asio::buffer(response_), [self = shared_from_this()](const auto& writeError, auto) {
+        if (writeError) {
+          self->close();
+          return;
+        }
+        self->relay(self->peer_, self->target_, self->toTarget_);
+        self->relay(self->target_, self->peer_, self->toPeer_);
+      });
+  }
+
+  /** Relays bytes in one direction until a socket is closed or fails. */
+  void relay(tcp::socket& from, tcp::socket& to, Buffer& buffer)
+  {
+    from.async_read_some(
+      asio::buffer(buffer),
+      [self = shared_from_this(), &from, &to, &buffer](const auto& error, std::size_t size) {
+        if (error) {
+          self->onEnd(from, error);
+          return;
+        }
+        asio::async_write(to,
+                          asio::buffer(buffer, size),
+                          [self, &from, &to, &buffer](const auto& writeError, std::size_t) {
+                            if (writeError) {
+                              self->onEnd(to, writeError);
+                            } else {
+                              self->relay(from, to, buffer);
+                            }
+                          });
+      });
+  }
+
+  void onEnd(const tcp::socket& socket, const boost::system::error_code& error)
+  {
+    const bool isTargetReset = &socket == &target_ && error != asio::error::eof;
+    if (isTargetReset && peer_.is_open()) {
+      detail::setResetOnClose(peer_.native_handle());
+    }
+    close();
+  }
+
+  tcp::socket peer_;
+  tcp::socket target_;
+  asio::steady_timer timer_;
+  AuthorizePointer authorize_;
+  std::string head_;
+  std::string response_;
+  Buffer toTarget_{};
+  Buffer toPeer_{};
+};
+
+} // namespace
+
+class TunnelServer::Impl : public std::enable_shared_from_this<TunnelServer::Impl>
+{
+public:
+  Impl(asio::io_context& io, Authorize authorize)
+    : io_(io)
+    , authorize_(std::make_shared<const Authorize>(std::move(authorize)))
+    , acceptor_(io)
+    , acceptTimer_(io)
+  {
+  }
+
+  Expected<void> listen(const tcp::endpoint& address)
+  {
+    boost::system::error_code error;
+    const auto runIfNoError = [&](auto&& operation) {
+      if (!error) {
+        operation();
+      }
+    };
+    runIfNoError([&] { acceptor_.open(address.protocol(), error); });
+    runIfNoError([&] { acceptor_.set_option(tcp::acceptor::reuse_address(true), error); });
+    runIfNoError([&] { acceptor_.bind(address, error); });
+    runIfNoError([&] { acceptor_.listen(asio::socket_base::max_listen_connections, error); });
+    if (error) {
+      stop();
+      return fail(
+        ErrorKind::internal,
+        fmt::format("cannot listen on {}: {}", detail::addressText(address), error.message()));
+    }
+    accept();
+    return {};
+  }
+
+  [[nodiscard]] std::uint16_t port() const
+  {
+    boost::system::error_code ignored;
+    return acceptor_.local_endpoint(ignored).port();
+  }
+
+  [[nodiscard]] std::size_t tunnels() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(tunnels_.begin(), tunnels_.end(), [](const auto& weak) {
+        const auto tunnel = weak.lock();
+        return tunnel && !tunnel->isClosed();
+      }));
+  }
+
+  void stop()
+  {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    acceptTimer_.cancel();
+    for (const auto& weak : tunnels_) {
+      if (const auto tunnel = weak.lock()) {
+        tunnel->close();
+      }
+    }
+  }
+
+private:
+  void accept()
+  {
+    acceptor_.async_accept([self = shared_from_this()](const auto& error, tcp::socket socket) {
+      if (!self->acceptor_.is_open()) {
+        return;
+      }
+      if (error) {
+        self->acceptAfterPause();
+        return;
+      }
+      self->add(std::move(socket));
+      self->accept();
+    });
+  }
+
+  void acceptAfterPause()
+  {
+    acceptTimer_.expires_after(kAcceptPause);
+    acceptTimer_.async_wait([self = shared_from_this()](const auto& error) {
+      if (!error && self->acceptor_.is_open()) {
+        self->accept();
+      }
+    });
+  }
+
+  void add(tcp::socket socket)
+  {
+    std::erase_if(tunnels_, [](const auto& weak) {
+      const auto tunnel = weak.lock();
+      return !tunnel || tunnel->isClosed();
+    });
+    const auto tunnel = std::make_shared<Tunnel>(io_, std::move(socket), authorize_);
+    if (tunnels_.size() >= kMaxTunnels) {
+      tunnel->refuse(kServiceUnavailable);
+      return;
+    }
+    tunnels_.push_back(tunnel);
+    tunnel->start();
+  }
+
+  asio::io_context& io_;
+  Tunnel::AuthorizePointer authorize_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer acceptTimer_;
+  std::vector<std::weak_ptr<Tunnel>> tunnels_;
+};
+
+TunnelServer::TunnelServer(boost::asio::io_context& io, Authorize authorize)
+  : impl_(std::make_shared<Impl>(io, std::move(authorize)))
+{
+}
+
+TunnelServer::~TunnelServer()
+{
+  impl_->stop();
+}
+
+Expected<void> TunnelServer::listen(const boost::asio::ip::tcp::endpoint& address)
+{
+  return impl_->listen(address);
+}
+
+std::uint16_t TunnelServer::port() const
+{
+  return impl_->port();
+}
+
+std::size_t TunnelServer::tunnels() const
+{
+  return impl_->tunnels();
+}
+
+} // namespace figchute::http
--- a/modules/http/http.h
+++ b/modules/http/http.h
@@ -6,3 +6,4 @@
 #include "http/Head.h"
 #include "http/Server.h"
 #include "http/Traffic.h"
+#include "http/TunnelServer.h"
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -2,6 +2,7 @@
 
 #include "router/BootClock.h"
 #include "router/ErrorResponse.h"
+#include "router/TunnelAuthorization.h"
 #include "router/WorkspaceBudgets.h"
 
 #include <algorithm>
@@ -31,6 +32,9 @@
 /** Time limit of the connection attempt that shows whether an endpoint crashed. */
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
 
+/** Time limit of the direct connection attempts while tunnels are used. */
+constexpr Duration kDirectProbeTimeout = std::chrono::milliseconds(300);
+
 dispatch::ProbeResult probeResultOf(const boost::system::error_code& error)
 {
   if (!error) {
@@ -101,11 +105,14 @@
   , witness_(holderOf(context))
   , dispatcher_(dispatcherSettings(context))
   , pool_(context.io)
+  , egress_(context.incarnation.number)
   , services_{ context.dialect,
                dispatcher_,
                quotaManager_,
                origins_,
                pool_,
+               egress_,
+               context.settings.peerKey,
                context.log,
                context.metrics,
                {},
@@ -119,8 +126,11 @@
       context.io,
       http::ServerLimits{},
       [this](const std::shared_ptr<http::ServerRequest>& request) { sendReadiness(*request); })
+  , tunnels_(context.io,
+             [this](const http::TunnelRequest& request) { return authorizeTunnel(request); })
   , load_(context_.metrics, context_.log)
   , timer_(context.io)
+  , random_(context.incarnation.number)
 {
   if (context.settings.linkBytesPerSecond) {
     linkBudget_.emplace(*context.settings.linkBytesPerSecond);
@@ -138,6 +148,11 @@
   if (auto listening = readiness_.listen(toEndpoint(*context_.settings.readiness)); !listening) {
     return listening;
   }
+  if (context_.settings.tunnels) {
+    if (auto listening = tunnels_.listen(toEndpoint(*context_.settings.tunnels)); !listening) {
+      return listening;
+    }
+  }
   update(bootTime());
   scheduleTick();
   return {};
@@ -181,6 +196,7 @@
   if (stopping_ && now - stopStartedAt_ > kServeTimeAfterStop) {
     stopServing(now);
   }
+  probeDirectPath(now);
   update(now);
 }
 
@@ -298,6 +314,7 @@
     origins_.tick(now);
   }
   applyUpdates(now);
+  applyEgressChange(now);
   updateOrigins(now);
   updateQuotaManager(now);
   reportObservations(now);
@@ -318,9 +335,7 @@
     applyControl(now);
   }
   if (changes.entryProcesses) {
-    dispatcher_.setPeers(subscriber_.entryProcesses());
-    dispatcher_.setProcesses(holderOf(context_).process, subscriber_.entries());
-    setQuotaPeers(now);
+    applyEntryProcesses(now);
   }
   dispatcher_.addCrashReports(now, changes.crashReports);
   dispatcher_.addRateLimits(now, changes.rateLimits);
@@ -329,6 +344,69 @@
   }
 }
 
+void EntryRole::applyEntryProcesses(Time now)
+{
+  const auto self = holderOf(context_).process;
+  dispatcher_.setPeers(subscriber_.entryProcesses());
+  dispatcher_.setProcesses(self, subscriber_.entries());
+  setQuotaPeers(now);
+  if (!context_.settings.tunnels) {
+    return;
+  }
+  std::vector<EgressSelector::Peer> peers;
+  for (const auto& entry : subscriber_.entries()) {
+    const auto address = settings::parseAddress(entry.holder.process.value);
+    if (address && entry.holder.process != self) {
+      peers.push_back(toEndpoint({ address->ip, context_.settings.tunnels->port }));
+    }
+  }
+  egress_.setPeers(peers);
+}
+
+int EntryRole::authorizeTunnel(const http::TunnelRequest& request) const
+{
+  constexpr int kOk = 200;
+  constexpr int kForbidden = 403;
+  constexpr int kProxyAuthenticationRequired = 407;
+  constexpr int kServiceUnavailable = 503;
+  if (!isAuthorized(request, context_.settings.peerKey)) {
+    return kProxyAuthenticationRequired;
+  }
+  if (!endpointAddresses_.contains(request.target)) {
+    return kForbidden;
+  }
+  if (stopping_ || egress_.isTunnelling()) {
+    return kServiceUnavailable;
+  }
+  context_.metrics.count("tunnels_opened");
+  return kOk;
+}
+
+void EntryRole::probeDirectPath(Time now)
+{
+  if (endpointAddresses_.empty() || !egress_.takeProbe(now)) {
+    return;
+  }
+  const auto offset = random_.below(endpointAddresses_.size());
+  const auto address = *std::next(endpointAddresses_.begin(), static_cast<std::ptrdiff_t>(offset));
+  pool_.probe(address, kDirectProbeTimeout, [this](const boost::system::error_code& error) {
+    egress_.probed(bootTime(), !error);
+  });
+}
+
+void EntryRole::applyEgressChange(Time now)
+{
+  const bool tunnelling = egress_.isTunnelling();
+  if (tunnelling == wasTunnelling_) {
+    return;
+  }
+  wasTunnelling_ = tunnelling;
+  context_.log.line(now, "egress", { { "path", tunnelling ? "tunnel" : "direct" } });
+  context_.metrics.count(tunnelling ? "egress_tunnel" : "egress_direct");
+  // What was observed on the other path says nothing about the endpoints.
+  dispatcher_.closeBreakers();
+}
+
 void EntryRole::updateOrigins(Time now)
 {
   for (const auto& answer : origins_.takeAnswers()) {
@@ -411,10 +489,15 @@
 void EntryRole::applyEndpoints(Time now)
 {
   std::vector<fleet::EndpointRecord> endpoints;
+  endpointAddresses_.clear();
   for (const auto& [id, record] : subscriber_.endpoints()) {
     endpoints.push_back(record);
+    if (const auto address = settings::parseAddress(record.address)) {
+      endpointAddresses_.insert(toEndpoint(*address));
+    }
   }
   endpointCount_ = endpoints.size();
+  egress_.setEndpointCount(endpointCount_);
   services_.endpointRevision = subscriber_.endpointRevision();
   dispatcher_.setEndpoints(now, endpoints);
   context_.log.line(now,
@@ -524,7 +607,11 @@
                 kProbeTimeout,
                 [this, handle = probe.handle](const boost::system::error_code& error) {
                   const Time now = bootTime();
-                  dispatcher_.probed(now, handle, probeResultOf(error));
+                  // While the VM is cut off, a refused connection does not show a crash.
+                  dispatcher_.probed(now,
+                                     handle,
+                                     egress_.isTunnelling() ? dispatch::ProbeResult::timedOut
+                                                            : probeResultOf(error));
                   reportObservations(now);
                 });
   }
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace figchute::router {
@@ -42,6 +43,12 @@
   void applyConfiguration(Time now);
   void applyEndpoints(Time now);
   void applyControl(Time now);
+  void applyEntryProcesses(Time now);
+  /** Returns the status with which a tunnel for another entry process is opened or refused. */
+  [[nodiscard]] int authorizeTunnel(const http::TunnelRequest& request) const;
+  /** Attempts a direct connection while tunnels are used. */
+  void probeDirectPath(Time now);
+  void applyEgressChange(Time now);
   void setQuotaPeers(Time now);
   /** Sends crashes and rate limits that this process observed to control. */
   void reportObservations(Time now);
@@ -67,9 +74,12 @@
   dispatch::Dispatcher dispatcher_;
   fleet::StreamOriginClient origins_;
   http::ClientPool pool_;
+  EgressSelector egress_;
   EntryServices services_;
   http::Server callers_;
   http::Server readiness_;
+  /** Opens tunnels to endpoints for other entry processes. */
+  http::TunnelServer tunnels_;
   std::optional<LinkBudget> linkBudget_;
   /** Bytes of the messages from other processes. */
   std::uint64_t receivedMessageBytes_ = 0;
@@ -80,7 +90,11 @@
   Time nextTickAt_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t lastExchangeId_ = 0;
+  /** Addresses of the endpoints in the registry. */
+  std::set<boost::asio::ip::tcp::endpoint> endpointAddresses_;
   std::size_t endpointCount_ = 0;
+  bool wasTunnelling_ = false;
+  Random random_;
   /** The control process that this process subscribes to. */
   std::optional<ProcessId> control_;
   bool stopping_ = false;
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -4,6 +4,7 @@
 #include "router/BootClock.h"
 #include "router/ErrorResponse.h"
 #include "router/RequestBody.h"
+#include "router/TunnelAuthorization.h"
 #include "router/WorkspaceBudgets.h"
 #include "settings/settings.h"
 
@@ -138,7 +139,7 @@
 
 bool Exchange::isLinkCongested(Time now) const
 {
-  return services_.link.isCongested(now);
+  return !services_.egress.isTunnelling() && services_.link.isCongested(now);
 }
 
 void Exchange::refuseWhileCongested(Time now)
@@ -354,6 +355,11 @@
   options.correlationValue = requestId_;
   options.maxConnections = chosenEndpoint_.maxConnections;
   options.forceNewConnection = reusedConnectionFailed_;
+  tunnelPeer_ = services_.egress.nextPeer(now);
+  if (tunnelPeer_) {
+    options.proxy =
+      http::Proxy{ *tunnelPeer_, tunnelAuthorizationFor(*address, services_.peerKey) };
+  }
   call_ = services_.pool.start(
     *address, forwardedHead(now, chosenEndpoint_), request_->body(), std::move(options), *this);
 }
@@ -386,6 +392,15 @@
   return head;
 }
 
+void Exchange::onConnected()
+{
+  if (tunnelPeer_) {
+    services_.egress.tunnelOpened(*tunnelPeer_);
+  } else {
+    services_.egress.directConnected(bootTime());
+  }
+}
+
 void Exchange::onSent()
 {
   requestSent_ = true;
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -7,6 +7,7 @@
 #include "http/http.h"
 #include "ledger/ledger.h"
 #include "router/Dialect.h"
+#include "router/EgressSelector.h"
 #include "router/EndpointReport.h"
 #include "router/EventCounter.h"
 #include "router/EventRelay.h"
@@ -30,6 +31,9 @@
   ledger::QuotaManager& quotaManager;
   fleet::StreamOriginClient& origins;
   http::ClientPool& pool;
+  EgressSelector& egress;
+  /** Authorizes tunnels at other entry processes. */
+  const std::string& peerKey;
   LogWriter& log;
   Metrics& metrics;
   /** Route table of the active configuration; null before the first configuration. */
@@ -89,6 +93,7 @@
   /** Applies the time limits and starts delayed sends. Call it about every 50 ms. */
   void checkTimeouts(Time now);
 
+  void onConnected() override;
   void onSent() override;
   void onHead(const http::ResponseHead& head) override;
   void onBody(std::string_view bytes) override;
@@ -136,6 +141,9 @@
   [[nodiscard]] bool mayRetry() const;
   [[nodiscard]] bool isRepeatable() const;
   void handleFailedSend(Time now, dispatch::Outcome outcome, bool sent, const std::string& detail);
+  /** Records that no connection was established.
+      @returns the outcome of the send */
+  dispatch::Outcome recordConnectFailure(Time now, http::CallFailureKind kind);
   void endSend(Time now, dispatch::Outcome outcome);
   void logLostConnection(Time now);
   void logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail);
@@ -193,6 +201,8 @@
   std::shared_ptr<http::Call> call_;
   std::vector<EndpointId> triedEndpoints_;
   EndpointId endpoint_;
+  /** The entry process whose tunnel the current send uses; nothing if it is direct. */
+  std::optional<EgressSelector::Peer> tunnelPeer_;
   Time sendStartedAt_;
   bool requestSent_ = false;
   /** The endpoint of the current send has been silent for too long. */
--- a/modules/router/ExchangeFailure.cpp
+++ b/modules/router/ExchangeFailure.cpp
@@ -33,17 +33,12 @@
   call_.reset();
   dispatch::Outcome outcome = dispatch::Outcome::broken;
   if (!failure.sent) {
-    outcome = dispatch::Outcome::notConnected;
+    outcome = recordConnectFailure(now, failure.kind);
   } else if (failure.kind == Kind::malformed) {
     outcome = dispatch::Outcome::malformed;
   }
   reusedConnectionFailed_ = failure.sent && failure.reused && !failure.headReceived &&
                             (failure.kind == Kind::reset || failure.kind == Kind::closed);
-  if (failure.kind == Kind::connectTimeout) {
-    services_.link.connectTimedOut(now, endpoint_);
-    // The timeout says nothing about the endpoint then.
-    outcome = isLinkCongested(now) ? dispatch::Outcome::withdrawn : outcome;
-  }
   const auto detail =
     fmt::format("{}{}", toString(failure.kind), failure.reused ? " on a reused connection" : "");
   if (stage_ == Stage::relaying && !canContinue()) {
@@ -55,6 +50,30 @@
   handleFailedSend(now, outcome, failure.sent, detail);
 }
 
+dispatch::Outcome Exchange::recordConnectFailure(Time now, http::CallFailureKind kind)
+{
+  using Kind = http::CallFailureKind;
+  auto& egress = services_.egress;
+  bool isEndpointAtFault = true;
+  if (tunnelPeer_) {
+    const bool isPeerWorking =
+      kind == Kind::connectionLimit || egress.tunnelFailed(now, *tunnelPeer_);
+    isEndpointAtFault = isPeerWorking && kind != Kind::proxyFailed;
+  } else if (kind == Kind::connectTimeout || kind == Kind::connectRefused) {
+    egress.directFailed(now, endpoint_);
+    if (kind == Kind::connectTimeout) {
+      services_.link.connectTimedOut(now, endpoint_);
+    }
+    isEndpointAtFault = !egress.isTunnelling() && !isLinkCongested(now);
+  }
+  if (isEndpointAtFault) {
+    return dispatch::Outcome::notConnected;
+  }
+  // The failure says nothing about the endpoint, which may be chosen again.
+  triedEndpoints_.pop_back();
+  return dispatch::Outcome::withdrawn;
+}
+
 bool Exchange::canContinue() const
 {
   return relaysWholeEvents_ && eventRelay_.canContinue();
@@ -82,9 +101,9 @@
   }
   endSend(now, outcome);
   logFailedSend(now, outcome, detail);
-  const bool isCongested = outcome == dispatch::Outcome::withdrawn;
-  const bool unsent = outcome == dispatch::Outcome::notConnected || isCongested;
-  if (isCongested && !mayHaveRun_) {
+  const bool isWithdrawn = outcome == dispatch::Outcome::withdrawn;
+  const bool unsent = outcome == dispatch::Outcome::notConnected || isWithdrawn;
+  if (isWithdrawn && isLinkCongested(now) && !mayHaveRun_) {
     refuseWhileCongested(now);
     return;
   }
--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -116,6 +116,7 @@
     settings_.readiness = address(reader, "readiness", requiredIf(settings_.roles.entry));
     settings_.operators = address(reader, "operators", requiredIf(settings_.roles.control));
     settings_.metrics = address(reader, "metrics", Presence::optional);
+    settings_.tunnels = address(reader, "tunnels", Presence::optional);
     if (const auto peers = address(reader, "peers", Presence::required)) {
       settings_.peers = *peers;
     }
@@ -177,7 +178,7 @@
   {
     std::vector<std::string_view> used{ "peers", "metrics" };
     if (settings_.roles.entry) {
-      used.insert(used.end(), { "callers", "readiness" });
+      used.insert(used.end(), { "callers", "readiness", "tunnels" });
     }
     if (settings_.roles.control) {
       used.emplace_back("operators");
@@ -231,6 +232,7 @@
     addEffective("listen", "operators", text(settings_.operators));
     addEffective("listen", "peers", settings::toString(settings_.peers));
     addEffective("listen", "metrics", text(settings_.metrics));
+    addEffective("listen", "tunnels", text(settings_.tunnels));
     addEffective("fleet", "seeds", seeds);
     addEffective("fleet", "bootstrap", settings_.bootstrap ? "true" : "false");
     addEffective("fleet", "peer_key", settings_.peerKey);
--- a/modules/router/RouterSettings.h
+++ b/modules/router/RouterSettings.h
@@ -57,6 +57,9 @@
   std::optional<settings::Address> operators;
   /** Address for messages between processes; also the process id. */
   settings::Address peers;
+  /** Address on which an entry process opens tunnels to endpoints for other entry processes, which
+      all use the same port; without it, it opens and uses none. */
+  std::optional<settings::Address> tunnels;
   /** HTTP address for metrics in the Prometheus text format; optional. */
   std::optional<settings::Address> metrics;
   /** Operator addresses of control processes. Only the IPs are used. */
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "CallRecorder.h"
 #include "HttpSockets.h"
 
 #include <memory>
@@ -10,49 +11,6 @@
 
 namespace {
 
-/** Records the events of a call and runs optional callbacks on them. */
-struct Recorder final : CallListener
-{
-  void onSent() override { sent = true; }
-  void onHead(const ResponseHead& received) override
-  {
-    head = received;
-    if (onHeadCallback)
-      onHeadCallback();
-  }
-  void onBody(std::string_view bytes) override
-  {
-    body.append(bytes);
-    if (onBodyCallback)
-      onBodyCallback();
-  }
-  void onComplete() override
-  {
-    ++completed;
-    if (onEndCallback)
-      onEndCallback();
-  }
-  void onFailure(const CallFailure& result) override
-  {
-    ++failures;
-    failure = result;
-    if (onEndCallback)
-      onEndCallback();
-  }
-
-  [[nodiscard]] bool ended() const { return completed + failures > 0; }
-
-  bool sent = false;
-  std::optional<ResponseHead> head;
-  std::string body;
-  int completed = 0;
-  int failures = 0;
-  CallFailure failure;
-  std::function<void()> onHeadCallback;
-  std::function<void()> onBodyCallback;
-  std::function<void()> onEndCallback;
-};
-
 struct ClientFixture
 {
   boost::asio::io_context io{ 1 };
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -192,6 +192,7 @@
                                          "[listen] operators = (none) (default)\n"
                                          "[listen] peers = 127.0.0.1:1002\n"
                                          "[listen] metrics = (none) (default)\n"
+                                         "[listen] tunnels = (none) (default)\n"
                                          "[fleet] seeds = 127.0.0.2:2000,127.0.0.3:2000\n"
                                          "[fleet] bootstrap = true\n"
                                          "[fleet] peer_key = (not shown)\n"
