fleet, router: a stream's version is derived only from a current registry

Cause: a control process without a record of a stream took its registry for current while it had been in contact with the leader within the last second. Cut off together with the entry VM, it did not have the new version yet and named the old one as the only one. The first known answer decides.

Change: queries without a record are answered after a read barrier in the log, one for all that wait; the read of the configuration uses the same function. A record that arrives meanwhile decides.

Tests: StreamOrigin_notRecorded_isNotAnsweredBeforeTheRegistryIsCurrent and StreamOrigin_recordedWhileTheRegistryIsRead_theRecordDecides need the new interface; before, receive() answered at once from any registry. router_versions_test, router_process_test, control_node_test pass.

--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -19,6 +20,8 @@
 constexpr Duration kExpiryInterval = std::chrono::seconds(1);
 /** Below 1 s, after which operators try another control process. */
 constexpr Duration kProposalTimeout = std::chrono::milliseconds(900);
+/** Below StreamOriginClient::kQueryTimeout, so that the answer still counts. */
+constexpr Duration kOriginReadTimeout = std::chrono::milliseconds(200);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
 constexpr std::uint64_t kMaxConfigurationBytes = 16U * 1024 * 1024;
 constexpr Duration kServeTimeAfterStop = std::chrono::seconds(1);
@@ -164,38 +167,66 @@
 }
 
 void ControlRole::getConfiguration(const RequestPointer& request)
+{
+  readCurrentState(kProposalTimeout, [this, request](bool isCurrent) {
+    if (isCurrent) {
+      sendConfiguration(*request);
+    } else {
+      sendErrorResponse(*request, noQuorum(), kRetryAfter);
+    }
+  });
+}
+
+void ControlRole::readCurrentState(Duration timeout, StateReader reader)
 {
   const Time now = bootTime();
-  node_->proposeLocal(
-    now,
-    ledger::ReadBarrier{},
-    kProposalTimeout,
-    [this, request, deadline = now + kProposalTimeout](const Expected<ledger::Result>& result) {
-      const auto* barrier = result ? std::get_if<ledger::BarrierResult>(&*result) : nullptr;
-      if (barrier == nullptr) {
-        sendErrorResponse(*request, noQuorum(), kRetryAfter);
-        return;
-      }
-      pendingReads_.push_back({ barrier->index, deadline, request });
-    });
+  node_->proposeLocal(now,
+                      ledger::ReadBarrier{},
+                      timeout,
+                      [this, reader = std::move(reader), deadline = now + timeout](
+                        const Expected<ledger::Result>& result) {
+                        const auto* barrier =
+                          result ? std::get_if<ledger::BarrierResult>(&*result) : nullptr;
+                        if (barrier == nullptr) {
+                          reader(false);
+                          return;
+                        }
+                        pendingReads_.push_back({ barrier->index, deadline, reader });
+                      });
 }
 
-void ControlRole::respondToReads(Time now)
+void ControlRole::finishReads(Time now)
 {
   const auto applied = node_->appliedIndex();
-  const auto answerIfReady = [&](const PendingRead& read) {
-    if (read.index <= applied) {
-      sendConfiguration(*read.request);
-      return true;
-    }
-    if (now >= read.deadline) {
-      sendErrorResponse(*read.request, noQuorum(), kRetryAfter);
-      return true;
-    }
-    return false;
+  const auto isFinished = [&](const PendingRead& read) {
+    return read.index <= applied || now >= read.deadline;
   };
-  pendingReads_.erase(std::remove_if(pendingReads_.begin(), pendingReads_.end(), answerIfReady),
-                      pendingReads_.end());
+  const auto firstFinished =
+    std::stable_partition(pendingReads_.begin(), pendingReads_.end(), [&](const auto& read) {
+      return !isFinished(read);
+    });
+  const std::vector<PendingRead> finished(std::make_move_iterator(firstFinished),
+                                          std::make_move_iterator(pendingReads_.end()));
+  pendingReads_.erase(firstFinished, pendingReads_.end());
+  for (const auto& read : finished) {
+    read.reader(read.index <= applied);
+  }
+}
+
+void ControlRole::answerOriginQueries()
+{
+  // One barrier serves all queries that arrived before it.
+  if (!isReadingRegistry_) {
+    if (auto queries = origins_.takeRegistryQueries(); !queries.empty()) {
+      isReadingRegistry_ = true;
+      readCurrentState(kOriginReadTimeout, [this, queries = std::move(queries)](bool isCurrent) {
+        isReadingRegistry_ = false;
+        origins_.answer(queries, isCurrent ? &state_->endpoints : nullptr);
+        scheduleUpdate();
+      });
+    }
+  }
+  sendFleet(origins_.takeOutgoing());
 }
 
 void ControlRole::sendConfiguration(http::ServerRequest& request)
@@ -290,8 +321,7 @@
     const WorkTimer timer(load_, LoopWork::fleet);
     if (const auto message = wire::decode<fleet::Message>(body)) {
       publisher_->receive(now, from, *message);
-      origins_.receive(now, from, *message, *state_, node_->hasLeaderContact(now));
-      sendFleet(origins_.takeOutgoing());
+      origins_.receive(now, from, *message);
     }
   } else {
     const WorkTimer timer(
@@ -336,6 +366,7 @@
   publisher_->setControls(now, memberProcesses(), node_->leaderHint().value_or(ProcessId()));
   publisher_->setLeaderContact(now, node_->hasLeaderContact(now));
   announcementTracker_->setLeader(now, node_->isLeader(now));
+  answerOriginQueries();
   expireEndpoints(now);
   publishUpdates(now);
   logChanges(now);
@@ -368,7 +399,7 @@
   if (node_->appliedIndex() != before) {
     onApplied(now);
   }
-  respondToReads(now);
+  finishReads(now);
 }
 
 void ControlRole::rebindState()
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -8,6 +8,7 @@
 #include "router/WorkspaceBudgets.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -34,12 +35,16 @@
 private:
   using RequestPointer = std::shared_ptr<http::ServerRequest>;
 
-  /** A configuration request that waits until this process has applied the given log entry. */
+  /** Called when the state of this process has all that was committed before the read began, or
+      with false when that did not happen in time. */
+  using StateReader = std::function<void(bool isCurrent)>;
+
+  /** A read that waits until this process has applied the given log entry. */
   struct PendingRead
   {
     std::uint64_t index = 0;
     Time deadline;
-    RequestPointer request;
+    StateReader reader;
   };
 
   void handle(const RequestPointer& request);
@@ -57,7 +62,10 @@
   void updateNode(Time now);
   void onApplied(Time now);
   void expireEndpoints(Time now);
-  void respondToReads(Time now);
+  void readCurrentState(Duration timeout, StateReader reader);
+  void finishReads(Time now);
+  /** Answers queries for the origins of streams, those without a record from a current registry. */
+  void answerOriginQueries();
   void sendConfiguration(http::ServerRequest& request);
   void rebindState();
   [[nodiscard]] std::vector<ProcessId> memberProcesses() const;
@@ -83,6 +91,8 @@
   std::vector<ProcessId> members_;
   bool storageFailed_ = false;
   std::vector<PendingRead> pendingReads_;
+  /** A read for queries of stream origins is under way. */
+  bool isReadingRegistry_ = false;
   bool stopping_ = false;
   bool updating_ = false;
   bool updateQueued_ = false;
--- a/tests/stream_origin_test.cpp
+++ b/tests/stream_origin_test.cpp
@@ -71,9 +71,12 @@
   {
     for (auto& message : client->takeOutgoing()) {
       if (const auto server = servers.find(message.to); server != servers.end()) {
-        server->second.receive(now, kEntry, message.message, state, hasLeaderContact);
+        server->second.receive(now, kEntry, message.message);
       }
     }
+    for (auto& [control, server] : servers) {
+      server.answer(server.takeRegistryQueries(), isRegistryCurrent ? &state.endpoints : nullptr);
+    }
     for (auto& [control, server] : servers) {
       for (auto& message : server.takeOutgoing()) {
         client->receive(control, std::get<StreamOriginReply>(message.message));
@@ -108,7 +111,7 @@
   }
 
   FleetState state;
-  bool hasLeaderContact = true;
+  bool isRegistryCurrent = true;
   std::map<ProcessId, StreamOriginServer> servers;
   std::unique_ptr<StreamOriginClient> client;
   std::uint64_t index = 0;
@@ -171,7 +174,7 @@
 TEST_CASE_FIXTURE(Origins, "StreamOrigin_controlWithoutLeader_provesNothing")
 {
   put(announcementOf("old", "v1"));
-  hasLeaderContact = false;
+  isRegistryCurrent = false;
   CHECK(versionOf(kStream) == "unknown");
   client->add(now, { kStream, kChat, "v1" });
   advance(StreamOriginClient::kReportInterval);
@@ -291,3 +294,34 @@
   store.expire(now + StreamOriginStore::kRetention);
   CHECK(store.size() == 0);
 }
+
+// Guards against a stream that goes on at another version because a control process was cut off
+// while the version that began it joined, and takes its old registry for the current one.
+TEST_CASE_FIXTURE(Origins, "StreamOrigin_notRecorded_isNotAnsweredBeforeTheRegistryIsCurrent")
+{
+  put(announcementOf("old", "v1"));
+  put(announcementOf("new", "v2"));
+  StreamOriginServer server;
+  server.receive(now, kEntry, StreamOriginQuery{ 1, kStream, kChat });
+  CHECK(server.takeOutgoing().empty());
+  const auto queries = server.takeRegistryQueries();
+  REQUIRE(queries.size() == 1);
+  server.answer(queries, &state.endpoints);
+  const auto messages = server.takeOutgoing();
+  REQUIRE(messages.size() == 1);
+  CHECK_FALSE(std::get<StreamOriginReply>(messages.front().message).isKnown);
+}
+
+// Guards against an answer from the registry although a report named the origin meanwhile.
+TEST_CASE_FIXTURE(Origins, "StreamOrigin_recordedWhileTheRegistryIsRead_theRecordDecides")
+{
+  put(announcementOf("old", "v1"));
+  StreamOriginServer server;
+  server.receive(now, kEntry, StreamOriginQuery{ 1, kStream, kChat });
+  const auto queries = server.takeRegistryQueries();
+  server.receive(now, kEntry, StreamOriginReport{ { { kStream, kChat, "v2" } } });
+  server.answer(queries, &state.endpoints);
+  const auto messages = server.takeOutgoing();
+  REQUIRE(messages.size() == 1);
+  CHECK(std::get<StreamOriginReply>(messages.front().message).origin.softwareVersion == "v2");
+}
