http: a request whose caller left before it was read is not handled

Cause: bytes of a request and the end of its connection may both wait in the socket while accepting pauses, or the process is late. The request was handled and forwarded before the end was read.

Change: a complete request is dropped if its caller has closed the connection.

--- a/modules/http/ServerConnection.cpp
+++ b/modules/http/ServerConnection.cpp
@@ -362,6 +362,11 @@
                                 const Framing& framing,
                                 std::shared_ptr<const std::string> body)
 {
+  // The bytes may have waited in the socket until the caller left.
+  if (peerHasClosed(socket_.native_handle())) {
+    close();
+    return;
+  }
   setDeadline(kNever);
   auto request = std::make_shared<OpenRequest>(
     *this, std::move(parser.head), parser.httpVersion(), std::move(body), peer_);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -347,6 +347,24 @@
   CHECK(runUntil(io, [&] { return server->connections() == 0; }));
 }
 
+// Guards against work that begins for a caller that left while its request waited to be read.
+TEST_CASE_FIXTURE(ServerFixture, "Server_callerLeftBeforeItsRequestIsRead_isNotHandled")
+{
+  for (const bool isReset : { false, true }) {
+    CAPTURE(isReset);
+    auto caller = connect();
+    caller.send(kGet);
+    if (isReset)
+      caller.resetConnection();
+    else
+      caller.close();
+    runFor(io, 50ms);
+    CHECK(requests.empty());
+    CHECK(server->openRequests() == 0);
+    CHECK(server->connections() == 0);
+  }
+}
+
 // Guards against an endpoint that keeps working for a caller that has disconnected.
 TEST_CASE_FIXTURE(ServerFixture, "Server_callerDisconnects_ownerIsNotified")
 {
