--- a/modules/mesh/Mesh.cpp
+++ b/modules/mesh/Mesh.cpp
@@ -1,5 +1,8 @@
 #include "mesh/Mesh.h"
 
+#include "mesh/Frame.h"
+#include "mesh/Link.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -21,6 +24,13 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using detail::appendLength;
+using detail::kLengthPrefixBytes;
+using detail::kMinBackoff;
+using detail::Link;
+using detail::LinkPtr;
+using detail::Peer;
+using detail::readLength;
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMaxQueuedBytes = 4UL * 1024 * 1024;
@@ -28,7 +38,6 @@
 /** The first frame is a heartbeat. This limit bounds how much an unauthenticated sender can make
     the process buffer. */
 constexpr std::size_t kMaxFirstFrameBytes = 4UL * 1024;
-constexpr std::size_t kLengthPrefixBytes = 4;
 constexpr std::size_t kReadBufferBytes = 64UL * 1024;
 /** Empty buffers with a larger capacity are freed. */
 constexpr std::size_t kMaxRetainedBufferBytes = 64UL * 1024;
@@ -36,7 +45,6 @@
 constexpr Duration kReplyTimeout = milliseconds(2500);
 constexpr Duration kIdleTimeout = milliseconds(10'000);
 constexpr Duration kDialTimeout = milliseconds(1000);
-constexpr Duration kMinBackoff = milliseconds(100);
 constexpr Duration kMaxBackoff = milliseconds(1000);
 /** A timer that fires later than this indicates that the process was suspended, so missing replies
     are not a fault of the peers. */
@@ -79,77 +87,6 @@
   socket.non_blocking(true, error);
 }
 
-void appendLength(std::string& output, std::size_t length)
-{
-  for (int shift = 24; shift >= 0; shift -= 8) {
-    output.push_back(static_cast<char>((length >> static_cast<unsigned>(shift)) & 0xFFU));
-  }
-}
-
-std::size_t readLength(std::string_view bytes)
-{
-  std::size_t length = 0;
-  for (std::size_t i = 0; i < kLengthPrefixBytes; ++i) {
-    length = length << 8U | static_cast<unsigned char>(bytes[i]);
-  }
-  return length;
-}
-
-/** A TCP connection to a peer, with its buffers and timestamps. */
-struct Link
-{
-  explicit Link(tcp::socket connection)
-    : socket(std::move(connection))
-  {
-  }
-
-  tcp::socket socket;
-  /** The process at the other end; empty for an accepted connection until its first frame. */
-  ProcessId peer;
-  bool isOutgoing = false;
-  bool isConnecting = false;
-  bool hasReceivedFrame = false;
-  bool isClosed = false;
-  bool isFlushPosted = false;
-  bool isAwaitingWritable = false;
-  std::string input;
-  std::string output;
-  std::size_t writtenBytes = 0;
-  std::uint64_t lastReceivedSequence = 0;
-  Time openedAt;
-  Time lastReceivedAt;
-  Time lastPingAt;
-  /** The time of the last message in either direction or of the last heartbeat from the peer. */
-  Time lastActivityAt;
-  /** The time of the first frame that expects a reply and was sent since the last received
-      frame. */
-  std::optional<Time> awaitingReplySince;
-
-  [[nodiscard]] std::size_t queuedBytes() const { return output.size() - writtenBytes; }
-};
-
-using LinkPtr = std::shared_ptr<Link>;
-
-struct QueuedMessage
-{
-  wire::Channel channel;
-  std::string body;
-};
-
-struct Peer
-{
-  std::vector<LinkPtr> links;
-  /** The link on which messages are sent; one of @ref links or null. */
-  LinkPtr activeLink;
-  bool isMaintained = false;
-  bool isUp = false;
-  /** Messages to send once the back-off has ended. */
-  std::deque<QueuedMessage> queuedMessages;
-  std::size_t queuedMessageBytes = 0;
-  Duration backoff = kMinBackoff;
-  Time nextDialAt;
-};
-
 } // namespace
 
 class Mesh::Impl : public std::enable_shared_from_this<Mesh::Impl>
