dispatch: which endpoints accept requests, and why none does, in a module of its own

No change of behaviour; dispatch_test, endpoint_restrictions_test, rate_limit_test and random_router_test pass.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/Dispatcher.h"
 
 #include "dispatch/Admission.h"
+#include "dispatch/EndpointAvailability.h"
 #include "dispatch/EndpointHealth.h"
 #include "dispatch/EndpointRestrictions.h"
 #include "dispatch/EndpointTable.h"
@@ -39,8 +40,6 @@
 constexpr Duration kRequestRateWindow = std::chrono::seconds(10);
 /** Lower limit of the share, because estimates are divided by it. */
 constexpr double kMinTrafficShare = 0.01;
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
-constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 
 /** State of one service. */
 struct ServiceState
@@ -100,7 +99,8 @@
     now_ = now;
     const auto service = services_.find(requestInfo.service);
     if (service == services_.end()) {
-      return refuse(now, requestInfo, ErrorKind::noEndpoint, kMaxRetryAfter, "unknown service");
+      return tl::unexpected(
+        makeRefusal(now, requestInfo, ErrorKind::noEndpoint, kMaxRetryAfter, "unknown service"));
     }
     if (auto refusal = refuseCrashing(now, requestInfo)) {
       return tl::unexpected<Refusal>(std::move(*refusal));
@@ -226,7 +226,7 @@
     const auto& send = *request->send;
     const auto* endpoint = endpoints_.find(send.handle);
     if (endpoint != nullptr &&
-        limits_.recordAnswer(now, limitKeyOf(*endpoint), send.sentAt, requestsPerSecond)) {
+        limits_.recordAnswer(now, rateLimitKeyOf(*endpoint), send.sentAt, requestsPerSecond)) {
       limitChanges_.push_back({ endpoint->record.id, requestsPerSecond });
     }
   }
@@ -261,23 +261,12 @@
       return false;
     }
     const auto* endpoint = endpoints_.find(send->handle);
-    return endpoint != nullptr && acceptsRequests(now, *endpoint);
+    return endpoint != nullptr && availability_.acceptsRequests(now, *endpoint);
   }
 
   [[nodiscard]] Duration timeUntilBackoffEnds(Time now, const ServiceName& service)
   {
-    std::optional<Time> firstEnd;
-    for (const auto handle : endpoints_.handlesOf(service)) {
-      const auto& endpoint = *endpoints_.find(handle);
-      if (acceptsRequests(now, endpoint)) {
-        return Duration(0);
-      }
-      const auto end = restrictions_.backoffEnd(now, endpoint.incarnation);
-      if (end && !isLeaving(endpoint)) {
-        firstEnd = firstEnd ? std::min(*firstEnd, *end) : *end;
-      }
-    }
-    return firstEnd ? *firstEnd - now : Duration(0);
+    return availability_.timeUntilBackoffEnds(now, service);
   }
 
   std::vector<EndpointRestricted> takeRestrictions() { return std::exchange(newRestrictions_, {}); }
@@ -295,18 +284,6 @@
   std::vector<std::uint64_t> takeStalled() { return std::exchange(stalled_, {}); }
 
 private:
-  static tl::unexpected<Refusal> refuse(Time now,
-                                        const RequestInfo& requestInfo,
-                                        ErrorKind kind,
-                                        Duration retryAfter,
-                                        std::string detail)
-  {
-    const auto clampedRetryAfter = std::clamp(retryAfter, kMinRetryAfter, kMaxRetryAfter);
-    const auto maxRetryAfter = std::max((requestInfo.deadline - now) / 3, Duration(0));
-    return tl::unexpected<Refusal>(
-      Refusal{ kind, std::min(clampedRetryAfter, maxRetryAfter), std::move(detail) });
-  }
-
   /** Returns the refusal of a request that would probably crash its endpoint. */
   std::optional<Refusal> refuseCrashing(Time now, const RequestInfo& requestInfo)
   {
@@ -404,25 +381,17 @@
              requests_.isSmallWorkspace(requestInfo.service, requestInfo.workspace) };
   }
 
-  /** Returns whether the software of an endpoint can go on with the stream of a request, if it goes
-      on with one. */
-  [[nodiscard]] static bool hasVersionFor(const RequestInfo& requestInfo, const Endpoint& endpoint)
-  {
-    return !requestInfo.softwareVersion ||
-           endpoint.record.softwareVersion == *requestInfo.softwareVersion;
-  }
-
   [[nodiscard]] bool isEligible(Time now,
                                 const Endpoint& endpoint,
                                 const RequestInfo& requestInfo,
                                 const ServiceState& service,
                                 std::span<const EndpointId> excluded)
   {
-    return hasVersionFor(requestInfo, endpoint) && acceptsRequests(now, endpoint) &&
+    return availability_.acceptsRequest(now, endpoint, requestInfo) &&
            endpoint.load.ownRequests() <
              admissionFor(requestInfo).connectionLimit(connectionsPerProcess(service)) &&
            std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end() &&
-           limits_.maySend(now, limitKeyOf(endpoint));
+           limits_.maySend(now, rateLimitKeyOf(endpoint));
   }
 
   [[nodiscard]] const Send* currentSend(std::uint64_t requestId)
@@ -438,31 +407,13 @@
     }
   }
 
-  [[nodiscard]] bool isLeaving(const Endpoint& endpoint) const
-  {
-    return endpoint.record.state != fleet::EndpointState::ready ||
-           restrictions_.isLeaving(endpoint.incarnation);
-  }
-
-  /** Returns whether neither the registry nor the answers of an endpoint forbid to send to it. */
-  [[nodiscard]] bool acceptsRequests(Time now, const Endpoint& endpoint) const
-  {
-    return endpoint.record.state == fleet::EndpointState::ready &&
-           restrictions_.maySend(now, endpoint.incarnation);
-  }
-
-  static RateLimitShares::EndpointKey limitKeyOf(const Endpoint& endpoint)
-  {
-    return { endpoint.incarnation, endpoint.record.zone };
-  }
-
   [[nodiscard]] Candidate makeCandidate(Time now, Endpoint& endpoint)
   {
     Candidate candidate;
     candidate.endpoint = &endpoint;
     candidate.load = endpoint.load.current();
     candidate.inOwnZone = endpoint.record.zone == settings_.zone;
-    candidate.isLimited = limits_.allowedRate(now, limitKeyOf(endpoint)).has_value();
+    candidate.isLimited = limits_.allowedRate(now, rateLimitKeyOf(endpoint)).has_value();
     return candidate;
   }
 
@@ -507,7 +458,8 @@
     }
     auto candidates = findCandidates(now, requestInfo, service, excluded);
     if (candidates.empty()) {
-      return refuseWithoutCandidate(now, requestInfo);
+      return tl::unexpected(
+        availability_.refusalWithoutCandidate(now, requestInfo, service.serviceTime));
     }
     const auto admission = admissionFor(requestInfo);
     auto retryAfter = kMaxRetryAfter;
@@ -524,7 +476,8 @@
       EngineSelector::predict(context, requestInfo, keys, candidate);
     }
     if (allEnginesFull) {
-      return refuse(now, requestInfo, ErrorKind::overloaded, retryAfter, "all engines are full");
+      return tl::unexpected(
+        makeRefusal(now, requestInfo, ErrorKind::overloaded, retryAfter, "all engines are full"));
     }
     return recordSend(
       now, requestInfo, service, keys, pickEngine(context, requestInfo, service, keys, candidates));
@@ -562,7 +515,7 @@
   {
     LimitedEngineSelector::Allowance allowance;
     for (const auto handle : endpoints_.handlesOf(service)) {
-      const auto rate = limits_.allowedRate(now, limitKeyOf(*endpoints_.find(handle)));
+      const auto rate = limits_.allowedRate(now, rateLimitKeyOf(*endpoints_.find(handle)));
       allowance.requestsPerSecond += rate.value_or(0);
       allowance.engines += rate.value_or(0) > 0 ? 1 : 0;
     }
@@ -580,75 +533,14 @@
     }
     auto candidates = findCandidates(now, requestInfo, service, excluded);
     if (candidates.empty()) {
-      return refuseWithoutCandidate(now, requestInfo);
+      return tl::unexpected(
+        availability_.refusalWithoutCandidate(now, requestInfo, service.serviceTime));
     }
     discountStaleLoads(now, service.serviceTime, candidates);
     return recordSend(
       now, requestInfo, service, keys, candidates[pickPlainEndpoint(now, candidates)]);
   }
 
-  tl::unexpected<Refusal> refuseWithoutCandidate(Time now, const RequestInfo& requestInfo)
-  {
-    bool hasConnectionInUse = false;
-    bool isRateLimited = false;
-    bool hasAcceptingEndpoint = false;
-    auto retryAfter = kMaxRetryAfter;
-    for (const auto handle : endpoints_.handlesOf(requestInfo.service)) {
-      const auto& endpoint = *endpoints_.find(handle);
-      if (!acceptsRequests(now, endpoint) || !hasVersionFor(requestInfo, endpoint)) {
-        continue;
-      }
-      hasAcceptingEndpoint = true;
-      const auto nextSendAt = limits_.nextSendAt(now, limitKeyOf(endpoint));
-      if (endpoint.breaker.isOpen()) {
-        retryAfter = std::min(retryAfter, endpoint.breaker.nextTrialAt() - now);
-      } else if (nextSendAt != now) {
-        isRateLimited = true;
-        retryAfter = std::min(retryAfter, nextSendAt ? *nextSendAt - now : kMaxRetryAfter);
-      } else if (endpoint.load.ownRequests() > 0) {
-        hasConnectionInUse = true;
-      }
-    }
-    if (!hasAcceptingEndpoint && requestInfo.softwareVersion) {
-      return tl::unexpected<Refusal>(
-        Refusal{ ErrorKind::resumeUnavailable,
-                 Duration(0),
-                 "no endpoint of the software version that began the stream is in service" });
-    }
-    if (!hasAcceptingEndpoint) {
-      return refuseWhileRestricted(now, requestInfo);
-    }
-    if (hasConnectionInUse) {
-      const auto service = services_.find(requestInfo.service);
-      return refuse(now,
-                    requestInfo,
-                    ErrorKind::overloaded,
-                    service->second.serviceTime / 4,
-                    "all connections are in use");
-    }
-    if (isRateLimited) {
-      return refuse(now,
-                    requestInfo,
-                    ErrorKind::overloaded,
-                    retryAfter,
-                    "the rate limits of the endpoints are used up");
-    }
-    return refuse(now, requestInfo, ErrorKind::noEndpoint, retryAfter, "no endpoint is available");
-  }
-
-  /** Refuses a request because all endpoints of its service leave or asked for a back-off. */
-  tl::unexpected<Refusal> refuseWhileRestricted(Time now, const RequestInfo& requestInfo)
-  {
-    const auto backoff = timeUntilBackoffEnds(now, requestInfo.service);
-    if (backoff == Duration(0)) {
-      return refuse(
-        now, requestInfo, ErrorKind::noEndpoint, kMaxRetryAfter, "no endpoint is available");
-    }
-    return tl::unexpected<Refusal>(Refusal{ ErrorKind::overloaded,
-                                            std::min(backoff, requestInfo.deadline - now),
-                                            "all endpoints asked for a back-off" });
-  }
-
   ChosenEndpoint recordSend(Time now,
                             const RequestInfo& requestInfo,
                             ServiceState& service,
@@ -674,7 +566,7 @@
     if (newSend.trial) {
       endpoint.breaker.beginTrial();
     }
-    limits_.recordSend(now, limitKeyOf(endpoint));
+    limits_.recordSend(now, rateLimitKeyOf(endpoint));
     endpoint.load.adjustOwnRequests(now, 1);
     endpoint.outstandingPromptTokens += requestInfo.promptTokens;
     endpoint.ttftModel.addPendingPrefill(requestInfo.priority, newSend.prefill);
@@ -732,6 +624,7 @@
   EndpointHealth health_{ endpoints_ };
   RateLimitShares limits_;
   EndpointRestrictions restrictions_;
+  EndpointAvailability availability_{ endpoints_, limits_, restrictions_ };
   std::vector<EndpointRestricted> newRestrictions_;
   routing::DecayedSum newRequests_{ kRequestRateWindow };
   std::vector<RateLimitChange> limitChanges_;
--- /dev/null
+++ b/modules/dispatch/EndpointAvailability.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "dispatch/EndpointRestrictions.h"
+#include "dispatch/EndpointTable.h"
+#include "dispatch/RateLimitShares.h"
+#include "dispatch/RequestInfo.h"
+
+#include <string>
+
+namespace figchute::dispatch {
+
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
+
+/** Returns a refusal whose Retry-After lies within the limits and is at most a third of the time
+    that the request has left. Thread safety: safe from any thread. */
+Refusal makeRefusal(Time now,
+                    const RequestInfo& requestInfo,
+                    ErrorKind kind,
+                    Duration retryAfter,
+                    std::string detail);
+
+/** Returns the key of an endpoint's rate limit. Thread safety: safe from any thread. */
+RateLimitShares::EndpointKey rateLimitKeyOf(const Endpoint& endpoint);
+
+/** Decides which endpoints accept requests, and why none of a service does.
+    Thread safety: use one instance from one thread only. */
+class EndpointAvailability
+{
+public:
+  /** The arguments must outlive this object. */
+  EndpointAvailability(EndpointTable& endpoints,
+                       RateLimitShares& limits,
+                       const EndpointRestrictions& restrictions)
+    : endpoints_(&endpoints)
+    , limits_(&limits)
+    , restrictions_(&restrictions)
+  {
+  }
+
+  /** Returns whether neither the registry nor the answers of an endpoint forbid to send to it. */
+  [[nodiscard]] bool acceptsRequests(Time now, const Endpoint& endpoint) const;
+
+  /** Returns the same for a request, which may go on with a stream of one software version. */
+  [[nodiscard]] bool acceptsRequest(Time now,
+                                    const Endpoint& endpoint,
+                                    const RequestInfo& requestInfo) const;
+
+  /** Returns the time until the first back-off of a service's endpoints ends; zero if an endpoint
+      accepts requests or none will. */
+  [[nodiscard]] Duration timeUntilBackoffEnds(Time now, const ServiceName& service) const;
+
+  /** Returns the refusal of a request for which there is no endpoint.
+      @param serviceTime  mean time from send to end of the requests of the service */
+  [[nodiscard]] Refusal refusalWithoutCandidate(Time now,
+                                                const RequestInfo& requestInfo,
+                                                Duration serviceTime) const;
+
+private:
+  [[nodiscard]] bool isLeaving(const Endpoint& endpoint) const;
+  /** Returns the refusal while all endpoints of a service leave or asked for a back-off. */
+  [[nodiscard]] Refusal refusalWhileRestricted(Time now, const RequestInfo& requestInfo) const;
+
+  EndpointTable* endpoints_;
+  RateLimitShares* limits_;
+  const EndpointRestrictions* restrictions_;
+};
+
+} // namespace figchute::dispatch
