http: a body that ends with the connection is not complete while the request is being sent

Cause: an endpoint that answers a long upload at once with a 200 without a length, sends part of the body and closes its connection sends the end of stream first; the reset follows when more of the upload arrives. The end of stream counted as the end of a complete body. A reset that arrives without an end of stream was already a failure.

Change: while the request is not fully written, or sent bytes are not acknowledged, the end of stream fails the call, so that the caller's response is broken off. Responses with a length or chunks are delivered as before.

A status below 100, also 000, was and is refused as malformed; the list of malformed responses now contains it.

--- a/modules/http/ClientConnection.cpp
+++ b/modules/http/ClientConnection.cpp
@@ -328,6 +328,12 @@
     fail(CallFailureKind::closed, "the connection was closed after a response to another request");
     return;
   }
+  // An endpoint that closes before it has read the request resets the connection when the rest
+  // arrives. The reset follows the end of stream, so the body may have been cut.
+  if (!isFullyWritten() || hasUnacknowledgedBytes(socket_.native_handle())) {
+    fail(CallFailureKind::closed, "the connection was closed before the request was read");
+    return;
+  }
   idleTimeout_ = Duration::zero();
   complete(false);
 }
--- a/modules/http/Sockets.cpp
+++ b/modules/http/Sockets.cpp
@@ -63,6 +63,13 @@
          info.tcpi_state != TCP_FIN_WAIT2;
 }
 
+bool hasUnacknowledgedBytes(int socket)
+{
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_unacked > 0;
+}
+
 void setTcpOptions(int socket, Duration timeout)
 {
   const int noDelay = 1;
--- a/modules/http/Sockets.h
+++ b/modules/http/Sockets.h
@@ -37,6 +37,10 @@
     bytes. */
 bool hasInput(int socket);
 
+/** Returns whether bytes that were sent have not reached the peer yet; false if the operating
+   system does not tell. Safe from any thread. */
+bool hasUnacknowledgedBytes(int socket);
+
 /** Returns whether the peer has closed the connection or shut down its sending side, even if bytes
     sent before that are still unread. */
 bool peerHasClosed(int socket);
--- a/tests/HttpSockets.h
+++ b/tests/HttpSockets.h
@@ -112,6 +112,9 @@
       ::close(std::exchange(socket_, -1));
   }
 
+  /** Ends the stream to the peer; the connection stays open in the other direction. */
+  void shutdownSend() { ::shutdown(socket_, SHUT_WR); }
+
   void resetConnection()
   {
     const linger option{ 1, 0 };
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -261,6 +261,29 @@
   CHECK((recorder.failure.kind == CallFailureKind::reset));
 }
 
+// Guards against a partial body that counts as complete because the endpoint closes the connection
+// during the upload: the end of stream arrives before the reset.
+TEST_CASE_FIXTURE(ClientFixture, "Client_connectionEndsDuringUpload_failsBodyUntilClose")
+{
+  const auto call = send(recorder, "POST", std::make_shared<const std::string>(20000000, 'x'));
+  auto endpoint = listener.accept(io);
+  REQUIRE(waitFor(endpoint, "\r\n\r\n"));
+  endpoint.send("HTTP/1.1 200 OK\r\n\r\nsome");
+  SUBCASE("reset after the end of stream")
+  {
+    endpoint.shutdownSend();
+    endpoint.resetConnection();
+  }
+  SUBCASE("end of stream only")
+  {
+    endpoint.shutdownSend();
+  }
+  REQUIRE(waitForEnd(recorder));
+  CHECK(recorder.completed == 0);
+  CHECK(recorder.failures == 1);
+  CHECK(recorder.failure.headReceived);
+}
+
 // Guards against truncated heads and bodies that count as complete.
 TEST_CASE_FIXTURE(ClientFixture, "Client_truncatedResponse_fails")
 {
@@ -302,6 +325,9 @@
     "SSH-2.0-honey\r\n",
     "HTTP/2 200 OK\r\n\r\n",
     "HTTP/1.1 abc OK\r\n\r\n",
+    "HTTP/1.1 000 Unknown\r\nContent-Length: 2\r\n\r\nno",
+    "HTTP/1.1 000\r\n\r\nno",
+    "HTTP/1.1 099 Unknown\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
