fleet, ledger: a replicated set of evacuated zones

Operators evacuate an availability zone before its machines are stopped, and the order has to survive the loss of any process. Updates to entry processes carry the revision (the log index of the last change) and the whole list in new trailing fields; revision 0 or a lower one than the known one changes nothing. An order has an id, because a proposer sends it again while it has no answer, and a copy that is committed after a later order would undo that one. A control process that was suspended gives up expired proposals before it sends any again.

--- a/modules/control/ControlNode.cpp
+++ b/modules/control/ControlNode.cpp
@@ -399,9 +399,11 @@
   proposeNextMembershipChange(now_);
   sendJoinRequests(now_);
   if (!localProposals_.empty()) {
+    // First, so that a process that was suspended does not send a proposal again that its operator
+    // has given up.
+    expireProposals(now_);
     updateProposer();
     proposer_.tick(now_);
-    expireProposals(now_);
   }
   advanceCore(now_);
   runCallbacks();
--- a/modules/fleet/Commands.h
+++ b/modules/fleet/Commands.h
@@ -40,6 +40,19 @@
   MSGPACK_DEFINE(id, startedAtMs, sequence)
 };
 
+/** Evacuates an availability zone or returns it to service. Idempotent by id: a copy that is
+    committed after a later order would otherwise undo that one. */
+struct SetEvacuation
+{
+  ZoneId zone;
+  /** Whether the zone is evacuated from now on. */
+  bool active = false;
+  /** Identifies the order. An order that an operator sends again has another id. */
+  std::uint64_t id = 0;
+
+  MSGPACK_DEFINE(zone, active, id)
+};
+
 /** A command that changes the endpoint registry. */
 using EndpointCommand = std::variant<PutEndpoint, RemoveEndpoint, ExpireEndpoint>;
 
--- a/modules/fleet/FleetPublisher.cpp
+++ b/modules/fleet/FleetPublisher.cpp
@@ -102,7 +102,8 @@
 bool FleetPublisher::hasUnpublishedChanges() const
 {
   return hasNewReports_ || state_->configuration.version() != publishedVersion_ ||
-         state_->endpoints.revision() != publishedRevision_;
+         state_->endpoints.revision() != publishedRevision_ ||
+         state_->evacuations.revision() != publishedEvacuations_;
 }
 
 std::optional<Time> FleetPublisher::publishDueAt() const
@@ -118,6 +119,7 @@
   nextPublishAt_ = now + kPublishInterval;
   publishedVersion_ = state_->configuration.version();
   publishedRevision_ = state_->endpoints.revision();
+  publishedEvacuations_ = state_->evacuations.revision();
   hasNewReports_ = false;
   sendToAll(now);
   if (std::exchange(hasNewSubscriberReports_, false)) {
@@ -300,6 +302,8 @@
     subscriber.ratesSentAt = now;
     update.requestRates = requestRates();
   }
+  update.evacuationRevision = state_->evacuations.revision();
+  update.evacuatedZones = state_->evacuations.zones();
   subscriber.lastSentAt = now;
   subscriber.endpointRevision = std::max(subscriber.endpointRevision, update.endpointRevision);
   outgoing_.push_back({ to, std::move(update) });
--- a/modules/fleet/FleetPublisher.h
+++ b/modules/fleet/FleetPublisher.h
@@ -169,6 +169,7 @@
   std::map<ProcessId, PeerCursors> peerCursors_;
   std::uint64_t publishedVersion_ = 0;
   std::uint64_t publishedRevision_ = 0;
+  std::uint64_t publishedEvacuations_ = 0;
   Time nextPublishAt_;
   /** Crashes or limits were reported since changes were sent last. */
   bool hasNewReports_ = false;
--- a/modules/fleet/FleetState.h
+++ b/modules/fleet/FleetState.h
@@ -2,6 +2,7 @@
 
 #include "fleet/ConfigurationStore.h"
 #include "fleet/EndpointStore.h"
+#include "fleet/EvacuationStore.h"
 
 namespace figchute::fleet {
 
@@ -10,8 +11,10 @@
 {
   ConfigurationStore configuration;
   EndpointStore endpoints;
+  /** Empty in snapshots of earlier releases. */
+  EvacuationStore evacuations{};
 
-  MSGPACK_DEFINE(configuration, endpoints)
+  MSGPACK_DEFINE(configuration, endpoints, evacuations)
 };
 
 } // namespace figchute::fleet
--- a/modules/fleet/FleetSubscriber.cpp
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -43,6 +43,7 @@
   // including a previous one.
   applyConfiguration(now, from, *update);
   applyEndpoints(now, from, *update);
+  applyEvacuations(*update);
   changes_.crashReports.insert(
     changes_.crashReports.end(), update->crashReports.begin(), update->crashReports.end());
   changes_.rateLimits.insert(
@@ -129,6 +130,16 @@
   changes_.endpoints = true;
 }
 
+void FleetSubscriber::applyEvacuations(const FleetUpdate& update)
+{
+  if (update.evacuationRevision <= evacuationRevision_) {
+    return;
+  }
+  evacuationRevision_ = update.evacuationRevision;
+  evacuatedZones_ = update.evacuatedZones;
+  changes_.evacuations = true;
+}
+
 void FleetSubscriber::setSeeds(std::vector<ProcessId> seeds)
 {
   for (const auto& seed : seeds) {
--- a/modules/fleet/FleetSubscriber.h
+++ b/modules/fleet/FleetSubscriber.h
@@ -47,6 +47,7 @@
   bool configuration = false;
   bool endpoints = false;
   bool entryProcesses = false;
+  bool evacuations = false;
   /** The control process in use or its contact with the leader. */
   bool control = false;
   /** Received crash reports; they may be known already. */
@@ -135,6 +136,12 @@
   /** Returns the revision of endpoints(). */
   [[nodiscard]] std::uint64_t endpointRevision() const { return endpointRevision_; }
 
+  /** Returns the evacuated zones in order of their names. */
+  [[nodiscard]] const std::vector<ZoneId>& evacuatedZones() const { return evacuatedZones_; }
+
+  /** Returns the revision of evacuatedZones(); 0 if no zone was ever evacuated. */
+  [[nodiscard]] std::uint64_t evacuationRevision() const { return evacuationRevision_; }
+
   /** Returns the entry processes known to the control process, including this one. */
   [[nodiscard]] const std::vector<EntryProcess>& entries() const { return entries_; }
 
@@ -154,6 +161,7 @@
   void applyConfiguration(Time now, const ProcessId& from, const FleetUpdate& update);
   void setConfiguration(std::uint64_t version, std::string bytes);
   void applyEndpoints(Time now, const ProcessId& from, const FleetUpdate& update);
+  void applyEvacuations(const FleetUpdate& update);
   void updateControls(const std::vector<ProcessId>& members);
   void handleLeaderContact(Time now, const ProcessId& from, bool leaderContact);
   void startSearch(Time now, SearchReason reason);
@@ -193,6 +201,8 @@
   bool acceptsDeltas_ = true;
   std::uint64_t endpointRevision_ = 0;
   std::map<EndpointId, EndpointRecord> endpoints_;
+  std::uint64_t evacuationRevision_ = 0;
+  std::vector<ZoneId> evacuatedZones_;
   std::uint32_t entryProcesses_ = 1;
   std::vector<EntryProcess> entries_;
   /** Crashes that this process observed, and reports that it refuted. */
--- a/modules/fleet/Messages.h
+++ b/modules/fleet/Messages.h
@@ -126,6 +126,11 @@
   std::vector<RateLimit> rateLimits{};
   /** Request rates of all entry processes; sent repeatedly while there are rate limits. */
   std::vector<RequestRate> requestRates{};
+  /** The revision of @ref evacuatedZones; 0 if no zone was ever evacuated, and in messages of
+      earlier releases. */
+  std::uint64_t evacuationRevision = 0;
+  /** All evacuated zones. */
+  std::vector<ZoneId> evacuatedZones{};
   MSGPACK_DEFINE(configurationVersion,
                  configuration,
                  endpointRevision,
@@ -141,7 +146,9 @@
                  configurationDelta,
                  crashReports,
                  rateLimits,
-                 requestRates)
+                 requestRates,
+                 evacuationRevision,
+                 evacuatedZones)
 };
 
 /** The last announcement of an endpoint that a control process received, reported to the other
--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -11,6 +11,7 @@
 #include "fleet/ConfigurationStore.h"
 #include "fleet/Endpoint.h"
 #include "fleet/EndpointStore.h"
+#include "fleet/EvacuationStore.h"
 #include "fleet/FleetPublisher.h"
 #include "fleet/FleetState.h"
 #include "fleet/FleetSubscriber.h"
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -503,6 +503,7 @@
 using fleet::ExpireEndpoint;
 using fleet::PutEndpoint;
 using fleet::RemoveEndpoint;
+using fleet::SetEvacuation;
 
 /** The outcome of the three endpoint commands. */
 struct EndpointResult
@@ -534,7 +535,18 @@
   MSGPACK_DEFINE(verdict, index)
 };
 
-/** Any command of the replicated log. */
+/** The outcome of SetEvacuation. */
+struct EvacuationResult
+{
+  Verdict verdict;
+  /** Whether the set of evacuated zones changed. */
+  bool changed = false;
+
+  MSGPACK_DEFINE(verdict, changed)
+};
+
+/** Any command of the replicated log. New commands are added at the end, because a command is
+    encoded with its position. */
 using Command = std::variant<ApplyDocument,
                              Grant,
                              Settle,
@@ -550,7 +562,8 @@
                              PutEndpoint,
                              RemoveEndpoint,
                              ExpireEndpoint,
-                             ReadBarrier>;
+                             ReadBarrier,
+                             SetEvacuation>;
 
 /** The result of any command. */
 using Result = std::variant<DocumentResult,
@@ -564,6 +577,7 @@
                             MemberResult,
                             ConfigurationResult,
                             EndpointResult,
-                            BarrierResult>;
+                            BarrierResult,
+                            EvacuationResult>;
 
 } // namespace figchute::ledger
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -162,6 +162,11 @@
     return BarrierResult{ {}, index };
   }
 
+  Result execute(const SetEvacuation& command, std::vector<OutgoingMessage>& /*outgoing*/)
+  {
+    return EvacuationResult{ {}, fleet.evacuations.apply(index, command) };
+  }
+
   void expire()
   {
     budgetLedger.expire(time);
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -227,8 +227,8 @@
   /** Returns the members of the log. */
   [[nodiscard]] std::vector<MemberView> members() const;
 
-  /** Returns the configuration and the endpoint registry. The reference stays valid, also across
-      restore(), until this object is assigned to or destroyed. */
+  /** Returns the configuration, the endpoint registry and the evacuations. The reference stays
+     valid, also across restore(), until this object is assigned to or destroyed. */
   [[nodiscard]] const fleet::FleetState& fleet() const;
 
 private:
