dispatch: endpoints of evacuated zones get no requests

EndpointAvailability is the only place that decides: requests, repeats, trials of open circuit breakers and delayed sends ask it. If all zones with endpoints of a service are evacuated, its requests are refused with no_endpoint.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -102,7 +102,7 @@
       return tl::unexpected(
         makeRefusal(now, requestInfo, ErrorKind::noEndpoint, kMaxRetryAfter, "unknown service"));
     }
-    if (auto refusal = refuseCrashing(now, requestInfo)) {
+    if (auto refusal = health_.refuseCrashing(now, requestInfo)) {
       return tl::unexpected<Refusal>(std::move(*refusal));
     }
     if (auto refusal = admitAttempt(now, requestInfo, service->second)) {
@@ -264,15 +264,12 @@
     return endpoint != nullptr && availability_.acceptsRequests(now, *endpoint);
   }
 
-  [[nodiscard]] Duration timeUntilBackoffEnds(Time now, const ServiceName& service)
-  {
-    return availability_.timeUntilBackoffEnds(now, service);
-  }
-
   std::vector<EndpointRestricted> takeRestrictions() { return std::exchange(newRestrictions_, {}); }
 
   std::vector<RateLimitChange> takeRateLimitChanges() { return std::exchange(limitChanges_, {}); }
 
+  EndpointAvailability& availability() { return availability_; }
+
   RateLimitShares& limits() { return limits_; }
 
   [[nodiscard]] double requestsPerSecond(Time now) const { return newRequests_.perSecond(now); }
@@ -284,23 +281,6 @@
   std::vector<std::uint64_t> takeStalled() { return std::exchange(stalled_, {}); }
 
 private:
-  /** Returns the refusal of a request that would probably crash its endpoint. */
-  std::optional<Refusal> refuseCrashing(Time now, const RequestInfo& requestInfo)
-  {
-    const auto refusal = health_.crashes().refusal(now, crashCandidatesOf(requestInfo));
-    if (!refusal) {
-      return std::nullopt;
-    }
-    if (refusal->isPart) {
-      return Refusal{ ErrorKind::quarantinedPart,
-                      refusal->remaining,
-                      "a part of the prompt crashed several endpoints" };
-    }
-    return Refusal{ ErrorKind::quarantined,
-                    refusal->remaining,
-                    "the request crashed several endpoints" };
-  }
-
   /** Counts a request or cancels its previous send; returns a refusal if another attempt is not
       allowed. */
   std::optional<Refusal> admitAttempt(Time now,
@@ -648,6 +628,22 @@
   impl_->setEndpoints(now, endpoints);
 }
 
+void Dispatcher::setEvacuatedZones(Time /*now*/, std::span<const ZoneId> zones)
+{
+  impl_->availability().setEvacuatedZones(zones);
+}
+
+bool Dispatcher::isEvacuated(const ZoneId& zone) const
+{
+  return impl_->availability().isEvacuated(zone);
+}
+
+std::optional<Refusal> Dispatcher::refusalWhileEvacuated(Time now,
+                                                         const RequestInfo& requestInfo) const
+{
+  return impl_->availability().refusalWhileEvacuated(now, requestInfo);
+}
+
 void Dispatcher::setPeers(std::size_t entryProcesses)
 {
   impl_->setPeers(entryProcesses);
@@ -724,7 +720,7 @@
 
 Duration Dispatcher::timeUntilBackoffEnds(Time now, const ServiceName& service)
 {
-  return impl_->timeUntilBackoffEnds(now, service);
+  return impl_->availability().timeUntilBackoffEnds(now, service);
 }
 
 std::vector<EndpointRestricted> Dispatcher::takeRestrictions()
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -60,6 +60,17 @@
       id but another `startedAtMs` is a new endpoint. */
   void setEndpoints(Time now, std::span<const fleet::EndpointRecord> endpoints);
 
+  /** Replaces the evacuated zones. Their endpoints get no requests, including those that are
+      registered later; requests that run there go on. */
+  void setEvacuatedZones(Time now, std::span<const ZoneId> zones);
+
+  /** Returns whether a zone is evacuated. */
+  [[nodiscard]] bool isEvacuated(const ZoneId& zone) const;
+
+  /** Returns the refusal of a request whose service has endpoints in evacuated zones only. */
+  [[nodiscard]] std::optional<Refusal> refusalWhileEvacuated(Time now,
+                                                             const RequestInfo& requestInfo) const;
+
   /** Sets the number of entry processes, at least 1, that share the connection limits and the
       repeat budget. */
   void setPeers(std::size_t entryProcesses);
--- a/modules/dispatch/EndpointAvailability.cpp
+++ b/modules/dispatch/EndpointAvailability.cpp
@@ -22,10 +22,15 @@
   return { endpoint.incarnation, endpoint.record.zone };
 }
 
+void EndpointAvailability::setEvacuatedZones(std::span<const ZoneId> zones)
+{
+  evacuatedZones_ = { zones.begin(), zones.end() };
+}
+
 bool EndpointAvailability::acceptsRequests(Time now, const Endpoint& endpoint) const
 {
   return endpoint.record.state == fleet::EndpointState::ready &&
-         restrictions_->maySend(now, endpoint.incarnation);
+         !isEvacuated(endpoint.record.zone) && restrictions_->maySend(now, endpoint.incarnation);
 }
 
 bool EndpointAvailability::acceptsRequest(Time now,
@@ -40,7 +45,7 @@
 bool EndpointAvailability::isLeaving(const Endpoint& endpoint) const
 {
   return endpoint.record.state != fleet::EndpointState::ready ||
-         restrictions_->isLeaving(endpoint.incarnation);
+         isEvacuated(endpoint.record.zone) || restrictions_->isLeaving(endpoint.incarnation);
 }
 
 Duration EndpointAvailability::timeUntilBackoffEnds(Time now, const ServiceName& service) const
@@ -63,6 +68,9 @@
                                                       const RequestInfo& requestInfo,
                                                       Duration serviceTime) const
 {
+  if (auto refusal = refusalWhileEvacuated(now, requestInfo)) {
+    return std::move(*refusal);
+  }
   bool hasConnectionInUse = false;
   bool isRateLimited = false;
   bool hasAcceptingEndpoint = false;
@@ -104,6 +112,27 @@
   return refusal(ErrorKind::noEndpoint, retryAfter, "no endpoint is available");
 }
 
+std::optional<Refusal> EndpointAvailability::refusalWhileEvacuated(
+  Time now,
+  const RequestInfo& requestInfo) const
+{
+  const auto handles = endpoints_->handlesOf(requestInfo.service);
+  const auto isInEvacuatedZone = [this](std::size_t handle) {
+    return isEvacuated(endpoints_->find(handle)->record.zone);
+  };
+  if (evacuatedZones_.empty() || handles.empty() ||
+      !std::all_of(handles.begin(), handles.end(), isInEvacuatedZone)) {
+    return std::nullopt;
+  }
+  auto refusal = makeRefusal(now,
+                             requestInfo,
+                             ErrorKind::noEndpoint,
+                             kMaxRetryAfter,
+                             "all zones with endpoints of the service are evacuated");
+  refusal.isEvacuated = true;
+  return refusal;
+}
+
 Refusal EndpointAvailability::refusalWhileRestricted(Time now, const RequestInfo& requestInfo) const
 {
   const auto backoff = timeUntilBackoffEnds(now, requestInfo.service);
--- a/modules/dispatch/EndpointAvailability.h
+++ b/modules/dispatch/EndpointAvailability.h
@@ -5,6 +5,9 @@
 #include "dispatch/RateLimitShares.h"
 #include "dispatch/RequestInfo.h"
 
+#include <optional>
+#include <set>
+#include <span>
 #include <string>
 
 namespace figchute::dispatch {
@@ -38,7 +41,11 @@
   {
   }
 
-  /** Returns whether neither the registry nor the answers of an endpoint forbid to send to it. */
+  /** Replaces the evacuated zones, whose endpoints accept no requests. */
+  void setEvacuatedZones(std::span<const ZoneId> zones);
+
+  /** Returns whether neither the registry nor the answers of an endpoint forbid to send to it, nor
+      an evacuation of its zone. */
   [[nodiscard]] bool acceptsRequests(Time now, const Endpoint& endpoint) const;
 
   /** Returns the same for a request, which may go on with a stream of one software version. */
@@ -56,6 +63,15 @@
                                                 const RequestInfo& requestInfo,
                                                 Duration serviceTime) const;
 
+  /** Returns the refusal of a request whose service has endpoints in evacuated zones only. */
+  [[nodiscard]] std::optional<Refusal> refusalWhileEvacuated(Time now,
+                                                             const RequestInfo& requestInfo) const;
+
+  [[nodiscard]] bool isEvacuated(const ZoneId& zone) const
+  {
+    return evacuatedZones_.contains(zone);
+  }
+
 private:
   [[nodiscard]] bool isLeaving(const Endpoint& endpoint) const;
   /** Returns the refusal while all endpoints of a service leave or asked for a back-off. */
@@ -64,6 +80,7 @@
   EndpointTable* endpoints_;
   RateLimitShares* limits_;
   const EndpointRestrictions* restrictions_;
+  std::set<ZoneId> evacuatedZones_;
 };
 
 } // namespace figchute::dispatch
--- a/modules/dispatch/EndpointHealth.h
+++ b/modules/dispatch/EndpointHealth.h
@@ -6,6 +6,7 @@
 #include "dispatch/RequestInfo.h"
 #include "dispatch/RequestTable.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,9 @@
   /** Returns the table of requests that crash endpoints. */
   [[nodiscard]] CrashTable& crashes() { return crashes_; }
 
+  /** Returns the refusal of a request that would probably crash its endpoint. */
+  std::optional<Refusal> refuseCrashing(Time now, const RequestInfo& requestInfo);
+
   /** Returns the endpoints that may have crashed and have not been returned yet. */
   std::vector<EndpointProbe> takeProbes();
 
--- a/modules/dispatch/RequestInfo.h
+++ b/modules/dispatch/RequestInfo.h
@@ -70,6 +70,8 @@
   /** Expected time until a request would be accepted. */
   Duration retryAfter = std::chrono::milliseconds(200);
   std::string detail;
+  /** Whether all zones with endpoints of the service are evacuated. */
+  bool isEvacuated = false;
 };
 
 /** How one send of a request to an endpoint ended. */
