router: operators evacuate availability zones

POST and DELETE of /v1/evacuations/ZONE are committed with the log before their 2xx, at any control process; GET of /v1/evacuations reads the set after a barrier. Mistakes get 400 or 405 with their reason (new error kind method_not_allowed). Entry processes pass the set to the dispatcher, refuse tunnels to endpoints of evacuated zones, and refuse requests of services without a zone in use before they reserve budget. Metrics get gauges, for the number of evacuated zones.

--- a/modules/core/ErrorKind.cpp
+++ b/modules/core/ErrorKind.cpp
@@ -63,6 +63,7 @@
   { ErrorKind::internal, "internal", 500, Ran::unknown, RetryAdvice::sameKeyLater, 1000ms },
   { ErrorKind::quarantinedPart, "quarantined_part", 503, Ran::no, RetryAdvice::later, 1000ms },
   { ErrorKind::resumeUnavailable, "resume_unavailable", 503, Ran::no, RetryAdvice::never, 0ms },
+  { ErrorKind::methodNotAllowed, "method_not_allowed", 405, Ran::no, RetryAdvice::never, 0ms },
 } };
 
 } // namespace
--- a/modules/core/ErrorKind.h
+++ b/modules/core/ErrorKind.h
@@ -44,10 +44,11 @@
   internal,
   quarantinedPart,
   resumeUnavailable,
+  methodNotAllowed,
 };
 
 /** Number of error kinds. */
-constexpr std::size_t kErrorKindCount = static_cast<std::size_t>(ErrorKind::resumeUnavailable) + 1;
+constexpr std::size_t kErrorKindCount = static_cast<std::size_t>(ErrorKind::methodNotAllowed) + 1;
 
 /** Whether an endpoint executed a request that was refused or failed. */
 enum class Ran
--- a/modules/core/Metrics.cpp
+++ b/modules/core/Metrics.cpp
@@ -50,6 +50,7 @@
 struct Metrics::Store
 {
   std::map<std::string, std::uint64_t, std::less<>> counters;
+  std::map<std::string, std::uint64_t> gauges;
   std::map<std::string, Histogram, std::less<>> latencies;
 };
 
@@ -70,6 +71,12 @@
   counter->second += amount;
 }
 
+void Metrics::set(std::string_view name, std::uint64_t value)
+{
+  const std::lock_guard lock(mutex_);
+  store_->gauges.insert_or_assign(std::string(name), value);
+}
+
 void Metrics::record(std::string_view name, Duration latency)
 {
   const std::lock_guard lock(mutex_);
@@ -86,6 +93,12 @@
   return { store_->counters.begin(), store_->counters.end() };
 }
 
+std::map<std::string, std::uint64_t> Metrics::gauges() const
+{
+  const std::lock_guard lock(mutex_);
+  return store_->gauges;
+}
+
 std::map<std::string, LatencySummary> Metrics::latencies() const
 {
   const std::lock_guard lock(mutex_);
--- a/modules/core/Metrics.h
+++ b/modules/core/Metrics.h
@@ -20,7 +20,7 @@
   Duration p99{ 0 };
 };
 
-/** Named counters and latency histograms of one process.
+/** Named counters, gauges and latency histograms of one process.
     Thread safety: every method is safe from any thread. */
 class Metrics
 {
@@ -33,12 +33,18 @@
   /** Adds @p amount to the counter @p name, which starts at 0. */
   void count(std::string_view name, std::uint64_t amount = 1);
 
+  /** Sets the gauge @p name, a value that can also fall. */
+  void set(std::string_view name, std::uint64_t value);
+
   /** Records one latency in the histogram @p name: 1 us to 1,000 s, relative error below 5%. */
   void record(std::string_view name, Duration latency);
 
   /** Returns all counters by name. */
   [[nodiscard]] std::map<std::string, std::uint64_t> counters() const;
 
+  /** Returns all gauges by name. */
+  [[nodiscard]] std::map<std::string, std::uint64_t> gauges() const;
+
   /** Returns a summary of each histogram by name. */
   [[nodiscard]] std::map<std::string, LatencySummary> latencies() const;
 
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -2,7 +2,9 @@
 
 #include "router/BootClock.h"
 #include "router/ErrorResponse.h"
+#include "router/EvacuationOrder.h"
 #include "router/RequestBody.h"
+#include "json/json.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -66,6 +68,12 @@
   return target.substr(0, target.find('?'));
 }
 
+/** Returns the path of the list of evacuations. */
+std::string_view evacuationListPath(const ApiPaths& paths)
+{
+  return std::string_view(paths.evacuations).substr(0, paths.evacuations.size() - 1);
+}
+
 } // namespace
 
 ControlRole::ControlRole(const RoleContext& context)
@@ -75,6 +83,8 @@
                [this](const RequestPointer& request) { handle(request); })
   , load_(context.metrics, context.log)
   , timer_(context.io)
+  , lastOrderId_(
+      fingerprintOf(settings::toString(context.settings.peers), context.incarnation.number))
 {
 }
 
@@ -134,6 +144,10 @@
     putConfiguration(request);
   } else if (path == paths.configuration && method == "GET") {
     getConfiguration(request);
+  } else if (path == evacuationListPath(paths)) {
+    listEvacuations(request);
+  } else if (path.starts_with(paths.evacuations)) {
+    changeEvacuation(request);
   } else if (path.starts_with(paths.endpoints) && path.size() > paths.endpoints.size()) {
     const EndpointId id(path.substr(paths.endpoints.size()));
     if (method == "PUT") {
@@ -289,6 +303,75 @@
   propose(request, toCommand(*command));
 }
 
+void ControlRole::changeEvacuation(const RequestPointer& request)
+{
+  const Time startedAt = bootTime();
+  const auto order = parseEvacuationOrder(request->head(),
+                                          bodyOf(*request),
+                                          context_.dialect.paths().evacuations,
+                                          context_.settings.zones,
+                                          state_->evacuations);
+  if (!order) {
+    const auto& error = order.error();
+    context_.log.line(startedAt, "evacuation_refused", { { "detail", error.detail } });
+    const bool isWrongMethod = error.kind == ErrorKind::methodNotAllowed;
+    sendErrorResponse(*request, error, Duration{ 0 }, isWrongMethod ? kEvacuationOrderMethods : "");
+    return;
+  }
+  node_->proposeLocal(
+    startedAt,
+    ledger::SetEvacuation{ order->zone, order->active, ++lastOrderId_ },
+    kProposalTimeout,
+    [this, request, startedAt, order = *order](const Expected<ledger::Result>& result) {
+      const Time now = bootTime();
+      const auto ageMs = std::to_string((now - startedAt).count() / 1000);
+      if (!result) {
+        context_.log.line(
+          now, "proposal_failed", { { "detail", result.error().detail }, { "age_ms", ageMs } });
+        sendErrorResponse(*request, result.error(), kRetryAfter);
+        return;
+      }
+      context_.log.line(now,
+                        "evacuation",
+                        { { "zone", order.zone.value },
+                          { "active", order.active ? "true" : "false" },
+                          { "age_ms", ageMs } });
+      const auto response =
+        json::Value::object({ { "zone", order.zone.value }, { "evacuated", order.active } });
+      sendJsonResponse(*request, json::dump(response));
+    });
+}
+
+void ControlRole::listEvacuations(const RequestPointer& request)
+{
+  const auto& head = request->head();
+  if (head.method != "GET") {
+    sendErrorResponse(*request,
+                      Error{ ErrorKind::methodNotAllowed, "GET lists the evacuated zones" },
+                      Duration{ 0 },
+                      "GET");
+    return;
+  }
+  if (head.target.find('?') != std::string::npos) {
+    sendErrorResponse(
+      *request, Error{ ErrorKind::badRequest, "the list has no query" }, Duration{ 0 });
+    return;
+  }
+  readCurrentState(kProposalTimeout, [this, request](bool isCurrent) {
+    if (!isCurrent) {
+      sendErrorResponse(*request, noQuorum(), kRetryAfter);
+      return;
+    }
+    auto zones = json::Value::array();
+    for (const auto& zone : state_->evacuations.zones()) {
+      zones.push(zone.value);
+    }
+    const auto response = json::Value::object(
+      { { "revision", state_->evacuations.revision() }, { "zones", std::move(zones) } });
+    sendJsonResponse(*request, json::dump(response));
+  });
+}
+
 void ControlRole::propose(const RequestPointer& request, const ledger::Command& command)
 {
   const Time startedAt = bootTime();
@@ -439,6 +522,7 @@
       now, "configuration", { { "version", std::to_string(configurationVersion_) } });
   }
   rebindState();
+  context_.metrics.set("evacuated_zones", state_->evacuations.zones().size());
   publisher_->publishChanges(now);
 }
 
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -52,6 +52,8 @@
   void getConfiguration(const RequestPointer& request);
   void announce(const RequestPointer& request, const EndpointId& id);
   void removeEndpoint(const RequestPointer& request, const EndpointId& id);
+  void changeEvacuation(const RequestPointer& request);
+  void listEvacuations(const RequestPointer& request);
   void propose(const RequestPointer& request, const ledger::Command& command);
   void scheduleUpdate();
   void send(const ProcessId& to, wire::Channel channel, std::string body);
@@ -87,6 +89,8 @@
   /** Service names of the active configuration; empty before the first configuration. */
   std::unordered_set<std::string> services_;
   std::uint64_t configurationVersion_ = 0;
+  /** The id of the last evacuation order that this process proposed. */
+  std::uint64_t lastOrderId_;
   ProcessId leader_;
   std::vector<ProcessId> members_;
   bool storageFailed_ = false;
--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -55,6 +55,8 @@
   std::string configuration = "/v1/configuration";
   std::string endpoints = "/v1/endpoints/";
   std::string readiness = "/v1/ready";
+  /** The list has the path without the trailing slash. */
+  std::string evacuations = "/v1/evacuations/";
 };
 
 /** The prompt properties of a request to a model service. */
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -331,6 +331,9 @@
   if (changes.endpoints) {
     applyEndpoints(now);
   }
+  if (changes.evacuations) {
+    applyEvacuations(now);
+  }
   if (changes.control) {
     applyControl(now);
   }
@@ -368,13 +371,20 @@
   constexpr int kOk = 200;
   constexpr int kForbidden = 403;
   constexpr int kProxyAuthenticationRequired = 407;
+  constexpr int kBadGateway = 502;
   constexpr int kServiceUnavailable = 503;
   if (!isAuthorized(request, context_.settings.peerKey)) {
     return kProxyAuthenticationRequired;
   }
-  if (!endpointAddresses_.contains(request.target)) {
+  const auto target = endpointZones_.find(request.target);
+  if (target == endpointZones_.end()) {
     return kForbidden;
   }
+  if (dispatcher_.isEvacuated(target->second)) {
+    // As for an endpoint that does not accept connections: the peer then tries another endpoint and
+    // does not take this process for one that opens no tunnels.
+    return kBadGateway;
+  }
   if (stopping_ || egress_.isTunnelling()) {
     return kServiceUnavailable;
   }
@@ -384,11 +394,12 @@
 
 void EntryRole::probeDirectPath(Time now)
 {
-  if (endpointAddresses_.empty() || !egress_.takeProbe(now)) {
+  if (endpointZones_.empty() || !egress_.takeProbe(now)) {
     return;
   }
-  const auto offset = random_.below(endpointAddresses_.size());
-  const auto address = *std::next(endpointAddresses_.begin(), static_cast<std::ptrdiff_t>(offset));
+  const auto offset = random_.below(endpointZones_.size());
+  const auto address =
+    std::next(endpointZones_.begin(), static_cast<std::ptrdiff_t>(offset))->first;
   pool_.probe(address, kDirectProbeTimeout, [this](const boost::system::error_code& error) {
     egress_.probed(bootTime(), !error);
   });
@@ -489,15 +500,15 @@
 void EntryRole::applyEndpoints(Time now)
 {
   std::vector<fleet::EndpointRecord> endpoints;
-  endpointAddresses_.clear();
+  endpointZones_.clear();
   for (const auto& [id, record] : subscriber_.endpoints()) {
     endpoints.push_back(record);
     if (const auto address = settings::parseAddress(record.address)) {
-      endpointAddresses_.insert(toEndpoint(*address));
+      endpointZones_.insert_or_assign(toEndpoint(*address), record.zone);
     }
   }
   endpointCount_ = endpoints.size();
-  egress_.setEndpointCount(endpointCount_);
+  updateEgressEndpoints();
   services_.endpointRevision = subscriber_.endpointRevision();
   dispatcher_.setEndpoints(now, endpoints);
   context_.log.line(now,
@@ -506,6 +517,36 @@
                       { "count", std::to_string(endpointCount_) } });
 }
 
+void EntryRole::applyEvacuations(Time now)
+{
+  const auto& zones = subscriber_.evacuatedZones();
+  const auto logMissing = [&](const auto& from, const auto& in, std::string_view active) {
+    for (const auto& zone : from) {
+      if (!std::binary_search(in.begin(), in.end(), zone)) {
+        context_.log.line(now,
+                          "evacuation",
+                          { { "zone", zone.value },
+                            { "active", std::string(active) },
+                            { "revision", std::to_string(subscriber_.evacuationRevision()) } });
+      }
+    }
+  };
+  logMissing(zones, evacuatedZones_, "true");
+  logMissing(evacuatedZones_, zones, "false");
+  evacuatedZones_ = zones;
+  dispatcher_.setEvacuatedZones(now, evacuatedZones_);
+  context_.metrics.set("evacuated_zones", evacuatedZones_.size());
+  updateEgressEndpoints();
+}
+
+void EntryRole::updateEgressEndpoints()
+{
+  // Endpoints of evacuated zones get no connections whose failures would show a cut.
+  const auto isInUse = [this](const auto& item) { return !dispatcher_.isEvacuated(item.second); };
+  const auto count = std::count_if(endpointZones_.begin(), endpointZones_.end(), isInUse);
+  egress_.setEndpointCount(static_cast<std::size_t>(count));
+}
+
 void EntryRole::updateQuotaManager(Time now)
 {
   for (const auto& decision : quotaManager_.takeDecisions()) {
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -7,9 +7,10 @@
 #include "router/Role.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
-#include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace figchute::router {
 
@@ -42,6 +43,9 @@
   void applyUpdates(Time now);
   void applyConfiguration(Time now);
   void applyEndpoints(Time now);
+  void applyEvacuations(Time now);
+  /** Counts the endpoints to which connections are expected to succeed. */
+  void updateEgressEndpoints();
   void applyControl(Time now);
   void applyEntryProcesses(Time now);
   /** Returns the status with which a tunnel for another entry process is opened or refused. */
@@ -90,8 +94,10 @@
   Time nextTickAt_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t lastExchangeId_ = 0;
-  /** Addresses of the endpoints in the registry. */
-  std::set<boost::asio::ip::tcp::endpoint> endpointAddresses_;
+  /** Addresses of the endpoints in the registry, and their zones. */
+  std::map<boost::asio::ip::tcp::endpoint, ZoneId> endpointZones_;
+  /** The evacuated zones in force, in order of their names. */
+  std::vector<ZoneId> evacuatedZones_;
   std::size_t endpointCount_ = 0;
   bool wasTunnelling_ = false;
   Random random_;
--- a/modules/router/ErrorResponse.cpp
+++ b/modules/router/ErrorResponse.cpp
@@ -24,7 +24,10 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-int sendErrorResponse(http::ServerRequest& request, const Error& error, Duration retryAfter)
+int sendErrorResponse(http::ServerRequest& request,
+                      const Error& error,
+                      Duration retryAfter,
+                      std::string_view allow)
 {
   const auto& traits = errorTraits(error.kind);
   http::ResponseHead head;
@@ -35,6 +38,9 @@
     const auto wait = std::max(kMinRetryAfter, retryAfter);
     head.fields.add("Retry-After", fmt::format("{:.3f}", static_cast<double>(wait.count()) / 1e6));
   }
+  if (!allow.empty()) {
+    head.fields.add("Allow", std::string(allow));
+  }
   request.respond(head, errorBody(error));
   return head.status;
 }
--- a/modules/router/ErrorResponse.h
+++ b/modules/router/ErrorResponse.h
@@ -10,9 +10,13 @@
 /** Responds with the HTTP status and JSON body of an error. Statuses 408, 421, 429 and 503 carry
    Retry-After.
     @param retryAfter  time until the caller may retry; raised to at least 20 ms
+    @param allow       value of the Allow field, required with status 405; none if it is empty
     @returns the HTTP status that was sent
     Thread safety: use it on the thread of the request only. */
-int sendErrorResponse(http::ServerRequest& request, const Error& error, Duration retryAfter);
+int sendErrorResponse(http::ServerRequest& request,
+                      const Error& error,
+                      Duration retryAfter,
+                      std::string_view allow = {});
 
 /** Returns whether a status guarantees that the request was not executed and never will be. Thread
  * safety: safe from any thread. */
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -114,6 +114,11 @@
     refuseWhileCongested(now);
     return;
   }
+  if (const auto refusal = services_.dispatcher.refusalWhileEvacuated(now, requestInfo_)) {
+    // Before budget is reserved, because a request may wait for a grant.
+    refuse(now, *refusal);
+    return;
+  }
   if (resumedRequestId_) {
     findOrigin(now);
     return;
--- a/modules/router/ExchangeFailure.cpp
+++ b/modules/router/ExchangeFailure.cpp
@@ -134,6 +134,9 @@
     sendErrorResponse(now, Error{ ErrorKind::endpointFailed, refusal.detail }, Duration{ 0 });
     return;
   }
+  if (refusal.isEvacuated) {
+    services_.metrics.count("refused_evacuated");
+  }
   sendErrorResponse(now, Error{ refusal.kind, refusal.detail }, refusal.retryAfter);
 }
 
--- a/modules/router/MetricsPage.cpp
+++ b/modules/router/MetricsPage.cpp
@@ -19,6 +19,9 @@
   for (const auto& [name, value] : metrics.counters()) {
     fmt::format_to(out, "figchute_{}_total {}\n", name, value);
   }
+  for (const auto& [name, value] : metrics.gauges()) {
+    fmt::format_to(out, "figchute_{} {}\n", name, value);
+  }
   for (const auto& [name, summary] : metrics.latencies()) {
     fmt::format_to(
       out, "figchute_{}_seconds{{quantile=\"0.5\"}} {}\n", name, seconds(summary.median));
--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -1,5 +1,7 @@
 #include "router/RouterSettings.h"
 
+#include "fleet/EvacuationStore.h"
+
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
@@ -140,11 +142,33 @@
     if (const auto flag = reader.choice("bootstrap", { "false", "true" }, Presence::optional)) {
       settings_.bootstrap = *flag == 1;
     }
+    readZones(reader);
     const auto* key = reader.entry("peer_key", Presence::optional);
     settings_.peerKey = key != nullptr ? key->value : std::string(kDefaultPeerKey);
     reader.rejectUnknownKeys();
   }
 
+  void readZones(SectionReader& reader)
+  {
+    const auto* entry = reader.entry("zones", Presence::optional);
+    if (entry == nullptr) {
+      return;
+    }
+    auto& zones = settings_.zones;
+    for (const auto& text : ini::splitList(entry->value)) {
+      const bool isRepeated = std::find(zones.begin(), zones.end(), ZoneId(text)) != zones.end();
+      if (!fleet::isZoneName(text) || isRepeated || zones.size() == kMaxZones) {
+        reader.addFault(*entry,
+                        fmt::format("1 to {} different zones separated by commas, each of 1 to {} "
+                                    "letters, digits, '-', '_', '.' and ':'",
+                                    kMaxZones,
+                                    fleet::kMaxZoneName));
+        return;
+      }
+      zones.emplace_back(text);
+    }
+  }
+
   void readBounds()
   {
     SectionReader reader(section("bounds"), faults_);
@@ -222,6 +246,10 @@
     for (const auto& seed : settings_.seeds) {
       seeds += (seeds.empty() ? "" : ",") + settings::toString(seed);
     }
+    std::string zones;
+    for (const auto& zone : settings_.zones) {
+      zones += (zones.empty() ? "" : ",") + zone.value;
+    }
     const auto& bounds = settings_.bounds;
     addEffective("process", "name", settings_.name);
     addEffective("process", "zone", settings_.zone.value);
@@ -235,6 +263,7 @@
     addEffective("listen", "tunnels", text(settings_.tunnels));
     addEffective("fleet", "seeds", seeds);
     addEffective("fleet", "bootstrap", settings_.bootstrap ? "true" : "false");
+    addEffective("fleet", "zones", zones);
     addEffective("fleet", "peer_key", settings_.peerKey);
     addEffective("bounds", "grace_s", fmt::format("{}", seconds(bounds.grace)), "s");
     addEffective("bounds", "repeat_ratio", fmt::format("{}", bounds.repeatRatio), "of requests");
--- a/modules/router/RouterSettings.h
+++ b/modules/router/RouterSettings.h
@@ -66,6 +66,8 @@
   std::vector<settings::Address> seeds;
   /** True only for the very first start of the fleet. */
   bool bootstrap = false;
+  /** The availability zones that operators can evacuate; any if it is empty. */
+  std::vector<ZoneId> zones;
   /** HMAC key of the messages between processes. */
   std::string peerKey;
   Bounds bounds;
@@ -82,6 +84,9 @@
 /** Maximum number of seeds. */
 constexpr std::size_t kMaxSeeds = 7;
 
+/** Maximum number of availability zones. */
+constexpr std::size_t kMaxZones = 32;
+
 /** Formats one line for each key: `[bounds] grace_s = 8 s (default)`. Secret values are omitted.
     Thread safety: safe from any thread. */
 std::string toString(const std::vector<EffectiveSetting>& settings);
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -110,12 +110,13 @@
     set, all answers say so. While backoff is set, requests are refused with it as Retry-After.
     arrivals has the times of all requests, including those that are refused."""
 
-    def __init__(self, fleet, name, service, ip, events=5, version="v1"):
+    def __init__(self, fleet, name, service, ip, events=5, version="v1", zone="a"):
         self.fleet = fleet
         self.name = name
         self.service = service
         self.events = events
         self.version = version
+        self.zone = zone
         self.runs = []
         self.disconnected_streams = 0
         self.stall_ended_at = 0
@@ -160,7 +161,7 @@
 
     def announcement(self):
         self.sequence += 1
-        return {"service": self.service, "address": self.address, "zone": "a",
+        return {"service": self.service, "address": self.address, "zone": self.zone,
                 "version": self.version, "slots": 8, "state": self.state, "warmupMs": 0,
                 "sequence": self.sequence, "born": self.born}
 
@@ -385,7 +386,7 @@
                 f"[listen]\n{listen}peers = {self.ip}:{self.fleet.ports['peers']}\n"
                 f"metrics = {self.ip}:{self.metrics[1]}\n"
                 f"[fleet]\nseeds = {seeds}\n"
-                f"bootstrap = {'true' if self.bootstrap else 'false'}\n"
+                f"bootstrap = {'true' if self.bootstrap else 'false'}\nzones = a,b\n"
                 f"[bounds]\ngrace_s = 5\n{self.more_settings}")
         with open(self.settings_path, "w", encoding="utf-8") as file:
             file.write(text)
@@ -528,9 +529,10 @@
     return bool(lines) and lines[-1].endswith(f" count={count}")
 
 
-def start_fleet(build, controls=1, entries=1, engines=2, apps=2, versions=()):
+def start_fleet(build, controls=1, entries=1, engines=2, apps=2, versions=(), zones=("a",)):
     """Starts a fleet and waits until every entry process has all endpoints and serves requests.
-    versions are the software versions of the engines, if they differ.
+    versions are the software versions of the engines, if they differ. The endpoints of each service
+    are in the zones in turn.
 
     A request that is sent before the last announcement has arrived may find no second endpoint, so
     cases that need one would fail on a slow machine."""
@@ -539,9 +541,10 @@
     try:
         for index in range(engines):
             fleet.add_endpoint(f"engine{index}", "engines",
-                               version=versions[index] if versions else "v1")
+                               version=versions[index] if versions else "v1",
+                               zone=zones[index % len(zones)])
         for index in range(apps):
-            fleet.add_endpoint(f"app{index}", "app")
+            fleet.add_endpoint(f"app{index}", "app", zone=zones[index % len(zones)])
         fleet.apply()
         fleet.wait_ready()
         for entry in fleet.entries:
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -157,6 +157,12 @@
     { "bootstrap = true",
       "bootstrap = yes",
       "[fleet] bootstrap = \"yes\": expected one of: false, true" },
+    { "bootstrap = true",
+      "zones = a,b,a",
+      "[fleet] zones = \"a,b,a\": expected 1 to 32 different" },
+    { "bootstrap = true",
+      "zones = a,b/c",
+      "[fleet] zones = \"a,b/c\": expected 1 to 32 different" },
     { "bootstrap = true", "[bound]\ngrace_s = 1", "[bound] \"unknown section\": expected " },
     { "bootstrap = true", "[bounds]\ngrace_s = 0.1", "expected a number from 0.5 to 3600" },
     { "bootstrap = true", "[bounds]\nrepeat_ratio = nan", "expected a number from 0 to 10" },
@@ -195,6 +201,7 @@
                                          "[listen] tunnels = (none) (default)\n"
                                          "[fleet] seeds = 127.0.0.2:2000,127.0.0.3:2000\n"
                                          "[fleet] bootstrap = true\n"
+                                         "[fleet] zones = (none) (default)\n"
                                          "[fleet] peer_key = (not shown)\n"
                                          "[bounds] grace_s = 8 s (default)\n"
                                          "[bounds] repeat_ratio = 0.25 of requests\n"
