dispatch: open circuit breakers of evacuated zones do not count towards the limit

At most half of the endpoints of a service may be out of rotation. The breakers of a faulty zone that is evacuated stay open, as it gets no trials, and used up that number, so that broken endpoints of the other zones kept getting requests.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -601,10 +601,10 @@
   EndpointTable endpoints_;
   RequestTable requests_;
   RepeatBudget totalRepeats_;
-  EndpointHealth health_{ endpoints_ };
   RateLimitShares limits_;
   EndpointRestrictions restrictions_;
   EndpointAvailability availability_{ endpoints_, limits_, restrictions_ };
+  EndpointHealth health_{ endpoints_, availability_ };
   std::vector<EndpointRestricted> newRestrictions_;
   routing::DecayedSum newRequests_{ kRequestRateWindow };
   std::vector<RateLimitChange> limitChanges_;
--- a/modules/dispatch/EndpointHealth.cpp
+++ b/modules/dispatch/EndpointHealth.cpp
@@ -129,10 +129,7 @@
   }
   endpoint.breaker.recordFailure(now, kind);
   if (!wasOpen) {
-    const auto& service = endpoint.record.service;
-    const auto maxOpenBreakers = endpoints_.handlesOf(service).size() / 2;
-    if (!endpoint.breaker.shouldOpen(now) ||
-        endpoints_.countOpenBreakers(service) >= maxOpenBreakers) {
+    if (!endpoint.breaker.shouldOpen(now) || !mayOpenBreaker(endpoint.record.service)) {
       return;
     }
     // figchute-trace finds these lines by the word "out" (modules/trace/RequestTrace.cpp).
@@ -142,6 +139,20 @@
   endpoint.breaker.open(now);
 }
 
+bool EndpointHealth::mayOpenBreaker(const ServiceName& service)
+{
+  std::size_t endpointsInUse = 0;
+  std::size_t openBreakers = 0;
+  for (const auto handle : endpoints_.handlesOf(service)) {
+    const auto& endpoint = *endpoints_.find(handle);
+    if (!availability_.isEvacuated(endpoint.record.zone)) {
+      ++endpointsInUse;
+      openBreakers += endpoint.breaker.isOpen() ? 1 : 0;
+    }
+  }
+  return openBreakers < endpointsInUse / 2;
+}
+
 std::optional<Refusal> EndpointHealth::refuseCrashing(Time now, const RequestInfo& requestInfo)
 {
   const auto refusal = crashes_.refusal(now, crashCandidatesOf(requestInfo));
--- a/modules/dispatch/EndpointHealth.h
+++ b/modules/dispatch/EndpointHealth.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/CrashTable.h"
+#include "dispatch/EndpointAvailability.h"
 #include "dispatch/EndpointProbe.h"
 #include "dispatch/EndpointTable.h"
 #include "dispatch/RequestInfo.h"
@@ -18,9 +19,10 @@
 class EndpointHealth
 {
 public:
-  /** @param endpoints  must outlive this object */
-  explicit EndpointHealth(EndpointTable& endpoints)
+  /** The arguments must outlive this object. */
+  EndpointHealth(EndpointTable& endpoints, const EndpointAvailability& availability)
     : endpoints_(endpoints)
+    , availability_(availability)
   {
   }
 
@@ -82,7 +84,12 @@
                      FailureKind kind,
                      std::string_view reason);
 
+  /** Returns whether less than half of the endpoints of a service have an open breaker. Those of
+      evacuated zones do not count: their breakers stay open, because they get no trials. */
+  [[nodiscard]] bool mayOpenBreaker(const ServiceName& service);
+
   EndpointTable& endpoints_;
+  const EndpointAvailability& availability_;
   CrashTable crashes_;
   std::vector<EndpointProbe> probes_;
   std::vector<std::string> events_;
--- a/modules/dispatch/EndpointTable.cpp
+++ b/modules/dispatch/EndpointTable.cpp
@@ -68,13 +68,4 @@
   return handle == handleById_.end() ? nullptr : find(handle->second);
 }
 
-std::size_t EndpointTable::countOpenBreakers(const ServiceName& service)
-{
-  std::size_t openBreakers = 0;
-  for (const auto handle : handlesOf(service)) {
-    openBreakers += endpoints_.at(handle).breaker.isOpen() ? 1 : 0;
-  }
-  return openBreakers;
-}
-
 } // namespace figchute::dispatch
--- a/modules/dispatch/EndpointTable.h
+++ b/modules/dispatch/EndpointTable.h
@@ -64,9 +64,6 @@
   [[nodiscard]] Endpoint* find(std::size_t handle);
   [[nodiscard]] Endpoint* find(const EndpointId& id);
 
-  /** Returns the number of endpoints of a service with an open breaker. */
-  [[nodiscard]] std::size_t countOpenBreakers(const ServiceName& service);
-
   /** Returns all endpoints by handle. */
   [[nodiscard]] std::map<std::size_t, Endpoint>& all() { return endpoints_; }
 
