--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -90,6 +90,7 @@
 
 Expected<void> ControlRole::start()
 {
+  context_.metrics.set("evacuated_zones", 0);
   control::ControlNodeSettings settings;
   settings.self = ProcessId(settings::toString(context_.settings.peers));
   settings.dataFolder = *context_.settings.dataDir;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -139,6 +139,7 @@
 
 Expected<void> EntryRole::start()
 {
+  context_.metrics.set("evacuated_zones", 0);
   if (linkBudget_) {
     callers_.setAcceptDelay([this] { return linkDelay(bootTime()); });
   }
