router: a resumed stream is refused as evacuated only for the service that began it

The refusal was decided before the origin of the stream was found, for the service that the split of the route gave.

--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -114,11 +114,6 @@
     refuseWhileCongested(now);
     return;
   }
-  if (const auto refusal = services_.dispatcher.refusalWhileEvacuated(now, requestInfo_)) {
-    // Before budget is reserved, because a request may wait for a grant.
-    refuse(now, *refusal);
-    return;
-  }
   if (resumedRequestId_) {
     findOrigin(now);
     return;
@@ -252,6 +247,11 @@
 
 void Exchange::reserve(Time now)
 {
+  if (const auto refusal = services_.dispatcher.refusalWhileEvacuated(now, requestInfo_)) {
+    // Decided before budget is reserved, because the request may wait for a grant.
+    refuse(now, *refusal);
+    return;
+  }
   const bool billed = workspace_ != nullptr && workspace_->prepaid.has_value() &&
                       requestInfo_.promptTokens + requestInfo_.maxOutputTokens > 0;
   if (!billed) {
