--- a/tests/router_evacuation_test.py
+++ b/tests/router_evacuation_test.py
@@ -109,6 +109,13 @@
             thread.join()
 
 
+def wait_known(fleet, zone):
+    """Waits until all entry processes apply the evacuation of a zone."""
+    for entry in fleet.entries:
+        wait_until(lambda e=entry: f"event=evacuation zone={zone} active=true" in e.log(),
+                   f"{entry.name} knows the order", EVACUATE_S)
+
+
 def check_unused(fleet, zone, duration_s=1.0):
     """Checks that requests of all entry processes are served without the endpoints of a zone."""
     before = len(arrivals_in(fleet, zone))
@@ -138,8 +145,7 @@
             time.sleep(1)
         late = [at for at in arrivals_in(fleet, "b") if at > obeyed_at]
         check(not late, f"{len(late)} requests reached the evacuated zone")
-        for entry in fleet.entries:
-            check("event=evacuation zone=b active=true" in entry.log(), "the start is logged")
+        wait_known(fleet, "b")
 
         for daemon in fleet.controls + fleet.entries:
             daemon.kill()
@@ -167,6 +173,7 @@
     endpoint while all zones are evacuated."""
     with StartedFleet(build, zones=("a", "b")) as fleet:
         order(fleet.controls, "POST", "a")
+        wait_known(fleet, "a")
         check_unused(fleet, "a", 0.5)
         answers = []
         slow = threading.Thread(target=lambda: answers.append(
@@ -174,7 +181,7 @@
         slow.start()
         time.sleep(SLOW_RESPONSE_S / 4)
         order(fleet.controls, "POST", "b")
-        wait_until(lambda: "zone=b active=true" in fleet.entries[0].log(), "the order is known", 1)
+        wait_known(fleet, "b")
         for method, host, path, tokens in (("GET", "app.example", "/look/x", None),
                                            ("POST", "chat.example", "/chat/x", "20,5")):
             started = time.monotonic()
@@ -221,6 +228,7 @@
         check(started.returncode == 0 and "evacuated: true" in started.stdout, started.stderr)
         shown = cli(build, "evacuations", *server)
         check(shown.returncode == 0 and "zones: b" in shown.stdout, shown.stdout + shown.stderr)
+        wait_known(fleet, "b")
         check_unused(fleet, "b", 0.5)
         unknown = cli(build, "evacuation", "start", "nowhere", *server)
         check(unknown.returncode == 2 and "unknown zone nowhere" in unknown.stderr, unknown.stderr)
