--- a/modules/dispatch/EndpointHealth.h
+++ b/modules/dispatch/EndpointHealth.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "dispatch/CrashTable.h"
+#include "dispatch/EndpointAvailability.h"
 #include "dispatch/EndpointProbe.h"
 #include "dispatch/EndpointTable.h"
 #include "dispatch/RequestInfo.h"
 #include "dispatch/RequestTable.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,9 +19,10 @@
 class EndpointHealth
 {
 public:
-  /** @param endpoints  must outlive this object */
-  explicit EndpointHealth(EndpointTable& endpoints)
+  /** The arguments must outlive this object. */
+  EndpointHealth(EndpointTable& endpoints, const EndpointAvailability& availability)
     : endpoints_(endpoints)
+    , availability_(availability)
   {
   }
 
@@ -59,6 +62,9 @@
   /** Returns the table of requests that crash endpoints. */
   [[nodiscard]] CrashTable& crashes() { return crashes_; }
 
+  /** Returns the refusal of a request that would probably crash its endpoint. */
+  std::optional<Refusal> refuseCrashing(Time now, const RequestInfo& requestInfo);
+
   /** Returns the endpoints that may have crashed and have not been returned yet. */
   std::vector<EndpointProbe> takeProbes();
 
@@ -78,7 +84,12 @@
                      FailureKind kind,
                      std::string_view reason);
 
+  /** Returns whether less than half of the endpoints of a service have an open breaker. Those of
+      evacuated zones do not count: their breakers stay open, because they get no trials. */
+  [[nodiscard]] bool mayOpenBreaker(const ServiceName& service);
+
   EndpointTable& endpoints_;
+  const EndpointAvailability& availability_;
   CrashTable crashes_;
   std::vector<EndpointProbe> probes_;
   std::vector<std::string> events_;
