dispatch, fleet, router: requests to cold endpoints are limited over all entry processes

An endpoint is cold for some seconds after its start, sustains only the requests per second that its service names (warmupPerS) and crashes well above that. Entry processes knew the remaining warm-up time, but used it only as a penalty, and each of them sent on its own.

ColdShares is the second source of a limit in RateLimitShares; the stricter one applies. Its bound (warmupPerS x warmup_overage + warmup_slack in any second) follows from the number of senders, one unused request for each, equal shares, and half a second by which the delays of requests may differ. A sender needs an answer of control to a message that it sent at most 3 s ago (Subscribe and FleetUpdate carry that time in new last fields), and takes over a place 4 s after the list changed, so that a sender that is cut off or suspended has stopped before. A sender whose request is unanswered for half a second sends nothing more.

The cold time counts from its receipt and only announcements with a higher sequence count. A warm-up that begins again while the recorded one lasts was not distinguished from one that counts down; AnnouncementTracker now remembers its end and proposes the announcement, and EndpointStore replaces the record. X-Endpoint-Cold-Ms is read in any response except one with status 421.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -2,16 +2,17 @@
 
 #include "dispatch/Admission.h"
 #include "dispatch/EndpointAvailability.h"
+#include "dispatch/EndpointConditions.h"
 #include "dispatch/EndpointHealth.h"
 #include "dispatch/EndpointRestrictions.h"
 #include "dispatch/EndpointTable.h"
 #include "dispatch/EngineSelector.h"
-#include "dispatch/LimitedEngineSelector.h"
 #include "dispatch/PlainEndpointSelection.h"
 #include "dispatch/RateLimitShares.h"
 #include "dispatch/RepeatBudget.h"
 #include "dispatch/RequestTable.h"
 #include "dispatch/SendTimeouts.h"
+#include "dispatch/ServiceState.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -32,26 +33,7 @@
 /** A trial is delayed by up to this time until a request arrives that may be repeated. */
 constexpr Duration kTrialWait = std::chrono::seconds(2);
 
-constexpr Duration kInitialServiceTime = std::chrono::milliseconds(500);
-constexpr double kServiceTimeSmoothing = 0.05;
-/** The load of an endpoint varies with each request, while the share of the traffic changes within
-    minutes. */
-constexpr double kTrafficShareSmoothing = 0.02;
 constexpr Duration kRequestRateWindow = std::chrono::seconds(10);
-/** Lower limit of the share, because estimates are divided by it. */
-constexpr double kMinTrafficShare = 0.01;
-
-/** State of one service. */
-struct ServiceState
-{
-  fleet::ServiceSettings settings;
-  RepeatBudget repeats;
-  /** Mean time from send to end of answered requests. */
-  Duration serviceTime = kInitialServiceTime;
-  /** This process's share of the running requests of all processes; 0 before the first request. */
-  double trafficShare = 0;
-  LimitedEngineSelector limitedEngines{};
-};
 
 } // namespace
 
@@ -63,21 +45,22 @@
     , engineChoice_(settings_.zone)
     , totalRepeats_(settings_.repeatWindow)
   {
+    limits_.cold().setBounds(settings_.coldBounds);
   }
 
-  void setServices(std::span<const fleet::ServiceSettings> services)
+  void setServices(Time now, std::span<const fleet::ServiceSettings> services)
   {
     std::map<ServiceName, ServiceState> newServices;
     for (const auto& service : services) {
       const auto previousState = services_.find(service.name);
-      auto state =
-        previousState == services_.end()
-          ? ServiceState{ service, RepeatBudget(settings_.repeatWindow), kInitialServiceTime }
-          : previousState->second;
+      auto state = previousState == services_.end()
+                     ? ServiceState{ service, RepeatBudget(settings_.repeatWindow) }
+                     : previousState->second;
       state.settings = service;
       newServices.emplace(service.name, std::move(state));
     }
     services_ = std::move(newServices);
+    conditions_.update(now);
   }
 
   void setEndpoints(Time now, std::span<const fleet::EndpointRecord> records)
@@ -85,6 +68,7 @@
     for (const auto handle : endpoints_.replace(now, records)) {
       health_.recordRemoval(now, handle);
     }
+    conditions_.update(now);
   }
 
   void setPeers(std::size_t entryProcesses)
@@ -102,7 +86,7 @@
       return tl::unexpected(
         makeRefusal(now, requestInfo, ErrorKind::noEndpoint, kMaxRetryAfter, "unknown service"));
     }
-    if (auto refusal = refuseCrashing(now, requestInfo)) {
+    if (auto refusal = health_.refuseCrashing(now, requestInfo)) {
       return tl::unexpected<Refusal>(std::move(*refusal));
     }
     if (auto refusal = admitAttempt(now, requestInfo, service->second)) {
@@ -121,6 +105,7 @@
       return;
     }
     auto& send = *request->send;
+    conditions_.recordHead(now, send);
     send.firstByteReceived = true;
     send.lastByteAt = now;
     if (auto* endpoint = endpoints_.find(send.handle)) {
@@ -168,6 +153,7 @@
       health_.recordEndAfterRemoval(now, *request, send, outcome);
       return;
     }
+    conditions_.recordEnd(now, send, *endpoint, outcome);
     endpoint->load.adjustOwnRequests(now, -1);
     endpoint->outstandingPromptTokens -= request->promptTokens;
     if (!send.firstByteReceived) {
@@ -231,6 +217,20 @@
     }
   }
 
+  void responseHead(Time now, std::uint64_t requestId)
+  {
+    if (const auto* send = currentSend(requestId)) {
+      conditions_.recordHead(now, *send);
+    }
+  }
+
+  void endpointCold(Time now, std::uint64_t requestId, Duration remaining)
+  {
+    if (const auto* send = currentSend(requestId)) {
+      conditions_.recordCold(now, *send, remaining);
+    }
+  }
+
   void closeBreakers()
   {
     for (auto& [handle, endpoint] : endpoints_.all()) {
@@ -261,7 +261,8 @@
       return false;
     }
     const auto* endpoint = endpoints_.find(send->handle);
-    return endpoint != nullptr && availability_.acceptsRequests(now, *endpoint);
+    return endpoint != nullptr && availability_.acceptsRequests(now, *endpoint) &&
+           conditions_.mayStillSend(now, *send, *endpoint);
   }
 
   [[nodiscard]] Duration timeUntilBackoffEnds(Time now, const ServiceName& service)
@@ -284,23 +285,6 @@
   std::vector<std::uint64_t> takeStalled() { return std::exchange(stalled_, {}); }
 
 private:
-  /** Returns the refusal of a request that would probably crash its endpoint. */
-  std::optional<Refusal> refuseCrashing(Time now, const RequestInfo& requestInfo)
-  {
-    const auto refusal = health_.crashes().refusal(now, crashCandidatesOf(requestInfo));
-    if (!refusal) {
-      return std::nullopt;
-    }
-    if (refusal->isPart) {
-      return Refusal{ ErrorKind::quarantinedPart,
-                      refusal->remaining,
-                      "a part of the prompt crashed several endpoints" };
-    }
-    return Refusal{ ErrorKind::quarantined,
-                    refusal->remaining,
-                    "the request crashed several endpoints" };
-  }
-
   /** Counts a request or cancels its previous send; returns a refusal if another attempt is not
       allowed. */
   std::optional<Refusal> admitAttempt(Time now,
@@ -332,26 +316,6 @@
     return std::nullopt;
   }
 
-  /** Updates and returns this process's share of the running requests of all processes. */
-  double updateTrafficShare(ServiceState& service, const RequestInfo& requestInfo)
-  {
-    double ownRequests = 0;
-    double allRequests = 0;
-    for (const auto handle : endpoints_.handlesOf(requestInfo.service)) {
-      const auto& endpoint = *endpoints_.find(handle);
-      ownRequests += endpoint.load.ownRequests();
-      allRequests += endpoint.load.current();
-    }
-    if (service.trafficShare <= 0) {
-      service.trafficShare = 1.0 / static_cast<double>(entryProcesses_);
-    }
-    if (allRequests > 0) {
-      service.trafficShare +=
-        kTrafficShareSmoothing * (ownRequests / allRequests - service.trafficShare);
-    }
-    return std::max(service.trafficShare, kMinTrafficShare);
-  }
-
   [[nodiscard]] std::size_t connectionsPerProcess(const ServiceState& service) const
   {
     const auto totalConnections =
@@ -451,7 +415,7 @@
     const EngineContext context{ now,
                                  service.settings.engine->kvCapacity,
                                  service.serviceTime,
-                                 updateTrafficShare(service, requestInfo) };
+                                 service.updateTrafficShare(endpoints_, entryProcesses_) };
     if (auto trial = findTrial(now, requestInfo, service, excluded)) {
       EngineSelector::predict(context, requestInfo, keys, *trial);
       return recordSend(now, requestInfo, service, keys, *trial);
@@ -590,29 +554,17 @@
     auto& service = serviceEntry->second;
     const bool isBackingOff = restrictions_.backoffEnd(now, endpoint.incarnation).has_value();
     const bool refusedBecauseFull =
-      outcome == Outcome::notExecuted && (isBackingOff || isLikelyFull(endpoint, service));
+      outcome == Outcome::notExecuted && (isBackingOff || service.isLikelyFull(endpoint));
     if (refusedBecauseFull) {
       endpoint.fullUntil = now + service.serviceTime / std::max(endpoint.slots, 1);
     }
     if (outcome == Outcome::answered) {
       endpoint.lastByteAt = now;
-      const auto differenceMicros =
-        static_cast<double>((now - send.sentAt - service.serviceTime).count());
-      service.serviceTime +=
-        Duration(static_cast<std::int64_t>(kServiceTimeSmoothing * differenceMicros));
+      service.addServiceTime(now - send.sentAt);
     }
     health_.recordEnd(now, request, send, endpoint, outcome, refusedBecauseFull);
   }
 
-  /** Returns whether the load of an endpoint explains that it refused a request. */
-  [[nodiscard]] static bool isLikelyFull(const Endpoint& endpoint, const ServiceState& service)
-  {
-    constexpr double kNearlyFullRatio = 0.8;
-    constexpr double kCapacityPerSlot = 4;
-    const double capacity = endpoint.slots * (service.settings.engine ? kCapacityPerSlot : 1);
-    return endpoint.load.current() + 1 >= kNearlyFullRatio * capacity;
-  }
-
   DispatcherSettings settings_;
   EngineSelector engineChoice_;
   Time now_;
@@ -623,6 +575,7 @@
   RepeatBudget totalRepeats_;
   EndpointHealth health_{ endpoints_ };
   RateLimitShares limits_;
+  EndpointConditions conditions_{ endpoints_, services_, limits_ };
   EndpointRestrictions restrictions_;
   EndpointAvailability availability_{ endpoints_, limits_, restrictions_ };
   std::vector<EndpointRestricted> newRestrictions_;
@@ -638,9 +591,9 @@
 
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::setServices(Time /*now*/, std::span<const fleet::ServiceSettings> services)
+void Dispatcher::setServices(Time now, std::span<const fleet::ServiceSettings> services)
 {
-  impl_->setServices(services);
+  impl_->setServices(now, services);
 }
 
 void Dispatcher::setEndpoints(Time now, std::span<const fleet::EndpointRecord> endpoints)
@@ -702,6 +655,26 @@
   impl_->answerHead(now, requestId, requestsPerSecond);
 }
 
+void Dispatcher::responseHead(Time now, std::uint64_t requestId)
+{
+  impl_->responseHead(now, requestId);
+}
+
+void Dispatcher::endpointCold(Time now, std::uint64_t requestId, Duration remaining)
+{
+  impl_->endpointCold(now, requestId, remaining);
+}
+
+void Dispatcher::setControlContact(Time sentAt)
+{
+  impl_->limits().cold().setContact(sentAt);
+}
+
+std::vector<ColdChange> Dispatcher::takeColdChanges()
+{
+  return impl_->limits().cold().takeChanges();
+}
+
 void Dispatcher::closeBreakers()
 {
   impl_->closeBreakers();
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/ColdShares.h"
 #include "dispatch/CrashTable.h"
 #include "dispatch/EndpointProbe.h"
 #include "dispatch/RequestInfo.h"
@@ -23,6 +24,8 @@
   double repeatRatio = 0.2;
   double repeatSlack = 58;
   Duration repeatWindow = std::chrono::seconds(10);
+  /** Limit on the requests to a cold endpoint, shared by all entry processes. */
+  ColdBounds coldBounds{};
 };
 
 /** A rate limit of an endpoint that began, changed or ended. */
@@ -99,6 +102,20 @@
   /** Reports the rate limit that the answer to the current send of a request named, if any. */
   void answerHead(Time now, std::uint64_t requestId, std::optional<double> requestsPerSecond);
 
+  /** Reports the head of the answer to the current send of a request. */
+  void responseHead(Time now, std::uint64_t requestId);
+
+  /** Reports that the answer to the current send of a request said that its endpoint is cold.
+      @param remaining  at least 0 */
+  void endpointCold(Time now, std::uint64_t requestId, Duration remaining);
+
+  /** Sets when this process sent the newest message that control has answered. Without a recent
+      one, it sends nothing to endpoints that it knows to be cold. */
+  void setControlContact(Time sentAt);
+
+  /** Returns the endpoints that became cold, or ceased to be, since the last call. */
+  std::vector<ColdChange> takeColdChanges();
+
   /** Reports that the answer to the current send of a request said that its endpoint leaves. This
       process sends nothing more to that incarnation of the endpoint. */
   void endpointLeaving(Time now, std::uint64_t requestId);
--- a/modules/dispatch/EndpointHealth.cpp
+++ b/modules/dispatch/EndpointHealth.cpp
@@ -30,6 +30,22 @@
 
 } // namespace
 
+std::optional<Refusal> EndpointHealth::refuseCrashing(Time now, const RequestInfo& requestInfo)
+{
+  const auto refusal = crashes_.refusal(now, crashCandidatesOf(requestInfo));
+  if (!refusal) {
+    return std::nullopt;
+  }
+  if (refusal->isPart) {
+    return Refusal{ ErrorKind::quarantinedPart,
+                    refusal->remaining,
+                    "a part of the prompt crashed several endpoints" };
+  }
+  return Refusal{ ErrorKind::quarantined,
+                  refusal->remaining,
+                  "the request crashed several endpoints" };
+}
+
 void EndpointHealth::recordEnd(Time now,
                                const RequestState& request,
                                const Send& send,
--- a/modules/dispatch/EndpointHealth.h
+++ b/modules/dispatch/EndpointHealth.h
@@ -6,6 +6,7 @@
 #include "dispatch/RequestInfo.h"
 #include "dispatch/RequestTable.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
   {
   }
 
+  /** Returns the refusal of a request that would probably crash its endpoint. */
+  std::optional<Refusal> refuseCrashing(Time now, const RequestInfo& requestInfo);
+
   /** Records the end of a send.
       @param endpointFull  whether the endpoint refused the request because it was probably full */
   void recordEnd(Time now,
--- a/modules/dispatch/EndpointTable.cpp
+++ b/modules/dispatch/EndpointTable.cpp
@@ -4,6 +4,21 @@
 #include <chrono>
 
 namespace figchute::dispatch {
+namespace {
+
+/** Counts the warm-up time of an announcement that is newer than those counted before. A record
+    does not contain its age, so the time counts from its receipt. */
+void updateWarmup(Time now, Endpoint& endpoint)
+{
+  const auto& record = endpoint.record;
+  if (record.sequence > endpoint.warmupSequence) {
+    endpoint.warmupSequence = record.sequence;
+    endpoint.warmupUntil =
+      std::max(endpoint.warmupUntil, now + std::chrono::milliseconds(record.warmupMs));
+  }
+}
+
+} // namespace
 
 std::vector<std::size_t> EndpointTable::replace(Time now,
                                                 std::span<const fleet::EndpointRecord> records)
@@ -15,6 +30,7 @@
         endpoints_.at(existingHandle->second).record.startedAtMs == record.startedAtMs) {
       auto& endpoint = endpoints_.at(existingHandle->second);
       endpoint.record = record;
+      updateWarmup(now, endpoint);
       handlesById.insert_or_assign(record.id, existingHandle->second);
       continue;
     }
@@ -26,6 +42,7 @@
     endpoint.incarnation =
       fingerprintOf(record.id.value, static_cast<Fingerprint>(record.startedAtMs));
     endpoint.warmupUntil = now + std::chrono::milliseconds(record.warmupMs);
+    endpoint.warmupSequence = record.sequence;
     endpoint.slots = std::max(record.slots, 1);
     endpoint.lastByteAt = now;
     handlesById.insert_or_assign(record.id, handle);
--- a/modules/dispatch/EndpointTable.h
+++ b/modules/dispatch/EndpointTable.h
@@ -27,7 +27,10 @@
   std::uint64_t hash = 0;
   /** Hash of the id and the start time, equal on all processes. */
   std::uint64_t incarnation = 0;
+  /** By this process's clock, counted from when it received the announcement. */
   Time warmupUntil;
+  /** The highest sequence of an announcement that was counted in @ref warmupUntil. */
+  std::uint64_t warmupSequence = 0;
   /** Load reports arrive with answers, so their age is about the network latency. */
   routing::LoadEstimate load{ Duration(std::chrono::milliseconds(2)) };
   /** From the last load report, else from the record. */
--- a/modules/dispatch/RateLimitShares.cpp
+++ b/modules/dispatch/RateLimitShares.cpp
@@ -55,6 +55,7 @@
     processes_.push_back({ fingerprintOf(process.holder.process.value), process.zone });
   }
   ++processRevision_;
+  cold_.setProcesses(self, processes);
 }
 
 void RateLimitShares::setRequestRates(std::span<const fleet::RequestRate> rates)
@@ -100,6 +101,12 @@
 }
 
 std::optional<Time> RateLimitShares::nextSendAt(Time now, const EndpointKey& endpoint)
+{
+  const auto next = nextNamedSendAt(now, endpoint);
+  return next ? std::optional(std::max(*next, cold_.nextSendAt(now, endpoint))) : next;
+}
+
+std::optional<Time> RateLimitShares::nextNamedSendAt(Time now, const EndpointKey& endpoint)
 {
   const auto* record = findLimit(endpoint);
   if (record == nullptr) {
@@ -129,11 +136,13 @@
   if (record == nullptr) {
     return std::nullopt;
   }
-  return updateShare(now, endpoint, *record).rate;
+  const auto rate = updateShare(now, endpoint, *record).rate;
+  return std::min(rate, cold_.allowedRate(now, endpoint).value_or(rate));
 }
 
 void RateLimitShares::recordSend(Time now, const EndpointKey& endpoint)
 {
+  cold_.recordSend(now, endpoint);
   const auto* record = findLimit(endpoint);
   if (record == nullptr) {
     return;
@@ -157,6 +166,7 @@
 
 void RateLimitShares::expire(Time now)
 {
+  cold_.expire(now);
   limits_.expire(now);
   observed_.expire(now);
   std::erase_if(shares_, [this](const auto& item) {
--- a/modules/dispatch/RateLimitShares.h
+++ b/modules/dispatch/RateLimitShares.h
@@ -2,6 +2,7 @@
 
 #include "core/Fingerprint.h"
 #include "core/Types.h"
+#include "dispatch/ColdShares.h"
 #include "fleet/Messages.h"
 #include "fleet/RateLimitStore.h"
 
@@ -15,8 +16,9 @@
 
 namespace figchute::dispatch {
 
-/** Divides the rate limits that endpoints name among the entry processes, without a message per
-    request.
+/** Divides the rate limits of endpoints among the entry processes, without a message per request. A
+    limit has two sources: endpoints name limits in their answers, and cold endpoints have one that
+    ColdShares divides. The stricter one applies.
 
     A few processes, chosen for each limited endpoint by rendezvous hashing over the list of entry
     processes, send to it. They divide its limit by the requests that they get; all others send
@@ -28,12 +30,7 @@
 {
 public:
   /** A limited endpoint. */
-  struct EndpointKey
-  {
-    /** Equal on all processes for the same incarnation of the endpoint. */
-    std::uint64_t incarnation = 0;
-    ZoneId zone;
-  };
+  using EndpointKey = ColdShares::Key;
 
   /** A process that becomes a sender starts to send after this time. Updates of the list of
       processes reach all of them within about a second. */
@@ -69,12 +66,15 @@
   [[nodiscard]] bool maySend(Time now, const EndpointKey& endpoint);
 
   /** Returns how many requests per second this process may send to an endpoint; nothing if the
-      endpoint is not limited. */
+      endpoint names no limit. */
   [[nodiscard]] std::optional<double> allowedRate(Time now, const EndpointKey& endpoint);
 
   /** Records that a request is sent to an endpoint. */
   void recordSend(Time now, const EndpointKey& endpoint);
 
+  /** Returns the limits of cold endpoints. */
+  [[nodiscard]] ColdShares& cold() { return cold_; }
+
   /** Removes expired limits. */
   void expire(Time now);
 
@@ -122,6 +122,8 @@
 
   /** Returns the record of an endpoint that is limited now, or nullptr. */
   [[nodiscard]] const fleet::RateLimitStore::Record* findLimit(const EndpointKey& endpoint) const;
+  /** Returns when the limit that an endpoint names allows the next request of this process. */
+  [[nodiscard]] std::optional<Time> nextNamedSendAt(Time now, const EndpointKey& endpoint);
   /** Returns the share of this process, brought up to date. */
   Share& updateShare(Time now,
                      const EndpointKey& endpoint,
@@ -148,6 +150,7 @@
   /** The limits that this process observed. */
   fleet::RateLimitStore observed_;
   std::map<std::uint64_t, Share> shares_;
+  ColdShares cold_;
 };
 
 } // namespace figchute::dispatch
--- a/modules/fleet/AnnouncementTracker.cpp
+++ b/modules/fleet/AnnouncementTracker.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace figchute::fleet {
 
@@ -14,9 +15,10 @@
   if (effect == AnnouncementEffect::outdated || isSuperseded(announcement)) {
     return std::nullopt;
   }
-  const bool committed = effect == AnnouncementEffect::unchanged;
-  auto& state = recordAnnouncement(
-    now, { announcement.id, announcement.startedAtMs }, announcement.sequence, committed);
+  const IncarnationKey key{ announcement.id, announcement.startedAtMs };
+  const bool startsAgain = startsWarmup(now, announcement, incarnations_[key]);
+  const bool committed = effect == AnnouncementEffect::unchanged && !startsAgain;
+  auto& state = recordAnnouncement(now, key, announcement.sequence, committed);
   state.lastReceivedHereAt = now;
   if (committed) {
     return std::nullopt;
@@ -24,6 +26,30 @@
   return PutEndpoint{ announcement };
 }
 
+bool AnnouncementTracker::startsWarmup(Time now,
+                                       const Announcement& announcement,
+                                       IncarnationState& state) const
+{
+  const auto committedSequence = state_->endpoints.sequenceOf(announcement.id);
+  if (state.newWarmupEnd && committedSequence >= state.newWarmupSequence) {
+    state.warmupEnd = std::exchange(state.newWarmupEnd, std::nullopt);
+  }
+  const auto end = now + std::chrono::milliseconds(announcement.warmupMs);
+  if (announcement.sequence <= committedSequence) {
+    return false;
+  }
+  if (announcement.warmupMs <= 0) {
+    state.warmupEnd = now;
+    return false;
+  }
+  if (state.warmupEnd && end - *state.warmupEnd <= kWarmupTolerance) {
+    return false;
+  }
+  state.newWarmupEnd = end;
+  state.newWarmupSequence = announcement.sequence;
+  return true;
+}
+
 bool AnnouncementTracker::isSuperseded(const Announcement& announcement) const
 {
   const auto nextIncarnation =
--- a/modules/fleet/AnnouncementTracker.h
+++ b/modules/fleet/AnnouncementTracker.h
@@ -28,6 +28,9 @@
   /** Announcements received within this time are reported to the other processes. The time covers
       several reports, so a single lost one has no effect. */
   static constexpr Duration kReportWindow = std::chrono::milliseconds(2500);
+  /** A warm-up that ends later than announced before by more than this began again. Announcements
+      are delayed by different times. */
+  static constexpr Duration kWarmupTolerance = std::chrono::milliseconds(500);
   /** The state of an endpoint without a record is kept for this time. */
   static constexpr Duration kStateRetention = std::chrono::seconds(60);
 
@@ -75,9 +78,18 @@
     /** Time of the last announcement to this process. */
     std::optional<Time> lastReceivedHereAt;
     std::optional<Time> proposedAt;
+    /** The end of the warm-up as the registry contains it; nothing if this process does not know.
+     */
+    std::optional<Time> warmupEnd{};
+    /** The end and the sequence of an announcement that may not be committed yet. */
+    std::optional<Time> newWarmupEnd{};
+    std::uint64_t newWarmupSequence = 0;
   };
 
   [[nodiscard]] bool isSuperseded(const Announcement& announcement) const;
+  /** Returns whether a warm-up began again that the registry does not contain. The registry cannot
+      tell it from one that goes on, because it does not know when it was announced. */
+  bool startsWarmup(Time now, const Announcement& announcement, IncarnationState& state) const;
   IncarnationState& recordAnnouncement(Time lastAnnouncedAt,
                                        const IncarnationKey& key,
                                        std::uint64_t sequence,
--- a/modules/fleet/Configuration.cpp
+++ b/modules/fleet/Configuration.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/RouteTable.h"
 
+#include <cmath>
 #include <fmt/format.h>
 #include <string_view>
 #include <unordered_map>
@@ -60,6 +61,8 @@
       requireFormatted(serviceNames_.insert(name).second, "two services are named \"{}\"", name);
       requireFormatted(
         service.maxConnections > 0, "service \"{}\" must allow at least one connection", name);
+      const bool isRate = std::isfinite(service.warmupPerS) && service.warmupPerS >= 0;
+      requireFormatted(isRate, "service \"{}\" has a negative warm-up rate", name);
       if (service.engine) {
         checkEngine(name, *service.engine);
       }
--- a/modules/fleet/Configuration.h
+++ b/modules/fleet/Configuration.h
@@ -73,6 +73,9 @@
   int maxConnections = 100;
   /** Set for model services only. */
   std::optional<EngineTraits> engine;
+  /** Requests per second that a cold endpoint sustains from all processes together; 0 if it is not
+     limited. */
+  double warmupPerS = 0;
 };
 
 struct WorkspaceSettings
--- a/modules/fleet/EndpointStore.cpp
+++ b/modules/fleet/EndpointStore.cpp
@@ -98,9 +98,16 @@
     case AnnouncementEffect::outdated:
       return false;
     case AnnouncementEffect::unchanged: {
-      auto& sequence = entries_.at(announcement.id).sequence;
-      sequence = std::max(sequence, announcement.sequence);
-      return false;
+      auto& entry = entries_.at(announcement.id);
+      // AnnouncementTracker proposes a warm-up only if it began, so this one began again.
+      const bool restartsWarmup =
+        announcement.warmupMs > 0 && announcement.sequence > entry.sequence;
+      entry.sequence = std::max(entry.sequence, announcement.sequence);
+      if (restartsWarmup) {
+        entry.record = makeRecord(index, announcement);
+        revision_ = index;
+      }
+      return restartsWarmup;
     }
     case AnnouncementEffect::modifies:
       break;
--- a/modules/fleet/FleetPublisher.cpp
+++ b/modules/fleet/FleetPublisher.cpp
@@ -40,6 +40,7 @@
   subscriber.endpointRevision = message.endpointRevision;
   subscriber.lastMessageAt = now;
   subscriber.requestsPerSecond = message.requestsPerSecond;
+  subscriber.sentAtMicros = std::max(subscriber.sentAtMicros, message.sentAtMicros);
   for (const auto& report : message.crashReports) {
     subscriberCrashes_.merge(now, report);
   }
@@ -289,6 +290,7 @@
   addEndpoints(subscriber, update);
   update.controls = controls_;
   update.leaderContact = leaderContact_;
+  update.answeredMicros = subscriber.sentAtMicros;
   update.entryProcesses = static_cast<std::uint32_t>(shared.entries.size());
   if (shared.entriesDigest != subscriber.entriesDigest) {
     subscriber.entriesDigest = shared.entriesDigest;
--- a/modules/fleet/FleetPublisher.h
+++ b/modules/fleet/FleetPublisher.h
@@ -89,6 +89,8 @@
     Time lastSentAt;
     float requestsPerSecond = 0;
     Time ratesSentAt;
+    /** Subscribe::sentAtMicros of its newest message. */
+    std::int64_t sentAtMicros = 0;
     ResendCursor crashCursor;
     ResendCursor limitCursor;
   };
--- a/modules/fleet/FleetSubscriber.cpp
+++ b/modules/fleet/FleetSubscriber.cpp
@@ -51,6 +51,7 @@
     changes_.requestRates = update->requestRates;
   }
   updateControls(update->controls);
+  updateContact(now, *update);
   const auto processes = std::max<std::uint32_t>(update->entryProcesses, 1);
   const bool isFromCurrentControl = !searching_ && currentControl_ == from;
   if ((isFromCurrentControl || searching_) && processes != entryProcesses_) {
@@ -159,6 +160,16 @@
   memberCount_ = members.size();
 }
 
+void FleetSubscriber::updateContact(Time now, const FleetUpdate& update)
+{
+  const Time sentAt{ update.answeredMicros };
+  // A time outside of these limits was read from the clock of an earlier start of the machine.
+  const bool isPlausible = startedAt_ && sentAt >= *startedAt_ && sentAt <= now;
+  if (update.leaderContact && isPlausible) {
+    contactAt_ = std::max(contactAt_.value_or(sentAt), sentAt);
+  }
+}
+
 void FleetSubscriber::handleLeaderContact(Time now, const ProcessId& from, bool leaderContact)
 {
   if (!searching_) {
@@ -254,6 +265,8 @@
     urgentLimitsSentAt_ = now;
   }
   message.requestsPerSecond = requestsPerSecond_;
+  message.sentAtMicros = now.micros;
+  startedAt_ = startedAt_.value_or(now);
   message.crashReports = ownReports_.changedSince(now, now - kCrashReportTime);
   outgoing_.push_back({ to, std::move(message) });
 }
--- a/modules/fleet/FleetSubscriber.h
+++ b/modules/fleet/FleetSubscriber.h
@@ -144,6 +144,10 @@
   /** Returns the control process in use; nothing during a search. */
   [[nodiscard]] std::optional<ProcessId> control() const;
 
+  /** Returns when this process sent the newest message that a control process in contact with the
+      leader has answered; nothing if there is none. A delayed answer does not make it later. */
+  [[nodiscard]] std::optional<Time> contactAt() const { return contactAt_; }
+
   /** Returns why the last search was started. */
   [[nodiscard]] SearchReason searchReason() const { return searchReason_; }
 
@@ -155,6 +159,7 @@
   void setConfiguration(std::uint64_t version, std::string bytes);
   void applyEndpoints(Time now, const ProcessId& from, const FleetUpdate& update);
   void updateControls(const std::vector<ProcessId>& members);
+  void updateContact(Time now, const FleetUpdate& update);
   void handleLeaderContact(Time now, const ProcessId& from, bool leaderContact);
   void startSearch(Time now, SearchReason reason);
   void startRound();
@@ -186,6 +191,9 @@
   Time nextTryAt_;
   Time nextSubscribeAt_;
   std::optional<Time> resubscribedAt_;
+  /** When the first message was sent. */
+  std::optional<Time> startedAt_;
+  std::optional<Time> contactAt_;
 
   std::uint64_t configurationVersion_ = 0;
   std::shared_ptr<const std::string> configuration_ = std::make_shared<const std::string>();
--- a/modules/fleet/Messages.h
+++ b/modules/fleet/Messages.h
@@ -71,6 +71,9 @@
   std::vector<RateLimit> rateLimits{};
   /** Requests that the sender gets. */
   float requestsPerSecond = 0;
+  /** When the message was sent, in µs by the sender's boot clock; 0 in messages of earlier
+     releases. */
+  std::int64_t sentAtMicros = 0;
   MSGPACK_DEFINE(zone,
                  configurationVersion,
                  endpointRevision,
@@ -81,7 +84,8 @@
                  missedConfiguration,
                  crashReports,
                  rateLimits,
-                 requestsPerSecond)
+                 requestsPerSecond,
+                 sentAtMicros)
 };
 
 /** Ends a subscription. */
@@ -126,6 +130,9 @@
   std::vector<RateLimit> rateLimits{};
   /** Request rates of all entry processes; sent repeatedly while there are rate limits. */
   std::vector<RequestRate> requestRates{};
+  /** Subscribe::sentAtMicros of the receiver's newest message; 0 in messages of earlier releases.
+   */
+  std::int64_t answeredMicros = 0;
   MSGPACK_DEFINE(configurationVersion,
                  configuration,
                  endpointRevision,
@@ -141,7 +148,8 @@
                  configurationDelta,
                  crashReports,
                  rateLimits,
-                 requestRates)
+                 requestRates,
+                 answeredMicros)
 };
 
 /** The last announcement of an endpoint that a control process received, reported to the other
--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -36,6 +36,8 @@
   /** The requests per second, a decimal number, that an endpoint accepts from all processes
    * together; present in its responses for as long as the limit holds. */
   std::string rateLimit = "X-Endpoint-Rate-Limit";
+  /** Milliseconds for which the endpoint is still cold; read in any response. */
+  std::string coldMs = "X-Endpoint-Cold-Ms";
   /** "1" in all responses of an endpoint that leaves and expects no further requests. */
   std::string leaving = "X-Endpoint-Leaving";
   /** The id of the last event that the caller has received; sent to an endpoint that continues a
--- a/modules/router/EndpointReport.cpp
+++ b/modules/router/EndpointReport.cpp
@@ -48,6 +48,17 @@
   return number;
 }
 
+/** Parses a decimal number of milliseconds; longer times than a day are shortened to it. */
+std::optional<Duration> parseMillis(std::string_view text)
+{
+  constexpr double kMaxMillis = 24.0 * 60 * 60 * 1000;
+  const auto millis = parseDecimal(text);
+  if (!millis) {
+    return std::nullopt;
+  }
+  return Duration(static_cast<std::int64_t>(std::min(*millis, kMaxMillis) * 1000));
+}
+
 /** Parses a decimal number of seconds; longer times than the maximum back-off are shortened to it.
     The other format of Retry-After, a date, is not accepted, because clocks may differ. */
 std::optional<Duration> parseBackoff(std::string_view text)
@@ -90,6 +101,7 @@
   report.leaving = fields.get(names.leaving) == "1";
   report.load = parseField(fields, names.load, parseLoad, report.unreadableFields);
   report.rateLimit = parseField(fields, names.rateLimit, parseDecimal, report.unreadableFields);
+  report.cold = parseField(fields, names.coldMs, parseMillis, report.unreadableFields);
   if (head.status == kServiceUnavailable) {
     report.backoff = parseField(fields, kRetryAfter, parseBackoff, report.unreadableFields);
   }
--- a/modules/router/EndpointReport.h
+++ b/modules/router/EndpointReport.h
@@ -29,6 +29,8 @@
   std::optional<dispatch::LoadReport> load;
   /** Requests per second that the endpoint accepts from all processes together. */
   std::optional<double> rateLimit;
+  /** How long the endpoint is still cold. */
+  std::optional<Duration> cold;
   /** The endpoint refused the request and expects none from this process for so long. */
   std::optional<Duration> backoff;
   /** Views into the header and the names that were given to parseEndpointReport(). */
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -80,6 +80,8 @@
   settings.repeatRatio = context.settings.bounds.repeatRatio;
   settings.repeatSlack = context.settings.bounds.repeatSlack;
   settings.repeatWindow = context.settings.bounds.repeatWindow;
+  settings.coldBounds.overage = context.settings.bounds.warmupOverage;
+  settings.coldBounds.slack = context.settings.bounds.warmupSlack;
   return settings;
 }
 
@@ -325,6 +327,9 @@
 void EntryRole::applyUpdates(Time now)
 {
   const auto changes = subscriber_.takeChanges();
+  if (const auto contactAt = subscriber_.contactAt()) {
+    dispatcher_.setControlContact(*contactAt);
+  }
   if (changes.configuration) {
     applyConfiguration(now);
   }
@@ -561,6 +566,7 @@
   }
   reportRateLimits(now);
   logRestrictions(now);
+  logColdEndpoints(now);
   probeEndpoints();
   for (auto& message : subscriber_.takeOutgoing()) {
     send(message.to, wire::Channel::fleet, wire::encode(message.message));
@@ -596,6 +602,35 @@
   }
 }
 
+void EntryRole::logColdEndpoints(Time now)
+{
+  std::vector<std::string_view> began;
+  std::vector<std::string_view> ended;
+  Duration longest{};
+  const auto changes = dispatcher_.takeColdChanges();
+  for (const auto& change : changes) {
+    (change.remaining ? began : ended).push_back(change.endpoint.value);
+    longest = std::max(longest, change.remaining.value_or(Duration(0)));
+  }
+  // One line for all, because the endpoints of a zone may become cold together.
+  if (!began.empty()) {
+    context_.metrics.count("endpoints_cold", began.size());
+    context_.log.line(now,
+                      "endpoint_cold",
+                      { { "state", "begins" },
+                        { "count", std::to_string(began.size()) },
+                        { "for_ms", std::to_string(longest.count() / 1000) },
+                        { "endpoints", fmt::format("{}", fmt::join(began, ",")) } });
+  }
+  if (!ended.empty()) {
+    context_.log.line(now,
+                      "endpoint_cold",
+                      { { "state", "ends" },
+                        { "count", std::to_string(ended.size()) },
+                        { "endpoints", fmt::format("{}", fmt::join(ended, ",")) } });
+  }
+}
+
 void EntryRole::probeEndpoints()
 {
   for (const auto& probe : dispatcher_.takeProbes()) {
--- a/modules/router/ExchangeRelay.cpp
+++ b/modules/router/ExchangeRelay.cpp
@@ -82,6 +82,10 @@
   }
   // With status 421, another endpoint speaks about itself.
   if (head.status != kMisdirectedRequest) {
+    dispatcher.responseHead(now, id_);
+    if (report.cold) {
+      dispatcher.endpointCold(now, id_, *report.cold);
+    }
     if (report.leaving) {
       dispatcher.endpointLeaving(now, id_);
     }
--- a/modules/router/JsonDialect.cpp
+++ b/modules/router/JsonDialect.cpp
@@ -117,6 +117,7 @@
   service.name = ServiceName(reader.text(names.name));
   service.healthPath = reader.text(names.healthPath, "");
   service.maxConnections = reader.intOrDefault(names.maxConnections, 100);
+  service.warmupPerS = reader.realOrDefault(names.warmupPerS, 0);
   reader.object(names.engine, [&](JsonReader& engine) {
     fleet::EngineTraits traits;
     traits.slots = engine.intOrDefault(names.slots, 0);
--- a/modules/router/JsonDialect.h
+++ b/modules/router/JsonDialect.h
@@ -27,6 +27,7 @@
   std::string resumable = "resumable";
   std::string healthPath = "healthPath";
   std::string maxConnections = "maxConnections";
+  std::string warmupPerS = "warmupPerS";
   std::string engine = "engine";
   std::string slots = "slots";
   std::string kvCapacity = "kvCapacity";
--- a/modules/router/JsonReader.cpp
+++ b/modules/router/JsonReader.cpp
@@ -143,6 +143,19 @@
   return static_cast<int>(integerOrDefault(name, fallback, Limits::min(), Limits::max()));
 }
 
+double JsonReader::realOrDefault(std::string_view name, double fallback)
+{
+  const auto* value = find(name);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const auto number = value->asNumber();
+  if (!number) {
+    addError(name, "is not a number");
+  }
+  return number.value_or(fallback);
+}
+
 bool JsonReader::boolean(std::string_view name)
 {
   const auto* value = find(name);
--- a/modules/router/JsonReader.h
+++ b/modules/router/JsonReader.h
@@ -75,6 +75,9 @@
   /** Reads an optional integer of 32 bits; a fractional number is truncated. */
   int intOrDefault(std::string_view name, int fallback);
 
+  /** Reads an optional number of any sign. */
+  double realOrDefault(std::string_view name, double fallback);
+
   /** Reads an optional boolean; the default is false. */
   bool boolean(std::string_view name);
 
--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -160,6 +160,12 @@
     if (const auto window = reader.real("repeat_window_s", { 0.1, 3600 }, Presence::optional)) {
       settings_.bounds.repeatWindow = Duration(static_cast<std::int64_t>(*window * 1e6));
     }
+    if (const auto overage = reader.real("warmup_overage", { 0, 100 }, Presence::optional)) {
+      settings_.bounds.warmupOverage = *overage;
+    }
+    if (const auto slack = reader.real("warmup_slack", { 0, 1e6 }, Presence::optional)) {
+      settings_.bounds.warmupSlack = *slack;
+    }
     reader.rejectUnknownKeys();
   }
 
@@ -240,6 +246,9 @@
     addEffective("bounds", "repeat_ratio", fmt::format("{}", bounds.repeatRatio), "of requests");
     addEffective("bounds", "repeat_slack", fmt::format("{}", bounds.repeatSlack), "repeats");
     addEffective("bounds", "repeat_window_s", fmt::format("{}", seconds(bounds.repeatWindow)), "s");
+    addEffective(
+      "bounds", "warmup_overage", fmt::format("{}", bounds.warmupOverage), "of the rate");
+    addEffective("bounds", "warmup_slack", fmt::format("{}", bounds.warmupSlack), "requests");
     const auto& link = settings_.linkBytesPerSecond;
     addEffective("link",
                  "mbit_per_s",
--- a/modules/router/RouterSettings.h
+++ b/modules/router/RouterSettings.h
@@ -23,6 +23,10 @@
   double repeatRatio = 0.2;
   double repeatSlack = 58;
   Duration repeatWindow = std::chrono::seconds(10);
+  /** Limit on the requests that a cold endpoint gets in any second over all processes: its
+   * sustained rate times warmupOverage plus warmupSlack. */
+  double warmupOverage = 1.5;
+  double warmupSlack = 5;
 };
 
 /** A settings key with its effective value. */
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -162,6 +162,7 @@
     { "bootstrap = true", "[bounds]\nrepeat_ratio = nan", "expected a number from 0 to 10" },
     { "bootstrap = true", "[bounds]\nrepeat_slack = 1e7", "expected a number from 0 to 1000000" },
     { "bootstrap = true", "[bounds]\nrepeat_window_s = 0", "expected a number from 0.1 to 3600" },
+    { "bootstrap = true", "[bounds]\nwarmup_slack = -1", "expected a number from 0 to 1000000" },
     { "bootstrap = true", "[link]\nmbit_per_s = 0", "expected a number from 0.1 to 1000000" },
   };
   for (const auto& [from, to, expected] : cases) {
@@ -200,6 +201,8 @@
                                          "[bounds] repeat_ratio = 0.25 of requests\n"
                                          "[bounds] repeat_slack = 58 repeats (default)\n"
                                          "[bounds] repeat_window_s = 10 s (default)\n"
+                                         "[bounds] warmup_overage = 1.5 of the rate (default)\n"
+                                         "[bounds] warmup_slack = 5 requests (default)\n"
                                          "[link] mbit_per_s = 12.5 Mbit/s\n");
 }
 
