dispatch, router: refusals by brittle endpoints are bounded

An endpoint with the header field X-Endpoint-Brittle: N crashes when it has to refuse more than N requests in a second. Entry processes used the queues of endpoints, and each learned from its own refusals only, so all of them could be refused within one second.

BrittleEndpoints counts all endpoints of a service as brittle from the first answer that says so. Their queues are not used, a process that was refused backs off for the time in which all processes together may be refused N / 2 times, and if N is below the number of processes, only N / 2 of them use more than 0.4 of the slots.

The state ends with an answer without the field to a later request. Log: endpoint_brittle.

Ran: cold_endpoint_test (10 cases), rate_limit_test (10), dispatch_test (41), router_parts_test (25), fleet_test (28), endpoint_book_test (11), endpoint_report_test (6), fleet_load_test (6): passed.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -50,16 +50,7 @@
 
   void setServices(Time now, std::span<const fleet::ServiceSettings> services)
   {
-    std::map<ServiceName, ServiceState> newServices;
-    for (const auto& service : services) {
-      const auto previousState = services_.find(service.name);
-      auto state = previousState == services_.end()
-                     ? ServiceState{ service, RepeatBudget(settings_.repeatWindow) }
-                     : previousState->second;
-      state.settings = service;
-      newServices.emplace(service.name, std::move(state));
-    }
-    services_ = std::move(newServices);
+    replaceServices(services_, services, settings_.repeatWindow);
     conditions_.update(now);
   }
 
@@ -219,8 +210,9 @@
 
   void responseHead(Time now, std::uint64_t requestId)
   {
-    if (const auto* send = currentSend(requestId)) {
-      conditions_.recordHead(now, *send);
+    auto* request = requests_.find(requestId);
+    if (request != nullptr && request->send) {
+      conditions_.recordHead(now, *request->send);
     }
   }
 
@@ -231,6 +223,13 @@
     }
   }
 
+  void endpointBrittle(std::uint64_t requestId, std::optional<double> maxRefusals)
+  {
+    if (const auto* send = currentSend(requestId)) {
+      conditions_.recordBrittle(*send, maxRefusals);
+    }
+  }
+
   void closeBreakers()
   {
     for (auto& [handle, endpoint] : endpoints_.all()) {
@@ -276,6 +275,8 @@
 
   RateLimitShares& limits() { return limits_; }
 
+  EndpointConditions& conditions() { return conditions_; }
+
   [[nodiscard]] double requestsPerSecond(Time now) const { return newRequests_.perSecond(now); }
 
   [[nodiscard]] Time now() const { return now_; }
@@ -355,7 +356,7 @@
            endpoint.load.ownRequests() <
              admissionFor(requestInfo).connectionLimit(connectionsPerProcess(service)) &&
            std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end() &&
-           limits_.maySend(now, rateLimitKeyOf(endpoint));
+           conditions_.maySend(now, endpoint) && limits_.maySend(now, rateLimitKeyOf(endpoint));
   }
 
   [[nodiscard]] const Send* currentSend(std::uint64_t requestId)
@@ -531,6 +532,7 @@
       endpoint.breaker.beginTrial();
     }
     limits_.recordSend(now, rateLimitKeyOf(endpoint));
+    ++endpoint.unansweredSends;
     endpoint.load.adjustOwnRequests(now, 1);
     endpoint.outstandingPromptTokens += requestInfo.promptTokens;
     endpoint.ttftModel.addPendingPrefill(requestInfo.priority, newSend.prefill);
@@ -553,8 +555,9 @@
     }
     auto& service = serviceEntry->second;
     const bool isBackingOff = restrictions_.backoffEnd(now, endpoint.incarnation).has_value();
+    const bool isExpected = isBackingOff || conditions_.brittle().isBrittle(endpoint);
     const bool refusedBecauseFull =
-      outcome == Outcome::notExecuted && (isBackingOff || service.isLikelyFull(endpoint));
+      outcome == Outcome::notExecuted && (isExpected || service.isLikelyFull(endpoint));
     if (refusedBecauseFull) {
       endpoint.fullUntil = now + service.serviceTime / std::max(endpoint.slots, 1);
     }
@@ -577,7 +580,7 @@
   RateLimitShares limits_;
   EndpointConditions conditions_{ endpoints_, services_, limits_ };
   EndpointRestrictions restrictions_;
-  EndpointAvailability availability_{ endpoints_, limits_, restrictions_ };
+  EndpointAvailability availability_{ endpoints_, limits_, restrictions_, conditions_ };
   std::vector<EndpointRestricted> newRestrictions_;
   routing::DecayedSum newRequests_{ kRequestRateWindow };
   std::vector<RateLimitChange> limitChanges_;
@@ -609,6 +612,7 @@
 void Dispatcher::setProcesses(const ProcessId& self, std::span<const fleet::EntryProcess> processes)
 {
   impl_->limits().setProcesses(self, processes);
+  impl_->conditions().brittle().setProcesses(self, processes);
 }
 
 tl::expected<ChosenEndpoint, Refusal> Dispatcher::choose(Time now,
@@ -665,14 +669,19 @@
   impl_->endpointCold(now, requestId, remaining);
 }
 
+void Dispatcher::endpointBrittle(std::uint64_t requestId, std::optional<double> maxRefusals)
+{
+  impl_->endpointBrittle(requestId, maxRefusals);
+}
+
 void Dispatcher::setControlContact(Time sentAt)
 {
   impl_->limits().cold().setContact(sentAt);
 }
 
-std::vector<ColdChange> Dispatcher::takeColdChanges()
+ConditionChanges Dispatcher::takeConditionChanges()
 {
-  return impl_->limits().cold().takeChanges();
+  return impl_->conditions().takeChanges();
 }
 
 void Dispatcher::closeBreakers()
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "dispatch/BrittleEndpoints.h"
 #include "dispatch/ColdShares.h"
+#include "dispatch/ConditionChanges.h"
 #include "dispatch/CrashTable.h"
 #include "dispatch/EndpointProbe.h"
 #include "dispatch/RequestInfo.h"
@@ -109,12 +111,18 @@
       @param remaining  at least 0 */
   void endpointCold(Time now, std::uint64_t requestId, Duration remaining);
 
+  /** Reports whether the answer to the current send of a request, which the endpoint itself wrote,
+      said that the endpoint is brittle.
+      @param maxRefusals  the refusals in a second that it survives, at least 0; nothing if the
+                          answer did not say so */
+  void endpointBrittle(std::uint64_t requestId, std::optional<double> maxRefusals);
+
   /** Sets when this process sent the newest message that control has answered. Without a recent
       one, it sends nothing to endpoints that it knows to be cold. */
   void setControlContact(Time sentAt);
 
-  /** Returns the endpoints that became cold, or ceased to be, since the last call. */
-  std::vector<ColdChange> takeColdChanges();
+  /** Returns what changed in the conditions of endpoints since the last call. */
+  ConditionChanges takeConditionChanges();
 
   /** Reports that the answer to the current send of a request said that its endpoint leaves. This
       process sends nothing more to that incarnation of the endpoint. */
--- a/modules/dispatch/EndpointAvailability.cpp
+++ b/modules/dispatch/EndpointAvailability.cpp
@@ -65,6 +65,7 @@
 {
   bool hasConnectionInUse = false;
   bool isRateLimited = false;
+  bool isBrittle = false;
   bool hasAcceptingEndpoint = false;
   auto retryAfter = kMaxRetryAfter;
   for (const auto handle : endpoints_->handlesOf(requestInfo.service)) {
@@ -79,6 +80,8 @@
     } else if (nextSendAt != now) {
       isRateLimited = true;
       retryAfter = std::min(retryAfter, nextSendAt ? *nextSendAt - now : kMaxRetryAfter);
+    } else if (!conditions_->maySend(now, endpoint)) {
+      isBrittle = true;
     } else if (endpoint.load.ownRequests() > 0) {
       hasConnectionInUse = true;
     }
@@ -101,6 +104,9 @@
     return refusal(
       ErrorKind::overloaded, retryAfter, "the rate limits of the endpoints are used up");
   }
+  if (isBrittle) {
+    return refusal(ErrorKind::overloaded, serviceTime / 4, "the brittle endpoints are full");
+  }
   return refusal(ErrorKind::noEndpoint, retryAfter, "no endpoint is available");
 }
 
--- a/modules/dispatch/EndpointAvailability.h
+++ b/modules/dispatch/EndpointAvailability.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/EndpointConditions.h"
 #include "dispatch/EndpointRestrictions.h"
 #include "dispatch/EndpointTable.h"
 #include "dispatch/RateLimitShares.h"
@@ -31,10 +32,12 @@
   /** The arguments must outlive this object. */
   EndpointAvailability(EndpointTable& endpoints,
                        RateLimitShares& limits,
-                       const EndpointRestrictions& restrictions)
+                       const EndpointRestrictions& restrictions,
+                       const EndpointConditions& conditions)
     : endpoints_(&endpoints)
     , limits_(&limits)
     , restrictions_(&restrictions)
+    , conditions_(&conditions)
   {
   }
 
@@ -64,6 +67,7 @@
   EndpointTable* endpoints_;
   RateLimitShares* limits_;
   const EndpointRestrictions* restrictions_;
+  const EndpointConditions* conditions_;
 };
 
 } // namespace figchute::dispatch
--- a/modules/dispatch/EndpointConditions.cpp
+++ b/modules/dispatch/EndpointConditions.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/EndpointAvailability.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figchute::dispatch {
 
@@ -11,6 +12,7 @@
   for (const auto& [handle, endpoint] : endpoints_->all()) {
     limitWarmup(now, endpoint);
   }
+  brittle_.retain(*endpoints_);
 }
 
 void EndpointConditions::limitWarmup(Time now, const Endpoint& endpoint)
@@ -23,18 +25,21 @@
   }
 }
 
-void EndpointConditions::recordHead(Time now, const Send& send)
+void EndpointConditions::recordHead(Time now, Send& send)
 {
-  if (const auto* endpoint = endpoints_->find(send.handle)) {
+  auto* endpoint = endpoints_->find(send.handle);
+  if (endpoint != nullptr && !std::exchange(send.headReceived, true)) {
+    --endpoint->unansweredSends;
     limits_->cold().recordArrival(now, rateLimitKeyOf(*endpoint), send.sentAt);
   }
 }
 
-void EndpointConditions::recordEnd(Time now,
-                                   const Send& send,
-                                   const Endpoint& endpoint,
-                                   Outcome outcome)
+void EndpointConditions::recordEnd(Time now, const Send& send, Endpoint& endpoint, Outcome outcome)
 {
+  endpoint.unansweredSends -= send.headReceived ? 0 : 1;
+  if (outcome == Outcome::notExecuted) {
+    brittle_.recordRefusal(now, endpoint);
+  }
   // A request that was given up may still arrive.
   if (outcome != Outcome::cancelled && outcome != Outcome::timedOut) {
     limits_->cold().recordArrival(now, rateLimitKeyOf(endpoint), send.sentAt);
@@ -49,6 +54,13 @@
   }
 }
 
+void EndpointConditions::recordBrittle(const Send& send, std::optional<double> maxRefusals)
+{
+  if (const auto* endpoint = endpoints_->find(send.handle)) {
+    brittle_.recordAnswer(*endpoint, send.sentAt, maxRefusals);
+  }
+}
+
 bool EndpointConditions::mayStillSend(Time now, const Send& send, const Endpoint& endpoint) const
 {
   return limits_->cold().mayStillSend(now, rateLimitKeyOf(endpoint), send.sentAt);
--- a/modules/dispatch/EndpointConditions.h
+++ b/modules/dispatch/EndpointConditions.h
@@ -1,16 +1,19 @@
 #pragma once
 
+#include "dispatch/BrittleEndpoints.h"
+#include "dispatch/ConditionChanges.h"
 #include "dispatch/EndpointTable.h"
 #include "dispatch/RateLimitShares.h"
 #include "dispatch/RequestTable.h"
 #include "dispatch/ServiceState.h"
 
 #include <map>
+#include <optional>
 
 namespace figchute::dispatch {
 
 /** Limits the requests to endpoints in a condition in which too many of them make an endpoint
-   crash: cold ones. Thread safety: use one instance from one thread only. */
+   crash: cold and brittle ones. Thread safety: use one instance from one thread only. */
 class EndpointConditions
 {
 public:
@@ -24,19 +27,40 @@
   {
   }
 
-  /** Limits all cold endpoints. Call it after the endpoints or the services have changed. */
+  /** Limits all cold endpoints and forgets brittle ones that were removed. Call it after the
+      endpoints or the services have changed. */
   void update(Time now);
 
   /** Records the head of the answer to a send. */
-  void recordHead(Time now, const Send& send);
+  void recordHead(Time now, Send& send);
 
   /** Records the end of a send. */
-  void recordEnd(Time now, const Send& send, const Endpoint& endpoint, Outcome outcome);
+  void recordEnd(Time now, const Send& send, Endpoint& endpoint, Outcome outcome);
 
   /** Records that an answer said that the endpoint is cold.
       @param remaining  at least 0 */
   void recordCold(Time now, const Send& send, Duration remaining);
 
+  /** Records whether an answer of the endpoint itself said that it is brittle.
+      @param maxRefusals  the refusals in a second that it survives; nothing if it did not say so */
+  void recordBrittle(const Send& send, std::optional<double> maxRefusals);
+
+  /** Returns whether the condition of an endpoint allows this process to send it a request. Limits
+      of cold endpoints are those of RateLimitShares. */
+  [[nodiscard]] bool maySend(Time now, const Endpoint& endpoint) const
+  {
+    return brittle_.maySend(now, endpoint);
+  }
+
+  /** Returns what changed since the last call. */
+  ConditionChanges takeChanges()
+  {
+    return { limits_->cold().takeChanges(), brittle_.takeChanges(), brittle_.takeRefusals() };
+  }
+
+  /** Returns the brittle endpoints. */
+  [[nodiscard]] BrittleEndpoints& brittle() { return brittle_; }
+
   /** Returns whether a send that was delayed may still be made. */
   [[nodiscard]] bool mayStillSend(Time now, const Send& send, const Endpoint& endpoint) const;
 
@@ -46,6 +70,7 @@
   EndpointTable* endpoints_;
   const Services* services_;
   RateLimitShares* limits_;
+  BrittleEndpoints brittle_;
 };
 
 } // namespace figchute::dispatch
--- a/modules/dispatch/EndpointTable.h
+++ b/modules/dispatch/EndpointTable.h
@@ -45,6 +45,8 @@
   PromptCacheModel cache;
   TimeToFirstTokenModel ttftModel;
   PrefillBacklogEstimator prefillBacklog;
+  /** Running sends of this process without the head of an answer. */
+  int unansweredSends = 0;
   /** Prompt tokens of this process's running requests. */
   std::int64_t outstandingPromptTokens = 0;
 };
--- a/modules/dispatch/RequestTable.h
+++ b/modules/dispatch/RequestTable.h
@@ -21,6 +21,7 @@
   Time sentAt;
   /** Time of the last byte of the answer; the send time before the first byte. */
   Time lastByteAt;
+  bool headReceived = false;
   bool firstByteReceived = false;
   /** Number of times that output tokens were received. */
   std::uint32_t progressCount = 0;
--- a/modules/dispatch/ServiceState.cpp
+++ b/modules/dispatch/ServiceState.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/ServiceState.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figchute::dispatch {
 namespace {
@@ -46,4 +47,19 @@
   return endpoint.load.current() + 1 >= kNearlyFullRatio * capacity;
 }
 
+void replaceServices(std::map<ServiceName, ServiceState>& states,
+                     std::span<const fleet::ServiceSettings> services,
+                     Duration repeatWindow)
+{
+  std::map<ServiceName, ServiceState> newStates;
+  for (const auto& service : services) {
+    const auto previous = states.find(service.name);
+    auto state = previous == states.end() ? ServiceState{ service, RepeatBudget(repeatWindow) }
+                                          : previous->second;
+    state.settings = service;
+    newStates.emplace(service.name, std::move(state));
+  }
+  states = std::move(newStates);
+}
+
 } // namespace figchute::dispatch
--- a/modules/dispatch/ServiceState.h
+++ b/modules/dispatch/ServiceState.h
@@ -6,6 +6,8 @@
 #include "fleet/Configuration.h"
 
 #include <cstddef>
+#include <map>
+#include <span>
 
 namespace figchute::dispatch {
 
@@ -33,4 +35,9 @@
   [[nodiscard]] bool isLikelyFull(const Endpoint& endpoint) const;
 };
 
+/** Replaces the settings of all services. The state of those that remain is kept. */
+void replaceServices(std::map<ServiceName, ServiceState>& states,
+                     std::span<const fleet::ServiceSettings> services,
+                     Duration repeatWindow);
+
 } // namespace figchute::dispatch
--- a/modules/router/Dialect.h
+++ b/modules/router/Dialect.h
@@ -38,6 +38,9 @@
   std::string rateLimit = "X-Endpoint-Rate-Limit";
   /** Milliseconds for which the endpoint is still cold; read in any response. */
   std::string coldMs = "X-Endpoint-Cold-Ms";
+  /** The requests, a decimal number, that an endpoint may have to refuse in a second before it
+   * crashes; present in all its responses while it is brittle. */
+  std::string brittle = "X-Endpoint-Brittle";
   /** "1" in all responses of an endpoint that leaves and expects no further requests. */
   std::string leaving = "X-Endpoint-Leaving";
   /** The id of the last event that the caller has received; sent to an endpoint that continues a
--- a/modules/router/EndpointReport.cpp
+++ b/modules/router/EndpointReport.cpp
@@ -101,6 +101,7 @@
   report.leaving = fields.get(names.leaving) == "1";
   report.load = parseField(fields, names.load, parseLoad, report.unreadableFields);
   report.rateLimit = parseField(fields, names.rateLimit, parseDecimal, report.unreadableFields);
+  report.brittle = parseField(fields, names.brittle, parseDecimal, report.unreadableFields);
   report.cold = parseField(fields, names.coldMs, parseMillis, report.unreadableFields);
   if (head.status == kServiceUnavailable) {
     report.backoff = parseField(fields, kRetryAfter, parseBackoff, report.unreadableFields);
--- a/modules/router/EndpointReport.h
+++ b/modules/router/EndpointReport.h
@@ -29,6 +29,8 @@
   std::optional<dispatch::LoadReport> load;
   /** Requests per second that the endpoint accepts from all processes together. */
   std::optional<double> rateLimit;
+  /** The refusals in a second that the brittle endpoint survives. */
+  std::optional<double> brittle;
   /** How long the endpoint is still cold. */
   std::optional<Duration> cold;
   /** The endpoint refused the request and expects none from this process for so long. */
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -566,7 +566,7 @@
   }
   reportRateLimits(now);
   logRestrictions(now);
-  logColdEndpoints(now);
+  logConditions(now);
   probeEndpoints();
   for (auto& message : subscriber_.takeOutgoing()) {
     send(message.to, wire::Channel::fleet, wire::encode(message.message));
@@ -602,32 +602,38 @@
   }
 }
 
-void EntryRole::logColdEndpoints(Time now)
+void EntryRole::logConditions(Time now)
 {
+  const auto changes = dispatcher_.takeConditionChanges();
   std::vector<std::string_view> began;
   std::vector<std::string_view> ended;
-  Duration longest{};
-  const auto changes = dispatcher_.takeColdChanges();
-  for (const auto& change : changes) {
+  for (const auto& change : changes.cold) {
     (change.remaining ? began : ended).push_back(change.endpoint.value);
-    longest = std::max(longest, change.remaining.value_or(Duration(0)));
   }
   // One line for all, because the endpoints of a zone may become cold together.
+  const auto logCold = [&](std::string_view state, const std::vector<std::string_view>& endpoints) {
+    if (!endpoints.empty()) {
+      context_.log.line(now,
+                        "endpoint_cold",
+                        { { "state", std::string(state) },
+                          { "count", std::to_string(endpoints.size()) },
+                          { "endpoints", fmt::format("{}", fmt::join(endpoints, ",")) } });
+    }
+  };
+  logCold("begins", began);
+  logCold("ends", ended);
+  for (const auto& change : changes.brittle) {
+    const auto& limit = change.maxRefusals;
+    context_.log.line(now,
+                      "endpoint_brittle",
+                      { { "service", change.service.value },
+                        { "refusals_per_s", limit ? fmt::format("{}", *limit) : "none" } });
+  }
   if (!began.empty()) {
     context_.metrics.count("endpoints_cold", began.size());
-    context_.log.line(now,
-                      "endpoint_cold",
-                      { { "state", "begins" },
-                        { "count", std::to_string(began.size()) },
-                        { "for_ms", std::to_string(longest.count() / 1000) },
-                        { "endpoints", fmt::format("{}", fmt::join(began, ",")) } });
   }
-  if (!ended.empty()) {
-    context_.log.line(now,
-                      "endpoint_cold",
-                      { { "state", "ends" },
-                        { "count", std::to_string(ended.size()) },
-                        { "endpoints", fmt::format("{}", fmt::join(ended, ",")) } });
+  if (changes.brittleRefusals > 0) {
+    context_.metrics.count("brittle_refusals", changes.brittleRefusals);
   }
 }
 
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -54,7 +54,7 @@
   void reportObservations(Time now);
   void reportRateLimits(Time now);
   void logRestrictions(Time now);
-  void logColdEndpoints(Time now);
+  void logConditions(Time now);
   /** Attempts to connect to the endpoints that may have crashed. */
   void probeEndpoints();
   void updateQuotaManager(Time now);
--- a/modules/router/ExchangeRelay.cpp
+++ b/modules/router/ExchangeRelay.cpp
@@ -83,6 +83,10 @@
   // With status 421, another endpoint speaks about itself.
   if (head.status != kMisdirectedRequest) {
     dispatcher.responseHead(now, id_);
+    const bool namesBrittle = head.fields.find(services_.dialect.fields().brittle) != nullptr;
+    if (report.brittle || (!namesBrittle && report.marked)) {
+      dispatcher.endpointBrittle(id_, report.brittle);
+    }
     if (report.cold) {
       dispatcher.endpointCold(now, id_, *report.cold);
     }
