fleet: the end of a warm-up is known to every control process

A control process that had not received the announcement of a warm-up proposed it once more, which cost log entries also where no service limits cold endpoints. Each control process now notes the end when it sees the changed record, and proposes only announcements with a later end.

--- a/modules/dispatch/ColdShares.h
+++ b/modules/dispatch/ColdShares.h
@@ -112,9 +112,6 @@
   /** Returns the endpoints that became cold, or ceased to be, since the last call. */
   std::vector<ColdChange> takeChanges() { return std::exchange(changes_, {}); }
 
-  /** Returns the number of cold endpoints. */
-  [[nodiscard]] std::size_t size() const { return shares_.size(); }
-
 private:
   /** The share of this process of the limit of one endpoint. */
   struct Share
--- a/modules/fleet/AnnouncementTracker.cpp
+++ b/modules/fleet/AnnouncementTracker.cpp
@@ -4,7 +4,6 @@
 #include <iterator>
 #include <limits>
 #include <tuple>
-#include <utility>
 
 namespace figchute::fleet {
 
@@ -16,7 +15,7 @@
     return std::nullopt;
   }
   const IncarnationKey key{ announcement.id, announcement.startedAtMs };
-  const bool startsAgain = startsWarmup(now, announcement, incarnations_[key]);
+  const bool startsAgain = startsWarmup(now, announcement, effect, incarnations_[key]);
   const bool committed = effect == AnnouncementEffect::unchanged && !startsAgain;
   auto& state = recordAnnouncement(now, key, announcement.sequence, committed);
   state.lastReceivedHereAt = now;
@@ -28,21 +27,21 @@
 
 bool AnnouncementTracker::startsWarmup(Time now,
                                        const Announcement& announcement,
+                                       AnnouncementEffect effect,
                                        IncarnationState& state) const
 {
   const auto committedSequence = state_->endpoints.sequenceOf(announcement.id);
-  if (state.newWarmupEnd && committedSequence >= state.newWarmupSequence) {
-    state.warmupEnd = std::exchange(state.newWarmupEnd, std::nullopt);
+  if (const auto* record = state_->endpoints.find(announcement.id)) {
+    updateWarmupEnd(now, *record, state);
   }
   const auto end = now + std::chrono::milliseconds(announcement.warmupMs);
   if (announcement.sequence <= committedSequence) {
     return false;
   }
   if (announcement.warmupMs <= 0) {
-    state.warmupEnd = now;
     return false;
   }
-  if (state.warmupEnd && end - *state.warmupEnd <= kWarmupTolerance) {
+  if (effect == AnnouncementEffect::unchanged && end - state.warmupEnd <= kWarmupTolerance) {
     return false;
   }
   state.newWarmupEnd = end;
@@ -50,6 +49,18 @@
   return true;
 }
 
+void AnnouncementTracker::updateWarmupEnd(Time now,
+                                          const EndpointRecord& record,
+                                          IncarnationState& state)
+{
+  if (record.revision == state.warmupRevision) {
+    return;
+  }
+  state.warmupRevision = record.revision;
+  const bool isOwn = state.newWarmupEnd && record.sequence == state.newWarmupSequence;
+  state.warmupEnd = isOwn ? *state.newWarmupEnd : now + std::chrono::milliseconds(record.warmupMs);
+}
+
 bool AnnouncementTracker::isSuperseded(const Announcement& announcement) const
 {
   const auto nextIncarnation =
@@ -146,6 +157,7 @@
       incarnations_
         .try_emplace({ record.id, record.startedAtMs }, IncarnationState{ 0, false, now, {}, {} })
         .first->second;
+    updateWarmupEnd(now, record, state);
     const bool isSilent = now - std::max(state.lastAnnouncedAt, timersStartedAt_) >= kExpiryTimeout;
     const bool isProposalDue =
       !state.proposedAt || now - *state.proposedAt >= kProposalRetryInterval;
--- a/modules/fleet/AnnouncementTracker.h
+++ b/modules/fleet/AnnouncementTracker.h
@@ -78,9 +78,10 @@
     /** Time of the last announcement to this process. */
     std::optional<Time> lastReceivedHereAt;
     std::optional<Time> proposedAt;
-    /** The end of the warm-up as the registry contains it; nothing if this process does not know.
-     */
-    std::optional<Time> warmupEnd{};
+    /** The end of the warm-up in the record with @ref warmupRevision, up to a second too late if
+        another process received the announcement. */
+    Time warmupEnd{};
+    std::uint64_t warmupRevision = 0;
     /** The end and the sequence of an announcement that may not be committed yet. */
     std::optional<Time> newWarmupEnd{};
     std::uint64_t newWarmupSequence = 0;
@@ -89,7 +90,11 @@
   [[nodiscard]] bool isSuperseded(const Announcement& announcement) const;
   /** Returns whether a warm-up began again that the registry does not contain. The registry cannot
       tell it from one that goes on, because it does not know when it was announced. */
-  bool startsWarmup(Time now, const Announcement& announcement, IncarnationState& state) const;
+  bool startsWarmup(Time now,
+                    const Announcement& announcement,
+                    AnnouncementEffect effect,
+                    IncarnationState& state) const;
+  static void updateWarmupEnd(Time now, const EndpointRecord& record, IncarnationState& state);
   IncarnationState& recordAnnouncement(Time lastAnnouncedAt,
                                        const IncarnationKey& key,
                                        std::uint64_t sequence,
--- a/tests/cold_endpoint_test.cpp
+++ b/tests/cold_endpoint_test.cpp
@@ -310,12 +310,16 @@
 
   /** Announces a remaining cold time after 1 s.
       @returns whether a log entry was needed */
-  bool announce(std::int64_t warmupMs)
+  bool announce(std::int64_t warmupMs) { return announce(tracker, warmupMs); }
+
+  bool announce(fleet::AnnouncementTracker& receiver, std::int64_t warmupMs)
   {
     now = now + 1s;
+    tracker.proposeExpirations(now);
+    other.proposeExpirations(now);
     ++announcement.sequence;
     announcement.warmupMs = warmupMs;
-    const auto command = tracker.announce(now, announcement);
+    const auto command = receiver.announce(now, announcement);
     if (command) {
       state.endpoints.apply(++index, now, std::get<fleet::PutEndpoint>(*command));
     }
@@ -324,6 +328,7 @@
 
   fleet::FleetState state;
   fleet::AnnouncementTracker tracker{ state };
+  fleet::AnnouncementTracker other{ state };
   fleet::Announcement announcement{ kEndpoint, kModel, "10.0.0.1:80", kZone, "1", 8 };
   Time now = kBegin;
   std::uint64_t index = 0;
@@ -343,6 +348,9 @@
   CHECK(state.endpoints.find(announcement.id)->revision == index);
   CHECK(state.endpoints.find(announcement.id)->sequence == announcement.sequence);
   CHECK_FALSE(announce(2050));
+  CHECK_FALSE(announce(other, 1000));
+  CHECK(announce(other, 3000));
+  CHECK_FALSE(announce(2000));
   CHECK(announce(0));
   CHECK(announce(3000));
   announcement.sequence -= 2;
