--- a/tests/cold_endpoint_test.cpp
+++ b/tests/cold_endpoint_test.cpp
@@ -2,6 +2,8 @@
 #include "core/Random.h"
 #include "dispatch/Dispatcher.h"
 #include "fleet/AnnouncementTracker.h"
+#include "fleet/FleetPublisher.h"
+#include "fleet/FleetSubscriber.h"
 #include "router/JsonDialect.h"
 
 #include <algorithm>
@@ -358,6 +360,25 @@
   CHECK(state.endpoints.find(announcement.id)->warmupMs == 3000);
 }
 
+// Guards against a lease that an answer prolongs which waited while the process was suspended, and
+// against one from a control process without a leader.
+TEST_CASE_FIXTURE(Announcements, "Contact_delayedAnswer_countsFromWhenTheMessageWasSent")
+{
+  const ProcessId control("c");
+  const ProcessId self("e");
+  fleet::FleetSubscriber subscriber({ Incarnation{ 1 }, kZone, { control }, 1 });
+  fleet::FleetPublisher publisher(control, state, tracker);
+  const auto sentAt = now;
+  subscriber.tick(now);
+  publisher.receive(now, self, subscriber.takeOutgoing().front().message);
+  subscriber.receive(now, control, publisher.takeOutgoing().back().message);
+  CHECK_FALSE(subscriber.contactAt().has_value());
+  publisher.setLeaderContact(now, true);
+  now = now + 60s;
+  subscriber.receive(now, control, publisher.takeOutgoing().back().message);
+  CHECK(subscriber.contactAt() == sentAt);
+}
+
 // Guards against a rate that is not read, or that is negative.
 TEST_CASE("Configuration_warmupPerS_isReadAndNotNegative")
 {
