--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "dispatch/BrittleEndpoints.h"
+#include "dispatch/ColdShares.h"
+#include "dispatch/ConditionChanges.h"
 #include "dispatch/CrashTable.h"
 #include "dispatch/EndpointProbe.h"
 #include "dispatch/RequestInfo.h"
@@ -23,6 +26,8 @@
   double repeatRatio = 0.2;
   double repeatSlack = 58;
   Duration repeatWindow = std::chrono::seconds(10);
+  /** Limit on the requests to a cold endpoint, shared by all entry processes. */
+  ColdBounds coldBounds{};
 };
 
 /** A rate limit of an endpoint that began, changed or ended. */
@@ -110,6 +115,26 @@
   /** Reports the rate limit that the answer to the current send of a request named, if any. */
   void answerHead(Time now, std::uint64_t requestId, std::optional<double> requestsPerSecond);
 
+  /** Reports the head of the answer to the current send of a request. */
+  void responseHead(Time now, std::uint64_t requestId);
+
+  /** Reports that the answer to the current send of a request said that its endpoint is cold.
+      @param remaining  at least 0 */
+  void endpointCold(Time now, std::uint64_t requestId, Duration remaining);
+
+  /** Reports whether the answer to the current send of a request, which the endpoint itself wrote,
+      said that the endpoint is brittle.
+      @param maxRefusals  the refusals in a second that it survives, at least 0; nothing if the
+                          answer did not say so */
+  void endpointBrittle(std::uint64_t requestId, std::optional<double> maxRefusals);
+
+  /** Sets when this process sent the newest message that control has answered. Without a recent
+      one, it sends nothing to endpoints that it knows to be cold. */
+  void setControlContact(Time sentAt);
+
+  /** Returns what changed in the conditions of endpoints since the last call. */
+  ConditionChanges takeConditionChanges();
+
   /** Reports that the answer to the current send of a request said that its endpoint leaves. This
       process sends nothing more to that incarnation of the endpoint. */
   void endpointLeaving(Time now, std::uint64_t requestId);
--- a/modules/dispatch/EndpointAvailability.h
+++ b/modules/dispatch/EndpointAvailability.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/EndpointConditions.h"
 #include "dispatch/EndpointRestrictions.h"
 #include "dispatch/EndpointTable.h"
 #include "dispatch/RateLimitShares.h"
@@ -34,10 +35,12 @@
   /** The arguments must outlive this object. */
   EndpointAvailability(EndpointTable& endpoints,
                        RateLimitShares& limits,
-                       const EndpointRestrictions& restrictions)
+                       const EndpointRestrictions& restrictions,
+                       const EndpointConditions& conditions)
     : endpoints_(&endpoints)
     , limits_(&limits)
     , restrictions_(&restrictions)
+    , conditions_(&conditions)
   {
   }
 
@@ -81,6 +84,7 @@
   RateLimitShares* limits_;
   const EndpointRestrictions* restrictions_;
   std::set<ZoneId> evacuatedZones_;
+  const EndpointConditions* conditions_;
 };
 
 } // namespace figchute::dispatch
--- a/modules/dispatch/EndpointHealth.h
+++ b/modules/dispatch/EndpointHealth.h
@@ -26,6 +26,9 @@
   {
   }
 
+  /** Returns the refusal of a request that would probably crash its endpoint. */
+  std::optional<Refusal> refuseCrashing(Time now, const RequestInfo& requestInfo);
+
   /** Records the end of a send.
       @param endpointFull  whether the endpoint refused the request because it was probably full */
   void recordEnd(Time now,
--- a/modules/fleet/Messages.h
+++ b/modules/fleet/Messages.h
@@ -71,6 +71,9 @@
   std::vector<RateLimit> rateLimits{};
   /** Requests that the sender gets. */
   float requestsPerSecond = 0;
+  /** When the message was sent, in µs by the sender's boot clock; 0 in messages of earlier
+     releases. */
+  std::int64_t sentAtMicros = 0;
   MSGPACK_DEFINE(zone,
                  configurationVersion,
                  endpointRevision,
@@ -81,7 +84,8 @@
                  missedConfiguration,
                  crashReports,
                  rateLimits,
-                 requestsPerSecond)
+                 requestsPerSecond,
+                 sentAtMicros)
 };
 
 /** Ends a subscription. */
@@ -131,6 +135,9 @@
   std::uint64_t evacuationRevision = 0;
   /** All evacuated zones. */
   std::vector<ZoneId> evacuatedZones{};
+  /** Subscribe::sentAtMicros of the receiver's newest message; 0 in messages of earlier releases.
+   */
+  std::int64_t answeredMicros = 0;
   MSGPACK_DEFINE(configurationVersion,
                  configuration,
                  endpointRevision,
@@ -148,7 +155,8 @@
                  rateLimits,
                  requestRates,
                  evacuationRevision,
-                 evacuatedZones)
+                 evacuatedZones,
+                 answeredMicros)
 };
 
 /** The last announcement of an endpoint that a control process received, reported to the other
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -80,6 +80,8 @@
   settings.repeatRatio = context.settings.bounds.repeatRatio;
   settings.repeatSlack = context.settings.bounds.repeatSlack;
   settings.repeatWindow = context.settings.bounds.repeatWindow;
+  settings.coldBounds.overage = context.settings.bounds.warmupOverage;
+  settings.coldBounds.slack = context.settings.bounds.warmupSlack;
   return settings;
 }
 
@@ -326,6 +328,9 @@
 void EntryRole::applyUpdates(Time now)
 {
   const auto changes = subscriber_.takeChanges();
+  if (const auto contactAt = subscriber_.contactAt()) {
+    dispatcher_.setControlContact(*contactAt);
+  }
   if (changes.configuration) {
     applyConfiguration(now);
   }
@@ -603,6 +608,7 @@
   }
   reportRateLimits(now);
   logRestrictions(now);
+  logConditions(now);
   probeEndpoints();
   for (auto& message : subscriber_.takeOutgoing()) {
     send(message.to, wire::Channel::fleet, wire::encode(message.message));
@@ -638,6 +644,41 @@
   }
 }
 
+void EntryRole::logConditions(Time now)
+{
+  const auto changes = dispatcher_.takeConditionChanges();
+  std::vector<std::string_view> began;
+  std::vector<std::string_view> ended;
+  for (const auto& change : changes.cold) {
+    (change.remaining ? began : ended).push_back(change.endpoint.value);
+  }
+  // One line for all, because the endpoints of a zone may become cold together.
+  const auto logCold = [&](std::string_view state, const std::vector<std::string_view>& endpoints) {
+    if (!endpoints.empty()) {
+      context_.log.line(now,
+                        "endpoint_cold",
+                        { { "state", std::string(state) },
+                          { "count", std::to_string(endpoints.size()) },
+                          { "endpoints", fmt::format("{}", fmt::join(endpoints, ",")) } });
+    }
+  };
+  logCold("begins", began);
+  logCold("ends", ended);
+  for (const auto& change : changes.brittle) {
+    const auto& limit = change.maxRefusals;
+    context_.log.line(now,
+                      "endpoint_brittle",
+                      { { "service", change.service.value },
+                        { "refusals_per_s", limit ? fmt::format("{}", *limit) : "none" } });
+  }
+  if (!began.empty()) {
+    context_.metrics.count("endpoints_cold", began.size());
+  }
+  if (changes.brittleRefusals > 0) {
+    context_.metrics.count("brittle_refusals", changes.brittleRefusals);
+  }
+}
+
 void EntryRole::probeEndpoints()
 {
   for (const auto& probe : dispatcher_.takeProbes()) {
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -58,6 +58,7 @@
   void reportObservations(Time now);
   void reportRateLimits(Time now);
   void logRestrictions(Time now);
+  void logConditions(Time now);
   /** Attempts to connect to the endpoints that may have crashed. */
   void probeEndpoints();
   void updateQuotaManager(Time now);
