--- a/modules/dispatch/EndpointHealth.cpp
+++ b/modules/dispatch/EndpointHealth.cpp
@@ -169,22 +169,6 @@
   return openBreakers < endpointsInUse / 2;
 }
 
-std::optional<Refusal> EndpointHealth::refuseCrashing(Time now, const RequestInfo& requestInfo)
-{
-  const auto refusal = crashes_.refusal(now, crashCandidatesOf(requestInfo));
-  if (!refusal) {
-    return std::nullopt;
-  }
-  if (refusal->isPart) {
-    return Refusal{ ErrorKind::quarantinedPart,
-                    refusal->remaining,
-                    "a part of the prompt crashed several endpoints" };
-  }
-  return Refusal{ ErrorKind::quarantined,
-                  refusal->remaining,
-                  "the request crashed several endpoints" };
-}
-
 std::vector<EndpointProbe> EndpointHealth::takeProbes()
 {
   return std::exchange(probes_, {});
--- a/modules/dispatch/EndpointHealth.h
+++ b/modules/dispatch/EndpointHealth.h
@@ -65,9 +65,6 @@
   /** Returns the table of requests that crash endpoints. */
   [[nodiscard]] CrashTable& crashes() { return crashes_; }
 
-  /** Returns the refusal of a request that would probably crash its endpoint. */
-  std::optional<Refusal> refuseCrashing(Time now, const RequestInfo& requestInfo);
-
   /** Returns the endpoints that may have crashed and have not been returned yet. */
   std::vector<EndpointProbe> takeProbes();
 
