dispatch: even load across engines, off unless [routing] even_load is set

Cause: each process took the cheapest engine by its own prediction. Reported loads did not enter that prediction below the slots of an engine, the first engine of a prefix's placement order had an advantage of 100 ms in all processes, and engines of different speed counted as equal.

Change: LoadBalancer estimates loads from reports whose weight falls with their age, adds the load relative to the mean to the cost, compares up to 16 engines drawn in random order and lets requests leave the preferred engines of their prefix with a probability that follows the overload. EngineSpeed learns the speed of an engine as a low quantile of the time per token. With the setting off, choices are as before.

--- a/modules/dispatch/Candidate.h
+++ b/modules/dispatch/Candidate.h
@@ -10,6 +10,8 @@
   Endpoint* endpoint = nullptr;
   /** Estimated running and waiting requests of all processes. */
   double load = 0;
+  /** Speed of the engine relative to the mean of its service; 1 if it is not known. */
+  double speed = 1;
   bool inOwnZone = false;
   /** Prompt tokens that are probably not in the prompt cache of the endpoint. */
   std::int64_t uncachedTokens = 0;
--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -12,6 +12,7 @@
 #include "dispatch/RepeatBudget.h"
 #include "dispatch/RequestTable.h"
 #include "dispatch/SendTimeouts.h"
+#include "dispatch/TrafficShare.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -34,12 +35,11 @@
 
 constexpr Duration kInitialServiceTime = std::chrono::milliseconds(500);
 constexpr double kServiceTimeSmoothing = 0.05;
-/** The load of an endpoint varies with each request, while the share of the traffic changes within
-    minutes. */
-constexpr double kTrafficShareSmoothing = 0.02;
+/** Load reports arrive with answers. For an even load they count as 100 to 200 ms old, because
+    engines renew them only so often. */
+constexpr Duration kReportAge = std::chrono::milliseconds(2);
+constexpr Duration kRenewedReportAge = std::chrono::milliseconds(150);
 constexpr Duration kRequestRateWindow = std::chrono::seconds(10);
-/** Lower limit of the share, because estimates are divided by it. */
-constexpr double kMinTrafficShare = 0.01;
 
 /** State of one service. */
 struct ServiceState
@@ -48,8 +48,7 @@
   RepeatBudget repeats;
   /** Mean time from send to end of answered requests. */
   Duration serviceTime = kInitialServiceTime;
-  /** This process's share of the running requests of all processes; 0 before the first request. */
-  double trafficShare = 0;
+  TrafficShare trafficShare{};
   LimitedEngineSelector limitedEngines{};
 };
 
@@ -60,7 +59,7 @@
 public:
   explicit Impl(DispatcherSettings settings)
     : settings_(std::move(settings))
-    , engineChoice_(settings_.zone)
+    , engineChoice_(settings_.zone, settings_.evenLoad ? &balancer_ : nullptr)
     , totalRepeats_(settings_.repeatWindow)
   {
   }
@@ -145,7 +144,7 @@
     if (auto* endpoint = endpoints_.find(send.handle)) {
       endpoint->lastByteAt = now;
       if (send.firstByteReceived) {
-        endpoint->prefillBacklog.tokensReceived(now, now - send.lastByteAt, tokens);
+        recordTokens(now, *endpoint, send, tokens);
       }
     }
     send.lastByteAt = now;
@@ -280,6 +279,7 @@
   [[nodiscard]] Time now() const { return now_; }
 
   EndpointHealth& health() { return health_; }
+  LoadBalancerFigures takeLoadBalancerFigures() { return balancer_.takeFigures(); }
   std::vector<std::string> takeEvents() { return health_.takeEvents(); }
   std::vector<std::uint64_t> takeStalled() { return std::exchange(stalled_, {}); }
 
@@ -332,26 +332,6 @@
     return std::nullopt;
   }
 
-  /** Updates and returns this process's share of the running requests of all processes. */
-  double updateTrafficShare(ServiceState& service, const RequestInfo& requestInfo)
-  {
-    double ownRequests = 0;
-    double allRequests = 0;
-    for (const auto handle : endpoints_.handlesOf(requestInfo.service)) {
-      const auto& endpoint = *endpoints_.find(handle);
-      ownRequests += endpoint.load.ownRequests();
-      allRequests += endpoint.load.current();
-    }
-    if (service.trafficShare <= 0) {
-      service.trafficShare = 1.0 / static_cast<double>(entryProcesses_);
-    }
-    if (allRequests > 0) {
-      service.trafficShare +=
-        kTrafficShareSmoothing * (ownRequests / allRequests - service.trafficShare);
-    }
-    return std::max(service.trafficShare, kMinTrafficShare);
-  }
-
   [[nodiscard]] std::size_t connectionsPerProcess(const ServiceState& service) const
   {
     const auto totalConnections =
@@ -451,7 +431,8 @@
     const EngineContext context{ now,
                                  service.settings.engine->kvCapacity,
                                  service.serviceTime,
-                                 updateTrafficShare(service, requestInfo) };
+                                 service.trafficShare.update(
+                                   endpoints_, requestInfo.service, entryProcesses_) };
     if (auto trial = findTrial(now, requestInfo, service, excluded)) {
       EngineSelector::predict(context, requestInfo, keys, *trial);
       return recordSend(now, requestInfo, service, keys, *trial);
@@ -461,6 +442,9 @@
       return tl::unexpected(
         availability_.refusalWithoutCandidate(now, requestInfo, service.serviceTime));
     }
+    if (settings_.evenLoad) {
+      balancer_.estimate(now, service.serviceTime, candidates);
+    }
     const auto admission = admissionFor(requestInfo);
     auto retryAfter = kMaxRetryAfter;
     bool allEnginesFull = true;
@@ -614,11 +598,12 @@
   }
 
   DispatcherSettings settings_;
+  LoadBalancer balancer_{ settings_.seed };
   EngineSelector engineChoice_;
   Time now_;
   std::size_t entryProcesses_ = 1;
   std::map<ServiceName, ServiceState> services_;
-  EndpointTable endpoints_;
+  EndpointTable endpoints_{ settings_.evenLoad ? kRenewedReportAge : kReportAge };
   RequestTable requests_;
   RepeatBudget totalRepeats_;
   EndpointHealth health_{ endpoints_ };
@@ -792,6 +777,11 @@
   return impl_->takeEvents();
 }
 
+LoadBalancerFigures Dispatcher::takeLoadBalancerFigures()
+{
+  return impl_->takeLoadBalancerFigures();
+}
+
 std::vector<std::uint64_t> Dispatcher::takeStalled()
 {
   return impl_->takeStalled();
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/CrashTable.h"
 #include "dispatch/EndpointProbe.h"
+#include "dispatch/LoadBalancerFigures.h"
 #include "dispatch/RequestInfo.h"
 #include "fleet/Messages.h"
 
@@ -23,6 +24,8 @@
   double repeatRatio = 0.2;
   double repeatSlack = 58;
   Duration repeatWindow = std::chrono::seconds(10);
+  /** Distributes requests over engines by LoadBalancer. */
+  bool evenLoad = false;
 };
 
 /** A rate limit of an endpoint that began, changed or ended. */
@@ -166,6 +169,9 @@
       last call. */
   std::vector<std::string> takeCrashEvents();
 
+  /** Returns what the even distribution of load did since the last call. */
+  LoadBalancerFigures takeLoadBalancerFigures();
+
   /** Returns log lines about endpoints that were taken out of or back into rotation since the last
       call. */
   std::vector<std::string> takeEvents();
--- a/modules/dispatch/EngineSelector.cpp
+++ b/modules/dispatch/EngineSelector.cpp
@@ -40,6 +40,16 @@
          predictedWait - candidate.prefill <= kMaxPrefillQueue;
 }
 
+std::vector<Endpoint*> endpointsOf(std::span<const Candidate> candidates)
+{
+  std::vector<Endpoint*> endpoints;
+  endpoints.reserve(candidates.size());
+  for (const auto& candidate : candidates) {
+    endpoints.push_back(candidate.endpoint);
+  }
+  return endpoints;
+}
+
 } // namespace
 
 Duration EngineSelector::costOf(const Candidate& candidate)
@@ -70,6 +80,7 @@
   input.load = candidate.load;
   input.slots = endpoint.slots;
   input.serviceTime = context.serviceTime;
+  input.speed = candidate.speed;
   candidate.prefill = prefillTime(input.uncachedTokens, input.promptTokens);
   candidate.baseTtft = endpoint.ttftModel.baseEstimate(input);
   candidate.predictedTtft =
@@ -95,10 +106,16 @@
     }
   }
   if (const auto prefix = sharedPrefixOf(requestInfo, keys)) {
-    if (const auto chosenIndex = pickForPrefix(context, requestInfo, *prefix, candidates)) {
+    const auto chosenIndex = balancer_ != nullptr
+                               ? pickForPrefixEvenly(context, requestInfo, *prefix, candidates)
+                               : pickForPrefix(context, requestInfo, *prefix, candidates);
+    if (chosenIndex) {
       return *chosenIndex;
     }
   }
+  if (balancer_ != nullptr) {
+    return balancer_->pick(candidates);
+  }
   const auto bestCandidate =
     std::min_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
       return costOf(a) < costOf(b);
@@ -148,10 +165,7 @@
 {
   const auto ownTokens = std::max<std::int64_t>(requestInfo.promptTokens - prefix.tokens, 1);
   prefixRates_.add(context.now, prefix.key, prefillTime(ownTokens, requestInfo.promptTokens));
-  std::vector<Endpoint*> endpoints;
-  for (const auto& candidate : candidates) {
-    endpoints.push_back(candidate.endpoint);
-  }
+  const auto endpoints = endpointsOf(candidates);
   const auto order = placementOrder(prefix, endpoints, zone_, ownZoneShare(context, candidates));
   const auto preferredEngineCount = std::min(
     prefixRates_.preferredEngineCount(context.now, prefix.key, context.trafficShare), order.size());
@@ -169,6 +183,24 @@
                    : pickFallback(requestInfo, prefix, candidates, order, preferredEngineCount);
 }
 
+std::optional<std::size_t> EngineSelector::pickForPrefixEvenly(
+  const EngineContext& context,
+  const RequestInfo& requestInfo,
+  const SharedPrefix& prefix,
+  std::span<const Candidate> candidates)
+{
+  // The rate without this request: a process that receives a prefix once in the window would
+  // otherwise take it for a frequent one, because it divides the rate by its share of the traffic.
+  const auto prefillRate = prefixRates_.perSecond(context.now, prefix.key) / context.trafficShare;
+  const auto ownTokens = std::max<std::int64_t>(requestInfo.promptTokens - prefix.tokens, 1);
+  prefixRates_.add(context.now, prefix.key, prefillTime(ownTokens, requestInfo.promptTokens));
+  const auto endpoints = endpointsOf(candidates);
+  return balancer_->pickForPrefix(requestInfo,
+                                  candidates,
+                                  rendezvousOrder(prefix.key, endpoints),
+                                  LoadBalancer::preferredEngineCount(prefillRate, prefix.tokens));
+}
+
 std::optional<std::size_t> EngineSelector::pickFallback(const RequestInfo& requestInfo,
                                                         const SharedPrefix& prefix,
                                                         std::span<const Candidate> candidates,
--- a/modules/dispatch/EngineSelector.h
+++ b/modules/dispatch/EngineSelector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/Candidate.h"
+#include "dispatch/LoadBalancer.h"
 #include "dispatch/LongPromptEngines.h"
 #include "dispatch/Placement.h"
 #include "dispatch/PrefixPrefillRates.h"
@@ -34,8 +35,12 @@
 class EngineSelector
 {
 public:
-  explicit EngineSelector(ZoneId zone)
+  /** @param zone      zone of this process
+      @param balancer  chooses among the engines instead of the lowest cost, must outlive this
+                       object; nullptr if the load is not distributed evenly */
+  explicit EngineSelector(ZoneId zone, LoadBalancer* balancer = nullptr)
     : zone_(std::move(zone))
+    , balancer_(balancer)
   {
   }
 
@@ -69,6 +74,12 @@
                                            const SharedPrefix& prefix,
                                            std::span<const Candidate> candidates);
 
+  /** Does the same with the LoadBalancer. All zones share the preferred engines of a prefix. */
+  std::optional<std::size_t> pickForPrefixEvenly(const EngineContext& context,
+                                                 const RequestInfo& requestInfo,
+                                                 const SharedPrefix& prefix,
+                                                 std::span<const Candidate> candidates);
+
   /** Returns the engine with the lowest cost along the placement order of a prefix whose preferred
       engines are over their limits; nullopt if it would miss the target. */
   static std::optional<std::size_t> pickFallback(const RequestInfo& requestInfo,
@@ -78,6 +89,7 @@
                                                  std::size_t preferredEngineCount);
 
   ZoneId zone_;
+  LoadBalancer* balancer_;
   /** Returns the share of the short prefixes that are placed in the zone of this process. */
   [[nodiscard]] double ownZoneShare(const EngineContext& context,
                                     std::span<const Candidate> candidates) const;
--- a/modules/dispatch/PrefixPrefillRates.cpp
+++ b/modules/dispatch/PrefixPrefillRates.cpp
@@ -30,14 +30,16 @@
                                                      Fingerprint prefix,
                                                      double trafficShare) const
 {
-  const auto prefixSeconds = prefillSeconds_.find(prefix);
-  if (prefixSeconds == prefillSeconds_.end()) {
-    return kMinEngines;
-  }
-  const double engineCount = prefixSeconds->second.perSecond(now) / trafficShare / kMaxEngineShare;
+  const double engineCount = perSecond(now, prefix) / trafficShare / kMaxEngineShare;
   return std::max(kMinEngines, static_cast<std::size_t>(std::ceil(engineCount)));
 }
 
+double PrefixPrefillRates::perSecond(Time now, Fingerprint prefix) const
+{
+  const auto prefixSeconds = prefillSeconds_.find(prefix);
+  return prefixSeconds == prefillSeconds_.end() ? 0 : prefixSeconds->second.perSecond(now);
+}
+
 void PrefixPrefillRates::prune(Time now)
 {
   std::erase_if(prefillSeconds_, [&](const auto& entry) {
--- a/modules/dispatch/PrefixPrefillRates.h
+++ b/modules/dispatch/PrefixPrefillRates.h
@@ -27,6 +27,9 @@
                                                  Fingerprint prefix,
                                                  double trafficShare) const;
 
+  /** Returns the seconds per second that the requests of this process with a prefix take. */
+  [[nodiscard]] double perSecond(Time now, Fingerprint prefix) const;
+
 private:
   void prune(Time now);
 
--- a/modules/dispatch/RequestTable.cpp
+++ b/modules/dispatch/RequestTable.cpp
@@ -2,6 +2,16 @@
 
 namespace figchute::dispatch {
 
+void recordTokens(Time now, Endpoint& endpoint, Send& send, std::int64_t tokens)
+{
+  const auto sinceLast = now - send.lastByteAt;
+  endpoint.prefillBacklog.tokensReceived(now, sinceLast, tokens);
+  // The first tokens arrive with the first byte.
+  if (send.progressCount > 1) {
+    endpoint.speed.add(send.tokenWindow.add(sinceLast, tokens));
+  }
+}
+
 RequestState& RequestTable::findOrCreate(const RequestInfo& requestInfo)
 {
   const auto [entry, isNew] = requests_.try_emplace(requestInfo.id);
--- a/modules/dispatch/RequestTable.h
+++ b/modules/dispatch/RequestTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/CrashTable.h"
+#include "dispatch/EndpointTable.h"
 #include "dispatch/RequestInfo.h"
 
 #include <cstddef>
@@ -24,6 +25,7 @@
   bool firstByteReceived = false;
   /** Number of times that output tokens were received. */
   std::uint32_t progressCount = 0;
+  TokenWindow tokenWindow;
   /** The send is a trial of an endpoint with an open breaker. */
   bool trial = false;
   /** The send already counts as a failure because it received no bytes for too long. */
@@ -36,6 +38,9 @@
   Duration predictedTtft{};
 };
 
+/** Records tokens that a send received after its first byte in the models of its endpoint. */
+void recordTokens(Time now, Endpoint& endpoint, Send& send, std::int64_t tokens);
+
 /** State of a request until forget() is called for it. */
 struct RequestState
 {
--- a/modules/dispatch/TimeToFirstTokenModel.cpp
+++ b/modules/dispatch/TimeToFirstTokenModel.cpp
@@ -51,6 +51,9 @@
     const auto microsPerRequest = static_cast<double>(input.serviceTime.count()) / input.slots;
     result += Duration(static_cast<std::int64_t>(requestsAhead * microsPerRequest));
   }
+  if (input.speed != 1) {
+    result = Duration(static_cast<std::int64_t>(static_cast<double>(result.count()) / input.speed));
+  }
   return result;
 }
 
--- a/modules/dispatch/TimeToFirstTokenModel.h
+++ b/modules/dispatch/TimeToFirstTokenModel.h
@@ -50,6 +50,8 @@
     double slots = 1;
     /** Mean time that a request occupies a slot. */
     Duration serviceTime{};
+    /** Speed of the engine relative to the mean of its service. */
+    double speed = 1;
   };
 
   /** Returns the prediction without the residual. */
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -29,6 +29,9 @@
  * sent once a second. */
 constexpr Duration kRateLimitReportTime = std::chrono::seconds(2);
 
+/** Interval of the log lines about the even distribution of load. */
+constexpr Duration kEvenLoadReportInterval = std::chrono::seconds(5);
+
 /** Time limit of the connection attempt that shows whether an endpoint crashed. */
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
 
@@ -80,6 +83,7 @@
   settings.repeatRatio = context.settings.bounds.repeatRatio;
   settings.repeatSlack = context.settings.bounds.repeatSlack;
   settings.repeatWindow = context.settings.bounds.repeatWindow;
+  settings.evenLoad = context.settings.evenLoad;
   return settings;
 }
 
@@ -169,6 +173,7 @@
       const Time firedAt = bootTime();
       if (load_.addTimerDelay(firedAt, firedAt - tickDueAt_)) {
         load_.report(firedAt);
+        reportEvenLoad(firedAt);
       }
       onTimer(firedAt);
       scheduleTick();
@@ -596,6 +601,30 @@
   }
 }
 
+void EntryRole::reportEvenLoad(Time now)
+{
+  if (now < nextEvenLoadReportAt_) {
+    return;
+  }
+  nextEvenLoadReportAt_ = now + kEvenLoadReportInterval;
+  const auto figures = dispatcher_.takeLoadBalancerFigures();
+  if (figures.choices == 0) {
+    return;
+  }
+  context_.metrics.count("even_load_choices", figures.choices);
+  context_.metrics.count("even_load_candidates", figures.candidatesDrawn);
+  context_.metrics.count("even_load_spills", figures.spills);
+  context_.log.line(now,
+                    "even_load",
+                    { { "choices", std::to_string(figures.choices) },
+                      { "candidates", std::to_string(figures.candidatesDrawn) },
+                      { "spills", std::to_string(figures.spills) },
+                      { "mean_load", fmt::format("{:.1f}", figures.meanLoad) },
+                      { "largest_load", fmt::format("{:.1f}", figures.largestLoad) },
+                      { "lowest_speed", fmt::format("{:.2f}", figures.lowestSpeed) },
+                      { "highest_speed", fmt::format("{:.2f}", figures.highestSpeed) } });
+}
+
 void EntryRole::probeEndpoints()
 {
   for (const auto& probe : dispatcher_.takeProbes()) {
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -54,6 +54,8 @@
   void reportObservations(Time now);
   void reportRateLimits(Time now);
   void logRestrictions(Time now);
+  /** Counts and logs what the even distribution of load did, every few seconds. */
+  void reportEvenLoad(Time now);
   /** Attempts to connect to the endpoints that may have crashed. */
   void probeEndpoints();
   void updateQuotaManager(Time now);
@@ -88,6 +90,7 @@
   Time tickDueAt_;
   /** The earliest time of the next tick of the subscriber and the quota manager. */
   Time nextTickAt_;
+  Time nextEvenLoadReportAt_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t lastExchangeId_ = 0;
   /** Addresses of the endpoints in the registry. */
--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -14,11 +14,8 @@
 constexpr std::string_view kAddressDescription =
   "a numeric address IP:port with a port from 1 to 65535";
 constexpr std::string_view kDefaultPeerKey = "figchute";
-constexpr std::array<std::string_view, 5> kSections{ "process",
-                                                     "listen",
-                                                     "fleet",
-                                                     "bounds",
-                                                     "link" };
+constexpr std::array<std::string_view, 6> kSections{ "process", "listen", "fleet",
+                                                     "bounds",  "link",   "routing" };
 
 constexpr double kBytesPerMegabit = 1e6 / 8;
 
@@ -47,6 +44,7 @@
     readFleet();
     readBounds();
     readLink();
+    readRouting();
     rejectUnknownSections();
     rejectSharedAddresses();
     if (!faults_.empty()) {
@@ -172,6 +170,15 @@
     reader.rejectUnknownKeys();
   }
 
+  void readRouting()
+  {
+    SectionReader reader(section("routing"), faults_);
+    if (const auto flag = reader.choice("even_load", { "false", "true" }, Presence::optional)) {
+      settings_.evenLoad = *flag == 1;
+    }
+    reader.rejectUnknownKeys();
+  }
+
   // Two listeners of one process cannot share an address. Keys that the role does not use are
   // ignored, because all processes of a deployment may have the same keys.
   void rejectSharedAddresses()
@@ -245,6 +252,7 @@
                  "mbit_per_s",
                  link ? fmt::format("{}", *link / kBytesPerMegabit) : std::string(),
                  "Mbit/s");
+    addEffective("routing", "even_load", settings_.evenLoad ? "true" : "false");
   }
 
   void rejectUnknownSections()
@@ -254,7 +262,7 @@
         faults_.push_back(ini::Fault{ section.name,
                                       "",
                                       "unknown section",
-                                      "process, listen, fleet, bounds or link",
+                                      "process, listen, fleet, bounds, link or routing",
                                       section.line });
       }
     }
--- a/modules/router/RouterSettings.h
+++ b/modules/router/RouterSettings.h
@@ -72,6 +72,8 @@
   /** The bandwidth of the VM's network link in each direction, in bytes per second; nothing if it
      is not known. */
   std::optional<double> linkBytesPerSecond;
+  /** Requests are distributed evenly over the engines of a service. */
+  bool evenLoad = false;
   /** All keys in the order of the file format. */
   std::vector<EffectiveSetting> effective;
 
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -163,6 +163,7 @@
     { "bootstrap = true", "[bounds]\nrepeat_slack = 1e7", "expected a number from 0 to 1000000" },
     { "bootstrap = true", "[bounds]\nrepeat_window_s = 0", "expected a number from 0.1 to 3600" },
     { "bootstrap = true", "[link]\nmbit_per_s = 0", "expected a number from 0.1 to 1000000" },
+    { "bootstrap = true", "[routing]\neven_load = yes", "expected one of: false, true" },
   };
   for (const auto& [from, to, expected] : cases) {
     auto changed = text;
@@ -180,7 +181,8 @@
 // default, and against a peer key that is printed.
 TEST_CASE_FIXTURE(SettingsFixture, "settings_effective_listEveryKey")
 {
-  text += "peer_key = secret-of-peers\n[bounds]\nrepeat_ratio = 0.25\n[link]\nmbit_per_s = 12.5\n";
+  text += "peer_key = secret-of-peers\n[bounds]\nrepeat_ratio = 0.25\n[link]\nmbit_per_s = 12.5\n"
+          "[routing]\neven_load = true\n";
   const auto settings = parseRouterSettings(text);
   REQUIRE(settings);
   CHECK(toString(settings->effective) == "[process] name = e1\n"
@@ -200,7 +202,8 @@
                                          "[bounds] repeat_ratio = 0.25 of requests\n"
                                          "[bounds] repeat_slack = 58 repeats (default)\n"
                                          "[bounds] repeat_window_s = 10 s (default)\n"
-                                         "[link] mbit_per_s = 12.5 Mbit/s\n");
+                                         "[link] mbit_per_s = 12.5 Mbit/s\n"
+                                         "[routing] even_load = true\n");
 }
 
 // Guards against a reload that reports a value as applied although the running process does not use
--- a/tools/figchute-measure/KvEngine.cpp
+++ b/tools/figchute-measure/KvEngine.cpp
@@ -9,9 +9,7 @@
 constexpr std::int64_t kBlockTokens = 16;
 constexpr std::int64_t kPrefillChunkTokens = 4096;
 constexpr std::size_t kQueueEntriesPerSlot = 3;
-constexpr double kPrefillTokensPerMs = 61.2;
 constexpr double kAttentionMsPerTokenPair = 0.324e-6;
-constexpr double kBaseStepMs = 3.37;
 constexpr double kMsPerSequence = 0.0109;
 constexpr double kMsPerContextToken = 0.0034e-3;
 
@@ -177,7 +175,7 @@
     return a->priority != b->priority ? a->priority < b->priority
                                       : a->admissionNumber < b->admissionNumber;
   });
-  double stepMs = kBaseStepMs + kMsPerSequence * static_cast<double>(running_.size()) +
+  double stepMs = sizes_.baseStepMs + kMsPerSequence * static_cast<double>(running_.size()) +
                   kMsPerContextToken * contextTokens;
   std::int64_t prefillBudget = kPrefillChunkTokens;
   for (auto* sequence : prefilling) {
@@ -185,7 +183,7 @@
     const auto precedingTokens = static_cast<double>(
       sequence->promptTokens + sequence->generatedTokens - sequence->unprefilledTokens);
     const auto chunkTokenCount = static_cast<double>(chunkTokens);
-    stepMs += chunkTokenCount / kPrefillTokensPerMs +
+    stepMs += chunkTokenCount / sizes_.prefillTokensPerMs +
               kAttentionMsPerTokenPair * chunkTokenCount * (precedingTokens + chunkTokenCount / 2);
     sequence->unprefilledTokens -= chunkTokens;
     prefillBudget -= chunkTokens;
--- a/tools/figchute-measure/KvEngine.h
+++ b/tools/figchute-measure/KvEngine.h
@@ -19,6 +19,9 @@
   std::int64_t kvCapacityTokens = 430'000;
   /** Number of tokens in one event of a stream. */
   int tokensPerEvent = 6;
+  double prefillTokensPerMs = 61.2;
+  /** Duration of a decode step without requests. */
+  double baseStepMs = 3.37;
 };
 
 /** A request in an engine. */
