--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -35,10 +35,6 @@
 
 constexpr Duration kInitialServiceTime = std::chrono::milliseconds(500);
 constexpr double kServiceTimeSmoothing = 0.05;
-/** Load reports arrive with answers. For an even load they count as 100 to 200 ms old, because
-    engines renew them only so often. */
-constexpr Duration kReportAge = std::chrono::milliseconds(2);
-constexpr Duration kRenewedReportAge = std::chrono::milliseconds(150);
 constexpr Duration kRequestRateWindow = std::chrono::seconds(10);
 
 /** State of one service. */
@@ -603,7 +599,7 @@
   Time now_;
   std::size_t entryProcesses_ = 1;
   std::map<ServiceName, ServiceState> services_;
-  EndpointTable endpoints_{ settings_.evenLoad ? kRenewedReportAge : kReportAge };
+  EndpointTable endpoints_;
   RequestTable requests_;
   RepeatBudget totalRepeats_;
   EndpointHealth health_{ endpoints_ };
--- a/modules/dispatch/EndpointTable.cpp
+++ b/modules/dispatch/EndpointTable.cpp
@@ -26,7 +26,6 @@
     endpoint.incarnation =
       fingerprintOf(record.id.value, static_cast<Fingerprint>(record.startedAtMs));
     endpoint.warmupUntil = now + std::chrono::milliseconds(record.warmupMs);
-    endpoint.load = routing::LoadEstimate(reportAge_);
     endpoint.slots = std::max(record.slots, 1);
     endpoint.lastByteAt = now;
     handlesById.insert_or_assign(record.id, handle);
--- a/modules/dispatch/EndpointTable.h
+++ b/modules/dispatch/EndpointTable.h
@@ -29,7 +29,8 @@
   /** Hash of the id and the start time, equal on all processes. */
   std::uint64_t incarnation = 0;
   Time warmupUntil;
-  routing::LoadEstimate load;
+  /** Load reports arrive with answers, so their age is about the network latency. */
+  routing::LoadEstimate load{ Duration(std::chrono::milliseconds(2)) };
   /** From the last load report, else from the record. */
   int slots = 1;
   /** Time of the last load report. */
@@ -52,12 +53,6 @@
 class EndpointTable
 {
 public:
-  /** @param reportAge  age of a load when an endpoint reports it */
-  explicit EndpointTable(Duration reportAge)
-    : reportAge_(reportAge)
-  {
-  }
-
   /** Replaces the records. The state of an endpoint is kept while its id and start time stay the
       same.
       @returns the handles of the endpoints that were removed */
@@ -78,7 +73,6 @@
   [[nodiscard]] std::map<std::size_t, Endpoint>& all() { return endpoints_; }
 
 private:
-  Duration reportAge_;
   std::size_t nextHandle_ = 1;
   std::map<std::size_t, Endpoint> endpoints_;
   std::map<EndpointId, std::size_t> handleById_;
--- a/modules/dispatch/LoadBalancer.cpp
+++ b/modules/dispatch/LoadBalancer.cpp
@@ -11,12 +11,14 @@
 namespace figchute::dispatch {
 namespace {
 
-/** Engines that a choice compares. With 2 or 3, twice as many verdicts were late as with all 90,
-    since a process knows only some of the loads; above 16 nothing is gained. */
+/** Engines that a choice compares. With 2, half as many requests again were late, because a process
+    knows only some of the loads and the random choice leaves the caches; above 16 nothing is
+   gained. The figures of docs/design/even-load.md are the reason for all constants here. */
 constexpr std::size_t kDraws = 16;
 
-/** Cost of a load equal to the mean, as waiting time. With 200 ms the busiest engine had 2.07
-    instead of 1.96 times the mean load, with 400 ms more first tokens were late. */
+/** Cost of a load equal to the mean, as waiting time. With 150 ms the busiest engine had 3.3
+    instead of 3.1 times the mean load in calm; 600 ms gained 0.1 and made no first token earlier.
+ */
 constexpr double kMeanLoadCostMicros = 300'000;
 
 /** A prefix uses at least this many engines. With two, an engine that is slowed for a moment delays
