--- a/modules/dispatch/EngineSelector.h
+++ b/modules/dispatch/EngineSelector.h
@@ -31,6 +31,8 @@
     target. All other requests go to the best of the few engines preferred for their shared prompt
     prefix, then to the best engine further along the prefix's placement order, then to the best of
     all engines. The best engine has the lowest predicted time to first token plus penalties.
+    With a LoadBalancer, it chooses among the preferred engines, those further along the order and
+    all engines instead.
     Thread safety: use one instance from one thread only. */
 class EngineSelector
 {
