--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -42,7 +42,7 @@
 public:
   explicit Impl(DispatcherSettings settings)
     : settings_(std::move(settings))
-    , engineChoice_(settings_.zone)
+    , engineChoice_(settings_.zone, settings_.evenLoad ? &balancer_ : nullptr)
     , totalRepeats_(settings_.repeatWindow)
   {
     limits_.cold().setBounds(settings_.coldBounds);
@@ -121,7 +121,7 @@
     if (auto* endpoint = endpoints_.find(send.handle)) {
       endpoint->lastByteAt = now;
       if (send.firstByteReceived) {
-        endpoint->prefillBacklog.tokensReceived(now, now - send.lastByteAt, tokens);
+        recordTokens(now, *endpoint, send, tokens);
       }
     }
     send.lastByteAt = now;
@@ -279,6 +279,7 @@
   [[nodiscard]] Time now() const { return now_; }
 
   EndpointHealth& health() { return health_; }
+  LoadBalancerFigures takeLoadBalancerFigures() { return balancer_.takeFigures(); }
   std::vector<std::string> takeEvents() { return health_.takeEvents(); }
   std::vector<std::uint64_t> takeStalled() { return std::exchange(stalled_, {}); }
 
@@ -423,6 +424,9 @@
       return tl::unexpected(
         availability_.refusalWithoutCandidate(now, requestInfo, service.serviceTime));
     }
+    if (settings_.evenLoad) {
+      balancer_.estimate(now, service.serviceTime, candidates);
+    }
     const auto admission = admissionFor(requestInfo);
     auto retryAfter = kMaxRetryAfter;
     bool allEnginesFull = true;
@@ -566,6 +570,7 @@
   }
 
   DispatcherSettings settings_;
+  LoadBalancer balancer_{ settings_.seed };
   EngineSelector engineChoice_;
   Time now_;
   std::size_t entryProcesses_ = 1;
@@ -787,6 +792,11 @@
   return impl_->takeEvents();
 }
 
+LoadBalancerFigures Dispatcher::takeLoadBalancerFigures()
+{
+  return impl_->takeLoadBalancerFigures();
+}
+
 std::vector<std::uint64_t> Dispatcher::takeStalled()
 {
   return impl_->takeStalled();
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatch/ConditionChanges.h"
 #include "dispatch/CrashTable.h"
 #include "dispatch/EndpointProbe.h"
+#include "dispatch/LoadBalancerFigures.h"
 #include "dispatch/RequestInfo.h"
 #include "fleet/Messages.h"
 
@@ -28,6 +29,8 @@
   Duration repeatWindow = std::chrono::seconds(10);
   /** Limit on the requests to a cold endpoint, shared by all entry processes. */
   ColdBounds coldBounds{};
+  /** Distributes requests over engines by LoadBalancer. */
+  bool evenLoad = false;
 };
 
 /** A rate limit of an endpoint that began, changed or ended. */
@@ -202,6 +205,9 @@
       last call. */
   std::vector<std::string> takeCrashEvents();
 
+  /** Returns what the even distribution of load did since the last call. */
+  LoadBalancerFigures takeLoadBalancerFigures();
+
   /** Returns log lines about endpoints that were taken out of or back into rotation since the last
       call. */
   std::vector<std::string> takeEvents();
--- a/modules/dispatch/EndpointTable.h
+++ b/modules/dispatch/EndpointTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/CircuitBreaker.h"
+#include "dispatch/EngineSpeed.h"
 #include "dispatch/PrefillBacklogEstimator.h"
 #include "dispatch/PromptCacheModel.h"
 #include "dispatch/TimeToFirstTokenModel.h"
@@ -47,6 +48,7 @@
   PrefillBacklogEstimator prefillBacklog;
   /** Running sends of this process without the head of an answer. */
   int unansweredSends = 0;
+  EngineSpeed speed;
   /** Prompt tokens of this process's running requests. */
   std::int64_t outstandingPromptTokens = 0;
 };
