--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -42,7 +42,7 @@
 public:
   explicit Impl(DispatcherSettings settings)
     : settings_(std::move(settings))
-    , engineChoice_(settings_.zone, settings_.evenLoad ? &balancer_ : nullptr)
+    , engineChoice_(settings_.zone)
     , totalRepeats_(settings_.repeatWindow)
   {
     limits_.cold().setBounds(settings_.coldBounds);
@@ -405,6 +405,14 @@
     return std::nullopt;
   }
 
+  /** Returns what distributes the load of a service evenly; null if its engines are too few. */
+  [[nodiscard]] LoadBalancer* balancerFor(const ServiceName& service)
+  {
+    const bool isUsed =
+      settings_.evenLoad && endpoints_.handlesOf(service).size() >= LoadBalancer::kMinEngines;
+    return isUsed ? &balancer_ : nullptr;
+  }
+
   tl::expected<ChosenEndpoint, Refusal> chooseEngine(Time now,
                                                      const RequestInfo& requestInfo,
                                                      ServiceState& service,
@@ -414,7 +422,8 @@
     const EngineContext context{ now,
                                  service.settings.engine->kvCapacity,
                                  service.serviceTime,
-                                 service.updateTrafficShare(endpoints_, entryProcesses_) };
+                                 service.updateTrafficShare(endpoints_, entryProcesses_),
+                                 balancerFor(requestInfo.service) };
     if (auto trial = findTrial(now, requestInfo, service, excluded)) {
       EngineSelector::predict(context, requestInfo, keys, *trial);
       return recordSend(now, requestInfo, service, keys, *trial);
@@ -424,8 +433,8 @@
       return tl::unexpected(
         availability_.refusalWithoutCandidate(now, requestInfo, service.serviceTime));
     }
-    if (settings_.evenLoad) {
-      balancer_.estimate(now, service.serviceTime, candidates);
+    if (context.balancer != nullptr) {
+      context.balancer->estimate(now, service.serviceTime, candidates);
     }
     const auto admission = admissionFor(requestInfo);
     auto retryAfter = kMaxRetryAfter;
--- a/modules/dispatch/EngineSelector.cpp
+++ b/modules/dispatch/EngineSelector.cpp
@@ -106,15 +106,15 @@
     }
   }
   if (const auto prefix = sharedPrefixOf(requestInfo, keys)) {
-    const auto chosenIndex = balancer_ != nullptr
+    const auto chosenIndex = context.balancer != nullptr
                                ? pickForPrefixEvenly(context, requestInfo, *prefix, candidates)
                                : pickForPrefix(context, requestInfo, *prefix, candidates);
     if (chosenIndex) {
       return *chosenIndex;
     }
   }
-  if (balancer_ != nullptr) {
-    return balancer_->pick(candidates);
+  if (context.balancer != nullptr) {
+    return context.balancer->pick(candidates);
   }
   const auto bestCandidate =
     std::min_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
@@ -195,7 +195,7 @@
   const auto ownTokens = std::max<std::int64_t>(requestInfo.promptTokens - prefix.tokens, 1);
   prefixRates_.add(context.now, prefix.key, prefillTime(ownTokens, requestInfo.promptTokens));
   const auto endpoints = endpointsOf(candidates);
-  return balancer_->pickForPrefix(
+  return context.balancer->pickForPrefix(
     requestInfo,
     candidates,
     rendezvousOrder(prefix.key, endpoints),
--- a/modules/dispatch/EngineSelector.h
+++ b/modules/dispatch/EngineSelector.h
@@ -23,6 +23,8 @@
   Duration serviceTime{};
   /** This process's share of the running requests of all processes, above 0. */
   double trafficShare = 1;
+  /** Chooses among the engines instead of the lowest cost; null without an even load. */
+  LoadBalancer* balancer = nullptr;
 };
 
 /** Chooses an engine of a model service.
@@ -37,12 +39,8 @@
 class EngineSelector
 {
 public:
-  /** @param zone      zone of this process
-      @param balancer  chooses among the engines instead of the lowest cost, must outlive this
-                       object; nullptr if the load is not distributed evenly */
-  explicit EngineSelector(ZoneId zone, LoadBalancer* balancer = nullptr)
+  explicit EngineSelector(ZoneId zone)
     : zone_(std::move(zone))
-    , balancer_(balancer)
   {
   }
 
@@ -91,7 +89,6 @@
                                                  std::size_t preferredEngineCount);
 
   ZoneId zone_;
-  LoadBalancer* balancer_;
   /** Returns the share of the short prefixes that are placed in the zone of this process. */
   [[nodiscard]] double ownZoneShare(const EngineContext& context,
                                     std::span<const Candidate> candidates) const;
--- a/modules/dispatch/LoadBalancer.h
+++ b/modules/dispatch/LoadBalancer.h
@@ -23,6 +23,11 @@
 class LoadBalancer
 {
 public:
+  /** A service with fewer engines is served by the lowest cost. There, a process knows enough of
+      each engine from its own requests, and spreading a prefix over more engines costs more than
+      the even load gains. */
+  static constexpr std::size_t kMinEngines = 40;
+
   /** @param seed  seed of the draws */
   explicit LoadBalancer(std::uint64_t seed)
     : random_(seed)
