ledger, router: a request refused by its budget names the reason

The line of a refused request did not say whether its budget was spent, its tokens were held by other holders or in the holder's own reserve, or no grant came in time. A refused decision now carries a typed reason and the amounts known: the holder's available tokens and reserve, and what control said was free and held by others (a new last field of GrantedItem, empty in answers of older releases). The line has reason= and budget_tokens=, and budget_refused_REASON counts them.

--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -189,6 +189,8 @@
     granted.granted = existingAccount == nullptr ? Tokens{ 0 } : existingAccount->granted;
     granted.unlocked = existingAccount == nullptr ? Tokens{ 0 } : existingAccount->unlocked;
     granted.free = budget.grantable();
+    granted.heldByOthers =
+      budget.held() - (existingAccount == nullptr ? Tokens{ 0 } : existingAccount->held());
     return granted;
   }
   auto& account = openAccount(id, budgetEntry);
@@ -210,6 +212,7 @@
   granted.granted = account.granted;
   granted.unlocked = account.unlocked;
   granted.free = budget.grantable();
+  granted.heldByOthers = budget.held() - account.held();
   granted.budgetLow =
     item.requested > free || budget.closed ||
     demandLimit.count * kLowBudgetShares < std::max(item.requested, item.demand).count;
--- a/modules/ledger/BudgetLedgerPrepaid.cpp
+++ b/modules/ledger/BudgetLedgerPrepaid.cpp
@@ -54,6 +54,7 @@
   granted.granted = account.granted;
   granted.unlocked = account.unlocked;
   granted.free = budget.grantable();
+  granted.heldByOthers = budget.held() - account.held();
   return granted;
 }
 
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -176,8 +176,11 @@
   Tokens unlocked;
   /** The part of its reserve that the holder has to return, because it exceeds its target. */
   Tokens excessReserve;
+  /** The tokens that other holders hold, including their reserves and those reserved by their
+      running requests. Not set by releases that do not state it. */
+  std::optional<Tokens> heldByOthers{};
 
-  MSGPACK_DEFINE(budget, sequence, granted, free, budgetLow, unlocked, excessReserve)
+  MSGPACK_DEFINE(budget, sequence, granted, free, budgetLow, unlocked, excessReserve, heldByOthers)
 };
 
 /** The outcome of Grant. */
--- a/modules/ledger/QuotaAccount.h
+++ b/modules/ledger/QuotaAccount.h
@@ -2,7 +2,7 @@
 
 #include "ledger/QuotaManager.h"
 
-#include <set>
+#include <optional>
 
 namespace figchute::ledger::detail {
 
@@ -88,6 +88,9 @@
       as demand. */
   Tokens peerShortfall;
   Time peerShortfallUntil;
+  /** The tokens that were free after the last grant, and those of other holders. */
+  std::optional<Tokens> lastFree;
+  std::optional<Tokens> lastHeldByOthers;
 
   [[nodiscard]] Tokens totalIn() const;
   [[nodiscard]] Tokens totalOut() const;
--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -49,6 +49,27 @@
   return { request, ReserveStatus::refused, Error{ kind, std::move(detail) } };
 }
 
+Decision QuotaManager::Impl::refuseForBudget(const WaitingRequest& waitingRequest,
+                                             ErrorKind kind,
+                                             std::string detail,
+                                             bool grantIsAnswered) const
+{
+  auto decision = refuse(waitingRequest.request, kind, std::move(detail));
+  const auto& reservation = waitingRequest.reservation;
+  for (const auto& id : reservation.budgets) {
+    const auto& account = accounts_.at(id);
+    if (account.available() < reservation.bound) {
+      const KnownTokens tokens{
+        account.available(), account.reserveAmount(), account.lastFree, account.lastHeldByOthers
+      };
+      decision.cause =
+        BudgetRefusal{ refusalReason(tokens, reservation.bound, grantIsAnswered), tokens };
+      break;
+    }
+  }
+  return decision;
+}
+
 QuotaManager::Impl::Account& QuotaManager::Impl::findOrOpenAccount(const BudgetId& id)
 {
   return accounts_[id];
@@ -160,15 +181,18 @@
         refuse(waitingRequest->request, ErrorKind::noQuorum, "no witness is reachable"));
     } else if (!isGrantAnswered) {
       const bool grantedTooLittle = waitingRequest->insufficientSince.has_value();
-      decisions_.push_back(refuse(waitingRequest->request,
-                                  ErrorKind::noQuorum,
-                                  grantedTooLittle ? "control granted too little, then fell silent"
-                                                   : "no control VM answered the grant request"));
+      decisions_.push_back(refuseForBudget(*waitingRequest,
+                                           ErrorKind::noQuorum,
+                                           grantedTooLittle
+                                             ? "control granted too little, then fell silent"
+                                             : "no control VM answered the grant request",
+                                           false));
     } else {
-      decisions_.push_back(refuse(waitingRequest->request,
-                                  ErrorKind::budgetExhausted,
-                                  fmt::format("the budget does not cover {} tokens",
-                                              waitingRequest->reservation.bound.count)));
+      decisions_.push_back(refuseForBudget(
+        *waitingRequest,
+        ErrorKind::budgetExhausted,
+        fmt::format("the budget does not cover {} tokens", waitingRequest->reservation.bound.count),
+        true));
     }
     waitingRequest = waiting_.erase(waitingRequest);
   }
@@ -198,10 +222,11 @@
       ++waitingRequest;
       continue;
     }
-    decisions_.push_back(refuse(
-      waitingRequest->request,
+    decisions_.push_back(refuseForBudget(
+      *waitingRequest,
       ErrorKind::budgetExhausted,
-      fmt::format("the budget does not cover {} tokens", waitingRequest->reservation.bound.count)));
+      fmt::format("the budget does not cover {} tokens", waitingRequest->reservation.bound.count),
+      true));
     waitingRequest = waiting_.erase(waitingRequest);
   }
 }
--- a/modules/ledger/QuotaManager.h
+++ b/modules/ledger/QuotaManager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ledger/BudgetRefusal.h"
 #include "ledger/Message.h"
 
 #include <memory>
@@ -100,6 +101,8 @@
   ReserveStatus status = ReserveStatus::refused;
   /** Set when the request was refused. */
   std::optional<Error> error;
+  /** Set when a request that waited for tokens was refused. */
+  std::optional<BudgetRefusal> cause{};
 };
 
 /** A journal record: a new incarnation has started. */
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -253,6 +253,8 @@
     account.confirmedUnlocked = std::max(account.confirmedUnlocked, item.unlocked);
     returnReserve(item.budget, account, std::min(item.excessReserve, account.reserveAmount()));
     account.budgetLowUntil = item.budgetLow ? now + kBudgetLowTime : Time{};
+    account.lastFree = item.free;
+    account.lastHeldByOthers = item.heldByOthers;
     if (!settings_.usesWitnesses) {
       account.availableAfterGrant = account.available();
     }
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -159,6 +159,11 @@
 
   // Admission and charges.
   Decision refuse(const RequestId& request, ErrorKind kind, std::string detail) const;
+  /** Refuses a request that waited for tokens, with the reason. */
+  Decision refuseForBudget(const WaitingRequest& waitingRequest,
+                           ErrorKind kind,
+                           std::string detail,
+                           bool grantIsAnswered) const;
   bool admit(Time now, const RequestId& request, const Reservation& reservation);
   void admitWaiting(Time now);
   void refuseWaiting(ErrorKind kind, const std::string& detail);
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -280,6 +280,11 @@
     return;
   }
   reserved_ = false;
+  budgetRefusal_ = decision.cause;
+  if (budgetRefusal_) {
+    services_.metrics.count(
+      fmt::format("budget_refused_{}", ledger::nameOf(budgetRefusal_->reason)));
+  }
   sendErrorResponse(
     now,
     decision.error.value_or(Error{ ErrorKind::budgetExhausted, "the budget is used up" }),
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -197,6 +197,8 @@
   Time reservedAt_;
   /** How long the request waited for a grant; nothing if it was decided at once. */
   std::optional<Duration> grantWait_;
+  /** Set when the request was refused for its budget. */
+  std::optional<ledger::BudgetRefusal> budgetRefusal_;
   bool dispatched_ = false;
   std::shared_ptr<http::Call> call_;
   std::vector<EndpointId> triedEndpoints_;
--- a/modules/router/ExchangeLog.cpp
+++ b/modules/router/ExchangeLog.cpp
@@ -10,6 +10,25 @@
   return duration.count() / 1000;
 }
 
+std::string amount(const std::optional<Tokens>& tokens)
+{
+  return tokens ? std::to_string(tokens->count) : "-";
+}
+
+/** Formats what was known of a budget when it refused a request. */
+std::string budgetTokens(const std::optional<ledger::BudgetRefusal>& refusal)
+{
+  if (!refusal) {
+    return "-";
+  }
+  const auto& tokens = refusal->tokens;
+  return fmt::format("{}/{}/{}/{}",
+                     tokens.available.count,
+                     tokens.reserve.count,
+                     amount(tokens.free),
+                     amount(tokens.others));
+}
+
 } // namespace
 
 void Exchange::logLostConnection(Time now)
@@ -67,6 +86,8 @@
       { "status", std::to_string(status) },
       { "sends", std::to_string(sendCount_) },
       { "grant_ms", grantWait_ ? std::to_string(millis(*grantWait_)) : "-" },
+      { "reason", budgetRefusal_ ? std::string(ledger::nameOf(budgetRefusal_->reason)) : "-" },
+      { "budget_tokens", budgetTokens(budgetRefusal_) },
       { "first_byte_ms", answered ? std::to_string(millis(firstByteAt_ - arrivedAt_)) : "-" },
       { "pause_ms", std::to_string(millis(longestPause_)) },
       { "total_ms", std::to_string(millis(now - arrivedAt_)) },
