ledger: a holder requests tokens ahead of need by its own demand, and asks the holders with the most tokens first

With a link delay of 100 ms at the busiest process its requests were refused as 'held' after the leader was back, on answers to grant requests that had been sent before they arrived.

- A holder adds to its grant request what it needs for 4 s of its own demand, within an eighth of what is free or a quarter of its reserve.
- A holder returns the part of its reserve that it cannot need while little is free.
- An answer marks only the requests it was asked for as not covered.
- Grants name the three holders with the most idle tokens; transfers ask these first, and pause 80 ms after a round without success (before: up to 2,000 requests a second from each process).
- Control states what others hold without the tokens of running requests; a request that nobody can cover is refused at once.

--- a/modules/ledger/Budget.cpp
+++ b/modules/ledger/Budget.cpp
@@ -188,6 +188,37 @@
   return sums_;
 }
 
+std::vector<HolderId> Budget::richestHolders(const HolderId& except, std::size_t maxCount) const
+{
+  std::vector<std::pair<Tokens, const HolderAccount*>> richest;
+  for (const auto& account : accounts) {
+    const auto idle = account.unlockedHeld() - account.reserved;
+    if (idle <= Tokens{ 0 } || account.holder == except) {
+      continue;
+    }
+    const auto place = std::find_if(
+      richest.begin(), richest.end(), [idle](const auto& item) { return item.first < idle; });
+    richest.insert(place, { idle, &account });
+    richest.resize(std::min(richest.size(), maxCount));
+  }
+  std::vector<HolderId> holders;
+  for (const auto& [idle, account] : richest) {
+    holders.push_back(account->holder);
+  }
+  return holders;
+}
+
+Tokens Budget::idleTokens(const HolderId& except) const
+{
+  Tokens idle;
+  for (const auto& account : accounts) {
+    if (account.holder != except) {
+      idle += std::max(Tokens{ 0 }, account.held() - account.reserved);
+    }
+  }
+  return idle;
+}
+
 AccountAmounts Budget::addUpAccounts() const
 {
   AccountAmounts total;
--- a/modules/ledger/Budget.h
+++ b/modules/ledger/Budget.h
@@ -41,6 +41,9 @@
   Tokens returned;
   std::uint64_t lastGrantSequence = 0;
   Time lastGrantRequestAt;
+  /** The tokens that running requests of the holder have reserved, as last reported. Decides
+     nothing here; other holders are told how much could be moved to them. */
+  Tokens reserved;
   /** Recent charges; counted for holders without records of charges only. */
   UsageWindow usage;
   /** The time of the last recall from this holder. Not part of a snapshot: after a restart, the
@@ -66,7 +69,8 @@
                  returned,
                  lastGrantSequence,
                  lastGrantRequestAt,
-                 usage)
+                 usage,
+                 reserved)
 };
 
 /** The amounts of an account, or of all accounts of a budget, that count for the budget. */
@@ -179,6 +183,15 @@
   /** Returns the accounts that were returned for changes since the last finishChanges(). */
   [[nodiscard]] std::vector<const HolderAccount*> changedAccounts() const;
 
+  /** Returns the other holders with the most unlocked tokens that no request has reserved, the
+      largest amount first.
+      @param maxCount  the number of holders that are returned at most */
+  [[nodiscard]] std::vector<HolderId> richestHolders(const HolderId& except,
+                                                     std::size_t maxCount) const;
+
+  /** Returns the tokens of all other holders that no running request has reserved. */
+  [[nodiscard]] Tokens idleTokens(const HolderId& except) const;
+
   /** Returns the sum of the amounts of all accounts by adding them up. */
   [[nodiscard]] AccountAmounts addUpAccounts() const;
 
--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -189,8 +189,7 @@
     granted.granted = existingAccount == nullptr ? Tokens{ 0 } : existingAccount->granted;
     granted.unlocked = existingAccount == nullptr ? Tokens{ 0 } : existingAccount->unlocked;
     granted.free = budget.grantable();
-    granted.heldByOthers =
-      budget.held() - (existingAccount == nullptr ? Tokens{ 0 } : existingAccount->held());
+    granted.heldByOthers = budget.idleTokens(id);
     return granted;
   }
   auto& account = openAccount(id, budgetEntry);
@@ -212,7 +211,6 @@
   granted.granted = account.granted;
   granted.unlocked = account.unlocked;
   granted.free = budget.grantable();
-  granted.heldByOthers = budget.held() - account.held();
   granted.budgetLow =
     item.requested > free || budget.closed ||
     demandLimit.count * kLowBudgetShares < std::max(item.requested, item.demand).count;
--- a/modules/ledger/BudgetLedgerPrepaid.cpp
+++ b/modules/ledger/BudgetLedgerPrepaid.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t kReserveCutoffDivisor = 10;
 /** A holder returns part of its reserve only above this multiple of the target. */
 constexpr double kReserveTolerance = 1.25;
+/** The number of holders that a grant names as those with the most tokens. */
+constexpr std::size_t kRichestHolders = 3;
 
 } // namespace
 
@@ -54,7 +56,9 @@
   granted.granted = account.granted;
   granted.unlocked = account.unlocked;
   granted.free = budget.grantable();
-  granted.heldByOthers = budget.held() - account.held();
+  account.reserved = item.reserved;
+  granted.heldByOthers = budget.idleTokens(id);
+  granted.richestHolders = budget.richestHolders(id, kRichestHolders);
   return granted;
 }
 
@@ -176,6 +180,7 @@
   const auto newCharges = std::max(Tokens{ 0 }, totals.charged - account.charged);
   budget.usage.add(time, newCharges);
   account.usage.add(time, newCharges);
+  account.reserved = totals.reserved;
   account.unlocked = std::max(account.unlocked, totals.unlocked);
   account.charged = std::max(account.charged, totals.charged);
   account.returned = std::max(account.returned, totals.returned);
--- a/modules/ledger/Command.h
+++ b/modules/ledger/Command.h
@@ -145,8 +145,10 @@
   /** The amount that the holder expects to reserve soon. Granted only as far as the budget allows.
    */
   Tokens demand;
+  /** The tokens that running requests of the holder have reserved. */
+  Tokens reserved{};
 
-  MSGPACK_DEFINE(budget, sequence, requested, minimum, demand)
+  MSGPACK_DEFINE(budget, sequence, requested, minimum, demand, reserved)
 };
 
 /** Requests grants. Idempotent by (holder, budget, sequence). */
@@ -176,11 +178,23 @@
   Tokens unlocked;
   /** The part of its reserve that the holder has to return, because it exceeds its target. */
   Tokens excessReserve;
-  /** The tokens that other holders hold, including their reserves and those reserved by their
-      running requests. Not set by releases that do not state it. */
+  /** The tokens that other holders hold, including their reserves, without those that their running
+      requests have reserved as far as they reported it. Not set by releases that do not state it.
+   */
   std::optional<Tokens> heldByOthers{};
+  /** Other holders with the most unlocked tokens that no request has reserved, the largest amount
+      first. */
+  std::vector<HolderId> richestHolders{};
 
-  MSGPACK_DEFINE(budget, sequence, granted, free, budgetLow, unlocked, excessReserve, heldByOthers)
+  MSGPACK_DEFINE(budget,
+                 sequence,
+                 granted,
+                 free,
+                 budgetLow,
+                 unlocked,
+                 excessReserve,
+                 heldByOthers,
+                 richestHolders)
 };
 
 /** The outcome of Grant. */
@@ -214,8 +228,10 @@
   std::vector<PeerTotal> transferredOut;
   /** The part of the granted total that the holder may spend. */
   Tokens unlocked{};
+  /** The tokens that running requests have reserved. Stated to control only. */
+  Tokens reserved{};
 
-  MSGPACK_DEFINE(budget, charged, returned, transferredIn, transferredOut, unlocked)
+  MSGPACK_DEFINE(budget, charged, returned, transferredIn, transferredOut, unlocked, reserved)
 };
 
 /** The charge for one attempt of a request with an idempotency key. */
--- a/modules/ledger/FleetPeers.cpp
+++ b/modules/ledger/FleetPeers.cpp
@@ -10,6 +10,9 @@
     each pair of holders and budget, so with all pairs its state would grow with the square of the
     number of holders. */
 constexpr std::size_t kMaxTransferPartners = 16;
+/** The same for holders without witnesses. They also ask the peers that control names as those with
+    the most tokens. */
+constexpr std::size_t kMaxRouterTransferPartners = 12;
 /** The number of witnesses of a holder's reserves. All of them must acknowledge, so with more it
     would be likelier that a failed witness blocks unlocking while control is unreachable. With only
     one, the reserve would be lost when the witness and the holder fail together. */
@@ -90,16 +93,17 @@
 
 std::vector<HolderId> FleetPeers::selectTransferPartners() const
 {
-  if (transferPeers_.size() <= kMaxTransferPartners) {
+  const auto maxPartners = usesWitnesses_ ? kMaxTransferPartners : kMaxRouterTransferPartners;
+  if (transferPeers_.size() <= maxPartners) {
     return transferPeers_;
   }
   // Half of the partners are in the same availability zone, which may be isolated. The others are
   // spread evenly over the fleet. Both start after this holder, so they differ between holders.
   auto partners = rotateToStartAfterSelf(zoneEntries_);
-  partners.resize(std::min(partners.size(), kMaxTransferPartners / 2));
+  partners.resize(std::min(partners.size(), maxPartners / 2));
   auto peers = rotateToStartAfterSelf(transferPeers_);
   std::erase_if(peers, [&partners](const HolderId& peer) { return contains(partners, peer); });
-  const auto others = kMaxTransferPartners - partners.size();
+  const auto others = maxPartners - partners.size();
   for (std::size_t i = 0; i < others; ++i) {
     partners.push_back(peers[i * peers.size() / others]);
   }
--- a/modules/ledger/QuotaAccount.cpp
+++ b/modules/ledger/QuotaAccount.cpp
@@ -9,6 +9,13 @@
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
+/** The time constant of the short demand rate. */
+constexpr Duration kShortDemandWindow{ 1'000'000 };
+
+double decayed(double rate, Duration age, Duration window)
+{
+  return rate * std::exp(-static_cast<double>(age.count()) / static_cast<double>(window.count()));
+}
 
 PeerTransfers& findOrAdd(std::vector<PeerTransfers>& transfers, const HolderId& peer)
 {
@@ -88,8 +95,7 @@
 
 double QuotaAccount::demandRateAt(Time now, Duration window) const
 {
-  const auto age = static_cast<double>((now - demandUpdatedAt).count());
-  return demandRate * std::exp(-age / static_cast<double>(window.count()));
+  return decayed(demandRate, now - demandUpdatedAt, window);
 }
 
 Tokens QuotaAccount::demandWithin(Time now, Duration window, Duration horizon) const
@@ -98,9 +104,29 @@
   return Tokens{ static_cast<std::int64_t>(demandRateAt(now, window) * seconds) };
 }
 
+bool QuotaAccount::isSpent(Tokens bound) const
+{
+  return lastFree && lastHeldByOthers &&
+         available() + reserveAmount() + *lastFree + *lastHeldByOthers < bound;
+}
+
+Tokens QuotaAccount::shortDemandWithin(Time now, Duration horizon) const
+{
+  // One large request after a pause is not a rise of the demand.
+  const auto singleRequest = static_cast<double>(largestBound.count) * kMicrosPerSecond /
+                             static_cast<double>(kShortDemandWindow.count());
+  const auto rate =
+    decayed(shortDemandRate, now - demandUpdatedAt, kShortDemandWindow) - singleRequest;
+  const auto seconds = static_cast<double>(horizon.count()) / kMicrosPerSecond;
+  return Tokens{ static_cast<std::int64_t>(std::max(0.0, rate) * seconds) };
+}
+
 void QuotaAccount::addDemand(Time now, Tokens bound, Duration window)
 {
   const auto seconds = static_cast<double>(window.count()) / kMicrosPerSecond;
+  shortDemandRate = decayed(shortDemandRate, now - demandUpdatedAt, kShortDemandWindow) +
+                    static_cast<double>(bound.count) * kMicrosPerSecond /
+                      static_cast<double>(kShortDemandWindow.count());
   demandRate = demandRateAt(now, window) + static_cast<double>(bound.count) / seconds;
   demandUpdatedAt = now;
   lastReservationAt = now;
@@ -112,12 +138,13 @@
 
 AccountTotals QuotaAccount::totals(const BudgetId& id) const
 {
-  return { id, charged, returned, allTotals(transfersIn), allTotals(transfersOut), unlocked };
+  return { id, charged, returned, allTotals(transfersIn), allTotals(transfersOut), unlocked, {} };
 }
 
 AccountTotals QuotaAccount::unconfirmedTotals(const BudgetId& id) const
 {
-  return { id, charged, returned, unconfirmed(transfersIn), unconfirmed(transfersOut), unlocked };
+  return { id,       charged, returned, unconfirmed(transfersIn), unconfirmed(transfersOut),
+           unlocked, reserved };
 }
 
 void QuotaAccount::confirmTransfers(const AccountTotals& reported)
--- a/modules/ledger/QuotaAccount.h
+++ b/modules/ledger/QuotaAccount.h
@@ -55,6 +55,8 @@
 
   /** The id of the proposal that requests a grant, or 0. */
   std::uint64_t grantProposal = 0;
+  /** The time at which that grant was requested. */
+  Time grantRequestedAt;
   /** The earliest time of the next grant request for waiting requests. */
   Time nextGrantRequestAt;
   /** The earliest time of the next grant request for expected demand alone. */
@@ -65,6 +67,8 @@
   Time budgetLowUntil;
   /** The exponentially decayed rate of reservations in tokens per second, at demandUpdatedAt. */
   double demandRate = 0;
+  /** The same rate with a time constant of 1 s. It follows a sudden rise at once. */
+  double shortDemandRate = 0;
   Time demandUpdatedAt;
   Time lastReservationAt;
   Tokens lastBound;
@@ -81,8 +85,12 @@
   std::size_t transferPeerIndex = 0;
   /** The peer whose answer to a transfer request is awaited. */
   HolderId transferRequestedFrom;
-  /** The number of peers that have refused a transfer in this round. */
+  /** The number of peers that have refused a transfer in this round, or not answered. */
   std::size_t transferRefusals = 0;
+  /** No transfer is requested before this time, because a round had no success. */
+  Time nextTransferRoundAt;
+  /** The peers with the most tokens at the last grant. They are asked first. */
+  std::vector<HolderId> richestPeers;
   Time transferRequestedAt;
   /** The tokens that another holder requested without success, and the time until which they count
       as demand. */
@@ -91,6 +99,7 @@
   /** The tokens that were free after the last grant, and those of other holders. */
   std::optional<Tokens> lastFree;
   std::optional<Tokens> lastHeldByOthers;
+  Time lastGrantAt;
 
   [[nodiscard]] Tokens totalIn() const;
   [[nodiscard]] Tokens totalOut() const;
@@ -118,6 +127,10 @@
       because control could otherwise receive the report of the second transfer before the first. */
   [[nodiscard]] Tokens transferable() const;
 
+  /** Returns whether, by the last grant, neither this holder nor control nor the other holders have
+      tokens for a request. */
+  [[nodiscard]] bool isSpent(Tokens bound) const;
+
   [[nodiscard]] bool isBudgetLow(Time now) const { return now < budgetLowUntil; }
 
   /** Returns the decayed demand rate in tokens per second.
@@ -127,6 +140,9 @@
   /** Returns the expected demand of the next @p horizon at the decayed rate. */
   [[nodiscard]] Tokens demandWithin(Time now, Duration window, Duration horizon) const;
 
+  /** Returns the same at the rate with a time constant of 1 s, without the largest request. */
+  [[nodiscard]] Tokens shortDemandWithin(Time now, Duration horizon) const;
+
   /** Adds a reservation to the demand rate. */
   void addDemand(Time now, Tokens bound, Duration window);
 
--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -12,6 +12,9 @@
 /** The time to request tokens from eight peers one after the other, waiting up to 20 ms for each.
    When control is known to be unreachable, waiting longer than this has no use. */
 constexpr Duration kTransferRoundTime{ 200'000 };
+/** How long after a grant a holder relies on its statement that nothing is left of a budget. Tokens
+    become free again when a running request ends below its upper bound, and by a top-up. */
+constexpr Duration kSpentTime{ 200'000 };
 
 } // namespace
 
@@ -99,6 +102,12 @@
   if (bound == Tokens{ 0 }) {
     reservation.budgets.clear();
   }
+  if (isKnownSpent(now, reservation)) {
+    return refuseForBudget({ request, reservation, now, now, now },
+                           ErrorKind::budgetExhausted,
+                           fmt::format("the budget does not cover {} tokens", bound.count),
+                           true);
+  }
   for (const auto& id : reservation.budgets) {
     findOrOpenAccount(id).addDemand(now, bound, settings_.demandWindow);
   }
@@ -106,7 +115,7 @@
     requestGrants(now, reservation.budgets);
     return { request, ReserveStatus::admitted, std::nullopt };
   }
-  waiting_.push_back({ request, reservation, now + settings_.grantTimeout, std::nullopt });
+  waiting_.push_back({ request, reservation, now, now + settings_.grantTimeout, std::nullopt });
   requestGrants(now, reservation.budgets);
   unlockReserves(now);
   requestTransfers(now);
@@ -207,18 +216,34 @@
 
 void QuotaManager::Impl::markUncoveredRequests(Time now, const BudgetId& id)
 {
+  const auto grantRequestedAt = accounts_.at(id).grantRequestedAt;
   for (auto& waitingRequest : waiting_) {
-    if (!waitingRequest.insufficientSince && isUncovered(waitingRequest, id)) {
+    // The grant was not requested for requests that arrived later.
+    const bool wasRequested = waitingRequest.arrivedAt <= grantRequestedAt;
+    if (wasRequested && !waitingRequest.insufficientSince && isUncovered(waitingRequest, id)) {
       waitingRequest.insufficientSince = now;
     }
   }
 }
 
+bool QuotaManager::Impl::isKnownSpent(Time now, const Reservation& reservation) const
+{
+  return !settings_.usesWitnesses &&
+         std::any_of(
+           reservation.budgets.begin(), reservation.budgets.end(), [&](const BudgetId& id) {
+             const auto entry = accounts_.find(id);
+             return entry != accounts_.end() && now < entry->second.lastGrantAt + kSpentTime &&
+                    entry->second.isSpent(reservation.bound);
+           });
+}
+
 void QuotaManager::Impl::refuseUncoveredRequests(Time now, const BudgetId& id)
 {
   for (auto waitingRequest = waiting_.begin(); waitingRequest != waiting_.end();) {
-    if (!isUncovered(*waitingRequest, id) ||
-        now < *waitingRequest->insufficientSince + settings_.recallTimeout) {
+    const bool isRecallLate = waitingRequest->insufficientSince &&
+                              now >= *waitingRequest->insufficientSince + settings_.recallTimeout;
+    const bool isSpent = accounts_.at(id).isSpent(waitingRequest->reservation.bound);
+    if (!isUncovered(*waitingRequest, id) || !(isRecallLate || isSpent)) {
       ++waitingRequest;
       continue;
     }
--- a/modules/ledger/QuotaManager.h
+++ b/modules/ledger/QuotaManager.h
@@ -34,6 +34,9 @@
   Duration demandWindow{ 2'000'000 };
   /** A grant covers the expected demand of this time. */
   Duration grantHorizon{ 3'000'000 };
+  /** A holder without witnesses requests tokens ahead of need for the expected demand of this time.
+      They have to last until it may unlock its reserves. */
+  Duration stockHorizon{ 4'000'000 };
   /** Unused tokens are returned when there was no reservation for this time. */
   Duration idleTimeout{ 30'000'000 };
   /** Control counts as unreachable when a proposal stays unanswered for this time. */
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -1,3 +1,4 @@
+#include "ledger/GrantSizing.h"
 #include "ledger/QuotaManagerImpl.h"
 
 #include <algorithm>
@@ -14,6 +15,9 @@
     are requested together. With one request for each need, a leader that had been unreachable got
     thousands of them at once, most of them for requests that no longer waited. */
 constexpr std::size_t kMaxGrantsInFlight = 2;
+/** The time that a reserve has to last. Entry processes are partitioned from control for up to 9 s,
+    of which unlocked tokens cover the first 3 s. */
+constexpr Duration kReserveTime{ 6'000'000 };
 /** The longest pause between two grant requests for waiting requests. */
 constexpr Duration kMaxGrantRequestPause{ 40'000 };
 /** The pause before the next grant request after control refused one, for example because the
@@ -92,6 +96,22 @@
   return std::max(expectedAmount, idleAmount(now, account));
 }
 
+Tokens QuotaManager::Impl::stockAmount(Time now, const Account& account, Tokens waitingAmount) const
+{
+  if (settings_.usesWitnesses || account.isBudgetLow(now)) {
+    return {};
+  }
+  const auto target =
+    std::max({ account.demandWithin(now, settings_.demandWindow, settings_.stockHorizon),
+               account.shortDemandWithin(now, settings_.stockHorizon),
+               Tokens{ kMinRequestsPerGrant * account.largestBound.count } });
+  return detail::stockRequest({ std::max(Tokens{ 0 }, account.available() - waitingAmount),
+                                target,
+                                account.lastFree,
+                                account.reserveAmount(),
+                                account.prepaid });
+}
+
 std::optional<GrantItem> QuotaManager::Impl::makeGrantItem(Time now,
                                                            const BudgetId& id,
                                                            const Account& account,
@@ -141,15 +161,19 @@
       demand = std::max(Tokens{ 0 }, expectedAmount - available);
     }
   }
-  if (smallestShortfall == Tokens{ 0 } && demand == Tokens{ 0 } &&
+  const auto stock = smallestShortfall > Tokens{ 0 } || now >= account.nextDemandRequestAt
+                       ? stockAmount(now, account, waitingAmount)
+                       : Tokens{ 0 };
+  if (smallestShortfall == Tokens{ 0 } && demand == Tokens{ 0 } && stock == Tokens{ 0 } &&
       reason != GrantReason::reserveCheck) {
     return std::nullopt;
   }
   return GrantItem{ id,
                     ++grantSequence_,
-                    smallestShortfall == Tokens{ 0 } ? Tokens{ 0 } : requested,
+                    (smallestShortfall == Tokens{ 0 } ? Tokens{ 0 } : requested) + stock,
                     smallestShortfall,
-                    demand };
+                    demand,
+                    account.reserved };
 }
 
 void QuotaManager::Impl::requestGrants(Time now,
@@ -176,6 +200,7 @@
   const auto proposal = proposer_.propose(now, command);
   for (const auto& item : command.items) {
     accounts_.at(item.budget).grantProposal = proposal;
+    accounts_.at(item.budget).grantRequestedAt = now;
     grantProposals_[proposal].push_back(item.budget);
   }
 }
@@ -255,6 +280,9 @@
     account.budgetLowUntil = item.budgetLow ? now + kBudgetLowTime : Time{};
     account.lastFree = item.free;
     account.lastHeldByOthers = item.heldByOthers;
+    account.lastGrantAt = now;
+    account.richestPeers = item.richestHolders;
+    returnExcessReserve(now, item.budget, account);
     if (!settings_.usesWitnesses) {
       account.availableAfterGrant = account.available();
     }
@@ -306,6 +334,9 @@
 void QuotaManager::Impl::returnTokens(const BudgetId& id, Account& account, Tokens amount)
 {
   account.returned += amount;
+  if (account.lastFree) {
+    *account.lastFree += amount;
+  }
   account.updateMaxGrantUsed();
   account.hasUnsettledTotals = true;
   unsettledBudgets_.insert(id);
@@ -313,6 +344,19 @@
   settleImmediately_ = true;
 }
 
+void QuotaManager::Impl::returnExcessReserve(Time now, const BudgetId& id, Account& account)
+{
+  if (settings_.usesWitnesses) {
+    return;
+  }
+  const auto demand = account.demandWithin(now, settings_.demandWindow, kReserveTime);
+  returnReserve(
+    id,
+    account,
+    detail::reserveToReturn(
+      { account.reserveAmount(), demand, account.lastFree, account.prepaid, entryCount_ }));
+}
+
 void QuotaManager::Impl::returnReserve(const BudgetId& id, Account& account, Tokens amount)
 {
   if (amount > Tokens{ 0 }) {
@@ -383,6 +427,7 @@
     }
     account.prepaid = prepaid;
     account.availableAfterGrant = Tokens{ 0 };
+    account.lastFree.reset();
   }
   for (const auto& id : loweredBudgets) {
     handleBudgetLowered(now, id);
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -81,6 +81,7 @@
   {
     RequestId request;
     Reservation reservation;
+    Time arrivedAt;
     Time deadline;
     /** The time of the first grant that did not cover the request; unset before that. */
     std::optional<Time> insufficientSince;
@@ -172,7 +173,10 @@
   [[nodiscard]] bool isUncovered(const WaitingRequest& request, const BudgetId& id) const;
   /** Records for the requests that a grant did not cover that control has answered. */
   void markUncoveredRequests(Time now, const BudgetId& id);
-  /** Refuses the requests that are not covered for too long. Call it after
+  /** Returns whether a recent grant has stated that a budget cannot cover a reservation. */
+  [[nodiscard]] bool isKnownSpent(Time now, const Reservation& reservation) const;
+  /** Refuses the requests that are not covered for too long, or of which a grant has stated that
+      nobody has the tokens. Call it after
       markUncoveredRequests(). */
   void refuseUncoveredRequests(Time now, const BudgetId& id);
   void freeReservation(Time now, const Reservation& reservation);
@@ -193,6 +197,8 @@
      control is unreachable. */
   [[nodiscard]] Tokens idleAmount(Time now, const Account& account) const;
   [[nodiscard]] Tokens expectedDemand(Time now, const Account& account) const;
+  /** Returns the tokens to request ahead of need, beside those of waiting requests. */
+  [[nodiscard]] Tokens stockAmount(Time now, const Account& account, Tokens waitingAmount) const;
   void requestInitialGrants(Time now);
   /** Requests the needs that waited for the reply to an earlier grant request. */
   void requestDeferredGrants(Time now);
@@ -239,6 +245,10 @@
   {
   }
   void handleTransferRefusal(Time now, const Transfer& message);
+  /** Returns the peer to ask next for tokens: the richest ones at the last grant, then the transfer
+      partners in turn. */
+  std::optional<HolderId> nextTransferPeer(Time now, Account& account);
+  void noteTransferRefusal(Time now, Account& account);
   void sendTransfer(Time now, const TransferKey& transferKey, OutTransfer& transfer);
   void resendTransfers(Time now);
   /** Drops the transfers to incarnations that were replaced. They receive nothing more, and the
@@ -246,6 +256,8 @@
   void dropTransfersToReplaced();
   void returnUnreserved(Time now, const BudgetId& id);
   void returnReserve(const BudgetId& id, Account& account, Tokens amount);
+  /** Returns the part of the reserve that the holder does not need, if little is free. */
+  void returnExcessReserve(Time now, const BudgetId& id, Account& account);
 
   // Reserves.
   /** Returns whether control has been unreachable for long enough that reserves may be unlocked. */
@@ -332,6 +344,9 @@
   Time nextSettleAt_;
   std::uint64_t transferId_ = 0;
   std::map<TransferKey, OutTransfer> outTransfers_;
+  /** Peers that have not answered a transfer request, and the time until which they are not asked.
+   */
+  std::map<HolderId, Time> unresponsivePeers_;
 
   /** Counts the changes that have to be recorded at a witness. */
   std::uint64_t recordClock_ = 0;
--- a/modules/ledger/QuotaManagerTransfer.cpp
+++ b/modules/ledger/QuotaManagerTransfer.cpp
@@ -14,6 +14,11 @@
 constexpr Duration kPeerShortfallTime{ 300'000 };
 /** The time after which an unanswered transfer request is sent to the next peer. */
 constexpr Duration kTransferReplyTimeout{ 20'000 };
+/** The pause after all peers have refused a transfer. Without it, a holder sends thousands of
+    requests a second while nobody has tokens. */
+constexpr Duration kTransferRoundPause{ 80'000 };
+/** How long a peer that has not answered a transfer request is not asked again. */
+constexpr Duration kUnresponsiveTime{ 1'000'000 };
 /** The time after which an unacknowledged transfer is resent. */
 constexpr Duration kTransferResendInterval{ 50'000 };
 
@@ -38,18 +43,58 @@
     return;
   }
   if (account.transferRequestedAt != Time{}) {
-    account.transferRefusals = 0;
+    unresponsivePeers_[account.transferRequestedFrom] = now + kUnresponsiveTime;
+    noteTransferRefusal(now, account);
+  }
+  if (now < account.nextTransferRoundAt) {
+    return;
   }
   auto shortfall = waitingTokens(id) - account.available();
-  const auto partners = peers_.transferPartners();
-  if (shortfall <= Tokens{ 0 } || partners.empty()) {
+  if (shortfall <= Tokens{ 0 }) {
+    return;
+  }
+  const auto peer = nextTransferPeer(now, account);
+  if (!peer) {
     return;
   }
   shortfall += account.demandWithin(now, settings_.demandWindow, settings_.transferHorizon);
   account.transferRequestedAt = now;
-  const auto& peer = partners[++account.transferPeerIndex % partners.size()];
-  account.transferRequestedFrom = peer;
-  outgoing_.push_back({ peer.process, TransferRequest{ settings_.self, id, shortfall } });
+  account.transferRequestedFrom = *peer;
+  outgoing_.push_back({ peer->process, TransferRequest{ settings_.self, id, shortfall } });
+}
+
+std::optional<HolderId> QuotaManager::Impl::nextTransferPeer(Time now, Account& account)
+{
+  const auto partners = peers_.transferPartners();
+  const auto isUsable = [&](const HolderId& peer) {
+    const auto unresponsive = unresponsivePeers_.find(peer);
+    return unresponsive == unresponsivePeers_.end() || unresponsive->second <= now;
+  };
+  while (account.transferRefusals < account.richestPeers.size()) {
+    const auto& peer = account.richestPeers[account.transferRefusals];
+    if (peers_.isTransferPeer(peer) && isUsable(peer)) {
+      return peer;
+    }
+    ++account.transferRefusals;
+  }
+  for (std::size_t i = 0; i < partners.size(); ++i) {
+    const auto& peer = partners[++account.transferPeerIndex % partners.size()];
+    if (isUsable(peer)) {
+      return peer;
+    }
+  }
+  return std::nullopt;
+}
+
+void QuotaManager::Impl::noteTransferRefusal(Time now, Account& account)
+{
+  account.transferRequestedAt = Time{};
+  account.transferRequestedFrom = HolderId{};
+  if (++account.transferRefusals >=
+      account.richestPeers.size() + peers_.transferPartners().size()) {
+    account.transferRefusals = 0;
+    account.nextTransferRoundAt = now + kTransferRoundPause;
+  }
 }
 
 void QuotaManager::Impl::handle(Time now, const ProcessId& from, const TransferRequest& message)
@@ -154,6 +199,7 @@
     total = message.total;
     markChanged(message.budget, account);
     account.transferRequestedAt = Time{};
+    account.nextTransferRoundAt = Time{};
   }
   outgoing_.push_back(
     { from,
@@ -172,11 +218,8 @@
   }
   // Each peer gets one request per round. A duplicate answer must not cause another request.
   auto& account = accountEntry->second;
-  account.transferRequestedFrom = HolderId{};
-  if (++account.transferRefusals < peers_.transferPartners().size()) {
-    account.transferRequestedAt = Time{};
-    requestTransfers(now);
-  }
+  noteTransferRefusal(now, account);
+  requestTransfers(now);
 }
 
 void QuotaManager::Impl::handle(Time /*now*/, const ProcessId& /*from*/, const TransferAck& message)
