ledger: the demand of a stock is corrected for its age; transfer rounds end after each peer was asked once

Requests for tokens ahead of need used a rate with a time constant of 5 s, which has less than half of the demand 3 s after traffic began. A peer that answered a transfer request late was left out for 1 s; behind a full link that left nobody.

--- a/modules/ledger/QuotaAccount.cpp
+++ b/modules/ledger/QuotaAccount.cpp
@@ -11,6 +11,11 @@
 constexpr double kMicrosPerSecond = 1e6;
 /** The time constant of the short demand rate. */
 constexpr Duration kShortDemandWindow{ 1'000'000 };
+/** A demand that began later than this counts as this old, because the first requests alone would
+    give a much too high rate. */
+constexpr Duration kMinDemandAge{ 2'000'000 };
+/** After a pause of this many time constants, the rate starts anew. */
+constexpr int kPauseWindows = 4;
 
 double decayed(double rate, Duration age, Duration window)
 {
@@ -110,20 +115,25 @@
          available() + reserveAmount() + *lastFree + *lastHeldByOthers < bound;
 }
 
-Tokens QuotaAccount::shortDemandWithin(Time now, Duration horizon) const
+Tokens QuotaAccount::stockDemandWithin(Time now, Duration window, Duration horizon) const
 {
+  const auto seconds = static_cast<double>(horizon.count()) / kMicrosPerSecond;
+  const auto age = std::max(now - demandStartedAt, kMinDemandAge);
+  const auto corrected = demandRateAt(now, window) / (1 - decayed(1, age, window));
   // One large request after a pause is not a rise of the demand.
   const auto singleRequest = static_cast<double>(largestBound.count) * kMicrosPerSecond /
                              static_cast<double>(kShortDemandWindow.count());
-  const auto rate =
+  const auto shortRate =
     decayed(shortDemandRate, now - demandUpdatedAt, kShortDemandWindow) - singleRequest;
-  const auto seconds = static_cast<double>(horizon.count()) / kMicrosPerSecond;
-  return Tokens{ static_cast<std::int64_t>(std::max(0.0, rate) * seconds) };
+  return Tokens{ static_cast<std::int64_t>(std::max(corrected, shortRate) * seconds) };
 }
 
 void QuotaAccount::addDemand(Time now, Tokens bound, Duration window)
 {
   const auto seconds = static_cast<double>(window.count()) / kMicrosPerSecond;
+  if (demandStartedAt == Time{} || now > demandUpdatedAt + kPauseWindows * window) {
+    demandStartedAt = now;
+  }
   shortDemandRate = decayed(shortDemandRate, now - demandUpdatedAt, kShortDemandWindow) +
                     static_cast<double>(bound.count) * kMicrosPerSecond /
                       static_cast<double>(kShortDemandWindow.count());
--- a/modules/ledger/QuotaAccount.h
+++ b/modules/ledger/QuotaAccount.h
@@ -70,6 +70,8 @@
   /** The same rate with a time constant of 1 s. It follows a sudden rise at once. */
   double shortDemandRate = 0;
   Time demandUpdatedAt;
+  /** The time of the first reservation after a pause that is long against the time constant. */
+  Time demandStartedAt;
   Time lastReservationAt;
   Tokens lastBound;
   /** The amount of the whole budget in the latest configuration. */
@@ -140,8 +142,10 @@
   /** Returns the expected demand of the next @p horizon at the decayed rate. */
   [[nodiscard]] Tokens demandWithin(Time now, Duration window, Duration horizon) const;
 
-  /** Returns the same at the rate with a time constant of 1 s, without the largest request. */
-  [[nodiscard]] Tokens shortDemandWithin(Time now, Duration horizon) const;
+  /** Returns the expected demand that a stock has to cover, the larger of two estimates: the
+      decayed rate, corrected for a demand that began within its time constant, and the rate with a
+      time constant of 1 s, which follows a sudden rise. */
+  [[nodiscard]] Tokens stockDemandWithin(Time now, Duration window, Duration horizon) const;
 
   /** Adds a reservation to the demand rate. */
   void addDemand(Time now, Tokens bound, Duration window);
--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -25,7 +25,8 @@
   settings.zone = std::move(zone);
   settings.usesWitnesses = false;
   settings.electionGracePeriod = Duration{ 200'000 };
-  settings.recallTimeout = Duration{ 100'000 };
+  settings.recallTimeout = Duration{ 250'000 };
+  settings.stockHorizon = Duration{ 4'000'000 };
   settings.demandWindow = Duration{ 5'000'000 };
   settings.settleInterval = Duration{ 600'000 };
   settings.grantHorizon = Duration{ 5'000'000 };
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -102,9 +102,8 @@
     return {};
   }
   const auto target =
-    std::max({ account.demandWithin(now, settings_.demandWindow, settings_.stockHorizon),
-               account.shortDemandWithin(now, settings_.stockHorizon),
-               Tokens{ kMinRequestsPerGrant * account.largestBound.count } });
+    std::max(account.stockDemandWithin(now, settings_.demandWindow, settings_.stockHorizon),
+             Tokens{ kMinRequestsPerGrant * account.largestBound.count });
   return detail::stockRequest({ std::max(Tokens{ 0 }, account.available() - waitingAmount),
                                 target,
                                 account.lastFree,
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -249,6 +249,7 @@
       partners in turn. */
   std::optional<HolderId> nextTransferPeer(Time now, Account& account);
   void noteTransferRefusal(Time now, Account& account);
+  void endTransferRound(Time now, Account& account);
   void sendTransfer(Time now, const TransferKey& transferKey, OutTransfer& transfer);
   void resendTransfers(Time now);
   /** Drops the transfers to incarnations that were replaced. They receive nothing more, and the
--- a/modules/ledger/QuotaManagerTransfer.cpp
+++ b/modules/ledger/QuotaManagerTransfer.cpp
@@ -17,11 +17,17 @@
 /** The pause after all peers have refused a transfer. Without it, a holder sends thousands of
     requests a second while nobody has tokens. */
 constexpr Duration kTransferRoundPause{ 80'000 };
-/** How long a peer that has not answered a transfer request is not asked again. */
-constexpr Duration kUnresponsiveTime{ 1'000'000 };
+/** How long a peer that has not answered a transfer request in time is not asked again, unless it
+    answers. A peer behind a full link answers late. */
+constexpr Duration kUnresponsiveTime{ 250'000 };
 /** The time after which an unacknowledged transfer is resent. */
 constexpr Duration kTransferResendInterval{ 50'000 };
 
+bool contains(const std::vector<HolderId>& ids, const HolderId& id)
+{
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
 } // namespace
 
 void QuotaManager::Impl::requestTransfers(Time now)
@@ -55,6 +61,7 @@
   }
   const auto peer = nextTransferPeer(now, account);
   if (!peer) {
+    endTransferRound(now, account);
     return;
   }
   shortfall += account.demandWithin(now, settings_.demandWindow, settings_.transferHorizon);
@@ -79,7 +86,7 @@
   }
   for (std::size_t i = 0; i < partners.size(); ++i) {
     const auto& peer = partners[++account.transferPeerIndex % partners.size()];
-    if (isUsable(peer)) {
+    if (!contains(account.richestPeers, peer) && isUsable(peer)) {
       return peer;
     }
   }
@@ -90,13 +97,22 @@
 {
   account.transferRequestedAt = Time{};
   account.transferRequestedFrom = HolderId{};
+  const auto partners = peers_.transferPartners();
+  const auto others = std::count_if(partners.begin(), partners.end(), [&](const HolderId& peer) {
+    return !contains(account.richestPeers, peer);
+  });
   if (++account.transferRefusals >=
-      account.richestPeers.size() + peers_.transferPartners().size()) {
-    account.transferRefusals = 0;
-    account.nextTransferRoundAt = now + kTransferRoundPause;
+      account.richestPeers.size() + static_cast<std::size_t>(others)) {
+    endTransferRound(now, account);
   }
 }
 
+void QuotaManager::Impl::endTransferRound(Time now, Account& account)
+{
+  account.transferRefusals = 0;
+  account.nextTransferRoundAt = now + kTransferRoundPause;
+}
+
 void QuotaManager::Impl::handle(Time now, const ProcessId& from, const TransferRequest& message)
 {
   if (retired_ || !peers_.isTransferPeer(message.holder)) {
@@ -184,6 +200,7 @@
   if (message.to != settings_.self || retired_) {
     return;
   }
+  unresponsivePeers_.erase(message.from);
   if (message.transferId == 0) {
     handleTransferRefusal(now, message);
     return;
