--- a/modules/ledger/BudgetRefusal.h
+++ b/modules/ledger/BudgetRefusal.h
@@ -33,8 +33,8 @@
   Tokens reserve;
   /** The tokens that were free after the last grant, if control has said so. */
   std::optional<Tokens> free;
-  /** The tokens of other holders at the last grant, including their reserves and the tokens
-      reserved by their running requests, if control has said so. */
+  /** The tokens of other holders at the last grant, including their reserves but not what their
+      running requests have reserved, if control has said so. */
   std::optional<Tokens> others;
 };
 
--- a/tests/budget_load_test.cpp
+++ b/tests/budget_load_test.cpp
@@ -60,24 +60,28 @@
 
 } // namespace
 
+// Guards against holders that have nothing in stock although others, or control, have plenty:
+// before part D of docs/design/overview.md, 490 in 1,000 requests were refused while the leader was
+// silent. No request may be refused while control answers. In the isolated zone, tokens of the
+// other side are out of reach.
 TEST_CASE("BudgetTokens_leaderSilentAndZoneCutOff_fewCoveredRequestsAreRefused")
 {
   for (const std::uint64_t seed : { 1, 2 }) {
     Day day(seed);
     day.fleet.setPrepaidShare(0.7);
     day.run("idle", 14, false);
-    day.run("start", 3);
+    CHECK(day.run("start", 3) == 0);
     day.fleet.setLeaderSilent(true);
-    day.run("silent", 8);
+    CHECK(day.run("silent", 8) < 10);
     day.fleet.setLeaderSilent(false);
-    day.run("returned", 7);
+    CHECK(day.run("returned", 7) == 0);
     day.fleet.setPrepaidShare(0.85);
-    day.run("first top-up", 4);
+    CHECK(day.run("first top-up", 4) == 0);
     day.fleet.cutZone(BudgetFleet::kHotEntry % BudgetFleet::kZones);
-    day.run("zone cut off", 6);
+    CHECK(day.run("zone cut off", 6) < 30);
     day.fleet.cutZone(std::nullopt);
     day.fleet.setPrepaidShare(1);
-    day.run("end", 12);
+    CHECK(day.run("end", 12) == 0);
     std::cout << fmt::format("seed {} day: refused {} of {}, {:.2f} in 1,000\n",
                              seed,
                              day.refused,
@@ -86,33 +90,39 @@
   }
 }
 
+// Guards against refusals of a process whose link is full, on answers to grant requests that it had
+// sent before, and against budgets that it cannot use to their end. A budget of 28 s is used up
+// here.
 TEST_CASE("BudgetTokens_busiestLinkIsFull_fewCoveredRequestsAreRefused")
 {
   for (const std::uint64_t seed : { 1, 2 }) {
     Day day(seed, 0.7);
     day.run("idle", 14, false);
     day.fleet.hotLinkDelay = Duration{ 100'000 };
-    day.run("start", 3);
+    CHECK(day.run("start", 3) == 0);
     day.fleet.setLeaderSilent(true);
-    day.run("silent", 8);
+    CHECK(day.run("silent", 8) < 70);
     day.fleet.setLeaderSilent(false);
-    day.run("returned", 7);
-    day.run("last part", 8);
+    CHECK(day.run("returned", 7) < 3);
+    CHECK(day.run("last part", 8) < 30);
     day.run("spent", 4);
   }
 }
 
+// Guards against a budget whose last tokens lie at holders that do not need them, and against a
+// spent budget whose requests wait.
 TEST_CASE("BudgetTokens_budgetRunsOut_isUsedToItsEnd")
 {
   for (const std::uint64_t seed : { 1, 2 }) {
     Day day(seed, 0.5);
     day.run("idle", 14, false);
-    day.run("first part", 15);
-    day.run("last part", 6);
-    day.run("spent", 4);
+    CHECK(day.run("first part", 15) == 0);
+    CHECK(day.run("last part", 6) < 1);
+    CHECK(day.run("spent", 4) < 1);
   }
 }
 
+// The same after a silence during which 40% of the budget is used.
 TEST_CASE("BudgetTokens_budgetRunsOutAfterSilence_isUsedToItsEnd")
 {
   for (const std::uint64_t seed : { 1, 2 }) {
@@ -120,10 +130,10 @@
     day.run("idle", 14, false);
     day.run("start", 3);
     day.fleet.setLeaderSilent(true);
-    day.run("silent", 8);
+    CHECK(day.run("silent", 8) < 220);
     day.fleet.setLeaderSilent(false);
-    day.run("returned", 7);
-    day.run("last part", 6);
-    day.run("spent", 4);
+    CHECK(day.run("returned", 7) < 1);
+    CHECK(day.run("last part", 6) < 1);
+    CHECK(day.run("spent", 4) < 1);
   }
 }
