--- a/modules/ledger/QuotaAccount.h
+++ b/modules/ledger/QuotaAccount.h
@@ -55,8 +55,6 @@
 
   /** The id of the proposal that requests a grant, or 0. */
   std::uint64_t grantProposal = 0;
-  /** The time at which that grant was requested. */
-  Time grantRequestedAt;
   /** The earliest time of the next grant request for waiting requests. */
   Time nextGrantRequestAt;
   /** The earliest time of the next grant request for expected demand alone. */
--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -104,7 +104,7 @@
     reservation.budgets.clear();
   }
   if (isKnownSpent(now, reservation)) {
-    return refuseForBudget({ request, reservation, now, now, now },
+    return refuseForBudget({ request, reservation, now, std::nullopt },
                            ErrorKind::budgetExhausted,
                            fmt::format("the budget does not cover {} tokens", bound.count),
                            true);
@@ -116,7 +116,7 @@
     requestGrants(now, reservation.budgets);
     return { request, ReserveStatus::admitted, std::nullopt };
   }
-  waiting_.push_back({ request, reservation, now, now + settings_.grantTimeout, std::nullopt });
+  waiting_.push_back({ request, reservation, now + settings_.grantTimeout, std::nullopt });
   requestGrants(now, reservation.budgets);
   unlockReserves(now);
   requestTransfers(now);
@@ -217,11 +217,8 @@
 
 void QuotaManager::Impl::markUncoveredRequests(Time now, const BudgetId& id)
 {
-  const auto grantRequestedAt = accounts_.at(id).grantRequestedAt;
   for (auto& waitingRequest : waiting_) {
-    // The grant was not requested for requests that arrived later.
-    const bool wasRequested = waitingRequest.arrivedAt <= grantRequestedAt;
-    if (wasRequested && !waitingRequest.insufficientSince && isUncovered(waitingRequest, id)) {
+    if (!waitingRequest.insufficientSince && isUncovered(waitingRequest, id)) {
       waitingRequest.insufficientSince = now;
     }
   }
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -199,7 +199,6 @@
   const auto proposal = proposer_.propose(now, command);
   for (const auto& item : command.items) {
     accounts_.at(item.budget).grantProposal = proposal;
-    accounts_.at(item.budget).grantRequestedAt = now;
     grantProposals_[proposal].push_back(item.budget);
   }
 }
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -81,7 +81,6 @@
   {
     RequestId request;
     Reservation reservation;
-    Time arrivedAt;
     Time deadline;
     /** The time of the first grant that did not cover the request; unset before that. */
     std::optional<Time> insufficientSince;
