--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -189,6 +189,7 @@
     granted.granted = existingAccount == nullptr ? Tokens{ 0 } : existingAccount->granted;
     granted.unlocked = existingAccount == nullptr ? Tokens{ 0 } : existingAccount->unlocked;
     granted.free = budget.grantable();
+    granted.heldByOthers = budget.idleTokens(id);
     return granted;
   }
   auto& account = openAccount(id, budgetEntry);
--- a/modules/ledger/QuotaAccount.cpp
+++ b/modules/ledger/QuotaAccount.cpp
@@ -9,6 +9,18 @@
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
+/** The time constant of the short demand rate. */
+constexpr Duration kShortDemandWindow{ 1'000'000 };
+/** A demand that began later than this counts as this old, because the first requests alone would
+    give a much too high rate. */
+constexpr Duration kMinDemandAge{ 2'000'000 };
+/** After a pause of this many time constants, the rate starts anew. */
+constexpr int kPauseWindows = 4;
+
+double decayed(double rate, Duration age, Duration window)
+{
+  return rate * std::exp(-static_cast<double>(age.count()) / static_cast<double>(window.count()));
+}
 
 PeerTransfers& findOrAdd(std::vector<PeerTransfers>& transfers, const HolderId& peer)
 {
@@ -88,8 +100,7 @@
 
 double QuotaAccount::demandRateAt(Time now, Duration window) const
 {
-  const auto age = static_cast<double>((now - demandUpdatedAt).count());
-  return demandRate * std::exp(-age / static_cast<double>(window.count()));
+  return decayed(demandRate, now - demandUpdatedAt, window);
 }
 
 Tokens QuotaAccount::demandWithin(Time now, Duration window, Duration horizon) const
@@ -98,9 +109,34 @@
   return Tokens{ static_cast<std::int64_t>(demandRateAt(now, window) * seconds) };
 }
 
+bool QuotaAccount::isSpent(Tokens bound) const
+{
+  return lastFree && lastHeldByOthers &&
+         available() + reserveAmount() + *lastFree + *lastHeldByOthers < bound;
+}
+
+Tokens QuotaAccount::stockDemandWithin(Time now, Duration window, Duration horizon) const
+{
+  const auto seconds = static_cast<double>(horizon.count()) / kMicrosPerSecond;
+  const auto age = std::max(now - demandStartedAt, kMinDemandAge);
+  const auto corrected = demandRateAt(now, window) / (1 - decayed(1, age, window));
+  // One large request after a pause is not a rise of the demand.
+  const auto singleRequest = static_cast<double>(largestBound.count) * kMicrosPerSecond /
+                             static_cast<double>(kShortDemandWindow.count());
+  const auto shortRate =
+    decayed(shortDemandRate, now - demandUpdatedAt, kShortDemandWindow) - singleRequest;
+  return Tokens{ static_cast<std::int64_t>(std::max(corrected, shortRate) * seconds) };
+}
+
 void QuotaAccount::addDemand(Time now, Tokens bound, Duration window)
 {
   const auto seconds = static_cast<double>(window.count()) / kMicrosPerSecond;
+  if (demandStartedAt == Time{} || now > demandUpdatedAt + kPauseWindows * window) {
+    demandStartedAt = now;
+  }
+  shortDemandRate = decayed(shortDemandRate, now - demandUpdatedAt, kShortDemandWindow) +
+                    static_cast<double>(bound.count) * kMicrosPerSecond /
+                      static_cast<double>(kShortDemandWindow.count());
   demandRate = demandRateAt(now, window) + static_cast<double>(bound.count) / seconds;
   demandUpdatedAt = now;
   lastReservationAt = now;
@@ -112,12 +148,13 @@
 
 AccountTotals QuotaAccount::totals(const BudgetId& id) const
 {
-  return { id, charged, returned, allTotals(transfersIn), allTotals(transfersOut), unlocked };
+  return { id, charged, returned, allTotals(transfersIn), allTotals(transfersOut), unlocked, {} };
 }
 
 AccountTotals QuotaAccount::unconfirmedTotals(const BudgetId& id) const
 {
-  return { id, charged, returned, unconfirmed(transfersIn), unconfirmed(transfersOut), unlocked };
+  return { id,       charged, returned, unconfirmed(transfersIn), unconfirmed(transfersOut),
+           unlocked, reserved };
 }
 
 void QuotaAccount::confirmTransfers(const AccountTotals& reported)
--- a/modules/ledger/QuotaAccount.h
+++ b/modules/ledger/QuotaAccount.h
@@ -2,7 +2,7 @@
 
 #include "ledger/QuotaManager.h"
 
-#include <set>
+#include <optional>
 
 namespace figchute::ledger::detail {
 
@@ -65,7 +65,11 @@
   Time budgetLowUntil;
   /** The exponentially decayed rate of reservations in tokens per second, at demandUpdatedAt. */
   double demandRate = 0;
+  /** The same rate with a time constant of 1 s. It follows a sudden rise at once. */
+  double shortDemandRate = 0;
   Time demandUpdatedAt;
+  /** The time of the first reservation after a pause that is long against the time constant. */
+  Time demandStartedAt;
   Time lastReservationAt;
   Tokens lastBound;
   /** The amount of the whole budget in the latest configuration. */
@@ -81,13 +85,21 @@
   std::size_t transferPeerIndex = 0;
   /** The peer whose answer to a transfer request is awaited. */
   HolderId transferRequestedFrom;
-  /** The number of peers that have refused a transfer in this round. */
+  /** The number of peers that have refused a transfer in this round, or not answered. */
   std::size_t transferRefusals = 0;
+  /** No transfer is requested before this time, because a round had no success. */
+  Time nextTransferRoundAt;
+  /** The peers with the most tokens at the last grant. They are asked first. */
+  std::vector<HolderId> richestPeers;
   Time transferRequestedAt;
   /** The tokens that another holder requested without success, and the time until which they count
       as demand. */
   Tokens peerShortfall;
   Time peerShortfallUntil;
+  /** The tokens that were free after the last grant, and those of other holders. */
+  std::optional<Tokens> lastFree;
+  std::optional<Tokens> lastHeldByOthers;
+  Time lastGrantAt;
 
   [[nodiscard]] Tokens totalIn() const;
   [[nodiscard]] Tokens totalOut() const;
@@ -115,6 +127,10 @@
       because control could otherwise receive the report of the second transfer before the first. */
   [[nodiscard]] Tokens transferable() const;
 
+  /** Returns whether, by the last grant, neither this holder nor control nor the other holders have
+      tokens for a request. */
+  [[nodiscard]] bool isSpent(Tokens bound) const;
+
   [[nodiscard]] bool isBudgetLow(Time now) const { return now < budgetLowUntil; }
 
   /** Returns the decayed demand rate in tokens per second.
@@ -124,6 +140,11 @@
   /** Returns the expected demand of the next @p horizon at the decayed rate. */
   [[nodiscard]] Tokens demandWithin(Time now, Duration window, Duration horizon) const;
 
+  /** Returns the expected demand that a stock has to cover, the larger of two estimates: the
+      decayed rate, corrected for a demand that began within its time constant, and the rate with a
+      time constant of 1 s, which follows a sudden rise. */
+  [[nodiscard]] Tokens stockDemandWithin(Time now, Duration window, Duration horizon) const;
+
   /** Adds a reservation to the demand rate. */
   void addDemand(Time now, Tokens bound, Duration window);
 
--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -12,6 +12,9 @@
 /** The time to request tokens from eight peers one after the other, waiting up to 20 ms for each.
    When control is known to be unreachable, waiting longer than this has no use. */
 constexpr Duration kTransferRoundTime{ 200'000 };
+/** How long after a grant a holder relies on its statement that nothing is left of a budget. Tokens
+    become free again when a running request ends below its upper bound, and by a top-up. */
+constexpr Duration kSpentTime{ 200'000 };
 
 } // namespace
 
@@ -22,7 +25,8 @@
   settings.zone = std::move(zone);
   settings.usesWitnesses = false;
   settings.electionGracePeriod = Duration{ 200'000 };
-  settings.recallTimeout = Duration{ 100'000 };
+  settings.recallTimeout = Duration{ 250'000 };
+  settings.stockHorizon = Duration{ 4'000'000 };
   settings.demandWindow = Duration{ 5'000'000 };
   settings.settleInterval = Duration{ 600'000 };
   settings.grantHorizon = Duration{ 5'000'000 };
@@ -49,6 +53,27 @@
   return { request, ReserveStatus::refused, Error{ kind, std::move(detail) } };
 }
 
+Decision QuotaManager::Impl::refuseForBudget(const WaitingRequest& waitingRequest,
+                                             ErrorKind kind,
+                                             std::string detail,
+                                             bool grantIsAnswered) const
+{
+  auto decision = refuse(waitingRequest.request, kind, std::move(detail));
+  const auto& reservation = waitingRequest.reservation;
+  for (const auto& id : reservation.budgets) {
+    const auto& account = accounts_.at(id);
+    if (account.available() < reservation.bound) {
+      const KnownTokens tokens{
+        account.available(), account.reserveAmount(), account.lastFree, account.lastHeldByOthers
+      };
+      decision.cause =
+        BudgetRefusal{ refusalReason(tokens, reservation.bound, grantIsAnswered), tokens };
+      break;
+    }
+  }
+  return decision;
+}
+
 QuotaManager::Impl::Account& QuotaManager::Impl::findOrOpenAccount(const BudgetId& id)
 {
   return accounts_[id];
@@ -78,6 +103,12 @@
   if (bound == Tokens{ 0 }) {
     reservation.budgets.clear();
   }
+  if (isKnownSpent(now, reservation)) {
+    return refuseForBudget({ request, reservation, now, std::nullopt },
+                           ErrorKind::budgetExhausted,
+                           fmt::format("the budget does not cover {} tokens", bound.count),
+                           true);
+  }
   for (const auto& id : reservation.budgets) {
     findOrOpenAccount(id).addDemand(now, bound, settings_.demandWindow);
   }
@@ -160,15 +191,18 @@
         refuse(waitingRequest->request, ErrorKind::noQuorum, "no witness is reachable"));
     } else if (!isGrantAnswered) {
       const bool grantedTooLittle = waitingRequest->insufficientSince.has_value();
-      decisions_.push_back(refuse(waitingRequest->request,
-                                  ErrorKind::noQuorum,
-                                  grantedTooLittle ? "control granted too little, then fell silent"
-                                                   : "no control VM answered the grant request"));
+      decisions_.push_back(refuseForBudget(*waitingRequest,
+                                           ErrorKind::noQuorum,
+                                           grantedTooLittle
+                                             ? "control granted too little, then fell silent"
+                                             : "no control VM answered the grant request",
+                                           false));
     } else {
-      decisions_.push_back(refuse(waitingRequest->request,
-                                  ErrorKind::budgetExhausted,
-                                  fmt::format("the budget does not cover {} tokens",
-                                              waitingRequest->reservation.bound.count)));
+      decisions_.push_back(refuseForBudget(
+        *waitingRequest,
+        ErrorKind::budgetExhausted,
+        fmt::format("the budget does not cover {} tokens", waitingRequest->reservation.bound.count),
+        true));
     }
     waitingRequest = waiting_.erase(waitingRequest);
   }
@@ -190,18 +224,32 @@
   }
 }
 
+bool QuotaManager::Impl::isKnownSpent(Time now, const Reservation& reservation) const
+{
+  return !settings_.usesWitnesses &&
+         std::any_of(
+           reservation.budgets.begin(), reservation.budgets.end(), [&](const BudgetId& id) {
+             const auto entry = accounts_.find(id);
+             return entry != accounts_.end() && now < entry->second.lastGrantAt + kSpentTime &&
+                    entry->second.isSpent(reservation.bound);
+           });
+}
+
 void QuotaManager::Impl::refuseUncoveredRequests(Time now, const BudgetId& id)
 {
   for (auto waitingRequest = waiting_.begin(); waitingRequest != waiting_.end();) {
-    if (!isUncovered(*waitingRequest, id) ||
-        now < *waitingRequest->insufficientSince + settings_.recallTimeout) {
+    const bool isRecallLate = waitingRequest->insufficientSince &&
+                              now >= *waitingRequest->insufficientSince + settings_.recallTimeout;
+    const bool isSpent = accounts_.at(id).isSpent(waitingRequest->reservation.bound);
+    if (!isUncovered(*waitingRequest, id) || !(isRecallLate || isSpent)) {
       ++waitingRequest;
       continue;
     }
-    decisions_.push_back(refuse(
-      waitingRequest->request,
+    decisions_.push_back(refuseForBudget(
+      *waitingRequest,
       ErrorKind::budgetExhausted,
-      fmt::format("the budget does not cover {} tokens", waitingRequest->reservation.bound.count)));
+      fmt::format("the budget does not cover {} tokens", waitingRequest->reservation.bound.count),
+      true));
     waitingRequest = waiting_.erase(waitingRequest);
   }
 }
--- a/modules/ledger/QuotaManager.h
+++ b/modules/ledger/QuotaManager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ledger/BudgetRefusal.h"
 #include "ledger/Message.h"
 
 #include <memory>
@@ -33,6 +34,9 @@
   Duration demandWindow{ 2'000'000 };
   /** A grant covers the expected demand of this time. */
   Duration grantHorizon{ 3'000'000 };
+  /** A holder without witnesses requests tokens ahead of need for the expected demand of this time.
+      They have to last until it may unlock its reserves. */
+  Duration stockHorizon{ 4'000'000 };
   /** Unused tokens are returned when there was no reservation for this time. */
   Duration idleTimeout{ 30'000'000 };
   /** Control counts as unreachable when a proposal stays unanswered for this time. */
@@ -100,6 +104,8 @@
   ReserveStatus status = ReserveStatus::refused;
   /** Set when the request was refused. */
   std::optional<Error> error;
+  /** Set when a request that waited for tokens was refused. */
+  std::optional<BudgetRefusal> cause{};
 };
 
 /** A journal record: a new incarnation has started. */
