--- a/modules/ledger/Budget.cpp
+++ b/modules/ledger/Budget.cpp
@@ -202,6 +202,7 @@
     richest.resize(std::min(richest.size(), maxCount));
   }
   std::vector<HolderId> holders;
+  holders.reserve(richest.size());
   for (const auto& [idle, account] : richest) {
     holders.push_back(account->holder);
   }
