--- a/tests/endpoint_restrictions_test.cpp
+++ b/tests/endpoint_restrictions_test.cpp
@@ -83,6 +83,17 @@
     return found;
   }
 
+  /** Breaks connections to an endpoint; returns whether that takes it out of rotation. */
+  bool breakUntilOut(const std::string& endpoint)
+  {
+    bool isOut = false;
+    for (int i = 0; i < 20 && !isOut; ++i) {
+      dispatcher.finished(now, sendTo(endpoint), Outcome::broken);
+      isOut = !dispatcher.takeEvents().empty();
+    }
+    return isOut;
+  }
+
   int countSendsTo(const std::string& endpoint)
   {
     int count = 0;
@@ -225,3 +236,46 @@
   restrictions.expire(now);
   CHECK(restrictions.size() == 0);
 }
+
+// Guards against requests, delayed sends or trials of an open breaker at an evacuated zone, also at
+// an endpoint that restarts there, against a zone that gets no requests after its return, and
+// against a request that is told to wait while no zone of its service is in use.
+TEST_CASE_FIXTURE(Fixture, "zone_isEvacuated_itsEndpointsGetNoRequests")
+{
+  records[0].zone = ZoneId("b");
+  dispatcher.setEndpoints(now, records);
+  const auto delayed = sendTo("p1");
+  REQUIRE(breakUntilOut("p1"));
+  dispatcher.setEvacuatedZones(now, std::vector{ ZoneId("b") });
+  CHECK_FALSE(dispatcher.maySend(now, delayed));
+  dispatcher.finished(now, delayed, Outcome::withdrawn);
+  for (int i = 0; i < 100; ++i) {
+    now = now + 100ms;
+    dispatcher.tick(now);
+    CHECK(sendAndFinish() == "p2");
+  }
+  records[0].startedAtMs = 2;
+  dispatcher.setEndpoints(now, records);
+  CHECK(countSendsTo("p2") == 20);
+  dispatcher.setEvacuatedZones(now, {});
+
+  dispatcher.endpointBackoff(now, sendTo("p1"), 5s);
+  dispatcher.setEvacuatedZones(now, std::vector{ ZoneId("a"), ZoneId("b") });
+  const auto choice = dispatcher.choose(now, makeRequest(), {});
+  CHECK(choice.error().kind == ErrorKind::noEndpoint);
+  CHECK(choice.error().isEvacuated);
+  CHECK(dispatcher.timeUntilBackoffEnds(now, kPlain) == Duration(0));
+}
+
+// Guards against a faulty zone that is evacuated and whose open breakers use up the number of
+// endpoints that may be out of rotation.
+TEST_CASE_FIXTURE(Fixture, "zone_isEvacuated_itsOpenBreakersDoNotCount")
+{
+  records.insert(records.end(), { makeRecord("p3"), makeRecord("p4") });
+  records[0].zone = records[1].zone = ZoneId("b");
+  dispatcher.setEndpoints(now, records);
+  REQUIRE(breakUntilOut("p1"));
+  REQUIRE(breakUntilOut("p2"));
+  dispatcher.setEvacuatedZones(now, std::vector{ ZoneId("b") });
+  CHECK(breakUntilOut("p3"));
+}
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -672,3 +672,34 @@
   }
   CHECK(deltasSent > 0);
 }
+
+// Guards against an order that waits for the next regular update, against an update of a process
+// that lags or runs an earlier release and that undoes it, and against an end that is not
+// published.
+TEST_CASE_FIXTURE(TwoControls, "Evacuation_orderAndOlderUpdates_newestSetIsKept")
+{
+  std::uint64_t lastOrder = 0;
+  const auto order = [&](bool active) {
+    const SetEvacuation command{ ZoneId("b"), active, ++lastOrder };
+    log.emplace_back([command](FleetSimulation&, FleetState& state, std::uint64_t index) {
+      state.evacuations.apply(index, command);
+    });
+    run(ms(60));
+  };
+  run(ms(100));
+  order(true);
+  order(false);
+  CHECK(entry("e0").evacuatedZones().empty());
+  order(true);
+  CHECK(entry("e1").evacuatedZones() == std::vector{ ZoneId("b") });
+  FleetUpdate update;
+  update.evacuationRevision = 2;
+  entry("e0").receive(now, ids[1], update);
+  // An earlier release sends the message without the fields of evacuations and those after them.
+  update.evacuationRevision = 9;
+  const auto bytes = wire::encode(Message(update));
+  const auto unpacked = msgpack::unpack(bytes.data(), bytes.size());
+  unpacked.get().via.array.ptr[1].via.array.size -= 3;
+  entry("e0").receive(now, ids[1], wire::decode<Message>(wire::encode(unpacked.get())).value());
+  CHECK(entry("e0").evacuatedZones() == std::vector{ ZoneId("b") });
+}
--- a/tests/ledger_control_test.cpp
+++ b/tests/ledger_control_test.cpp
@@ -492,3 +492,33 @@
   CHECK(resent >= 1);
   CHECK(resent <= 3);
 }
+
+// Guards against a copy of an order that its proposer sent twice and that undoes a later order, and
+// against a snapshot without the set, or a command of a later release, that stops the process.
+TEST_CASE_FIXTURE(Control, "Evacuations_copiesAndOtherReleases_keepTheSet")
+{
+  const auto order = [&](bool active, std::uint64_t id) {
+    return run<EvacuationResult>(SetEvacuation{ ZoneId("b"), active, id }).changed;
+  };
+  CHECK(order(true, 1));
+  CHECK_FALSE(order(true, 2));
+  CHECK(order(false, 3));
+  REQUIRE(state.restore(state.snapshot()));
+  CHECK_FALSE(order(true, 1));
+  CHECK(order(true, 4));
+  const auto revision = state.fleet().evacuations.revision();
+  CHECK(revision == index);
+
+  msgpack::sbuffer unknown;
+  msgpack::pack(unknown, std::pair(std::variant_size_v<Command>, CrashReport{}));
+  CHECK_FALSE(state.applyEncoded(++index, now, { unknown.data(), unknown.size() }));
+  CHECK(state.lastIndex() == index);
+  CHECK(state.fleet().evacuations.revision() == revision);
+
+  const auto snapshot = state.snapshot();
+  const auto unpacked = msgpack::unpack(snapshot.data(), snapshot.size());
+  const auto& fields = unpacked.get().via.array;
+  fields.ptr[fields.size - 1].via.array.size -= 1;
+  REQUIRE(state.restore(wire::encode(unpacked.get())));
+  CHECK(state.fleet().evacuations.revision() == 0);
+}
