router, http: requests are admitted to the link of an entry VM by rank and size

The limit on accepting connections takes effect before anything has been read, so it refuses urgent and small requests like large ones, and its closed connections bring the callers back to the same full VM.

Change: http::Server asks a head filter about each valid head before its body is read. A refused request gets its response with Connection: close, at most 16 KB of what follows are read and discarded, and nothing after it is handled. LinkAdmission decides from two token buckets that are charged with the expected bytes of a request when it is admitted (head, body, the learned response of its route); bytes that pass are not charged again. The level that a request needs grows with the bytes that more urgent ranks and smaller requests of the same rank bring, and by 30 ms on a new connection. What waits for the link may not exceed a third of the request's target, nor a fifth of the shortest target in use unless the request is small. Responses close no connection because of the link any more. The accept limit remains for refusals that overrun the link: 95% of it, 0.2 s of debt. EntryLink logs link_refused, at most once a second, and counts refusals by reason.

--- a/modules/http/OpenRequest.cpp
+++ b/modules/http/OpenRequest.cpp
@@ -11,11 +11,13 @@
                          RequestHead head,
                          unsigned version,
                          std::shared_ptr<const std::string> body,
-                         const boost::asio::ip::tcp::endpoint& peer)
+                         const boost::asio::ip::tcp::endpoint& peer,
+                         std::shared_ptr<TransferObserver> observer)
   : connection_(&connection)
   , head_(std::move(head))
   , body_(std::move(body))
   , address_(peer)
+  , observer_(std::move(observer))
   , version_(version)
 {
 }
@@ -44,8 +46,10 @@
     head.chunked = false;
   }
   appendResponseHead(head);
-  if (!noBody)
+  if (!noBody) {
     connection_->output_.append(body);
+    observeAnswered(body.size());
+  }
   remaining_ = 0;
   finish();
 }
@@ -89,7 +93,15 @@
     framing.connection = "close";
   else if (version_ < 11)
     framing.connection = "keep-alive";
+  const auto previousSize = connection_->output_.size();
   appendHead(connection_->output_, head, framing);
+  observeAnswered(connection_->output_.size() - previousSize);
+}
+
+void OpenRequest::observeAnswered(std::size_t bytes) const
+{
+  if (observer_)
+    observer_->answered(bytes);
 }
 
 void OpenRequest::write(std::string_view bytes)
@@ -97,6 +109,7 @@
   if (!connection_ || !started_ || bytes.empty())
     return;
   auto& output = connection_->output_;
+  const auto previousSize = output.size();
   switch (bodyKind_) {
     case BodyKind::none:
       return;
@@ -118,6 +131,7 @@
       output.append(bytes);
       break;
   }
+  observeAnswered(output.size() - previousSize);
   connection_->scheduleFlush();
 }
 
--- a/modules/http/Server.cpp
+++ b/modules/http/Server.cpp
@@ -252,6 +252,11 @@
   impl_->setAcceptDelay(std::move(delay));
 }
 
+void Server::setHeadFilter(HeadFilter filter)
+{
+  impl_->headFilter = std::move(filter);
+}
+
 void Server::stopAccepting()
 {
   impl_->stopAccepting();
@@ -267,6 +272,11 @@
   return impl_->traffic;
 }
 
+Traffic Server::refusedTraffic() const
+{
+  return impl_->refusedTraffic;
+}
+
 std::size_t Server::connections() const
 {
   return impl_->connections();
--- a/modules/http/Server.h
+++ b/modules/http/Server.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,51 @@
   int backlog = 4096;
 };
 
+/** Is told how many bytes of one request were transferred. It is destroyed when the request has
+    ended, at the latest with its connection.
+    Thread safety: used on the thread of the server's io_context only. */
+class TransferObserver
+{
+public:
+  virtual ~TransferObserver() = default;
+
+  /** Called for the bytes of the request, its head included, as they are read. */
+  virtual void received(std::size_t bytes) = 0;
+
+  /** Called by the handler for the bytes that it sends to another server. */
+  virtual void forwarded(std::size_t bytes) = 0;
+
+  /** Called for the bytes of the response as they are passed to the connection. */
+  virtual void answered(std::size_t bytes) = 0;
+};
+
+/** What a server knows of a request whose head it has read. */
+struct HeadInfo
+{
+  /** The size of the head on the wire. */
+  std::size_t headBytes = 0;
+  /** The bytes that were read since the head began; traffic() already contains them. */
+  std::size_t receivedBytes = 0;
+  /** An earlier request of the same connection was handled. */
+  bool servedBefore = false;
+};
+
+/** A response that refuses a request before its body is read. */
+struct HeadRefusal
+{
+  ResponseHead head;
+  std::string body;
+};
+
+/** Whether a request is received further. */
+struct HeadDecision
+{
+  /** Set to refuse the request. */
+  std::optional<HeadRefusal> refusal;
+  /** Observes the request if it is not refused; may be null. */
+  std::shared_ptr<TransferObserver> observer;
+};
+
 /** A completely received request and its response. It remains valid after the caller has
     disconnected; calls then have no effect. Exactly one of respond(), finish() and abort() ends it.
     If the last pointer is destroyed before that, the connection is aborted.
@@ -81,6 +127,9 @@
   /** Adds Connection: close to the response and closes the connection after it.
       Precondition: the response has not started. */
   virtual void closeAfterResponse() = 0;
+
+  /** Returns the observer of this request, or nullptr. */
+  [[nodiscard]] virtual TransferObserver* observer() const { return nullptr; }
 };
 
 /** Accepts HTTP/1.1 connections and passes complete requests to a handler, one at a time per
@@ -92,6 +141,10 @@
   using Handler = std::function<void(std::shared_ptr<ServerRequest>)>;
   /** Returns how long accepting has to pause; zero if a connection may be accepted now. */
   using AcceptDelay = std::function<Duration()>;
+  /** Decides on a request whose head is valid and whose body has not been read.
+      @param head  the head; Expect may be among its fields
+      @param info  what the head does not contain */
+  using HeadFilter = std::function<HeadDecision(const RequestHead& head, const HeadInfo& info)>;
 
   /** @param io       the event loop that runs the server; it must outlive the server
       @param limits   the initial limits
@@ -116,6 +169,11 @@
   /** Sets the function that is asked before each connection is accepted. */
   void setAcceptDelay(AcceptDelay delay);
 
+  /** Sets the function that is asked about each request before its body is read. A refused request
+      is not passed to the handler, and neither are the bytes after it: the connection is closed
+      after the response. 400, 413, 417, 431 and the limit on all bodies take precedence. */
+  void setHeadFilter(HeadFilter filter);
+
   /** Stops accepting connections. */
   void stopAccepting();
 
@@ -126,6 +184,9 @@
   /** Returns the bytes of all connections since the start. */
   [[nodiscard]] Traffic traffic() const;
 
+  /** Returns the part of traffic() that belongs to requests which the head filter refused. */
+  [[nodiscard]] Traffic refusedTraffic() const;
+
   /** Returns the number of open connections. */
   [[nodiscard]] std::size_t connections() const;
 
--- a/modules/http/ServerConnection.cpp
+++ b/modules/http/ServerConnection.cpp
@@ -13,6 +13,10 @@
 /** How long input is read and discarded after the last response of a connection. */
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 
+/** Maximum bytes that are read and discarded after a refused request, the size of a first flight of
+ * TCP, which has been sent anyway. What follows stays unread, so that the caller stops sending. */
+constexpr std::size_t kMaxDiscardedBytes = 16U * 1024;
+
 /** Maximum reads from one connection per event, so that other connections are not starved. */
 constexpr int kMaxReadsPerEvent = 4;
 
@@ -159,6 +163,8 @@
 bool ServerConnection::canRead() const
 {
   // While a request is open, at most one further request head is buffered.
+  if (refused_)
+    return phase_ != Phase::closed && discardedBytes_ < kMaxDiscardedBytes;
   return phase_ == Phase::lingering || phase_ == Phase::ending ||
          input_.size() < context_->limits.headBytes || (!openRequest_ && pendingBytes() == 0);
 }
@@ -167,7 +173,9 @@
 {
   const auto self = shared_from_this();
   for (int reads = 0; reads < kMaxReadsPerEvent && canRead(); ++reads) {
-    const auto readResult = receive(socket_.native_handle(), context_->buffer);
+    const auto maxBytes = refused_ ? kMaxDiscardedBytes - discardedBytes_ : context_->buffer.size();
+    const auto readResult =
+      receive(socket_.native_handle(), std::span(context_->buffer).first(maxBytes));
     if (readResult.state == TransferResult::State::wouldBlock)
       break;
     if (readResult.state == TransferResult::State::ended) {
@@ -179,6 +187,10 @@
       return;
     }
     context_->traffic.receivedBytes += readResult.size;
+    if (refused_) {
+      context_->refusedTraffic.receivedBytes += readResult.size;
+      discardedBytes_ += readResult.size;
+    }
     onReceived({ context_->buffer.data(), readResult.size });
     if (phase_ == Phase::closed)
       return;
@@ -251,14 +263,14 @@
   const auto size = scanner_.size();
   scanner_.reset();
   headStarted_ = false;
-  if (!startRequest(bytes.substr(0, size)))
+  if (!startRequest(bytes.substr(0, size), bytes.size()))
     return 0;
   if (incoming_)
-    prepareBody(incoming_->parser.head, bytes.substr(size));
+    prepareBody(bytes.substr(0, size), bytes.substr(size));
   return size;
 }
 
-bool ServerConnection::startRequest(std::string_view head)
+bool ServerConnection::startRequest(std::string_view head, std::size_t received)
 {
   auto incoming = std::make_unique<IncomingRequest>();
   auto& parser = incoming->parser;
@@ -280,7 +292,9 @@
   parser.head.chunked = incoming->framing.chunked;
   if (parser.is_done()) {
     parser.head.fields.remove("expect");
-    dispatch(parser, incoming->framing, emptyBody());
+    if (!passesFilter(*incoming, head.size(), received))
+      return false;
+    dispatch(*incoming, emptyBody());
     return true;
   }
   auto countedBody = std::make_shared<CountedBody>(context_->bodyBytes);
@@ -290,9 +304,10 @@
   return true;
 }
 
-void ServerConnection::prepareBody(const RequestHead& head, std::string_view rest)
+void ServerConnection::prepareBody(std::string_view headText, std::string_view rest)
 {
   const auto& limits = context_->limits;
+  const auto& head = incoming_->parser.head;
   const auto length = head.length.value_or(0);
   if (length > limits.bodyBytes) {
     fail(413, "the body is too large");
@@ -302,15 +317,17 @@
     fail(503, "too many request bodies");
     return;
   }
-  setDeadline(bootTime() + limits.bodyTimeout);
-  incoming_->body->reserve(length);
   const auto* expected = head.fields.find("expect");
-  if (!expected)
-    return;
-  if (!equalsIgnoreCase(*expected, "100-continue")) {
+  if (expected && !equalsIgnoreCase(*expected, "100-continue")) {
     fail(417, "unknown expectation");
     return;
   }
+  if (!passesFilter(*incoming_, headText.size(), headText.size() + rest.size()))
+    return;
+  setDeadline(bootTime() + limits.bodyTimeout);
+  incoming_->body->reserve(length);
+  if (!expected)
+    return;
   incoming_->parser.head.fields.remove("expect");
   if (rest.empty() && incoming_->parser.httpVersion() >= 11) {
     output_.append("HTTP/1.1 100 Continue\r\n\r\n");
@@ -318,6 +335,33 @@
   }
 }
 
+bool ServerConnection::passesFilter(IncomingRequest& incoming,
+                                    std::size_t headBytes,
+                                    std::size_t received)
+{
+  if (!context_->headFilter)
+    return true;
+  const auto& head = incoming.parser.head;
+  auto decision = context_->headFilter(head, HeadInfo{ headBytes, received, hadRequest_ });
+  if (decision.refusal) {
+    refuseRequest(*decision.refusal, head.method == "HEAD", received);
+    return false;
+  }
+  incoming.observer = std::move(decision.observer);
+  if (incoming.observer)
+    incoming.observer->received(headBytes);
+  return true;
+}
+
+void ServerConnection::refuseRequest(const HeadRefusal& refusal,
+                                     bool isHeadRequest,
+                                     std::size_t received)
+{
+  refused_ = true;
+  context_->refusedTraffic.receivedBytes += received;
+  respondAndClose(refusal.head, refusal.body, isHeadRequest);
+}
+
 std::size_t ServerConnection::consumeBody(std::string_view bytes)
 {
   std::size_t used = 0;
@@ -326,6 +370,8 @@
     fail(400, "malformed chunk");
     return 0;
   }
+  if (incoming_->observer)
+    incoming_->observer->received(used);
   if (!parser.bodyPart().empty() && !appendBody(parser.bodyPart()))
     return 0;
   if (used == 0 && bytes.size() > kMaxChunkHeaderBytes) {
@@ -334,7 +380,7 @@
   }
   if (parser.is_done()) {
     const auto incoming = std::exchange(incoming_, nullptr);
-    dispatch(incoming->parser, incoming->framing, std::move(incoming->body));
+    dispatch(*incoming, std::move(incoming->body));
   }
   return used;
 }
@@ -358,9 +404,7 @@
   return true;
 }
 
-void ServerConnection::dispatch(MessageParser<true>& parser,
-                                const Framing& framing,
-                                std::shared_ptr<const std::string> body)
+void ServerConnection::dispatch(IncomingRequest& incoming, std::shared_ptr<const std::string> body)
 {
   // The bytes may have waited in the socket until the caller left.
   if (peerHasClosed(socket_.native_handle())) {
@@ -368,9 +412,14 @@
     return;
   }
   setDeadline(kNever);
-  auto request = std::make_shared<OpenRequest>(
-    *this, std::move(parser.head), parser.httpVersion(), std::move(body), peer_);
-  if (!framing.keepAlive)
+  auto& parser = incoming.parser;
+  auto request = std::make_shared<OpenRequest>(*this,
+                                               std::move(parser.head),
+                                               parser.httpVersion(),
+                                               std::move(body),
+                                               peer_,
+                                               std::move(incoming.observer));
+  if (!incoming.framing.keepAlive)
     request->closeAfterResponse();
   openRequest_ = request.get();
   hadRequest_ = true;
@@ -380,18 +429,25 @@
 
 void ServerConnection::fail(int status, std::string_view reason)
 {
-  incoming_.reset();
-  release(input_);
-  phase_ = Phase::ending;
-  setDeadline(kNever);
-  const auto body = fmt::format("{}\n", reason);
   ResponseHead head;
   head.status = status;
   head.fields.add("Content-Type", "text/plain");
   if (status == 503)
     head.fields.add("Retry-After", "1");
+  respondAndClose(head, fmt::format("{}\n", reason), false);
+}
+
+void ServerConnection::respondAndClose(const ResponseHead& head,
+                                       std::string_view body,
+                                       bool omitBody)
+{
+  incoming_.reset();
+  release(input_);
+  phase_ = Phase::ending;
+  setDeadline(kNever);
   appendHead(output_, head, BodyFraming{ body.size(), false, "close" });
-  output_.append(body);
+  if (!omitBody)
+    output_.append(body);
   scheduleFlush();
 }
 
@@ -435,6 +491,8 @@
     }
     outputSent_ += writeResult.size;
     context_->traffic.sentBytes += writeResult.size;
+    if (refused_)
+      context_->refusedTraffic.sentBytes += writeResult.size;
   }
   onOutputDrained(wrote);
 }
--- a/modules/http/ServerConnection.h
+++ b/modules/http/ServerConnection.h
@@ -34,6 +34,9 @@
   /** Read buffer. Connections use it in turn, so that an idle connection needs none of its own. */
   std::array<char, 64U * 1024> buffer{};
   Traffic traffic;
+  /** The part of traffic that belongs to requests which the head filter refused. */
+  Traffic refusedTraffic;
+  Server::HeadFilter headFilter;
 
   virtual ~ServerContext() = default;
 
@@ -54,7 +57,8 @@
               RequestHead head,
               unsigned version,
               std::shared_ptr<const std::string> body,
-              const boost::asio::ip::tcp::endpoint& peer);
+              const boost::asio::ip::tcp::endpoint& peer,
+              std::shared_ptr<TransferObserver> observer);
   ~OpenRequest() override;
 
   [[nodiscard]] const RequestHead& head() const override { return head_; }
@@ -69,6 +73,7 @@
   void onWritable(std::function<void()> callback) override;
   void onDisconnect(std::function<void()> callback) override;
   void closeAfterResponse() override;
+  [[nodiscard]] TransferObserver* observer() const override { return observer_.get(); }
 
   /** Called by the connection when pendingBytes() has fallen to 0. May destroy this object. */
   void notifyWritable();
@@ -97,6 +102,7 @@
   };
 
   void appendResponseHead(const ResponseHead& head);
+  void observeAnswered(std::size_t bytes) const;
   [[nodiscard]] Callbacks clearCallbacks();
 
   ServerConnection* connection_;
@@ -106,6 +112,7 @@
   /** address_ as text, created on first use. */
   mutable std::string peer_;
   Callbacks callbacks_;
+  std::shared_ptr<TransferObserver> observer_;
   /** Bytes of a body with a known length that have not been written yet. */
   std::uint64_t remaining_ = 0;
   BodyKind bodyKind_ = BodyKind::none;
@@ -165,6 +172,7 @@
     Framing framing;
     std::shared_ptr<std::string> body;
     std::uint64_t* countedBytes = nullptr;
+    std::shared_ptr<TransferObserver> observer;
   };
 
   enum class Phase
@@ -186,13 +194,19 @@
   std::size_t consume(std::string_view bytes);
   std::size_t consumeHead(std::string_view bytes);
   std::size_t consumeBody(std::string_view bytes);
-  bool startRequest(std::string_view head);
-  void prepareBody(const RequestHead& head, std::string_view rest);
+  /** @param head      the complete head
+      @param received  the bytes that were received since the head began */
+  bool startRequest(std::string_view head, std::size_t received);
+  void prepareBody(std::string_view head, std::string_view rest);
+  /** Asks the head filter.
+      @returns false if the request was refused */
+  bool passesFilter(IncomingRequest& incoming, std::size_t headBytes, std::size_t received);
+  void refuseRequest(const HeadRefusal& refusal, bool isHeadRequest, std::size_t received);
   bool appendBody(std::string_view bytes);
-  void dispatch(MessageParser<true>& parser,
-                const Framing& framing,
-                std::shared_ptr<const std::string> body);
+  void dispatch(IncomingRequest& incoming, std::shared_ptr<const std::string> body);
   void fail(int status, std::string_view reason);
+  /** Sends a response without an open request, then closes the connection. */
+  void respondAndClose(const ResponseHead& head, std::string_view body, bool omitBody);
   void onOutputDrained(bool wrote);
   void startLingering();
   void onDisconnected();
@@ -221,6 +235,10 @@
       the response incomplete. */
   bool holdLastByte_ = false;
   bool headStarted_ = false;
+  /** The head filter refused the last request of this connection. */
+  bool refused_ = false;
+  /** Bytes that were read and discarded after the refusal. */
+  std::size_t discardedBytes_ = 0;
   bool hadRequest_ = false;
   bool readWaiting_ = false;
   bool writeWaiting_ = false;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -133,14 +133,14 @@
   , random_(context.incarnation.number)
 {
   if (context.settings.linkBytesPerSecond) {
-    linkBudget_.emplace(*context.settings.linkBytesPerSecond);
+    link_.emplace(*context.settings.linkBytesPerSecond, context.log, context.metrics);
   }
 }
 
 Expected<void> EntryRole::start()
 {
-  if (linkBudget_) {
-    callers_.setAcceptDelay([this] { return linkDelay(bootTime()); });
+  if (link_) {
+    limitLinkTraffic();
   }
   if (auto listening = callers_.listen(toEndpoint(*context_.settings.callers)); !listening) {
     return listening;
@@ -197,6 +197,10 @@
     stopServing(now);
   }
   probeDirectPath(now);
+  if (link_) {
+    updateLink(now);
+    link_->report(now);
+  }
   update(now);
 }
 
@@ -228,9 +232,6 @@
       stopServing(now);
     }
   }
-  if (linkDelay(now) > Duration::zero()) {
-    request->closeAfterResponse();
-  }
   const auto id = ++lastExchangeId_;
   const auto exchange = std::make_shared<Exchange>(
     services_, std::move(request), id, [this](std::uint64_t ended) { exchanges_.erase(ended); });
@@ -244,17 +245,27 @@
   }
 }
 
-Duration EntryRole::linkDelay(Time now)
+void EntryRole::limitLinkTraffic()
+{
+  callers_.setAcceptDelay([this] {
+    updateLink(bootTime());
+    return link_->acceptDelay();
+  });
+  callers_.setHeadFilter([this](const http::RequestHead& head, const http::HeadInfo& info) {
+    const Time now = bootTime();
+    updateLink(now);
+    return link_->decide(now, services_.table.get(), head, info);
+  });
+}
+
+void EntryRole::updateLink(Time now)
 {
-  if (!linkBudget_) {
-    return Duration::zero();
-  }
   const auto callers = callers_.traffic();
   const auto endpoints = pool_.traffic();
-  linkBudget_->update(now,
-                      { callers.receivedBytes + endpoints.receivedBytes + receivedMessageBytes_,
-                        callers.sentBytes + endpoints.sentBytes + context_.mesh.sentBytes() });
-  return linkBudget_->timeUntilAvailable();
+  link_->update(now,
+                { callers.receivedBytes + endpoints.receivedBytes + receivedMessageBytes_,
+                  callers.sentBytes + endpoints.sentBytes + context_.mesh.sentBytes() },
+                callers_.refusedTraffic());
 }
 
 void EntryRole::sendReadiness(http::ServerRequest& request) const
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "fleet/fleet.h"
+#include "router/EntryLink.h"
 #include "router/Exchange.h"
-#include "router/LinkBudget.h"
 #include "router/LoadMonitor.h"
 #include "router/Role.h"
 
@@ -61,8 +61,9 @@
   void updateOrigins(Time now);
   void sendOriginMessages();
   void send(const ProcessId& to, wire::Channel channel, std::string body);
-  /** Returns how long the traffic on the link allows no further work. */
-  [[nodiscard]] Duration linkDelay(Time now);
+  /** Limits what is accepted and admitted to what the network link carries. */
+  void limitLinkTraffic();
+  void updateLink(Time now);
   void sendLedger(const std::vector<ledger::OutgoingMessage>& messages);
   void logEndpointEvents(Time now);
 
@@ -80,7 +81,8 @@
   http::Server readiness_;
   /** Opens tunnels to endpoints for other entry processes. */
   http::TunnelServer tunnels_;
-  std::optional<LinkBudget> linkBudget_;
+  /** Set if the bandwidth of the network link is known. */
+  std::optional<EntryLink> link_;
   /** Bytes of the messages from other processes. */
   std::uint64_t receivedMessageBytes_ = 0;
   LoadMonitor load_;
--- a/modules/router/ErrorResponse.cpp
+++ b/modules/router/ErrorResponse.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace figchute::router {
 namespace {
@@ -24,7 +25,7 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-int sendErrorResponse(http::ServerRequest& request, const Error& error, Duration retryAfter)
+http::HeadRefusal makeErrorResponse(const Error& error, Duration retryAfter)
 {
   const auto& traits = errorTraits(error.kind);
   http::ResponseHead head;
@@ -35,8 +36,14 @@
     const auto wait = std::max(kMinRetryAfter, retryAfter);
     head.fields.add("Retry-After", fmt::format("{:.3f}", static_cast<double>(wait.count()) / 1e6));
   }
-  request.respond(head, errorBody(error));
-  return head.status;
+  return { std::move(head), errorBody(error) };
+}
+
+int sendErrorResponse(http::ServerRequest& request, const Error& error, Duration retryAfter)
+{
+  const auto response = makeErrorResponse(error, retryAfter);
+  request.respond(response.head, response.body);
+  return response.head.status;
 }
 
 void sendJsonResponse(http::ServerRequest& request, std::string_view body)
--- a/modules/router/ErrorResponse.h
+++ b/modules/router/ErrorResponse.h
@@ -7,6 +7,10 @@
 
 namespace figchute::router {
 
+/** Returns the response of an error, as sendErrorResponse() sends it. Thread safety: safe from any
+ * thread. */
+http::HeadRefusal makeErrorResponse(const Error& error, Duration retryAfter);
+
 /** Responds with the HTTP status and JSON body of an error. Statuses 408, 421, 429 and 503 carry
    Retry-After.
     @param retryAfter  time until the caller may retry; raised to at least 20 ms
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -1,6 +1,7 @@
 #include "router/Exchange.h"
 
 #include "ini/ini.h"
+#include "router/Authorization.h"
 #include "router/BootClock.h"
 #include "router/ErrorResponse.h"
 #include "router/RequestBody.h"
@@ -20,7 +21,6 @@
 namespace figchute::router {
 namespace {
 
-constexpr std::string_view kBearerPrefix = "Bearer ";
 /** After normal service has ended, a stopping process accepts a repeatable request only if this
  * multiple of its latency target, and at least kMinRequiredTime, is left. */
 constexpr int kRequiredTargetMultiple = 2;
@@ -187,12 +187,7 @@
   if (!table_->configuration().hasWorkspaces) {
     return {};
   }
-  const auto& fields = request_->head().fields;
-  const auto authorization = fields.get("Authorization");
-  if (fields.count("Authorization") == 1 && authorization.size() > kBearerPrefix.size() &&
-      http::equalsIgnoreCase(authorization.substr(0, kBearerPrefix.size()), kBearerPrefix)) {
-    workspace_ = table_->workspaceOf(authorization.substr(kBearerPrefix.size()));
-  }
+  workspace_ = workspaceOf(*table_, request_->head().fields);
   if (workspace_ == nullptr && !route.open) {
     return fail(ErrorKind::unauthenticated, "the API key is unknown");
   }
@@ -405,6 +400,9 @@
 {
   requestSent_ = true;
   ++sendCount_;
+  if (auto* const observer = request_->observer()) {
+    observer->forwarded(request_->body()->size());
+  }
 }
 
 void Exchange::onCallerDisconnected()
--- a/modules/router/LinkBudget.cpp
+++ b/modules/router/LinkBudget.cpp
@@ -4,8 +4,8 @@
 
 namespace figchute::router {
 
-LinkBudget::LinkBudget(double bytesPerSecond)
-  : bytesPerMicrosecond_(bytesPerSecond * kMaxUtilisation / 1e6)
+LinkBudget::LinkBudget(double bytesPerSecond, double utilisation)
+  : bytesPerMicrosecond_(bytesPerSecond * utilisation / 1e6)
 {
 }
 
@@ -26,9 +26,10 @@
   direction.available = std::min(direction.available + earned - transferred, burst);
 }
 
-Duration LinkBudget::timeUntilAvailable() const
+Duration LinkBudget::timeUntilAvailable(Duration debt) const
 {
-  const auto available = std::min(received_.available, sent_.available);
+  const auto available = std::min(received_.available, sent_.available) +
+                         bytesPerMicrosecond_ * static_cast<double>(debt.count());
   if (available > 0) {
     return Duration::zero();
   }
--- a/modules/router/LinkBudget.h
+++ b/modules/router/LinkBudget.h
@@ -19,15 +19,17 @@
   /** The longest time that timeUntilAvailable() returns. */
   static constexpr Duration kMaxDelay = std::chrono::milliseconds(500);
 
-  /** @param bytesPerSecond  the bandwidth of the link in each direction; must be positive */
-  explicit LinkBudget(double bytesPerSecond);
+  /** @param bytesPerSecond  the bandwidth of the link in each direction; must be positive
+      @param utilisation     the share of it that may be used; above 0 and at most 1 */
+  explicit LinkBudget(double bytesPerSecond, double utilisation = kMaxUtilisation);
 
   /** Adds the traffic since the last call.
       @param total  the bytes since the start of the process */
   void update(Time now, const http::Traffic& total);
 
-  /** Returns how long no further work may be admitted; zero if it may be now. */
-  [[nodiscard]] Duration timeUntilAvailable() const;
+  /** Returns how long no further work may be admitted; zero if it may be now.
+      @param debt  traffic of this time may exceed the share in addition to kBurst */
+  [[nodiscard]] Duration timeUntilAvailable(Duration debt = Duration::zero()) const;
 
 private:
   /** The bytes that may be transferred now in one direction; negative after too many. */
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -929,3 +929,136 @@
   CHECK(server->connections() == kCount);
   CHECK(used() - before < 2 * kCount * 1024);
 }
+
+namespace {
+
+/** A server that refuses requests to /no before it reads their bodies. */
+struct FilterFixture : ServerFixture
+{
+  struct Observer final : TransferObserver
+  {
+    Observer(std::size_t& receivedBytes, std::size_t& answeredBytes)
+      : received_(receivedBytes)
+      , answered_(answeredBytes)
+    {
+    }
+    void received(std::size_t bytes) override { received_ += bytes; }
+    void forwarded(std::size_t /*bytes*/) override {}
+    void answered(std::size_t bytes) override { answered_ += bytes; }
+    std::size_t& received_;
+    std::size_t& answered_;
+  };
+
+  RawSocket connectFiltered()
+  {
+    listen();
+    server->setHeadFilter([this](const RequestHead& head, const HeadInfo& info) {
+      servedBeforeFlags.push_back(info.servedBefore);
+      CHECK(info.receivedBytes >= info.headBytes);
+      HeadDecision decision;
+      if (head.target == "/no") {
+        decision.refusal = HeadRefusal{};
+        decision.refusal->head.status = 503;
+        decision.refusal->head.fields.add("Retry-After", "0.020");
+        decision.refusal->body = "full";
+      } else {
+        decision.observer = std::make_shared<Observer>(receivedBytes, answeredBytes);
+      }
+      return decision;
+    });
+    return connect();
+  }
+
+  std::vector<bool> servedBeforeFlags;
+  std::size_t receivedBytes = 0;
+  std::size_t answeredBytes = 0;
+};
+
+constexpr std::string_view kRefusedStart = "POST /no HTTP/1.1\r\nHost: bees\r\n";
+
+} // namespace
+
+// Guards against a refusal that waits for the body, or that is not sent while the caller goes on
+// sending, and against a server that handles or reads on what follows it.
+TEST_CASE_FIXTURE(FilterFixture, "Server_refusedHead_isAnsweredBeforeItsBodyAndClosed")
+{
+  auto caller = connectFiltered();
+  caller.send(std::string(kRefusedStart) + "Content-Length: 1000000\r\n\r\nabc");
+  REQUIRE(waitFor(caller, "\r\n\r\nfull"));
+  CHECK(caller.received == "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.020\r\n"
+                           "Content-Length: 4\r\nConnection: close\r\n\r\nfull");
+  CHECK(waitForClose(caller, 500ms));
+  CHECK_FALSE(caller.reset);
+  caller.send(std::string(400'000, 'x'));
+  runFor(io, 100ms);
+  CHECK(server->traffic().receivedBytes < 40'000);
+  CHECK(server->refusedTraffic().receivedBytes == server->traffic().receivedBytes);
+  CHECK(server->refusedTraffic().sentBytes == server->traffic().sentBytes);
+  CHECK(runUntil(
+    io, [&] { return server->connections() == 0; }, 2s));
+  CHECK(requests.empty());
+}
+
+// Guards against the handling of a request that was pipelined behind a refused one.
+TEST_CASE_FIXTURE(FilterFixture, "Server_pipelinedAfterRefusedRequest_isNotHandled")
+{
+  auto caller = connectFiltered();
+  caller.send(std::string(kRefusedStart) + "\r\n" + std::string(kGet));
+  CHECK(waitForClose(caller));
+  CHECK(caller.has("503"));
+  CHECK(requests.empty());
+  CHECK(servedBeforeFlags.size() == 1);
+}
+
+// Guards against a refused caller that is asked for its body.
+TEST_CASE_FIXTURE(FilterFixture, "Server_refusedExpectContinue_getsNo100")
+{
+  auto caller = connectFiltered();
+  caller.send(std::string(kRefusedStart) + "Content-Length: 5\r\nExpect: 100-continue\r\n\r\n");
+  CHECK(waitForClose(caller));
+  CHECK(caller.received.substr(0, 12) == "HTTP/1.1 503");
+}
+
+// Guards against a filter that hides the errors of invalid requests.
+TEST_CASE_FIXTURE(FilterFixture, "Server_invalidRequest_isRejectedBeforeTheFilter")
+{
+  limits.bodyBytes = 10;
+  limits.headBytes = 200;
+  const std::vector<std::pair<std::string, std::string>> cases = {
+    { "Content-Length: 11\r\n\r\n", "413" },
+    { "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", "400" },
+    { "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400" },
+    { "X: " + std::string(300, 'x') + "\r\n\r\n", "431" },
+    { "Content-Length: 5\r\nExpect: tea\r\n\r\n", "417" },
+  };
+  for (const auto& [rest, status] : cases) {
+    auto caller = connectFiltered();
+    caller.send(std::string(kRefusedStart) + rest);
+    CHECK(waitForClose(caller));
+    CHECK(caller.received.substr(9, 3) == status);
+  }
+  CHECK(servedBeforeFlags.empty());
+  CHECK(server->refusedTraffic().receivedBytes == 0);
+}
+
+// Guards against a filter that cannot tell a kept connection from a new one, and against bytes of
+// an admitted request that its observer does not see.
+TEST_CASE_FIXTURE(FilterFixture, "Server_admittedRequests_areObservedAndKeepTheirConnection")
+{
+  echo = true;
+  const std::string request = "POST /x HTTP/1.1\r\nHost: bees\r\nContent-Length: 5\r\n\r\nhello";
+  auto caller = connectFiltered();
+  caller.send(request);
+  REQUIRE(waitFor(caller, "hello"));
+  caller.send(request.substr(0, 30));
+  runFor(io, 20ms);
+  caller.send(request.substr(30));
+  REQUIRE(runUntil(io, [&] { return server->traffic().receivedBytes == 2 * request.size(); }));
+  REQUIRE(runUntil(io, [&] { return server->openRequests() == 0 && answeredBytes > 0; }));
+  caller.read();
+  CHECK(servedBeforeFlags == std::vector<bool>{ false, true });
+  CHECK(receivedBytes == 2 * request.size());
+  CHECK(answeredBytes == caller.received.size());
+  CHECK_FALSE(caller.has("Connection: close"));
+  CHECK(server->refusedTraffic().receivedBytes == 0);
+}
