router, http: accepting counts requests that are on the way; a full link pauses readiness

Change: http::Server counts connections that have sent no complete head; each is charged as 4 KB until its head arrives. Accepting pauses above 85% of the link.

--- a/modules/http/Server.cpp
+++ b/modules/http/Server.cpp
@@ -277,6 +277,11 @@
   return impl_->refusedTraffic;
 }
 
+std::uint64_t Server::unusedConnections() const
+{
+  return impl_->unusedConnections;
+}
+
 std::size_t Server::connections() const
 {
   return impl_->connections();
--- a/modules/http/Server.h
+++ b/modules/http/Server.h
@@ -187,6 +187,11 @@
   /** Returns the part of traffic() that belongs to requests which the head filter refused. */
   [[nodiscard]] Traffic refusedTraffic() const;
 
+  /** Returns how many of the connections accepted since the start sent no complete head of a
+      request, those included that have been closed. Their first requests may still be on the way.
+   */
+  [[nodiscard]] std::uint64_t unusedConnections() const;
+
   /** Returns the number of open connections. */
   [[nodiscard]] std::size_t connections() const;
 
--- a/modules/http/ServerConnection.cpp
+++ b/modules/http/ServerConnection.cpp
@@ -76,6 +76,7 @@
 void ServerConnection::start()
 {
   const auto& limits = context_->limits;
+  ++context_->unusedConnections;
   setDeadline(acceptedAt_ + (context_->draining ? kFirstRequestTime : limits.idleTimeout));
   startReadWait();
 }
@@ -260,6 +261,8 @@
     fail(431, "the head is too large");
     return 0;
   }
+  if (!std::exchange(hadHead_, true))
+    --context_->unusedConnections;
   const auto size = scanner_.size();
   scanner_.reset();
   headStarted_ = false;
--- a/modules/http/ServerConnection.h
+++ b/modules/http/ServerConnection.h
@@ -37,6 +37,8 @@
   /** The part of traffic that belongs to requests which the head filter refused. */
   Traffic refusedTraffic;
   Server::HeadFilter headFilter;
+  /** Accepted connections that have sent no complete head, closed ones included. */
+  std::uint64_t unusedConnections = 0;
 
   virtual ~ServerContext() = default;
 
@@ -240,6 +242,7 @@
   /** Bytes that were read and discarded after the refusal. */
   std::size_t discardedBytes_ = 0;
   bool hadRequest_ = false;
+  bool hadHead_ = false;
   bool readWaiting_ = false;
   bool writeWaiting_ = false;
   bool flushScheduled_ = false;
--- a/modules/router/EntryLink.cpp
+++ b/modules/router/EntryLink.cpp
@@ -51,16 +51,21 @@
 {
 }
 
-void EntryLink::update(Time now, const http::Traffic& total, const http::Traffic& refused)
+void EntryLink::update(Time now,
+                       const http::Traffic& total,
+                       const http::Traffic& refused,
+                       std::uint64_t unusedConnections)
 {
   traffic_ = total;
-  acceptBudget_.update(now, total);
+  auto expected = total;
+  expected.receivedBytes += unusedConnections * kFirstRequestBytes;
+  acceptBudget_.update(now, expected);
   admission_.update(now, total, refused);
 }
 
 Duration EntryLink::acceptDelay() const
 {
-  return acceptBudget_.timeUntilAvailable(kAcceptDebt);
+  return acceptBudget_.timeUntilAvailable();
 }
 
 http::HeadDecision EntryLink::decide(Time now,
@@ -117,6 +122,7 @@
     if (refusedForShare_ + refusedForWait_ > 0) {
       logRefusals(now);
     }
+    updateReadiness(now);
   }
   reportedAt_ = now;
   reportedTraffic_ = traffic_;
@@ -126,6 +132,19 @@
   refusedForWait_ = 0;
 }
 
+void EntryLink::updateReadiness(Time now)
+{
+  const bool wasReady = readiness_.isReady();
+  readiness_.update(now, admitted_, refusedForShare_ + refusedForWait_);
+  if (readiness_.isReady() == wasReady) {
+    return;
+  }
+  log_.line(now, "link_readiness", { { "ready", wasReady ? "no" : "yes" } });
+  if (wasReady) {
+    metrics_.count("link_pauses");
+  }
+}
+
 void EntryLink::logRefusals(Time now)
 {
   std::string ranks;
--- a/modules/router/EntryLink.h
+++ b/modules/router/EntryLink.h
@@ -4,6 +4,7 @@
 #include "http/http.h"
 #include "router/LinkAdmission.h"
 #include "router/LinkBudget.h"
+#include "router/LinkReadiness.h"
 #include "router/LogWriter.h"
 
 #include <array>
@@ -19,9 +20,10 @@
 public:
   /** Connections are accepted while the traffic is below this share of the link. It is larger than
       LinkBudget::kMaxUtilisation, so that refusals have room beside the admitted requests. */
-  static constexpr double kAcceptUtilisation = 0.95;
-  /** Traffic of this time may exceed that share before accepting pauses. */
-  static constexpr Duration kAcceptDebt = std::chrono::milliseconds(200);
+  static constexpr double kAcceptUtilisation = 0.85;
+  /** The expected size of the first request of a connection, in bytes. Without it, connections are
+      accepted while the requests of those accepted before wait for the link unseen. */
+  static constexpr std::uint64_t kFirstRequestBytes = 4096;
   /** What refused callers are told to wait: their retry reaches another VM, which need not wait for
       this one. */
   static constexpr Duration kRetryAfter = std::chrono::milliseconds(20);
@@ -32,8 +34,12 @@
 
   /** Adds the traffic since the last call.
       @param total    the bytes since the start of the process
-      @param refused  the part of them that belongs to refused requests */
-  void update(Time now, const http::Traffic& total, const http::Traffic& refused);
+      @param refused  the part of them that belongs to refused requests
+      @param unusedConnections  see http::Server::unusedConnections() */
+  void update(Time now,
+              const http::Traffic& total,
+              const http::Traffic& refused,
+              std::uint64_t unusedConnections);
 
   /** Returns how long no connection may be accepted. */
   [[nodiscard]] Duration acceptDelay() const;
@@ -46,20 +52,26 @@
                             const http::RequestHead& head,
                             const http::HeadInfo& info);
 
-  /** Logs what was refused and counts the use of the link, at most once a second. */
+  /** Logs what was refused, counts the use of the link and decides on the readiness, at most once a
+      second. Call it more often. */
   void report(Time now);
 
+  /** Returns whether the link allows the process to count as ready. */
+  [[nodiscard]] bool isReady() const { return readiness_.isReady(); }
+
 private:
   static constexpr std::size_t kRanks = 10;
 
   void countRefusal(int rank, LinkRefusal refusal);
   void logRefusals(Time now);
+  void updateReadiness(Time now);
 
   LogWriter& log_;
   Metrics& metrics_;
   double bytesPerMicrosecond_;
   LinkBudget acceptBudget_;
   LinkAdmission admission_;
+  LinkReadiness readiness_;
   http::Traffic traffic_;
   http::Traffic reportedTraffic_;
   Time reportedAt_;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -265,7 +265,8 @@
   link_->update(now,
                 { callers.receivedBytes + endpoints.receivedBytes + receivedMessageBytes_,
                   callers.sentBytes + endpoints.sentBytes + context_.mesh.sentBytes() },
-                callers_.refusedTraffic());
+                callers_.refusedTraffic(),
+                callers_.unusedConnections());
 }
 
 void EntryRole::sendReadiness(http::ServerRequest& request) const
@@ -282,7 +283,8 @@
 
 bool EntryRole::isReady() const
 {
-  return !stopping_ && services_.table != nullptr && endpointCount_ > 0;
+  return !stopping_ && services_.table != nullptr && endpointCount_ > 0 &&
+         (!link_ || link_->isReady());
 }
 
 void EntryRole::receive(const ProcessId& from,
--- a/modules/router/LinkBudget.cpp
+++ b/modules/router/LinkBudget.cpp
@@ -19,17 +19,16 @@
 
 void LinkBudget::advance(Direction& direction, Duration elapsed, std::uint64_t total) const
 {
-  const auto transferred = static_cast<double>(total - direction.total);
+  const auto transferred = static_cast<double>(static_cast<std::int64_t>(total - direction.total));
   direction.total = total;
   const auto earned = bytesPerMicrosecond_ * static_cast<double>(elapsed.count());
   const auto burst = bytesPerMicrosecond_ * static_cast<double>(kBurst.count());
   direction.available = std::min(direction.available + earned - transferred, burst);
 }
 
-Duration LinkBudget::timeUntilAvailable(Duration debt) const
+Duration LinkBudget::timeUntilAvailable() const
 {
-  const auto available = std::min(received_.available, sent_.available) +
-                         bytesPerMicrosecond_ * static_cast<double>(debt.count());
+  const auto available = std::min(received_.available, sent_.available);
   if (available > 0) {
     return Duration::zero();
   }
--- a/modules/router/LinkBudget.h
+++ b/modules/router/LinkBudget.h
@@ -24,12 +24,12 @@
   explicit LinkBudget(double bytesPerSecond, double utilisation = kMaxUtilisation);
 
   /** Adds the traffic since the last call.
-      @param total  the bytes since the start of the process */
+      @param total  the bytes since the start of the process; it may contain expected bytes and
+                    decrease when they are corrected */
   void update(Time now, const http::Traffic& total);
 
-  /** Returns how long no further work may be admitted; zero if it may be now.
-      @param debt  traffic of this time may exceed the share in addition to kBurst */
-  [[nodiscard]] Duration timeUntilAvailable(Duration debt = Duration::zero()) const;
+  /** Returns how long no further work may be admitted; zero if it may be now. */
+  [[nodiscard]] Duration timeUntilAvailable() const;
 
 private:
   /** The bytes that may be transferred now in one direction; negative after too many. */
