--- a/modules/router/LinkAdmission.cpp
+++ b/modules/router/LinkAdmission.cpp
@@ -204,9 +204,9 @@
     }
   }
   const auto share = ledger_->shareRate;
-  const auto isNew = request.servedBefore ? 0 : micros(kNewConnectionReserve);
-  const auto reserve = precedingRate * micros(kReserveTime) + share * (isNew - micros(kUrgentDebt));
-  return std::min(reserve, share * micros(kMaxReserve));
+  const auto reserve = std::min(precedingRate * micros(kReserveTime) - share * micros(kUrgentDebt),
+                                share * micros(kMaxReserve));
+  return reserve + (request.servedBefore ? 0 : share * micros(kNewConnectionReserve));
 }
 
 bool LinkAdmission::exceedsWait(const LinkRequest& request, std::size_t sizeClass) const
--- a/modules/router/LinkAdmission.h
+++ b/modules/router/LinkAdmission.h
@@ -66,8 +66,8 @@
   static constexpr Duration kUrgentDebt = std::chrono::milliseconds(100);
   /** The level is kept for what more urgent requests bring in this time. */
   static constexpr Duration kReserveTime = std::chrono::milliseconds(200);
-  /** No reserve exceeds this time, so that every request is admitted to an idle link. */
-  static constexpr Duration kMaxReserve = std::chrono::milliseconds(150);
+  /** The largest such reserve, so that every request is admitted to an idle link. */
+  static constexpr Duration kMaxReserve = std::chrono::milliseconds(120);
   /** The additional reserve against requests on new connections, whose callers have not settled at
       this VM. */
   static constexpr Duration kNewConnectionReserve = std::chrono::milliseconds(30);
--- a/modules/router/LinkReadiness.h
+++ b/modules/router/LinkReadiness.h
@@ -11,9 +11,9 @@
    refused here first. Open connections stay.
 
     A period of not being ready lasts kMinPause to kMaxPause and is followed by kReadyFactor times
-    its length in which the process is ready. Each process alone therefore keeps to the eighth of the
-    time that the platform allows as the mean of all VMs, apart from the length of its last pause.
-    Thread safety: use one instance from one thread only. */
+    its length in which the process is ready. Each process alone therefore keeps to the eighth of
+   the time that the platform allows as the mean of all VMs, apart from the length of its last
+   pause. Thread safety: use one instance from one thread only. */
 class LinkReadiness
 {
 public:
