tests: EntryLink takes the rank of the workspace and reports once a second

Two cases for what LinkAdmission does not cover: the rank of a workspace, requests without a route or a configuration, the bounded log line, the counters and the readiness.

--- a/tests/link_admission_test.cpp
+++ b/tests/link_admission_test.cpp
@@ -1,7 +1,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "LinkModel.h"
 
+#include <array>
 #include <doctest/doctest.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace figchute;
@@ -242,3 +244,105 @@
   calm.update(Time{ 1'001'000'000 }, 1000, 40);
   CHECK(calm.isReady());
 }
+
+namespace {
+
+/** An EntryLink of 10 Mbit/s, a route of rank 9 and a workspace of rank 0. */
+struct EntryLinkFixture
+{
+  EntryLinkFixture()
+  {
+    fleet::Configuration configuration;
+    fleet::Route route;
+    route.name = "look";
+    route.host = "app.example";
+    route.pathPrefix = "/look/";
+    route.priority = 9;
+    route.split = { { ServiceName("app"), 1 } };
+    configuration.routes = { route };
+    configuration.hasWorkspaces = true;
+    configuration.workspaces = { { "urgent", { "key-urgent" }, 0, std::nullopt } };
+    table = std::make_unique<fleet::RouteTable>(configuration);
+    advance(10s, 0);
+  }
+
+  /** Lets time pass in which bytes of no request are sent. */
+  void advance(Duration elapsed, std::uint64_t bytes)
+  {
+    now = now + elapsed;
+    traffic.sentBytes += bytes;
+    link.update(now, traffic, {}, 0);
+    link.report(now);
+  }
+
+  bool isRefused(const fleet::RouteTable* routes, std::string target, std::string key = "")
+  {
+    http::RequestHead head;
+    head.method = "GET";
+    head.target = std::move(target);
+    head.fields.add("Host", "app.example");
+    if (!key.empty()) {
+      head.fields.add("Authorization", "Bearer " + key);
+    }
+    const auto decision = link.decide(now, routes, head, { 300, 300, true });
+    CHECK((!decision.refusal || decision.refusal->head.fields.get("Retry-After") == "0.020"));
+    return decision.refusal.has_value();
+  }
+
+  std::array<int, 2> logPipe = [] {
+    std::array<int, 2> pipe{};
+    REQUIRE(::pipe(pipe.data()) == 0);
+    return pipe;
+  }();
+  LogWriter log{ logPipe[1], "entry0" };
+  Metrics metrics;
+  EntryLink link{ 10 * kMegabit, log, metrics };
+  std::unique_ptr<fleet::RouteTable> table;
+  http::Traffic traffic;
+  Time now{ 1'000'000'000 };
+};
+
+} // namespace
+
+// Guards against a rank that ignores the workspace, and against refusals that hide the usual error
+// of a request without a route or of a process without a configuration.
+TEST_CASE_FIXTURE(EntryLinkFixture, "EntryLink_fullLink_refusesByTheRankOfTheWorkspace")
+{
+  CHECK_FALSE(isRefused(table.get(), "/look/x"));
+  // 0.5 s of the link, of which 0.39 s have passed.
+  advance(1us, 625'000);
+  advance(390ms, 0);
+  for (int i = 0; i < 300; ++i) {
+    isRefused(table.get(), "/look/x", "key-urgent");
+  }
+  CHECK(isRefused(table.get(), "/look/x"));
+  CHECK(isRefused(table.get(), "/look/x", "key-unknown"));
+  CHECK_FALSE(isRefused(table.get(), "/look/x", "key-urgent"));
+  CHECK_FALSE(isRefused(table.get(), "/other/x"));
+  CHECK_FALSE(isRefused(nullptr, "/look/x"));
+}
+
+// Guards against a log line for each refusal, and against a VM that refuses and stays ready.
+TEST_CASE_FIXTURE(EntryLinkFixture, "EntryLink_manyRefusals_areReportedOnceASecond")
+{
+  for (int i = 0; i < 300; ++i) {
+    advance(10ms, 40'000);
+    isRefused(table.get(), "/look/x");
+  }
+  log.flush();
+  std::string text(65536, ' ');
+  text.resize(static_cast<std::size_t>(::read(logPipe[0], text.data(), text.size())));
+  std::size_t lines = 0;
+  for (auto at = text.find("link_refused"); at != std::string::npos;
+       at = text.find("link_refused", at + 1)) {
+    ++lines;
+  }
+  CHECK(lines >= 2);
+  CHECK(lines <= 3);
+  CHECK(text.find("ranks=9:") != std::string::npos);
+  CHECK_FALSE(link.isReady());
+  const auto counters = metrics.counters();
+  CHECK(counters.at("link_pauses") == 1);
+  CHECK(counters.at("link_bytes") > 2 * counters.at("link_capacity_bytes"));
+  CHECK(link.acceptDelay() == LinkBudget::kMaxDelay);
+}
