--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -138,8 +138,11 @@
   , timer_(context.io)
   , random_(context.incarnation.number)
 {
-  if (context.settings.linkBytesPerSecond) {
-    linkBudget_.emplace(*context.settings.linkBytesPerSecond);
+  const auto& bandwidth = context.settings.linkBytesPerSecond;
+  if (bandwidth && context.settings.linkAdmission) {
+    link_.emplace(*bandwidth, context.log, context.metrics);
+  } else if (bandwidth) {
+    linkBudget_.emplace(*bandwidth);
   }
 }
 
@@ -148,6 +151,8 @@
   context_.metrics.set("evacuated_zones", 0);
   if (linkBudget_) {
     callers_.setAcceptDelay([this] { return linkDelay(bootTime()); });
+  } else if (link_) {
+    limitLinkTraffic();
   }
   if (auto listening = callers_.listen(toEndpoint(*context_.settings.callers)); !listening) {
     return listening;
@@ -205,6 +210,10 @@
     stopServing(now);
   }
   probeDirectPath(now);
+  if (link_) {
+    updateLink(now);
+    link_->report(now);
+  }
   update(now);
 }
 
@@ -252,19 +261,41 @@
   }
 }
 
+void EntryRole::limitLinkTraffic()
+{
+  callers_.setAcceptDelay([this] {
+    updateLink(bootTime());
+    return link_->acceptDelay();
+  });
+  callers_.setHeadFilter([this](const http::RequestHead& head, const http::HeadInfo& info) {
+    const Time now = bootTime();
+    updateLink(now);
+    return link_->decide(now, services_.table.get(), head, info);
+  });
+}
+
+http::Traffic EntryRole::linkTraffic() const
+{
+  const auto callers = callers_.traffic();
+  const auto endpoints = pool_.traffic();
+  return { callers.receivedBytes + endpoints.receivedBytes + receivedMessageBytes_,
+           callers.sentBytes + endpoints.sentBytes + context_.mesh.sentBytes() };
+}
+
 Duration EntryRole::linkDelay(Time now)
 {
   if (!linkBudget_) {
     return Duration::zero();
   }
-  const auto callers = callers_.traffic();
-  const auto endpoints = pool_.traffic();
-  linkBudget_->update(now,
-                      { callers.receivedBytes + endpoints.receivedBytes + receivedMessageBytes_,
-                        callers.sentBytes + endpoints.sentBytes + context_.mesh.sentBytes() });
+  linkBudget_->update(now, linkTraffic());
   return linkBudget_->timeUntilAvailable();
 }
 
+void EntryRole::updateLink(Time now)
+{
+  link_->update(now, linkTraffic(), callers_.refusedTraffic(), callers_.unusedConnections());
+}
+
 void EntryRole::sendReadiness(http::ServerRequest& request) const
 {
   if (isReady()) {
@@ -279,7 +310,8 @@
 
 bool EntryRole::isReady() const
 {
-  return !stopping_ && services_.table != nullptr && endpointCount_ > 0;
+  return !stopping_ && services_.table != nullptr && endpointCount_ > 0 &&
+         (!link_ || link_->isReady());
 }
 
 void EntryRole::receive(const ProcessId& from,
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/fleet.h"
+#include "router/EntryLink.h"
 #include "router/Exchange.h"
 #include "router/LinkBudget.h"
 #include "router/LoadMonitor.h"
@@ -68,8 +69,13 @@
   void updateOrigins(Time now);
   void sendOriginMessages();
   void send(const ProcessId& to, wire::Channel channel, std::string body);
+  /** Returns the bytes that passed the network link since the start. */
+  [[nodiscard]] http::Traffic linkTraffic() const;
   /** Returns how long the traffic on the link allows no further work. */
   [[nodiscard]] Duration linkDelay(Time now);
+  /** Limits what is accepted and admitted to what the network link carries. */
+  void limitLinkTraffic();
+  void updateLink(Time now);
   void sendLedger(const std::vector<ledger::OutgoingMessage>& messages);
   void logEndpointEvents(Time now);
 
@@ -87,7 +93,11 @@
   http::Server readiness_;
   /** Opens tunnels to endpoints for other entry processes. */
   http::TunnelServer tunnels_;
+  /** Limits the accepted connections; set if the bandwidth of the network link is known and
+      requests are not admitted to it one by one. */
   std::optional<LinkBudget> linkBudget_;
+  /** Set if requests are admitted to the network link one by one. */
+  std::optional<EntryLink> link_;
   /** Bytes of the messages from other processes. */
   std::uint64_t receivedMessageBytes_ = 0;
   LoadMonitor load_;
--- a/modules/router/LinkBudget.cpp
+++ b/modules/router/LinkBudget.cpp
@@ -4,8 +4,8 @@
 
 namespace figchute::router {
 
-LinkBudget::LinkBudget(double bytesPerSecond)
-  : bytesPerMicrosecond_(bytesPerSecond * kMaxUtilisation / 1e6)
+LinkBudget::LinkBudget(double bytesPerSecond, double utilisation)
+  : bytesPerMicrosecond_(bytesPerSecond * utilisation / 1e6)
 {
 }
 
@@ -19,7 +19,7 @@
 
 void LinkBudget::advance(Direction& direction, Duration elapsed, std::uint64_t total) const
 {
-  const auto transferred = static_cast<double>(total - direction.total);
+  const auto transferred = static_cast<double>(static_cast<std::int64_t>(total - direction.total));
   direction.total = total;
   const auto earned = bytesPerMicrosecond_ * static_cast<double>(elapsed.count());
   const auto burst = bytesPerMicrosecond_ * static_cast<double>(kBurst.count());
--- a/modules/router/LinkBudget.h
+++ b/modules/router/LinkBudget.h
@@ -19,11 +19,13 @@
   /** The longest time that timeUntilAvailable() returns. */
   static constexpr Duration kMaxDelay = std::chrono::milliseconds(500);
 
-  /** @param bytesPerSecond  the bandwidth of the link in each direction; must be positive */
-  explicit LinkBudget(double bytesPerSecond);
+  /** @param bytesPerSecond  the bandwidth of the link in each direction; must be positive
+      @param utilisation     the share of it that may be used; above 0 and at most 1 */
+  explicit LinkBudget(double bytesPerSecond, double utilisation = kMaxUtilisation);
 
   /** Adds the traffic since the last call.
-      @param total  the bytes since the start of the process */
+      @param total  the bytes since the start of the process; it may contain expected bytes and
+                    decrease when they are corrected */
   void update(Time now, const http::Traffic& total);
 
   /** Returns how long no further work may be admitted; zero if it may be now. */
--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -198,6 +198,9 @@
     if (const auto megabits = reader.real("mbit_per_s", { 0.1, 1e6 }, Presence::optional)) {
       settings_.linkBytesPerSecond = *megabits * kBytesPerMegabit;
     }
+    if (const auto flag = reader.choice("admit_requests", { "false", "true" }, Presence::optional)) {
+      settings_.linkAdmission = *flag == 1;
+    }
     reader.rejectUnknownKeys();
   }
 
@@ -291,6 +294,7 @@
                  "mbit_per_s",
                  link ? fmt::format("{}", *link / kBytesPerMegabit) : std::string(),
                  "Mbit/s");
+    addEffective("link", "admit_requests", settings_.linkAdmission ? "true" : "false");
     addEffective("routing", "even_load", settings_.evenLoad ? "true" : "false");
   }
 
--- a/modules/router/RouterSettings.h
+++ b/modules/router/RouterSettings.h
@@ -78,6 +78,9 @@
   /** The bandwidth of the VM's network link in each direction, in bytes per second; nothing if it
      is not known. */
   std::optional<double> linkBytesPerSecond;
+  /** Whether requests are admitted to the link one by one, by rank and size; otherwise only the
+      accepted connections are limited. */
+  bool linkAdmission = false;
   /** Requests are distributed evenly over the engines of a service. */
   bool evenLoad = false;
   /** All keys in the order of the file format. */
