--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -198,7 +198,8 @@
     if (const auto megabits = reader.real("mbit_per_s", { 0.1, 1e6 }, Presence::optional)) {
       settings_.linkBytesPerSecond = *megabits * kBytesPerMegabit;
     }
-    if (const auto flag = reader.choice("admit_requests", { "false", "true" }, Presence::optional)) {
+    if (const auto flag =
+          reader.choice("admit_requests", { "false", "true" }, Presence::optional)) {
       settings_.linkAdmission = *flag == 1;
     }
     reader.rejectUnknownKeys();
