--- a/tools/figchute-random/Network.cpp
+++ b/tools/figchute-random/Network.cpp
@@ -25,7 +25,7 @@
                                     "Retire",        "CrashReport",    "AddMember",
                                     "PromoteMember", "RemoveMember",   "PutConfiguration",
                                     "PutEndpoint",   "RemoveEndpoint", "ExpireEndpoint",
-                                    "ReadBarrier" };
+                                    "ReadBarrier",   "SetEvacuation" };
 static_assert(kMessageNames.size() == std::variant_size_v<ledger::Message>);
 static_assert(kCommandNames.size() == std::variant_size_v<ledger::Command>);
 
