--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -72,6 +72,7 @@
 {
   auto settings = ledger::routerQuotaSettings(holderOf(context), context.settings.zone);
   settings.proposalIdBase = context.incarnation.number;
+  settings.stockHorizon = context.settings.tokenStock;
   return settings;
 }
 
--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -16,8 +16,8 @@
 constexpr std::string_view kAddressDescription =
   "a numeric address IP:port with a port from 1 to 65535";
 constexpr std::string_view kDefaultPeerKey = "figchute";
-constexpr std::array<std::string_view, 6> kSections{ "process", "listen", "fleet",
-                                                     "bounds",  "link",   "routing" };
+constexpr std::array<std::string_view, 7> kSections{ "process", "listen", "fleet",  "bounds",
+                                                     "budgets", "link",   "routing" };
 
 constexpr double kBytesPerMegabit = 1e6 / 8;
 
@@ -45,6 +45,7 @@
     readListen();
     readFleet();
     readBounds();
+    readBudgets();
     readLink();
     readRouting();
     rejectUnknownSections();
@@ -192,6 +193,15 @@
     reader.rejectUnknownKeys();
   }
 
+  void readBudgets()
+  {
+    SectionReader reader(section("budgets"), faults_);
+    if (const auto stock = reader.real("stock_s", { 0, 60 }, Presence::optional)) {
+      settings_.tokenStock = Duration(static_cast<std::int64_t>(*stock * 1e6));
+    }
+    reader.rejectUnknownKeys();
+  }
+
   void readLink()
   {
     SectionReader reader(section("link"), faults_);
@@ -290,6 +300,7 @@
     addEffective(
       "bounds", "warmup_overage", fmt::format("{}", bounds.warmupOverage), "of the rate");
     addEffective("bounds", "warmup_slack", fmt::format("{}", bounds.warmupSlack), "requests");
+    addEffective("budgets", "stock_s", fmt::format("{}", seconds(settings_.tokenStock)), "s");
     const auto& link = settings_.linkBytesPerSecond;
     addEffective("link",
                  "mbit_per_s",
--- a/modules/router/RouterSettings.h
+++ b/modules/router/RouterSettings.h
@@ -78,6 +78,8 @@
   /** The bandwidth of the VM's network link in each direction, in bytes per second; nothing if it
      is not known. */
   std::optional<double> linkBytesPerSecond;
+  /** How long the tokens last that a process requests ahead of need, at its own demand. */
+  Duration tokenStock{ 0 };
   /** Whether requests are admitted to the link one by one, by rank and size; otherwise only the
       accepted connections are limited. */
   bool linkAdmission = false;
--- a/tests/router_parts_test.cpp
+++ b/tests/router_parts_test.cpp
@@ -167,6 +167,7 @@
     { "bootstrap = true", "[bounds]\nrepeat_window_s = 0", "expected a number from 0.1 to 3600" },
     { "bootstrap = true", "[bounds]\nwarmup_slack = -1", "expected a number from 0 to 1000000" },
     { "bootstrap = true", "[link]\nmbit_per_s = 0", "expected a number from 0.1 to 1000000" },
+    { "bootstrap = true", "[budgets]\nstock_s = -1", "expected a number from 0 to 60" },
     { "bootstrap = true", "[link]\nadmit_requests = 1", "expected one of: false, true" },
     { "bootstrap = true", "[routing]\neven_load = yes", "expected one of: false, true" },
   };
@@ -210,6 +211,7 @@
                                          "[bounds] repeat_window_s = 10 s (default)\n"
                                          "[bounds] warmup_overage = 1.5 of the rate (default)\n"
                                          "[bounds] warmup_slack = 5 requests (default)\n"
+                                         "[budgets] stock_s = 0 s (default)\n"
                                          "[link] mbit_per_s = 12.5 Mbit/s\n"
                                          "[link] admit_requests = false (default)\n"
                                          "[routing] even_load = true\n");
