router: less of the link and a shorter queue for connections

Accepting now fills 70% of the link, and the connections that wait are those whose requests the link carries in 10 ms. With admit_requests nothing changes.

router_link_test: "the last request waited for the link" demanded that a caller waits for more than 4 s although the time-out of its route is 2 s.

--- a/modules/router/EntryLink.cpp
+++ b/modules/router/EntryLink.cpp
@@ -46,7 +46,7 @@
   : log_(log)
   , metrics_(metrics)
   , bytesPerMicrosecond_(bytesPerSecond / 1e6)
-  , acceptBudget_(bytesPerSecond, kAcceptUtilisation)
+  , acceptBudget_(bytesPerSecond, kAcceptLimit.utilisation)
   , admission_(bytesPerSecond)
 {
 }
--- a/modules/router/EntryLink.h
+++ b/modules/router/EntryLink.h
@@ -2,6 +2,7 @@
 
 #include "fleet/RouteTable.h"
 #include "http/http.h"
+#include "router/AcceptLimit.h"
 #include "router/LinkAdmission.h"
 #include "router/LinkBudget.h"
 #include "router/LinkReadiness.h"
@@ -18,9 +19,9 @@
 class EntryLink
 {
 public:
-  /** Connections are accepted while the traffic is below this share of the link. It is larger than
-      LinkBudget::kMaxUtilisation, so that refusals have room beside the admitted requests. */
-  static constexpr double kAcceptUtilisation = 0.85;
+  /** The share is larger than LinkBudget::kMaxUtilisation, so that refusals have room beside the
+      admitted requests. */
+  static constexpr AcceptLimit kAcceptLimit{ 0.85, std::chrono::milliseconds(200), 32 };
   /** The expected size of the first request of a connection, in bytes. Without it, connections are
       accepted while the requests of those accepted before wait for the link unseen. */
   static constexpr std::uint64_t kFirstRequestBytes = 4096;
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -1,5 +1,6 @@
 #include "router/EntryRole.h"
 
+#include "router/AcceptLimit.h"
 #include "router/BootClock.h"
 #include "router/ErrorResponse.h"
 #include "router/TunnelAuthorization.h"
@@ -47,18 +48,13 @@
                                                          : dispatch::ProbeResult::timedOut;
 }
 
-/** Returns the limits of the server for callers. On a slow link, connections that wait to be
-   accepted are limited to those whose requests the link carries in a short time. */
+/** Returns the limits of the server for callers. */
 http::ServerLimits callerLimits(const RouterSettings& settings)
 {
-  constexpr double kRequestBytes = 4096;
-  constexpr double kBacklogSeconds = 0.2;
-  constexpr int kMinBacklog = 32;
   http::ServerLimits limits;
   if (settings.linkBytesPerSecond) {
-    const auto requests = *settings.linkBytesPerSecond * kBacklogSeconds / kRequestBytes;
-    limits.backlog = static_cast<int>(
-      std::clamp<double>(requests, kMinBacklog, static_cast<double>(limits.backlog)));
+    const auto& limit = settings.linkAdmission ? EntryLink::kAcceptLimit : kConnectionLimit;
+    limits.backlog = limit.backlog(*settings.linkBytesPerSecond, limits.backlog);
   }
   return limits;
 }
@@ -143,7 +139,7 @@
   if (bandwidth && context.settings.linkAdmission) {
     link_.emplace(*bandwidth, context.log, context.metrics);
   } else if (bandwidth) {
-    linkBudget_.emplace(*bandwidth);
+    linkBudget_.emplace(*bandwidth, kConnectionLimit.utilisation);
   }
 }
 
--- a/tests/LinkModel.h
+++ b/tests/LinkModel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Random.h"
+#include "router/AcceptLimit.h"
 #include "router/EntryLink.h"
 #include "router/LinkAdmission.h"
 #include "router/LinkBudget.h"
@@ -22,8 +23,11 @@
 /** How the entry VMs of a LinkModel limit their traffic. */
 enum class Policy
 {
-  /** Only the limit on accepting connections, as before LinkAdmission. */
+  /** Only the limit on accepting connections, as before LinkAdmission and kConnectionLimit: up to
+      80% of the link, with a queue that holds all that wait. */
   acceptLimit,
+  /** kConnectionLimit. */
+  shortQueue,
   admission,
 };
 
@@ -56,6 +60,10 @@
   { "report", 3, 2000, 277, 2400, 1500, 300, 1500 },
 } };
 
+/** Indexes of kKinds. */
+inline constexpr std::size_t kSubmission = 0;
+inline constexpr std::size_t kReport = 4;
+
 /** What became of the requests of one kind. */
 struct Outcome
 {
@@ -78,9 +86,7 @@
     , pools_(loads_.size() * kCallers)
   {
     for (const auto rate : megabits) {
-      const auto utilisation =
-        policy == Policy::admission ? EntryLink::kAcceptUtilisation : LinkBudget::kMaxUtilisation;
-      vms_.push_back(std::make_unique<Vm>(rate * 1e6 / 8, utilisation));
+      vms_.push_back(std::make_unique<Vm>(rate * 1e6 / 8, utilisationOf(policy)));
     }
   }
 
@@ -130,11 +136,24 @@
   [[nodiscard]] int notReadySeconds() const { return notReadySeconds_; }
 
 private:
+  static double utilisationOf(Policy policy)
+  {
+    switch (policy) {
+      case Policy::acceptLimit:
+        return LinkBudget::kMaxUtilisation;
+      case Policy::shortQueue:
+        return kConnectionLimit.utilisation;
+      default:
+        return EntryLink::kAcceptLimit.utilisation;
+    }
+  }
+
   static constexpr Time kStart{ 1'000'000'000 };
   static constexpr double kHeadBytes = 1000;
   static constexpr double kRefusalBytes = 250;
   static constexpr Duration kDelay = std::chrono::milliseconds(3);
   static constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+  static constexpr int kMaxBacklog = 4096;
   static constexpr std::size_t kCallers = 80;
   static constexpr int kParts = 10;
 
@@ -279,13 +298,31 @@
     // The handshake passes the link to and from the VM.
     at(now_ + kDelay, [this, request] {
       auto& target = *vms_[request->vm];
-      at(target.in.pass(now_, 60), [this, request] {
-        vms_[request->vm]->backlog.push_back(request);
-        accept(request->vm);
-      });
+      at(target.in.pass(now_, 60), [this, request] { enqueue(request); });
     });
   }
 
+  /** The connection waits to be accepted. If the queue is full, the VM ignores it and the caller
+      gives up after a while. */
+  void enqueue(const std::shared_ptr<Request>& request)
+  {
+    auto& vm = *vms_[request->vm];
+    const auto backlog =
+      policy_ == Policy::shortQueue ? kConnectionLimit.backlog(vm.rate, kMaxBacklog) : kMaxBacklog;
+    if (vm.backlog.size() > static_cast<std::size_t>(backlog)) {
+      at(request->connectingAt + kConnectTimeout, [this, request] { failToConnect(request); });
+      return;
+    }
+    vm.backlog.push_back(request);
+    accept(request->vm);
+  }
+
+  void failToConnect(const std::shared_ptr<Request>& request)
+  {
+    ++outcomes_[request->kind].notConnected;
+    retry(request, Duration(0));
+  }
+
   void accept(std::size_t index)
   {
     auto& vm = *vms_[index];
@@ -293,8 +330,7 @@
       const auto request = vm.backlog.front();
       if (now_ - request->connectingAt > kConnectTimeout) {
         vm.backlog.pop_front();
-        ++outcomes_[request->kind].notConnected;
-        retry(request, Duration(0));
+        failToConnect(request);
         continue;
       }
       sync(vm);
@@ -341,7 +377,7 @@
       --vm.unused;
     }
     sync(vm);
-    if (policy_ == Policy::acceptLimit) {
+    if (policy_ != Policy::admission) {
       request->closes = vm.acceptBudget.timeUntilAvailable() > Duration::zero();
     } else {
       LinkRequest offer;
--- a/tests/link_admission_test.cpp
+++ b/tests/link_admission_test.cpp
@@ -69,7 +69,6 @@
   CAPTURE(before.describe());
   CAPTURE(after.describe());
   CHECK(after.onTimeShare(0) > submissions);
-  constexpr std::size_t kReport = 4;
   for (std::size_t i = 0; i < kReport; ++i) {
     CHECK(after.onTimeShare(i) > before.onTimeShare(i) + 0.1);
   }
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -79,11 +79,16 @@
 
 
 def call(address, method, path, body=None, headers=None, timeout=10):
-    """Sends one HTTP request on a new connection."""
+    """Sends one HTTP request on a new connection. The response has the time since the connection was
+    established as seconds."""
     connection = http.client.HTTPConnection(*address, timeout=timeout)
     try:
+        connection.connect()
+        connected = time.monotonic()
         connection.request(method, path, body, headers or {})
-        return Response(connection.getresponse())
+        response = Response(connection.getresponse())
+        response.seconds = time.monotonic() - connected
+        return response
     finally:
         connection.close()
 
--- a/tests/router_link_test.py
+++ b/tests/router_link_test.py
@@ -13,6 +13,11 @@
 BODY = "b" * 8000
 # The link carries 62.5 KB a second, and a request passes it twice, in different directions.
 LINK = "[link]\nmbit_per_s = 0.5\n"
+# The time-out of the route.
+MAX_SECONDS = 2.0
+# When the queue fills between the two packets of a handshake, the kernel drops the last one: the
+# caller takes such a connection for established and waits for its retransmission.
+MAX_LATE = 3
 
 
 def restart_on_slow_link(fleet, more_settings=""):
@@ -27,29 +32,33 @@
 
 def entry_on_slow_link_accepts_no_more_than_it_carries(build):
     """Guards against a link that is full of requests which are refused after they were received, so
-    that hardly any request is served."""
+    that hardly any request is served, and against connections that are established and then wait
+    behind others until their requests are too late."""
     with StartedFleet(build) as fleet:
         restart_on_slow_link(fleet)
-        statuses = []
+        responses = []
 
         def send():
             try:
-                response = fleet.call("POST", "app.example", "/look/x", BODY)
-                statuses.append((response.status, time.monotonic()))
+                responses.append(fleet.call("POST", "app.example", "/look/x", BODY))
             except OSError:
-                pass  # the connection was not accepted in time
+                pass  # the connection was not established in time
 
-        started = time.monotonic()
         threads = [threading.Thread(target=send) for _ in range(REQUESTS)]
+        started = time.monotonic()
         for thread in threads:
             thread.start()
-        time.sleep(2)
-        early = [status for status, _ in statuses]
-        check(5 <= len(early) <= 25, f"{len(early)} of {REQUESTS} requests answered within 2 s")
+            # Of connections that are opened in the same instant, the kernel establishes more than
+            # the queue holds.
+            time.sleep(0.02)
+        time.sleep(max(0, started + 2 - time.monotonic()))
+        early = len(responses)
+        check(5 <= early <= 25, f"{early} of {REQUESTS} requests answered within 2 s")
         for thread in threads:
             thread.join()
-        check(all(status == 200 for status, _ in statuses), f"no request is refused: {statuses}")
-        check(statuses[-1][1] - started > 4, "the last request waited for the link")
+        check(all(r.status == 200 for r in responses), "no request is refused")
+        late = [r.seconds for r in responses if r.seconds > MAX_SECONDS]
+        check(len(late) <= MAX_LATE, f"served requests that waited too long: {late}")
 
 
 def entry_on_slow_link_serves_what_it_carries_and_refuses_the_rest(build):
