dispatch: with even load, places further along the order of a prefix cost a prefill

A prefix had three preferred engines without an order among them, and most prefixes are requested only once within the time in which an engine keeps them, so the next request found another engine.

Each place by which an engine is further along the placement order now costs the time to prefill the prefix once. Short prefixes spread as before. Ruled out: 2.5 prefills for each place (even_load_test fails, the busiest engine is at 3.7 times the mean).

--- a/modules/dispatch/EngineSelector.cpp
+++ b/modules/dispatch/EngineSelector.cpp
@@ -194,12 +194,11 @@
   const auto prefillRate = prefixRates_.perSecond(context.now, prefix.key) / context.trafficShare;
   const auto ownTokens = std::max<std::int64_t>(requestInfo.promptTokens - prefix.tokens, 1);
   prefixRates_.add(context.now, prefix.key, prefillTime(ownTokens, requestInfo.promptTokens));
-  const auto endpoints = endpointsOf(candidates);
+  const auto order = rendezvousOrder(prefix.key, endpointsOf(candidates));
+  const auto preferredCount =
+    LoadBalancer::preferredEngineCount(candidates.size(), prefillRate, prefix.tokens);
   return context.balancer->pickForPrefix(
-    requestInfo,
-    candidates,
-    rendezvousOrder(prefix.key, endpoints),
-    LoadBalancer::preferredEngineCount(candidates.size(), prefillRate, prefix.tokens));
+    requestInfo, candidates, { order, preferredCount, prefillTime(prefix.tokens, prefix.tokens) });
 }
 
 std::optional<std::size_t> EngineSelector::pickFallback(const RequestInfo& requestInfo,
--- a/modules/dispatch/LoadBalancer.cpp
+++ b/modules/dispatch/LoadBalancer.cpp
@@ -33,6 +33,10 @@
 constexpr double kMaxEngineShare = 0.2;
 /** Shared tokens that may be prefilled again, per own token of the requests with the prefix. */
 constexpr double kMaxPrefilledAgain = 0.07;
+/** Cost of each place by which an engine is further along the placement order than the first one,
+    as a multiple of the time to prefill the prefix. All processes know the order, so the requests
+    of a rare prefix meet at its first engine although no process knows who else sends them. */
+constexpr double kStepPrefills = 1;
 /** Time for which an engine keeps an unused prefix at least, in seconds. */
 constexpr double kPrefixRetentionSeconds = 10;
 /** Prompt tokens that an engine prefills in a second, as in TimeToFirstTokenModel. */
@@ -136,18 +140,21 @@
 }
 
 std::size_t LoadBalancer::draw(std::span<const Candidate> candidates,
-                               std::span<const std::size_t> indexes)
+                               std::span<const std::size_t> indexes,
+                               double stepCost)
 {
   // A partial shuffle draws distinct engines in random order.
-  std::vector<std::size_t> drawn(indexes.begin(), indexes.end());
-  const auto count = std::min(drawn.size(), kDraws);
+  std::vector<std::size_t> places(indexes.size());
+  std::iota(places.begin(), places.end(), 0);
+  const auto count = std::min(places.size(), kDraws);
   std::size_t best = 0;
   double bestCost = 0;
   for (std::size_t i = 0; i < count; ++i) {
-    std::swap(drawn[i], drawn[i + random_.below(drawn.size() - i)]);
-    const double cost = costOf(candidates[drawn[i]]);
+    std::swap(places[i], places[i + random_.below(places.size() - i)]);
+    const auto index = indexes[places[i]];
+    const double cost = costOf(candidates[index]) + stepCost * static_cast<double>(places[i]);
     if (i == 0 || cost < bestCost) {
-      best = drawn[i];
+      best = index;
       bestCost = cost;
     }
   }
@@ -160,7 +167,7 @@
   std::vector<std::size_t> indexes(candidates.size());
   std::iota(indexes.begin(), indexes.end(), 0);
   ++figures_.choices;
-  return draw(candidates, indexes);
+  return draw(candidates, indexes, 0);
 }
 
 double LoadBalancer::spillProbability(const RequestInfo& requestInfo,
@@ -175,14 +182,16 @@
 
 std::optional<std::size_t> LoadBalancer::pickForPrefix(const RequestInfo& requestInfo,
                                                        std::span<const Candidate> candidates,
-                                                       std::span<const std::size_t> order,
-                                                       std::size_t preferredCount)
+                                                       const PrefixPlacement& placement)
 {
-  const auto preferred = order.first(std::min(preferredCount, order.size()));
+  const auto& order = placement.order;
+  const auto preferred = order.first(std::min(placement.preferredCount, order.size()));
   const auto others = order.subspan(preferred.size());
-  auto best = draw(candidates, preferred);
+  const double stepCost = kStepPrefills * static_cast<double>(placement.prefill.count());
+  auto best = draw(candidates, preferred, stepCost);
   if (!others.empty() && random_.chance(spillProbability(requestInfo, candidates[best]))) {
-    const auto other = draw(candidates, others.first(std::min(kSpillEngines, others.size())));
+    const auto other =
+      draw(candidates, others.first(std::min(kSpillEngines, others.size())), stepCost);
     if (costOf(candidates[other]) < costOf(candidates[best])) {
       best = other;
       ++figures_.spills;
--- a/modules/dispatch/LoadBalancer.h
+++ b/modules/dispatch/LoadBalancer.h
@@ -12,6 +12,17 @@
 
 namespace figchute::dispatch {
 
+/** The engines that a prompt prefix uses. */
+struct PrefixPlacement
+{
+  /** Indexes of the candidates in the placement order of the prefix; not empty. */
+  std::span<const std::size_t> order;
+  /** Number of preferred engines, at least 1. */
+  std::size_t preferredCount = 1;
+  /** Time to prefill the prefix on an engine that does not have it. */
+  Duration prefill{};
+};
+
 /** Distributes requests evenly over the engines of a service although many processes decide
     independently and know the load of an engine only from their own answers.
 
@@ -54,13 +65,10 @@
   std::size_t pick(std::span<const Candidate> candidates);
 
   /** Chooses one of the first engines in the placement order of a prefix, or one further along it.
-      @param order           indexes of candidates, not empty
-      @param preferredCount  number of preferred engines, at least 1
       @returns nullopt if the engine would miss the target */
   std::optional<std::size_t> pickForPrefix(const RequestInfo& requestInfo,
                                            std::span<const Candidate> candidates,
-                                           std::span<const std::size_t> order,
-                                           std::size_t preferredCount);
+                                           const PrefixPlacement& placement);
 
   /** Returns the figures since the last call. */
   LoadBalancerFigures takeFigures();
@@ -68,8 +76,12 @@
 private:
   [[nodiscard]] double costOf(const Candidate& candidate) const;
 
-  /** Draws some of the engines and returns the one with the lowest cost. */
-  std::size_t draw(std::span<const Candidate> candidates, std::span<const std::size_t> indexes);
+  /** Draws some of the engines and returns the one with the lowest cost.
+      @param stepCost  cost in microseconds of each place by which an engine is further along
+                       @p indexes than the first one */
+  std::size_t draw(std::span<const Candidate> candidates,
+                   std::span<const std::size_t> indexes,
+                   double stepCost);
 
   /** Returns the probability that a request leaves the preferred engines for others. */
   [[nodiscard]] double spillProbability(const RequestInfo& requestInfo,
