figchute, router, dispatch: a command that explains where a request would go

Operators had no way to see why an entry process sends a request to an endpoint, or refuses it, before it does. figchute explain HOST PATH asks the metrics address of an entry process: route, workspace, rank, budget and where its tokens are, room on the link, and each endpoint with its obstacle, load, age of the report and prediction. The choice is made by the code that places requests, on copies of what it changes; the choice of an endpoint is therefore separate from recording the send in DispatcherImpl. What a request needs to be described stands once, in describeRequest().

--- a/apps/figchute/CommandLine.cpp
+++ b/apps/figchute/CommandLine.cpp
@@ -29,7 +29,7 @@
   bool needsKey = true;
 };
 
-constexpr std::array<Subcommand, 15> kSubcommands{ {
+constexpr std::array<Subcommand, 16> kSubcommands{ {
   { "check", 1, false, "check FILE", "Lists every error in a team document or a settings file" },
   { "apply",
     1,
@@ -63,6 +63,14 @@
     "Evacuates a zone of a router fleet, or returns it to service (needs no key)",
     false,
     false },
+  { "explain",
+    2,
+    true,
+    "explain HOST PATH",
+    "Shows where an entry process of a router fleet would send a request now, and why; the server "
+    "is its metrics address, the key that of the caller",
+    false,
+    false },
   { "dump", 0, true, "dump", "Shows the state of the server for diagnosis" },
   { "trace",
     2,
--- a/apps/figchute/Commands.cpp
+++ b/apps/figchute/Commands.cpp
@@ -177,7 +177,8 @@
   options.servers = commandLine.servers;
   options.key = commandLine.key;
   // A report can simply be requested again; for a change it is worth waiting for an election.
-  options.maxRounds = request.method == "GET" ? 1 : options.maxRounds;
+  const bool isReport = request.method == "GET" || commandLine.command == "explain";
+  options.maxRounds = isReport ? 1 : options.maxRounds;
   if (commandLine.command.starts_with("evacuation")) {
     options.connectTimeout = kEvacuationTimeout;
     options.responseTimeout = kEvacuationTimeout;
@@ -346,6 +347,11 @@
     return sendAndPrint(commandLine,
                         { method, "/v1/evacuations/" + commandLine.arguments[1], "", "" });
   }
+  if (command == "explain") {
+    const auto body = json::Value::object(
+      { { "host", commandLine.arguments[0] }, { "path", commandLine.arguments[1] } });
+    return sendAndPrint(commandLine, { "POST", "/v1/explain", "", json::dump(body) });
+  }
   if (command == "retire") {
     return sendAndPrint(commandLine,
                         { "POST", "/v1/retire", "process=" + commandLine.arguments[0], "" });
--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -55,6 +55,11 @@
   return impl_->choose(now, requestInfo, excluded);
 }
 
+Explanation Dispatcher::explain(Time now, const RequestInfo& requestInfo)
+{
+  return impl_->explain(now, requestInfo);
+}
+
 void Dispatcher::firstByte(Time now, std::uint64_t requestId)
 {
   impl_->firstByte(now, requestId);
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatch/ConditionChanges.h"
 #include "dispatch/CrashTable.h"
 #include "dispatch/EndpointProbe.h"
+#include "dispatch/Explanation.h"
 #include "dispatch/LoadBalancerFigures.h"
 #include "dispatch/RequestInfo.h"
 #include "fleet/Messages.h"
@@ -97,6 +98,12 @@
                                                const RequestInfo& requestInfo,
                                                std::span<const EndpointId> excluded);
 
+  /** Returns where a request would be sent now, and what is known of the endpoints. Nothing is
+      sent or counted, and the choices of later requests are not changed. Trials of endpoints with
+      an open circuit breaker are not considered.
+      @param requestInfo  a request that was not sent before */
+  [[nodiscard]] Explanation explain(Time now, const RequestInfo& requestInfo);
+
   /** Reports the first byte of the answer. */
   void firstByte(Time now, std::uint64_t requestId);
 
--- a/modules/dispatch/DispatcherImpl.h
+++ b/modules/dispatch/DispatcherImpl.h
@@ -92,6 +92,36 @@
     return choice;
   }
 
+  Explanation explain(Time now, const RequestInfo& requestInfo)
+  {
+    Explanation explanation;
+    const auto entry = services_.find(requestInfo.service);
+    if (entry == services_.end()) {
+      explanation.refusal =
+        makeRefusal(now, requestInfo, ErrorKind::noEndpoint, kMaxRetryAfter, "unknown service");
+      return explanation;
+    }
+    // A choice counts the request and draws random numbers, so it is made on copies.
+    auto service = entry->second;
+    const auto balancer = balancer_;
+    const auto engineChoice = engineChoice_;
+    explanation.endpoints = explainEndpoints(now, requestInfo, service);
+    explanation.refusal = health_.refuseCrashing(now, requestInfo);
+    if (!explanation.refusal) {
+      const auto choice = service.settings.engine ? findEngine(now, requestInfo, service, {})
+                                                  : findPlain(now, requestInfo, service, {});
+      if (choice) {
+        explanation.chosen = choice->endpoint->record.id;
+        addPredictions(now, requestInfo, service, explanation.endpoints);
+      } else {
+        explanation.refusal = choice.error();
+      }
+    }
+    balancer_ = balancer;
+    engineChoice_ = engineChoice;
+    return explanation;
+  }
+
   void firstByte(Time now, std::uint64_t requestId)
   {
     auto* request = requests_.find(requestId);
@@ -418,21 +448,42 @@
     return isUsed ? &balancer_ : nullptr;
   }
 
+  [[nodiscard]] EngineContext engineContext(Time now,
+                                            const RequestInfo& requestInfo,
+                                            ServiceState& service)
+  {
+    return { now,
+             service.settings.engine->kvCapacity,
+             service.serviceTime,
+             service.updateTrafficShare(endpoints_, entryProcesses_),
+             balancerFor(requestInfo.service) };
+  }
+
   tl::expected<ChosenEndpoint, Refusal> chooseEngine(Time now,
                                                      const RequestInfo& requestInfo,
                                                      ServiceState& service,
                                                      std::span<const EndpointId> excluded)
   {
     const auto keys = prefixKeys(requestInfo);
-    const EngineContext context{ now,
-                                 service.settings.engine->kvCapacity,
-                                 service.serviceTime,
-                                 service.updateTrafficShare(endpoints_, entryProcesses_),
-                                 balancerFor(requestInfo.service) };
     if (auto trial = findTrial(now, requestInfo, service, excluded)) {
-      EngineSelector::predict(context, requestInfo, keys, *trial);
+      EngineSelector::predict(engineContext(now, requestInfo, service), requestInfo, keys, *trial);
       return recordSend(now, requestInfo, service, keys, *trial);
     }
+    const auto choice = findEngine(now, requestInfo, service, excluded);
+    if (!choice) {
+      return tl::unexpected(choice.error());
+    }
+    return recordSend(now, requestInfo, service, keys, *choice);
+  }
+
+  /** Chooses one of the engines with a closed breaker. */
+  tl::expected<Candidate, Refusal> findEngine(Time now,
+                                              const RequestInfo& requestInfo,
+                                              ServiceState& service,
+                                              std::span<const EndpointId> excluded)
+  {
+    const auto keys = prefixKeys(requestInfo);
+    const auto context = engineContext(now, requestInfo, service);
     auto candidates = findCandidates(now, requestInfo, service, excluded);
     if (candidates.empty()) {
       return tl::unexpected(
@@ -459,8 +510,7 @@
       return tl::unexpected(
         makeRefusal(now, requestInfo, ErrorKind::overloaded, retryAfter, "all engines are full"));
     }
-    return recordSend(
-      now, requestInfo, service, keys, pickEngine(context, requestInfo, service, keys, candidates));
+    return pickEngine(context, requestInfo, service, keys, candidates);
   }
 
   /** Chooses one of the engines: the best one without a rate limit, or a limited one. */
@@ -511,14 +561,97 @@
     if (const auto trial = findTrial(now, requestInfo, service, excluded)) {
       return recordSend(now, requestInfo, service, keys, *trial);
     }
+    const auto choice = findPlain(now, requestInfo, service, excluded);
+    if (!choice) {
+      return tl::unexpected(choice.error());
+    }
+    return recordSend(now, requestInfo, service, keys, *choice);
+  }
+
+  /** Chooses one of the endpoints of a plain service with a closed breaker. */
+  tl::expected<Candidate, Refusal> findPlain(Time now,
+                                             const RequestInfo& requestInfo,
+                                             const ServiceState& service,
+                                             std::span<const EndpointId> excluded)
+  {
     auto candidates = findCandidates(now, requestInfo, service, excluded);
     if (candidates.empty()) {
       return tl::unexpected(
         availability_.refusalWithoutCandidate(now, requestInfo, service.serviceTime));
     }
     discountStaleLoads(now, service.serviceTime, candidates);
-    return recordSend(
-      now, requestInfo, service, keys, candidates[pickPlainEndpoint(now, candidates)]);
+    return candidates[pickPlainEndpoint(now, candidates)];
+  }
+
+  [[nodiscard]] Obstacle obstacleOf(Time now,
+                                    const Endpoint& endpoint,
+                                    const RequestInfo& requestInfo,
+                                    const ServiceState& service)
+  {
+    if (!availability_.acceptsRequest(now, endpoint, requestInfo)) {
+      return Obstacle::notAccepting;
+    }
+    if (endpoint.breaker.isOpen()) {
+      return Obstacle::breakerOpen;
+    }
+    if (endpoint.load.ownRequests() >=
+        admissionFor(requestInfo).connectionLimit(connectionsPerProcess(service))) {
+      return Obstacle::connectionsInUse;
+    }
+    if (!limits_.maySend(now, rateLimitKeyOf(endpoint))) {
+      return Obstacle::rateLimited;
+    }
+    return conditions_.maySend(now, endpoint) ? Obstacle::none : Obstacle::brittle;
+  }
+
+  std::vector<EndpointExplanation> explainEndpoints(Time now,
+                                                    const RequestInfo& requestInfo,
+                                                    const ServiceState& service)
+  {
+    std::vector<EndpointExplanation> explanations;
+    for (const auto handle : endpoints_.handlesOf(requestInfo.service)) {
+      const auto& endpoint = *endpoints_.find(handle);
+      EndpointExplanation explanation;
+      explanation.endpoint = endpoint.record.id;
+      explanation.zone = endpoint.record.zone;
+      explanation.obstacle = obstacleOf(now, endpoint, requestInfo, service);
+      explanation.load = endpoint.load.current();
+      explanation.ownRequests = endpoint.load.ownRequests();
+      if (endpoint.lastReportAt.micros > 0) {
+        explanation.reportAge = now - endpoint.lastReportAt;
+      }
+      explanations.push_back(std::move(explanation));
+    }
+    return explanations;
+  }
+
+  /** Adds what the choice among the engines of a model service is based on. */
+  void addPredictions(Time now,
+                      const RequestInfo& requestInfo,
+                      ServiceState& service,
+                      std::span<EndpointExplanation> explanations)
+  {
+    auto candidates = findCandidates(now, requestInfo, service, {});
+    if (!service.settings.engine || candidates.empty()) {
+      return;
+    }
+    const auto keys = prefixKeys(requestInfo);
+    const auto context = engineContext(now, requestInfo, service);
+    if (context.balancer != nullptr) {
+      context.balancer->estimate(now, service.serviceTime, candidates);
+    }
+    for (auto& candidate : candidates) {
+      EngineSelector::predict(context, requestInfo, keys, candidate);
+      const auto explanation = std::find_if(
+        explanations.begin(), explanations.end(), [&candidate](const EndpointExplanation& other) {
+          return other.endpoint == candidate.endpoint->record.id;
+        });
+      explanation->load = candidate.load;
+      explanation->predictedTtft = candidate.predictedTtft;
+      explanation->penalty = candidate.penalty;
+      explanation->uncachedTokens = candidate.uncachedTokens;
+      explanation->speed = candidate.speed;
+    }
   }
 
   ChosenEndpoint recordSend(Time now,
--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -488,7 +488,9 @@
                       account.available(),
                       account.reserveAmount(),
                       account.unlockableAmount(),
-                      account.grantProposal != 0 };
+                      account.grantProposal != 0,
+                      account.lastFree,
+                      account.lastHeldByOthers };
 }
 
 std::vector<AccountView> QuotaManager::Impl::accounts() const
--- a/modules/ledger/QuotaManager.h
+++ b/modules/ledger/QuotaManager.h
@@ -181,6 +181,10 @@
   Tokens unlockable;
   /** True when a grant was requested and its answer has not arrived. */
   bool grantInFlight = false;
+  /** The tokens that were free after the last grant, and those of other holders without what their
+      running requests have reserved; nothing before the first grant. */
+  std::optional<Tokens> free{};
+  std::optional<Tokens> heldByOthers{};
 };
 
 /** Manages the tokens granted to one process incarnation. As long as they suffice, requests are
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -586,6 +586,12 @@
   node_->setSeeds(seeds);
 }
 
+void ControlRole::explain(http::ServerRequest& request)
+{
+  sendErrorResponse(
+    request, Error{ ErrorKind::notFound, "only entry processes place requests" }, Duration::zero());
+}
+
 void ControlRole::beginStop()
 {
   stopping_ = true;
--- a/modules/router/Daemon.cpp
+++ b/modules/router/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "router/ControlRole.h"
 #include "router/EntryRole.h"
 #include "router/MetricsPage.h"
+#include "router/RequestExplanation.h"
 #include "settings/CommandLine.h"
 
 #include <algorithm>
@@ -117,6 +118,10 @@
     }
     metricsServer_ = std::make_unique<http::Server>(
       io_, http::ServerLimits{}, [this](const std::shared_ptr<http::ServerRequest>& request) {
+        if (request->head().target == kExplanationPath) {
+          role_->explain(*request);
+          return;
+        }
         metrics_.count("log_lines_dropped", log_.dropped() - reportedDropped_);
         reportedDropped_ = log_.dropped();
         sendMetrics(*request, metrics_);
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -3,6 +3,7 @@
 #include "router/AcceptLimit.h"
 #include "router/BootClock.h"
 #include "router/ErrorResponse.h"
+#include "router/RequestExplanation.h"
 #include "router/TunnelAuthorization.h"
 #include "router/WorkspaceBudgets.h"
 
@@ -763,6 +764,27 @@
   subscriber_.setSeeds(seeds);
 }
 
+void EntryRole::explain(http::ServerRequest& request)
+{
+  const Time now = bootTime();
+  if (request.head().method != "POST") {
+    sendErrorResponse(
+      request, Error{ ErrorKind::methodNotAllowed, "use POST" }, Duration::zero(), "POST");
+    return;
+  }
+  const PlacementState state{ services_.table.get(),
+                              context_.dialect,
+                              dispatcher_,
+                              quotaManager_,
+                              link_ ? link_->acceptDelay() : linkDelay(now) };
+  const auto explanation = explainRequest(now, state, request.head().fields, *request.body());
+  if (explanation) {
+    sendJsonResponse(request, json::dump(*explanation));
+  } else {
+    sendErrorResponse(request, explanation.error(), std::chrono::seconds(1));
+  }
+}
+
 void EntryRole::beginStop()
 {
   stopping_ = true;
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -29,6 +29,7 @@
                wire::Channel channel,
                std::string body) override;
   void setSeeds(const std::vector<ProcessId>& seeds) override;
+  void explain(http::ServerRequest& request) override;
   void beginStop() override;
   [[nodiscard]] bool isStopped() const override;
 
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -5,6 +5,7 @@
 #include "router/BootClock.h"
 #include "router/ErrorResponse.h"
 #include "router/RequestBody.h"
+#include "router/RequestDescription.h"
 #include "router/TunnelAuthorization.h"
 #include "router/WorkspaceBudgets.h"
 #include "settings/settings.h"
@@ -212,21 +213,8 @@
       Duration(std::chrono::milliseconds(std::min<std::int64_t>(*value, millis(route.timeout)))));
   }
   deadline_ = now + wait;
+  requestInfo_ = describeRequest(now, route, workspace_, *prompt, wait);
   requestInfo_.id = id_;
-  requestInfo_.kind = route.kind;
-  requestInfo_.resumable = route.resumable;
-  requestInfo_.priority = std::clamp(
-    workspace_ != nullptr ? workspace_->priority.value_or(route.priority) : route.priority, 0, 9);
-  requestInfo_.workspace = workspace_ != nullptr ? workspace_->name : std::string();
-  requestInfo_.model = prompt->model;
-  requestInfo_.parts = prompt->parts;
-  requestInfo_.promptTokens = prompt->promptTokens;
-  requestInfo_.maxOutputTokens = prompt->maxOutputTokens;
-  requestInfo_.outputHint = prompt->outputHint;
-  requestInfo_.arrival = now;
-  requestInfo_.deadline = deadline_;
-  requestInfo_.target = route.target;
-  requestInfo_.maxAttempts = route.maxAttempts;
   requestInfo_.fingerprint = requestFingerprint(head, requestInfo_.workspace, bodyOf(*request_));
   setService(fleet::RouteTable::pickService(route, requestId_));
   return {};
--- a/modules/router/Role.h
+++ b/modules/router/Role.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "http/http.h"
 #include "mesh/mesh.h"
 #include "router/Dialect.h"
 #include "router/LogWriter.h"
@@ -50,6 +51,9 @@
   /** Replaces the seeds, the known control processes. */
   virtual void setSeeds(const std::vector<ProcessId>& seeds) = 0;
 
+  /** Responds to a request at kExplanationPath of the metrics address. */
+  virtual void explain(http::ServerRequest& request) = 0;
+
   /** Begins a clean stop. */
   virtual void beginStop() = 0;
 
--- a/tests/router_process_test.py
+++ b/tests/router_process_test.py
@@ -64,6 +64,29 @@
               "no request id")
 
 
+def explained_request_is_not_sent(build):
+    """Guards against an explanation that sends the request, and against unclear exit codes."""
+    with StartedFleet(build) as fleet:
+        def explain(path, key, daemon=fleet.entries[0]):
+            server = f"{daemon.ip}:{daemon.metrics[1]}"
+            return subprocess.run([os.path.join(build, "figchute"), "explain", "app.example", path,
+                                   "--key", key, "--server", server, "--json"],
+                                  capture_output=True, text=True, timeout=30, check=False)
+        sent = sum(len(e.arrivals) for e in fleet.endpoints)
+        answer = explain("/look/x", "key-north")
+        check(answer.returncode == 0, answer.stderr)
+        explanation = json.loads(answer.stdout)
+        check(explanation["route"] == "look" and explanation["workspace"] == "north", answer.stdout)
+        check(explanation["endpoint"] in [e["endpoint"] for e in explanation["endpoints"]
+                                          if e["chosen"] and e["obstacle"] == "none"], answer.stdout)
+        check(sum(len(e.arrivals) for e in fleet.endpoints) == sent, "nothing was sent")
+        for path, key, error in (("/none/", "key-north", "not_found"),
+                                 ("/look/x", "wrong", "unauthenticated")):
+            answer = explain(path, key)
+            check(answer.returncode == 2 and error in answer.stderr, answer.stderr)
+        check(explain("/look/x", "key-north", fleet.controls[0]).returncode == 2, "no entry process")
+
+
 def once_request_rejected_by_endpoint_returns_503(build):
     """Guards against 502 for a request that was certainly not executed."""
     with StartedFleet(build) as fleet:
@@ -646,6 +669,7 @@
     request_is_forwarded_unchanged,
     stream_is_relayed_event_by_event,
     rejections_have_the_right_status,
+    explained_request_is_not_sent,
     once_request_rejected_by_endpoint_returns_503,
     once_request_without_response_returns_no_503,
     failed_lookup_is_repeated_at_another_endpoint,
