router: pauses of accepting connections are counted and logged

A caller whose connection is not established left no trace at the VM that did not accept it. An entry process now counts the pauses that the limit of its link causes (link_accept_pauses) and logs them at most once a second (accept_paused). The parts of EntryRole that deal with the link are in a file of their own.

--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -148,7 +148,7 @@
 {
   context_.metrics.set("evacuated_zones", 0);
   if (linkBudget_) {
-    callers_.setAcceptDelay([this] { return linkDelay(bootTime()); });
+    callers_.setAcceptDelay([this] { return connectionDelay(bootTime()); });
   } else if (link_) {
     limitLinkTraffic();
   }
@@ -259,41 +259,6 @@
   }
 }
 
-void EntryRole::limitLinkTraffic()
-{
-  callers_.setAcceptDelay([this] {
-    updateLink(bootTime());
-    return link_->acceptDelay();
-  });
-  callers_.setHeadFilter([this](const http::RequestHead& head, const http::HeadInfo& info) {
-    const Time now = bootTime();
-    updateLink(now);
-    return link_->decide(now, services_.table.get(), head, info);
-  });
-}
-
-http::Traffic EntryRole::linkTraffic() const
-{
-  const auto callers = callers_.traffic();
-  const auto endpoints = pool_.traffic();
-  return { callers.receivedBytes + endpoints.receivedBytes + receivedMessageBytes_,
-           callers.sentBytes + endpoints.sentBytes + context_.mesh.sentBytes() };
-}
-
-Duration EntryRole::linkDelay(Time now)
-{
-  if (!linkBudget_) {
-    return Duration::zero();
-  }
-  linkBudget_->update(now, linkTraffic());
-  return linkBudget_->timeUntilAvailable();
-}
-
-void EntryRole::updateLink(Time now)
-{
-  link_->update(now, linkTraffic(), callers_.refusedTraffic(), callers_.unusedConnections());
-}
-
 void EntryRole::sendReadiness(http::ServerRequest& request) const
 {
   if (isReady()) {
--- a/modules/router/EntryRole.h
+++ b/modules/router/EntryRole.h
@@ -74,6 +74,8 @@
   [[nodiscard]] http::Traffic linkTraffic() const;
   /** Returns how long the traffic on the link allows no further work. */
   [[nodiscard]] Duration linkDelay(Time now);
+  /** Returns the same, and counts and logs that no connection is accepted. */
+  [[nodiscard]] Duration connectionDelay(Time now);
   /** Limits what is accepted and admitted to what the network link carries. */
   void limitLinkTraffic();
   void updateLink(Time now);
@@ -107,6 +109,9 @@
   /** The earliest time of the next tick of the subscriber and the quota manager. */
   Time nextTickAt_;
   Time nextEvenLoadReportAt_;
+  /** Pauses of accepting connections since the last log line about them. */
+  std::uint64_t acceptPauses_ = 0;
+  Time nextAcceptReportAt_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges_;
   std::uint64_t lastExchangeId_ = 0;
   /** Addresses of the endpoints in the registry, and their zones. */
