dispatch, router: one function says why an endpoint cannot take a request

The explanation of a request repeated the checks of isEligible(); both now call obstacleOf(), so they cannot come to differ. The choice is unchanged. The explanation also read the request id under a fixed name instead of the name of the dialect, which selects the service of a split route.

--- a/modules/dispatch/DispatcherImpl.h
+++ b/modules/dispatch/DispatcherImpl.h
@@ -379,17 +379,33 @@
              requests_.isSmallWorkspace(requestInfo.service, requestInfo.workspace) };
   }
 
+  /** Returns why an endpoint cannot take a request, apart from its circuit breaker. */
+  [[nodiscard]] Obstacle obstacleOf(Time now,
+                                    const Endpoint& endpoint,
+                                    const RequestInfo& requestInfo,
+                                    const ServiceState& service)
+  {
+    if (!availability_.acceptsRequest(now, endpoint, requestInfo)) {
+      return Obstacle::notAccepting;
+    }
+    if (endpoint.load.ownRequests() >=
+        admissionFor(requestInfo).connectionLimit(connectionsPerProcess(service))) {
+      return Obstacle::connectionsInUse;
+    }
+    if (!conditions_.maySend(now, endpoint)) {
+      return Obstacle::brittle;
+    }
+    return limits_.maySend(now, rateLimitKeyOf(endpoint)) ? Obstacle::none : Obstacle::rateLimited;
+  }
+
   [[nodiscard]] bool isEligible(Time now,
                                 const Endpoint& endpoint,
                                 const RequestInfo& requestInfo,
                                 const ServiceState& service,
                                 std::span<const EndpointId> excluded)
   {
-    return availability_.acceptsRequest(now, endpoint, requestInfo) &&
-           endpoint.load.ownRequests() <
-             admissionFor(requestInfo).connectionLimit(connectionsPerProcess(service)) &&
-           std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end() &&
-           conditions_.maySend(now, endpoint) && limits_.maySend(now, rateLimitKeyOf(endpoint));
+    return std::find(excluded.begin(), excluded.end(), endpoint.record.id) == excluded.end() &&
+           obstacleOf(now, endpoint, requestInfo, service) == Obstacle::none;
   }
 
   [[nodiscard]] const Send* currentSend(std::uint64_t requestId)
@@ -583,27 +599,6 @@
     return candidates[pickPlainEndpoint(now, candidates)];
   }
 
-  [[nodiscard]] Obstacle obstacleOf(Time now,
-                                    const Endpoint& endpoint,
-                                    const RequestInfo& requestInfo,
-                                    const ServiceState& service)
-  {
-    if (!availability_.acceptsRequest(now, endpoint, requestInfo)) {
-      return Obstacle::notAccepting;
-    }
-    if (endpoint.breaker.isOpen()) {
-      return Obstacle::breakerOpen;
-    }
-    if (endpoint.load.ownRequests() >=
-        admissionFor(requestInfo).connectionLimit(connectionsPerProcess(service))) {
-      return Obstacle::connectionsInUse;
-    }
-    if (!limits_.maySend(now, rateLimitKeyOf(endpoint))) {
-      return Obstacle::rateLimited;
-    }
-    return conditions_.maySend(now, endpoint) ? Obstacle::none : Obstacle::brittle;
-  }
-
   std::vector<EndpointExplanation> explainEndpoints(Time now,
                                                     const RequestInfo& requestInfo,
                                                     const ServiceState& service)
@@ -615,6 +610,9 @@
       explanation.endpoint = endpoint.record.id;
       explanation.zone = endpoint.record.zone;
       explanation.obstacle = obstacleOf(now, endpoint, requestInfo, service);
+      if (explanation.obstacle == Obstacle::none && endpoint.breaker.isOpen()) {
+        explanation.obstacle = Obstacle::breakerOpen;
+      }
       explanation.load = endpoint.load.current();
       explanation.ownRequests = endpoint.load.ownRequests();
       if (endpoint.lastReportAt.micros > 0) {
--- a/modules/router/RequestExplanation.cpp
+++ b/modules/router/RequestExplanation.cpp
@@ -99,7 +99,8 @@
     return tl::unexpected(prompt.error());
   }
   auto info = describeRequest(now, *route, workspace, *prompt, route->timeout);
-  info.service = fleet::RouteTable::pickService(*route, fields.get("X-Request-Id"));
+  info.service =
+    fleet::RouteTable::pickService(*route, fields.get(state.dialect.fields().requestId));
   const auto explanation = state.dispatcher.explain(now, info);
   auto result = json::Value::object(
     { { "route", route->name },
