control, fleet, router: what the time of a control process goes into

New lines: log_recovered, configuration_read and configuration_read_failed.

ControlCore decodes a command itself, so that its kind is known without decoding it twice; what is applied and answered is unchanged.

--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -226,7 +226,11 @@
 Expected<void> ControlCore::handleReady(Time now, replication::Ready ready)
 {
   if (ready.needsSync()) {
-    if (auto saveResult = save_(ready); !saveResult) {
+    const auto startedAt = clockTime();
+    auto saveResult = save_(ready);
+    ++logWork_.saves;
+    logWork_.saveTime += clockTime() - startedAt;
+    if (!saveResult) {
       return saveResult;
     }
     node_.confirmPersisted(now);
@@ -260,8 +264,7 @@
     const auto timedCommand = wire::decode<TimedCommand>(entry.payload);
     if (timedCommand) {
       lastCommandTime_ = std::max(lastCommandTime_, timedCommand->time);
-      result =
-        state_.applyEncoded(entry.index, timedCommand->time, timedCommand->command).value_or("");
+      result = applyCommand(entry.index, *timedCommand);
     }
   }
   const auto pendingProposal = pendingProposals_.take(entry.index);
@@ -281,6 +284,20 @@
   reply(pendingProposal->from, std::move(proposeReply));
 }
 
+std::string ControlCore::applyCommand(replication::LogIndex index, const TimedCommand& timedCommand)
+{
+  const auto startedAt = clockTime();
+  const auto command = wire::decode<ledger::Command>(timedCommand.command);
+  if (!command) {
+    state_.skip(index);
+    return {};
+  }
+  const auto result = state_.apply(index, timedCommand.time, *command);
+  auto encoded = wire::encode(result);
+  logWork_.addCommand(*command, result, timedCommand.command.size(), clockTime() - startedAt);
+  return encoded;
+}
+
 void ControlCore::compactIfDue()
 {
   const auto entries = appliedIndex_ - node_.snapshotIndex();
@@ -293,8 +310,12 @@
     return;
   }
   bytesSinceSnapshot_ = 0;
+  const auto startedAt = clockTime();
   auto snapshot = state_.snapshot();
   snapshotBytes_ = snapshot.size();
+  ++logWork_.snapshots;
+  logWork_.snapshotBytes += snapshotBytes_;
+  logWork_.snapshotTime += clockTime() - startedAt;
   const auto compactResult = node_.compact(appliedIndex_, std::move(snapshot));
   invariant(compactResult.has_value(), "an applied entry can be covered by a snapshot");
 }
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/LogWork.h"
 #include "control/PendingProposals.h"
 #include "control/ReportMessages.h"
 #include "core/core.h"
@@ -101,6 +102,8 @@
   bool promoteLearners = true;
   /** The clock of this VM that continues across restarts of the process. */
   BootClock bootClock;
+  /** Measures the times of LogWork. Nothing else depends on it; unset, these times are 0. */
+  std::function<Time()> clock;
 };
 
 /** The replicated state machine of one control VM: a LogNode, its storage and the ControlState to
@@ -151,6 +154,9 @@
   /** Returns the proposals since the last call and starts again at 0. */
   ProposalCounts takeProposalCounts() { return std::exchange(proposalCounts_, {}); }
 
+  /** Returns the work for the log since the last call and starts again at 0. */
+  LogWork takeLogWork() { return std::exchange(logWork_, {}); }
+
   /** Returns true while this node is the leader and in contact with a majority.
       @see replication::LogNode::isLeader() */
   [[nodiscard]] bool isLeader(Time now) const { return node_.isLeader(now); }
@@ -202,6 +208,9 @@
   void sendLedger(const ProcessId& to, const ledger::Message& message);
   Expected<void> handleReady(Time now, replication::Ready ready);
   void applyEntry(Time now, const replication::Entry& entry);
+  /** Applies a command and returns its encoded result; empty if the command cannot be decoded. */
+  std::string applyCommand(replication::LogIndex index, const TimedCommand& timedCommand);
+  [[nodiscard]] Time clockTime() const { return config_.clock ? config_.clock() : Time{}; }
   void compactIfDue();
   void sendReportRequests(Time now);
   void promoteLearners(Time now);
@@ -212,6 +221,7 @@
   ledger::ControlState state_;
   PendingProposals pendingProposals_;
   ProposalCounts proposalCounts_;
+  LogWork logWork_;
   std::map<ProcessId, LastPoll> polls_;
   std::vector<OutgoingMessage> outgoing_;
   replication::LogIndex appliedIndex_ = 0;
--- a/modules/control/ControlNode.cpp
+++ b/modules/control/ControlNode.cpp
@@ -47,6 +47,15 @@
   };
 }
 
+RecoveredLog describe(const replication::RecoveredState& recovered)
+{
+  RecoveredLog log{ recovered.snapshot.data.size(), recovered.entries.size(), 0 };
+  for (const auto& entry : recovered.entries) {
+    log.entryBytes += entry.payload.size();
+  }
+  return log;
+}
+
 /** The state of another member at one point in time, as known to the leader. */
 struct MemberContact
 {
@@ -121,6 +130,7 @@
   if (!origin) {
     return tl::unexpected(origin.error());
   }
+  recoveredLog_ = describe(*recoveredState);
   replication::LogConfig logConfig;
   logConfig.self = settings_.self;
   logConfig.seed = random_.next();
@@ -137,6 +147,7 @@
   coreConfig.snapshotIntervalBytes = kSnapshotIntervalBytes;
   coreConfig.promoteLearners = false;
   coreConfig.bootClock = settings_.bootClock;
+  coreConfig.clock = settings_.clock;
   auto core = ControlCore::create(
     [folder = folder_.get()](const replication::Ready& ready) { return folder->save(ready); },
     std::move(logConfig),
@@ -216,6 +227,11 @@
   return core_ ? core_->takeProposalCounts() : ProposalCounts();
 }
 
+LogWork ControlNode::takeLogWork()
+{
+  return core_ ? core_->takeLogWork() : LogWork();
+}
+
 replication::LogIndex ControlNode::appliedIndex() const
 {
   return std::max(indexBeforeFailure_, core_ ? core_->appliedIndex() : 0);
--- a/modules/control/ControlNode.h
+++ b/modules/control/ControlNode.h
@@ -71,10 +71,22 @@
   ControlTimings timings;
   /** The clock of the VM, for the holders of budgets. */
   BootClock bootClock;
+  /** @see CoreConfig::clock */
+  std::function<Time()> clock;
   /** Opens the data folder. When it is not set, the node opens @ref dataFolder as a FileDisk. */
   OpenDataFolder openDataFolder;
 };
 
+/** What a node has read from its data folder. */
+struct RecoveredLog
+{
+  std::uint64_t snapshotBytes = 0;
+  /** The entries after the snapshot. They are applied once the node knows that they are committed.
+   */
+  std::uint64_t entries = 0;
+  std::uint64_t entryBytes = 0;
+};
+
 /** A node of the replicated log that needs no operator. It owns the data folder, joins an existing
     group or forms a new one, and as leader adds, promotes, replaces and removes members. It reads
     no clock and opens no sockets.
@@ -132,6 +144,12 @@
   /** Returns the proposals since the last call and starts again at 0. */
   ProposalCounts takeProposalCounts();
 
+  /** Returns the work for the log since the last call and starts again at 0. */
+  LogWork takeLogWork();
+
+  /** Returns what was read from the data folder when it was opened last. */
+  [[nodiscard]] const RecoveredLog& recoveredLog() const { return recoveredLog_; }
+
   /** Returns the index of the last entry that state() contains. */
   [[nodiscard]] replication::LogIndex appliedIndex() const;
 
@@ -210,6 +228,7 @@
   bool storageHasFailed_ = false;
   Time reopenAt_;
   Time now_;
+  RecoveredLog recoveredLog_;
 
   /** The state, its index and the members before a failure of the data folder. */
   std::optional<ledger::ControlState> stateBeforeFailure_;
--- a/modules/control/control.h
+++ b/modules/control/control.h
@@ -7,5 +7,6 @@
 #include "control/ControlNode.h"
 #include "control/ControlService.h"
 #include "control/DataFolder.h"
+#include "control/LogWork.h"
 #include "control/ReportBuilder.h"
 #include "control/ReportMessages.h"
--- a/modules/fleet/FleetPublisher.cpp
+++ b/modules/fleet/FleetPublisher.cpp
@@ -20,6 +20,7 @@
 
 void FleetPublisher::handle(Time now, const ProcessId& from, const Subscribe& message)
 {
+  ++counts_.subscriptions;
   auto& subscriber = subscribers_[from];
   if (message.incarnation < subscriber.incarnation) {
     return;
@@ -276,6 +277,7 @@
 
 FleetPublisher::SharedUpdate FleetPublisher::makeSharedUpdate() const
 {
+  ++counts_.builtLists;
   SharedUpdate shared;
   shared.entries = entryProcesses();
   shared.entriesDigest = digestOf(shared.entries);
@@ -297,6 +299,8 @@
   if (shared.entriesDigest != subscriber.entriesDigest) {
     subscriber.entriesDigest = shared.entriesDigest;
     update.entries = shared.entries;
+    ++counts_.entryLists;
+    counts_.listedEntries += shared.entries.size();
   }
   update.crashReports = crashes_.reportsFor(now, subscriber.crashCursor);
   update.rateLimits = limits_.limitsFor(now, subscriber.limitCursor);
@@ -306,6 +310,7 @@
   }
   update.evacuationRevision = state_->evacuations.revision();
   update.evacuatedZones = state_->evacuations.zones();
+  ++counts_.updates;
   subscriber.lastSentAt = now;
   subscriber.endpointRevision = std::max(subscriber.endpointRevision, update.endpointRevision);
   outgoing_.push_back({ to, std::move(update) });
--- a/modules/fleet/FleetPublisher.h
+++ b/modules/fleet/FleetPublisher.h
@@ -15,6 +15,18 @@
 
 namespace figchute::fleet {
 
+/** What a publisher did for its subscribers. */
+struct PublisherCounts
+{
+  std::uint64_t updates = 0;
+  /** Updates with a list of the entry processes, and the processes that these lists name. */
+  std::uint64_t entryLists = 0;
+  std::uint64_t listedEntries = 0;
+  /** How often the list of all entry processes was built. */
+  std::uint64_t builtLists = 0;
+  std::uint64_t subscriptions = 0;
+};
+
 /** Sends the state of the fleet from a control process to the subscribed entry processes, and
     exchanges reports with the other control processes.
     Thread safety: use one instance from one thread only. */
@@ -66,6 +78,9 @@
   /** Returns the messages to send and clears them. */
   std::vector<OutgoingMessage> takeOutgoing() { return std::exchange(outgoing_, {}); }
 
+  /** Returns the counts since the last call and starts again at 0. */
+  PublisherCounts takeCounts() { return std::exchange(counts_, {}); }
+
   /** Returns the subscribers of this process. */
   [[nodiscard]] std::vector<EntryProcess> subscribers() const;
 
@@ -181,6 +196,7 @@
   std::map<std::uint64_t, std::optional<ByteDelta>> deltas_;
   std::uint64_t deltaVersion_ = 0;
   Time nextPeerReportAt_;
+  mutable PublisherCounts counts_;
   std::vector<OutgoingMessage> outgoing_;
 };
 
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -214,13 +214,18 @@
 {
   const auto decoded = wire::decode<Command>(command);
   if (!decoded) {
-    invariant(index > state_->index, "log entries are applied in order");
-    state_->index = index;
+    skip(index);
     return tl::unexpected(decoded.error());
   }
   return wire::encode(apply(index, time, *decoded));
 }
 
+void ControlState::skip(std::uint64_t index)
+{
+  invariant(index > state_->index, "log entries are applied in order");
+  state_->index = index;
+}
+
 void ControlState::setPrepaid(std::span<const PrepaidBudget> budgets)
 {
   auto recalls = state_->budgetLedger.setPrepaid(budgets);
--- a/modules/ledger/ControlState.h
+++ b/modules/ledger/ControlState.h
@@ -152,6 +152,10 @@
       which case only the index advances */
   Expected<std::string> applyEncoded(std::uint64_t index, Time time, std::string_view command);
 
+  /** Advances to the index of an entry that cannot be decoded as a command and changes nothing
+     else. Precondition: @p index is larger than that of the last applied entry. */
+  void skip(std::uint64_t index);
+
   /** Returns the whole state as bytes; equal states give equal bytes. */
   [[nodiscard]] std::string snapshot() const;
 
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -63,6 +63,12 @@
   return "none";
 }
 
+/** Returns a duration in milliseconds, for a log line. */
+std::string milliseconds(Duration duration)
+{
+  return std::to_string(duration.count() / 1000);
+}
+
 std::string_view pathOf(std::string_view target)
 {
   return target.substr(0, target.find('?'));
@@ -98,8 +104,11 @@
   settings.bootstrap = context_.settings.bootstrap;
   settings.seed = context_.incarnation.number;
   settings.bootClock = { bootId(settings.self.value), bootTimeOrigin() };
+  settings.clock = [] { return bootTime(); };
+  const Time startedAt = bootTime();
+  node_ = std::make_unique<control::ControlNode>(std::move(settings), startedAt);
   const Time now = bootTime();
-  node_ = std::make_unique<control::ControlNode>(std::move(settings), now);
+  logRecovery(now, now - startedAt);
   if (auto listening = operators_.listen(toEndpoint(*context_.settings.operators)); !listening) {
     return listening;
   }
@@ -108,6 +117,17 @@
   return {};
 }
 
+void ControlRole::logRecovery(Time now, Duration elapsed)
+{
+  const auto& recovered = node_->recoveredLog();
+  context_.log.line(now,
+                    "log_recovered",
+                    { { "snapshot_bytes", std::to_string(recovered.snapshotBytes) },
+                      { "entries", std::to_string(recovered.entries) },
+                      { "entry_bytes", std::to_string(recovered.entryBytes) },
+                      { "elapsed_ms", milliseconds(elapsed) } });
+}
+
 void ControlRole::scheduleTick()
 {
   const Time now = bootTime();
@@ -183,7 +203,13 @@
 
 void ControlRole::getConfiguration(const RequestPointer& request)
 {
-  readCurrentState(kProposalTimeout, [this, request](bool isCurrent) {
+  const Time startedAt = bootTime();
+  readCurrentState(kProposalTimeout, [this, request, startedAt](bool isCurrent) {
+    const Time now = bootTime();
+    context_.log.line(now,
+                      isCurrent ? "configuration_read" : "configuration_read_failed",
+                      { { "version", std::to_string(configurationVersion_) },
+                        { "age_ms", milliseconds(now - startedAt) } });
     if (isCurrent) {
       sendConfiguration(*request);
     } else {
@@ -325,7 +351,7 @@
     kProposalTimeout,
     [this, request, startedAt, order = *order](const Expected<ledger::Result>& result) {
       const Time now = bootTime();
-      const auto ageMs = std::to_string((now - startedAt).count() / 1000);
+      const auto ageMs = milliseconds(now - startedAt);
       if (!result) {
         context_.log.line(
           now, "proposal_failed", { { "detail", result.error().detail }, { "age_ms", ageMs } });
@@ -380,7 +406,7 @@
                       command,
                       kProposalTimeout,
                       [this, request, startedAt](const Expected<ledger::Result>& result) {
-                        const auto age = std::to_string((bootTime() - startedAt).count() / 1000);
+                        const auto age = milliseconds(bootTime() - startedAt);
                         if (!result) {
                           context_.log.line(
                             bootTime(),
@@ -461,6 +487,7 @@
 {
   const WorkTimer timer(load_, LoopWork::publish);
   publisher_->tick(now);
+  load_.addPublisherCounts(publisher_->takeCounts());
   sendFleet(publisher_->takeOutgoing());
 }
 
@@ -477,6 +504,7 @@
   const auto before = node_->appliedIndex();
   node_->tick(now);
   load_.addProposals(node_->takeProposalCounts());
+  load_.addLogWork(node_->takeLogWork());
   for (auto& message : node_->takeOutgoing()) {
     send(message.to, message.channel, std::move(message.body));
   }
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -48,6 +48,7 @@
     StateReader reader;
   };
 
+  void logRecovery(Time now, Duration elapsed);
   void handle(const RequestPointer& request);
   void putConfiguration(const RequestPointer& request);
   void getConfiguration(const RequestPointer& request);
--- a/modules/router/LoadMonitor.cpp
+++ b/modules/router/LoadMonitor.cpp
@@ -17,6 +17,11 @@
   "replication", "ledger", "fleet", "log", "publish", "timer",
 };
 
+std::uint64_t microseconds(Duration duration)
+{
+  return static_cast<std::uint64_t>(duration.count());
+}
+
 } // namespace
 
 LoadMonitor::LoadMonitor(Metrics& metrics, LogWriter& log)
@@ -56,6 +61,15 @@
   totals_.proposals.maxAge = std::max(totals_.proposals.maxAge, counts.maxAge);
 }
 
+void LoadMonitor::addPublisherCounts(const fleet::PublisherCounts& counts)
+{
+  totals_.publisher.updates += counts.updates;
+  totals_.publisher.entryLists += counts.entryLists;
+  totals_.publisher.listedEntries += counts.listedEntries;
+  totals_.publisher.builtLists += counts.builtLists;
+  totals_.publisher.subscriptions += counts.subscriptions;
+}
+
 bool LoadMonitor::addTimerDelay(Time now, Duration delay)
 {
   metrics_.record("timer_delay", std::max(delay, Duration{ 0 }));
@@ -68,7 +82,7 @@
   nextReportAt_ = now + kReportInterval;
   const auto totals = std::exchange(totals_, {});
   std::string detail;
-  const auto add = [&](const std::string& name, std::uint64_t amount) {
+  const AddAmount add = [&](const std::string& name, std::uint64_t amount) {
     if (amount > 0) {
       metrics_.count(name, amount);
       detail += fmt::format("{}{}:{}", detail.empty() ? "" : ",", name, amount);
@@ -83,16 +97,11 @@
     add(fmt::format("sent_bytes_{}", name), channel.sentBytes);
   }
   for (std::size_t i = 0; i < kLoopWorkKinds; ++i) {
-    add(fmt::format("work_us_{}", kWorkNames.at(i)),
-        static_cast<std::uint64_t>(totals.work.at(i).count()));
+    add(fmt::format("work_us_{}", kWorkNames.at(i)), microseconds(totals.work.at(i)));
   }
-  add("proposals_appended", totals.proposals.appended);
-  add("proposals_repeated", totals.proposals.repeated);
-  add("proposals_redirected", totals.proposals.redirected);
-  add("proposals_grant", totals.proposals.grants);
-  add("grant_items", totals.proposals.grantItems);
-  add("proposals_settle", totals.proposals.settles);
-  add("settle_items", totals.proposals.settleItems);
+  reportProposals(totals.proposals, add);
+  reportLogWork(totals.logWork, add);
+  reportPublisher(totals.publisher, add);
   if (totals.maxTimerDelay > kMaxTimerDelay || totals.proposals.maxAge > kMaxProposalAge) {
     log_.line(now,
               "event_loop_late",
@@ -103,6 +112,45 @@
   }
 }
 
+void LoadMonitor::reportProposals(const control::ProposalCounts& counts, const AddAmount& add)
+{
+  add("proposals_appended", counts.appended);
+  add("proposals_repeated", counts.repeated);
+  add("proposals_redirected", counts.redirected);
+  add("proposals_grant", counts.grants);
+  add("grant_items", counts.grantItems);
+  add("proposals_settle", counts.settles);
+  add("settle_items", counts.settleItems);
+}
+
+void LoadMonitor::reportLogWork(const control::LogWork& work, const AddAmount& add)
+{
+  for (std::size_t i = 0; i < control::kCommandKinds; ++i) {
+    const auto& applied = work.applied.at(i);
+    const auto name = control::toString(static_cast<control::CommandKind>(i));
+    add(fmt::format("applied_{}", name), applied.commands);
+    add(fmt::format("applied_{}_items", name), applied.items);
+    add(fmt::format("applied_{}_bytes", name), applied.bytes);
+    add(fmt::format("applied_{}_us", name), microseconds(applied.time));
+  }
+  add("grant_items_waiting", work.waitingItems);
+  add("grant_items_low", work.lowItems);
+  add("log_saves", work.saves);
+  add("log_save_us", microseconds(work.saveTime));
+  add("log_snapshots", work.snapshots);
+  add("log_snapshot_bytes", work.snapshotBytes);
+  add("log_snapshot_us", microseconds(work.snapshotTime));
+}
+
+void LoadMonitor::reportPublisher(const fleet::PublisherCounts& counts, const AddAmount& add)
+{
+  add("fleet_subscriptions", counts.subscriptions);
+  add("fleet_updates", counts.updates);
+  add("fleet_entry_lists", counts.entryLists);
+  add("fleet_listed_entries", counts.listedEntries);
+  add("fleet_built_lists", counts.builtLists);
+}
+
 WorkTimer::WorkTimer(LoadMonitor& monitor, LoopWork work)
   : monitor_(monitor)
   , work_(work)
--- a/modules/router/LoadMonitor.h
+++ b/modules/router/LoadMonitor.h
@@ -2,11 +2,14 @@
 
 #include "control/ControlCore.h"
 #include "core/core.h"
+#include "fleet/fleet.h"
 #include "router/LogWriter.h"
 #include "wire/wire.h"
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <string>
 #include <string_view>
 
 namespace figchute::router {
@@ -56,6 +59,8 @@
   void addWork(LoopWork work, Duration elapsed);
 
   void addProposals(const control::ProposalCounts& counts);
+  void addLogWork(const control::LogWork& work) { totals_.logWork += work; }
+  void addPublisherCounts(const fleet::PublisherCounts& counts);
 
   /** Sets the number of pairs of holders with transfers in the ledger. */
   void setTransferPairs(std::size_t pairs) { transferPairs_ = pairs; }
@@ -82,9 +87,18 @@
     std::array<ChannelTotals, wire::kChannels> channels;
     std::array<Duration, kLoopWorkKinds> work{};
     control::ProposalCounts proposals;
+    control::LogWork logWork;
+    fleet::PublisherCounts publisher;
     Duration maxTimerDelay{ 0 };
   };
 
+  /** Names an amount for the metrics and for the log line. */
+  using AddAmount = std::function<void(const std::string& name, std::uint64_t amount)>;
+
+  static void reportProposals(const control::ProposalCounts& counts, const AddAmount& add);
+  static void reportLogWork(const control::LogWork& work, const AddAmount& add);
+  static void reportPublisher(const fleet::PublisherCounts& counts, const AddAmount& add);
+
   Metrics& metrics_;
   LogWriter& log_;
   Time nextReportAt_;
