ledger: a grant no longer looks at all accounts of its budget

Callers saw 402, 503 and late answers, operators a configuration that no control process read back in time.

AccountTable keeps the sums and two orders of the accounts up to date as they change. What is granted and named is the same, so control processes of both releases compute the same accounts.

--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -40,6 +40,12 @@
   return fmt::format("{}/{}", id.process.value, id.incarnation.number);
 }
 
+bool isLive(const HolderId& id, const std::map<HolderId, Holder>& holders)
+{
+  const auto holder = holders.find(id);
+  return holder != holders.end() && !holder->second.retiring;
+}
+
 /** Adopts a clock reading that a holder reports. Commands may be applied in another order than they
     were created, so an earlier reading of the same clock is ignored. */
 void updateContact(Holder& holder, const ClockReading& contact)
@@ -147,8 +153,11 @@
 HolderAccount& BudgetLedger::openAccount(const HolderId& id,
                                          std::map<BudgetId, Budget>::iterator budget)
 {
-  budgetsByHolder_[id].insert(&budget->first);
-  return budget->second.findOrOpenAccount(id);
+  const auto [account, isNew] = budget->second.findOrOpenAccount(id);
+  if (isNew) {
+    budgetsByHolder_[id].insert(&budget->first);
+  }
+  return account;
 }
 
 GrantResult BudgetLedger::grant(Time time,
@@ -261,20 +270,15 @@
     return;
   }
   budget.recalledAt = time;
-  std::vector<HolderAccount*> candidates;
-  for (auto& account : budget.accounts) {
-    const auto holder = holders.find(account.holder);
-    const bool isLive = holder != holders.end() && !holder->second.retiring;
+  std::vector<HolderAccount*> recalled;
+  budget.accounts.byHeld().visit([&](HolderAccount& account) {
     const bool isDue = time >= account.recalledAt + kHolderRecallInterval;
-    if (isLive && isDue && account.holder != requester && account.held() > Tokens{ 0 }) {
-      candidates.push_back(&account);
+    if (isDue && account.holder != requester && isLive(account.holder, holders)) {
+      recalled.push_back(&account);
     }
-  }
-  std::stable_sort(candidates.begin(), candidates.end(), [](const auto* a, const auto* b) {
-    return a->held() > b->held();
+    return recalled.size() < kMaxHoldersPerRecall;
   });
-  candidates.resize(std::min(candidates.size(), kMaxHoldersPerRecall));
-  for (auto* account : candidates) {
+  for (auto* account : recalled) {
     account->recalledAt = time;
     outgoing.push_back({ account->holder.process, Recall{ account->holder, id } });
   }
@@ -474,7 +478,7 @@
 {
   for (const auto* budgetId : std::exchange(changedBudgetIds_, {})) {
     auto& budget = budgets_.at(*budgetId);
-    for (const auto* account : budget.changedAccounts()) {
+    for (const auto* account : budget.accounts.changed()) {
       // For holders that record no charges, control may receive the report of a transfer before
       // that of an earlier transfer that covers it. The sum of settled and held tokens is exact
       // nevertheless.
@@ -489,16 +493,14 @@
     invariant(budget.prepaid || free >= Tokens{ 0 }, "free is never negative");
     invariant(settled + held <= maximum, "settled and held never exceed the amount of the budget");
     invariant(budget.bought == settled + held + free, "bought = settled + held + free");
-    budget.finishChanges();
+    budget.accounts.finishChanges();
   }
 }
 
 void BudgetLedger::checkSums() const
 {
   for (const auto& [budgetId, budget] : budgets_) {
-    const auto total = budget.addUpAccounts();
-    invariant(total.held == budget.held() &&
-                budget.closedSettled + total.settled == budget.settled(),
+    invariant(budget.accounts.addUp() == budget.accounts.sums(),
               "the sums of a budget are those of its accounts");
   }
 }
@@ -511,8 +513,8 @@
   liveReserveHolders_.reset();
   for (auto& [budgetId, budget] : budgets_) {
     budget.rebuildSums();
-    for (const auto& account : budget.accounts) {
-      budgetsByHolder_[account.holder].insert(&budgetId);
+    for (const auto& [holder, account] : budget.accounts.all()) {
+      budgetsByHolder_[holder].insert(&budgetId);
     }
   }
 }
--- a/modules/ledger/BudgetLedgerPrepaid.cpp
+++ b/modules/ledger/BudgetLedgerPrepaid.cpp
@@ -116,7 +116,7 @@
       ++budgetEntry;
       continue;
     }
-    const bool unused = budget.accounts.empty() && budget.transfers.totals().empty() &&
+    const bool unused = budget.accounts.all().empty() && budget.transfers.totals().empty() &&
                         budget.closedNetGranted == Tokens{ 0 } &&
                         budget.closedSettled == Tokens{ 0 };
     if (unused) {
@@ -136,13 +136,13 @@
                              const Budget& budget,
                              std::vector<OutgoingMessage>& outgoing) const
 {
-  for (const auto& account : budget.accounts) {
+  budget.accounts.byHeld().visit([&](const HolderAccount& account) {
     const auto holder = holders_.find(account.holder);
-    const bool isLive = holder != holders_.end() && !holder->second.retiring;
-    if (isLive && account.held() > Tokens{ 0 }) {
+    if (holder != holders_.end() && !holder->second.retiring) {
       outgoing.push_back({ account.holder.process, Recall{ account.holder, id } });
     }
-  }
+    return true;
+  });
 }
 
 bool BudgetLedger::addHolderIfNotRetired(const HolderId& peer)
--- a/modules/ledger/ControlState.cpp
+++ b/modules/ledger/ControlState.cpp
@@ -46,9 +46,9 @@
 BudgetView makeBudgetView(const BudgetId& id, const detail::Budget& budget)
 {
   BudgetView view{ id, budget.bought, budget.settled(), budget.held(), budget.free(), {} };
-  for (const auto& account : budget.accounts) {
+  for (const auto& [holder, account] : budget.accounts.all()) {
     view.holders.push_back(
-      { account.holder, account.granted, account.settled(), account.returned, account.held() });
+      { holder, account.granted, account.settled(), account.returned, account.held() });
   }
   return view;
 }
--- a/tests/control_load_test.cpp
+++ b/tests/control_load_test.cpp
@@ -151,7 +151,8 @@
 
   void apply(const Command& command)
   {
-    time_ = time_ + Duration{ 12'000 };
+    // Longer than the interval at which a holder is recalled, so that all holders may be.
+    time_ = time_ + Duration{ 250'000 };
     control_.apply(++index_, time_, command);
     static_cast<void>(control_.takeOutgoing());
   }
