control: proposals of holders wait in a queue, those of members go first

Operators saw no answer to a read of the configuration within 0.9 s from any control process, and changes that were acknowledged after seconds: a leader appended whatever it had received, so a command of an operator was committed and applied behind the proposals of all entry processes.

A leader now keeps the proposals of holders in a queue and appends them while fewer than 512 entries wait to be applied. What members of the log propose, for operators, endpoints and reads, is appended at once. When a leader loses its office, it names the next leader to the holders in its queue. proposal_age_ms counts from the receipt; event_loop_late also states how many proposals were queued and for how long.

--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -12,6 +12,11 @@
 /** The interval at which the leader requests missing witness reports and promotes learners. */
 constexpr Duration kMaintenanceInterval = std::chrono::seconds(1);
 
+/** The leader appends no proposals of holders while this many entries wait to be applied. Few,
+    because a command of an operator waits for all of them; enough for a disk that takes 0.1 s per
+    sync. */
+constexpr replication::LogIndex kMaxUnappliedEntries = 512;
+
 /** Returns the membership change that a member command requests, or nothing for other commands. */
 std::optional<replication::MembershipChange> membershipChangeOf(const ledger::Command& command)
 {
@@ -94,24 +99,64 @@
     replyWithLeaderHint(from, propose.proposalId);
     return;
   }
-  if (pendingProposals_.contains(from, propose.proposalId)) {
+  if (pendingProposals_.contains(from, propose.proposalId) ||
+      queuedProposals_.contains(from, propose.proposalId)) {
     ++proposalCounts_.repeated;
     return;
   }
-  const auto command = wire::decode<ledger::Command>(propose.command);
+  QueuedProposal proposal{ from, propose.proposalId, propose.command, now };
+  // Members propose what operators and endpoints request.
+  if (node_.members().find(from) != nullptr) {
+    append(now, std::move(proposal));
+    return;
+  }
+  queuedProposals_.push(std::move(proposal));
+  proposalCounts_.maxQueued =
+    std::max<std::uint64_t>(proposalCounts_.maxQueued, queuedProposals_.size());
+}
+
+void ControlCore::append(Time now, QueuedProposal proposal)
+{
+  const auto command = wire::decode<ledger::Command>(proposal.command);
   if (command) {
     proposeMemberCommand(now, *command);
   }
-  const auto index = appendCommand(now, propose.command);
+  const auto index = appendCommand(now, std::move(proposal.command));
   if (!index) {
-    replyWithLeaderHint(from, propose.proposalId);
+    replyWithLeaderHint(proposal.from, proposal.proposalId);
     return;
   }
   ++proposalCounts_.appended;
   if (command) {
     countAppended(*command);
   }
-  pendingProposals_.add(*index, { from, propose.proposalId, node_.term(), now });
+  pendingProposals_.add(*index,
+                        { proposal.from, proposal.proposalId, node_.term(), proposal.receivedAt });
+}
+
+bool ControlCore::mayAppendQueued() const
+{
+  return node_.lastIndex() < appliedIndex_ + kMaxUnappliedEntries;
+}
+
+void ControlCore::appendQueued(Time now)
+{
+  while (mayAppendQueued()) {
+    auto proposal = queuedProposals_.pop();
+    if (!proposal) {
+      return;
+    }
+    proposalCounts_.maxQueueTime =
+      std::max(proposalCounts_.maxQueueTime, now - proposal->receivedAt);
+    append(now, std::move(*proposal));
+  }
+}
+
+void ControlCore::redirectQueued()
+{
+  for (const auto& proposal : queuedProposals_.takeAll()) {
+    replyWithLeaderHint(proposal.from, proposal.proposalId);
+  }
 }
 
 void ControlCore::handle(Time now, const ProcessId& from, const ledger::DocumentPoll& poll)
@@ -200,6 +245,11 @@
 Expected<void> ControlCore::advance(Time now)
 {
   node_.tick(now);
+  if (node_.isLeader(now)) {
+    appendQueued(now);
+  } else {
+    redirectQueued();
+  }
   for (auto remaining = config_.maxEntriesPerAdvance; remaining > 0;) {
     auto ready = node_.takeReady(remaining);
     if (ready.empty()) {
@@ -272,7 +322,7 @@
   if (!pendingProposal) {
     return;
   }
-  proposalCounts_.maxAge = std::max(proposalCounts_.maxAge, now - pendingProposal->appendedAt);
+  proposalCounts_.maxAge = std::max(proposalCounts_.maxAge, now - pendingProposal->receivedAt);
   // Another leader may have replaced the proposed entry.
   const bool accepted = pendingProposal->term == entry.term && !result.empty();
   ledger::ProposeReply proposeReply;
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -2,6 +2,7 @@
 
 #include "control/LogWork.h"
 #include "control/PendingProposals.h"
+#include "control/ProposalQueue.h"
 #include "control/ReportMessages.h"
 #include "core/core.h"
 #include "ledger/ledger.h"
@@ -62,6 +63,9 @@
   std::uint64_t appended = 0;
   /** Received again while the first copy was not committed. */
   std::uint64_t repeated = 0;
+  /** The most proposals that waited to be appended, and the longest time that one waited. */
+  std::uint64_t maxQueued = 0;
+  Duration maxQueueTime{ 0 };
   /** Answered with the name of the leader. */
   std::uint64_t redirected = 0;
   /** Appended grant requests, and the budgets that they name. */
@@ -70,7 +74,7 @@
   /** Appended settlements, and the accounts whose totals they report. */
   std::uint64_t settles = 0;
   std::uint64_t settleItems = 0;
-  /** The longest time from the append of a proposal to the reply. */
+  /** The longest time from the receipt of a proposal to the reply. */
   Duration maxAge{ 0 };
 };
 
@@ -145,8 +149,12 @@
       discarded, because it is not known which data reached the disk. */
   Expected<void> advance(Time now);
 
-  /** Returns true while committed entries wait for the next call of advance(). */
-  [[nodiscard]] bool hasBacklog() const { return node_.hasUnappliedEntries(); }
+  /** Returns true while committed entries or proposals that may be appended wait for the next call
+      of advance(). */
+  [[nodiscard]] bool hasBacklog() const
+  {
+    return node_.hasUnappliedEntries() || (!queuedProposals_.empty() && mayAppendQueued());
+  }
 
   /** Returns the messages to send and clears the list. */
   std::vector<OutgoingMessage> takeOutgoing() { return std::exchange(outgoing_, {}); }
@@ -206,6 +214,14 @@
   }
 
   void replyToReportRequest(Time now, const ProcessId& from, const ReportRequest& request);
+  /** Appends a proposal to the log, or replies with the leader when that is not possible. */
+  void append(Time now, QueuedProposal proposal);
+  /** Appends queued proposals while few entries wait to be applied. A proposal of a member is not
+      queued, so it waits for these few only. */
+  void appendQueued(Time now);
+  [[nodiscard]] bool mayAppendQueued() const;
+  /** Names the leader to the holders whose proposals are queued. */
+  void redirectQueued();
   Expected<replication::LogIndex> appendCommand(Time now, std::string command);
   void proposeMemberCommand(Time now, const ledger::Command& command);
   void countAppended(const ledger::Command& command);
@@ -226,6 +242,7 @@
   replication::LogNode node_;
   ledger::ControlState state_;
   PendingProposals pendingProposals_;
+  ProposalQueue queuedProposals_;
   ProposalCounts proposalCounts_;
   LogWork logWork_;
   std::map<ProcessId, LastPoll> polls_;
--- a/modules/control/PendingProposals.h
+++ b/modules/control/PendingProposals.h
@@ -18,8 +18,8 @@
   ProcessId from;
   std::uint64_t proposalId = 0;
   replication::Term term = 0;
-  /** When the leader appended it. */
-  Time appendedAt{};
+  /** When the leader received it. */
+  Time receivedAt{};
 };
 
 /** The proposals that a leader appended and that are not applied yet. All operations take
--- a/modules/router/LoadMonitor.cpp
+++ b/modules/router/LoadMonitor.cpp
@@ -54,6 +54,8 @@
   totals_.proposals.appended += counts.appended;
   totals_.proposals.repeated += counts.repeated;
   totals_.proposals.redirected += counts.redirected;
+  totals_.proposals.maxQueued = std::max(totals_.proposals.maxQueued, counts.maxQueued);
+  totals_.proposals.maxQueueTime = std::max(totals_.proposals.maxQueueTime, counts.maxQueueTime);
   totals_.proposals.grants += counts.grants;
   totals_.proposals.grantItems += counts.grantItems;
   totals_.proposals.settles += counts.settles;
@@ -107,6 +109,8 @@
               "event_loop_late",
               { { "delay_ms", std::to_string(totals.maxTimerDelay.count() / 1000) },
                 { "proposal_age_ms", std::to_string(totals.proposals.maxAge.count() / 1000) },
+                { "queued", std::to_string(totals.proposals.maxQueued) },
+                { "queue_ms", std::to_string(totals.proposals.maxQueueTime.count() / 1000) },
                 { "transfer_pairs", std::to_string(transferPairs_) },
                 { "detail", detail } });
   }
--- a/tests/control_node_test.cpp
+++ b/tests/control_node_test.cpp
@@ -641,6 +641,33 @@
 }
 
 // Guards against a FileDisk that loses the origin, the disk id or the state at a restart.
+// Guards against operators that wait behind the proposals of all holders of a large fleet.
+TEST_CASE_FIXTURE(ReadyCluster, "ControlNode_thousandsOfHoldersPropose_operatorIsAnsweredFirst")
+{
+  constexpr std::uint64_t kHolders = 3000;
+  constexpr std::uint64_t kMaxEntriesBefore = 600;
+  const auto leaderName = leader();
+  const auto before = node(leaderName).appliedIndex();
+  for (std::uint64_t holder = 0; holder < kHolders; ++holder) {
+    const ledger::Command command = ledger::Outcome{};
+    const ledger::Message message = ledger::Propose{ holder + 1, wire::encode(command) };
+    node(leaderName)
+      .receive(now,
+               ProcessId(fmt::format("h{}", holder)),
+               Incarnation{ 1 },
+               wire::Channel::ledger,
+               wire::encode(message));
+  }
+  std::uint64_t index = 0;
+  node(leaderName).proposeLocal(now, ledger::ReadBarrier{}, 900ms, [&index](const auto& result) {
+    REQUIRE(result.has_value());
+    index = std::get<ledger::BarrierResult>(*result).index;
+  });
+  REQUIRE(runUntil([&] { return index > 0; }, 1s));
+  CHECK(index <= before + kMaxEntriesBefore);
+  REQUIRE(runUntil([&] { return node(leaderName).appliedIndex() > before + kHolders; }, 30s));
+}
+
 // Guards against a process that handles no message while it applies all that its log contains, as
 // after a loss of power: it answered no heartbeat for up to 2 s, and the new leader lost its
 // office.
