ledger: holders are recalled by their idle tokens

Cause: a recall went to the eight holders that hold the most, which are those with the most running requests. They had little to return, answered with a settlement each, and the grant was requested again.

Change: the ranking of accounts for recalls is by held tokens without those that running requests have reserved. The ranking by held tokens is gone; a recall of all holders visits the accounts in the order of their names.

A test compares the ranking with a search over all accounts.

--- a/modules/ledger/AccountTable.cpp
+++ b/modules/ledger/AccountTable.cpp
@@ -116,7 +116,7 @@
   auto& account = entry->second;
   const auto amounts = amountsOf(account);
   sums_ -= amounts;
-  byHeld_.remove(account, amounts.held);
+  byIdle_.remove(account, amounts.idle);
   byUnlockedIdle_.remove(account, unlockedIdle(account));
   accounts_.erase(entry);
 }
@@ -145,7 +145,7 @@
     const auto currentUnlockedIdle = unlockedIdle(*account);
     sums_ -= included;
     sums_ += amounts;
-    move(byHeld_, *account, included.held, amounts.held);
+    move(byIdle_, *account, included.idle, amounts.idle);
     move(byUnlockedIdle_, *account, includedUnlockedIdle, currentUnlockedIdle);
     included = amounts;
     includedUnlockedIdle = currentUnlockedIdle;
@@ -165,11 +165,11 @@
 void AccountTable::rebuild()
 {
   changed_.clear();
-  byHeld_.clear();
+  byIdle_.clear();
   byUnlockedIdle_.clear();
   sums_ = addUp();
   for (auto& [holder, account] : accounts_) {
-    byHeld_.add(account, account.held());
+    byIdle_.add(account, amountsOf(account).idle);
     byUnlockedIdle_.add(account, unlockedIdle(account));
   }
 }
@@ -189,10 +189,10 @@
   return total;
 }
 
-const AccountRanking& AccountTable::byHeld() const
+const AccountRanking& AccountTable::byIdle() const
 {
   include();
-  return byHeld_;
+  return byIdle_;
 }
 
 const AccountRanking& AccountTable::byUnlockedIdle() const
--- a/modules/ledger/AccountTable.h
+++ b/modules/ledger/AccountTable.h
@@ -178,8 +178,8 @@
   /** Returns the same sums by adding up all accounts. */
   [[nodiscard]] AccountAmounts addUp() const;
 
-  /** Returns the accounts by held tokens. */
-  [[nodiscard]] const AccountRanking& byHeld() const;
+  /** Returns the accounts by held tokens that no running request has reserved. */
+  [[nodiscard]] const AccountRanking& byIdle() const;
 
   /** Returns the accounts by unlocked tokens that no running request has reserved. */
   [[nodiscard]] const AccountRanking& byUnlockedIdle() const;
@@ -212,7 +212,7 @@
 
   Accounts accounts_;
   mutable AccountAmounts sums_;
-  mutable AccountRanking byHeld_;
+  mutable AccountRanking byIdle_;
   mutable AccountRanking byUnlockedIdle_;
   mutable std::vector<ChangedAccount> changed_;
 };
--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -213,7 +213,7 @@
   auto amount = std::max(item.requested, std::min(item.demand, demandLimit));
   if (item.requested > free) {
     amount = item.minimum <= free ? item.minimum : Tokens{ 0 };
-    recall(time, id, item.budget, budget, holders_, outgoing);
+    recall(time, id, item.budget, budget, outgoing);
   }
   account.granted += std::max(amount, Tokens{ 0 });
   account.unlocked = account.granted;
@@ -263,7 +263,6 @@
                           const HolderId& requester,
                           const BudgetId& id,
                           Budget& budget,
-                          const std::map<HolderId, Holder>& holders,
                           std::vector<OutgoingMessage>& outgoing)
 {
   if (time < budget.recalledAt + kRecallInterval) {
@@ -271,9 +270,9 @@
   }
   budget.recalledAt = time;
   std::vector<HolderAccount*> recalled;
-  budget.accounts.byHeld().visit([&](HolderAccount& account) {
+  budget.accounts.byIdle().visit([&](HolderAccount& account) {
     const bool isDue = time >= account.recalledAt + kHolderRecallInterval;
-    if (isDue && account.holder != requester && isLive(account.holder, holders)) {
+    if (isDue && account.holder != requester && isLive(account.holder, holders_)) {
       recalled.push_back(&account);
     }
     return recalled.size() < kMaxHoldersPerRecall;
--- a/modules/ledger/BudgetLedger.h
+++ b/modules/ledger/BudgetLedger.h
@@ -155,12 +155,12 @@
   [[nodiscard]] bool isReportAwaited(const Holder& holder) const;
   [[nodiscard]] static RetirementProof retirementProof(const Holder& holder);
   [[nodiscard]] bool isRetired(const HolderId& id) const;
-  static void recall(Time time,
-                     const HolderId& requester,
-                     const BudgetId& id,
-                     Budget& budget,
-                     const std::map<HolderId, Holder>& holders,
-                     std::vector<OutgoingMessage>& outgoing);
+  /** Requests the idle tokens of other holders unless some were requested shortly before. */
+  void recall(Time time,
+              const HolderId& requester,
+              const BudgetId& id,
+              Budget& budget,
+              std::vector<OutgoingMessage>& outgoing);
   /** Returns the limit of a grant for expected demand. Waiting requests are not subject to it. */
   static Tokens demandGrantLimit(Time time, Budget& budget, const HolderAccount& account);
   /** Limits the expected demand that a holder requests by its recent usage, once that is known. */
--- a/modules/ledger/BudgetLedgerPrepaid.cpp
+++ b/modules/ledger/BudgetLedgerPrepaid.cpp
@@ -37,7 +37,7 @@
   const bool budgetLow = item.requested > grantableToHolder;
   if (budgetLow) {
     amount = item.minimum <= grantableToHolder ? item.minimum : Tokens{ 0 };
-    recall(time, id, item.budget, budget, holders_, outgoing);
+    recall(time, id, item.budget, budget, outgoing);
   }
   account.granted += std::min(amount, budget.grantable());
   account.unlocked += amount;
@@ -136,13 +136,13 @@
                              const Budget& budget,
                              std::vector<OutgoingMessage>& outgoing) const
 {
-  budget.accounts.byHeld().visit([&](const HolderAccount& account) {
-    const auto holder = holders_.find(account.holder);
-    if (holder != holders_.end() && !holder->second.retiring) {
-      outgoing.push_back({ account.holder.process, Recall{ account.holder, id } });
+  for (const auto& [holderId, account] : budget.accounts.all()) {
+    const auto holder = holders_.find(holderId);
+    const bool isLive = holder != holders_.end() && !holder->second.retiring;
+    if (isLive && account.held() > Tokens{ 0 }) {
+      outgoing.push_back({ holderId.process, Recall{ holderId, id } });
     }
-    return true;
-  });
+  }
 }
 
 bool BudgetLedger::addHolderIfNotRetired(const HolderId& peer)
--- a/tests/account_table_test.cpp
+++ b/tests/account_table_test.cpp
@@ -54,8 +54,8 @@
 void check(const AccountTable& table)
 {
   CHECK(table.sums() == table.addUp());
-  CHECK(listed(table.byHeld()) ==
-        sortedBy(table, [](const auto& account) { return account.held(); }));
+  CHECK(listed(table.byIdle()) ==
+        sortedBy(table, [](const auto& account) { return amountsOf(account).idle; }));
   CHECK(listed(table.byUnlockedIdle()) == sortedBy(table, unlockedIdle));
 }
 
@@ -107,7 +107,7 @@
     table.findOrOpen(holderId(number)).first.granted = Tokens{ static_cast<std::int64_t>(number) };
   }
   int visited = 0;
-  table.byHeld().visit([&visited](const HolderAccount& account) {
+  table.byIdle().visit([&visited](const HolderAccount& account) {
     CHECK(account.granted == Tokens{ 10 - visited });
     return ++visited < 3;
   });
