control, ledger: control limits how often holders request grants

Cause: nothing bounded the commands that control took in.

Change: the leader measures how much of its time the commands of holders take (CommandPacer). Requests wait for the next grant at the holder, in one command for all budgets. The time is a new last field of ProposeReply; releases without it ignore it or state no limit.

--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -110,6 +110,7 @@
     append(now, std::move(proposal));
     return;
   }
+  pacer_.addHolder(now, from);
   queuedProposals_.push(std::move(proposal));
   proposalCounts_.maxQueued =
     std::max<std::uint64_t>(proposalCounts_.maxQueued, queuedProposals_.size());
@@ -260,11 +261,11 @@
       return handleResult;
     }
   }
-  auto ledgerMessages = state_.takeOutgoing();
+  const auto ledgerMessages = std::exchange(ledgerMessages_, {});
   if (!node_.isLeader(now)) {
     return {};
   }
-  for (auto& [to, message] : ledgerMessages) {
+  for (const auto& [to, message] : ledgerMessages) {
     sendLedger(to, message);
   }
   sendReportRequests(now);
@@ -315,7 +316,7 @@
     const auto timedCommand = wire::decode<TimedCommand>(entry.payload);
     if (timedCommand) {
       lastCommandTime_ = std::max(lastCommandTime_, timedCommand->time);
-      result = applyCommand(entry.index, *timedCommand);
+      result = applyCommand(now, entry.index, *timedCommand);
     }
   }
   const auto pendingProposal = pendingProposals_.take(entry.index);
@@ -330,12 +331,16 @@
   proposeReply.accepted = accepted;
   proposeReply.result = accepted ? std::move(result) : std::string();
   proposeReply.clockReading = config_.bootClock.readingAt(now);
+  pacer_.addCommand(now);
+  proposeReply.grantIntervalMicros = pacer_.grantInterval(now, queuedProposals_.age(now)).count();
   // A proposer that is a member can read its own state only after it has applied this entry.
   node_.sendCommitIndex(pendingProposal->from);
   reply(pendingProposal->from, std::move(proposeReply));
 }
 
-std::string ControlCore::applyCommand(replication::LogIndex index, const TimedCommand& timedCommand)
+std::string ControlCore::applyCommand(Time now,
+                                      replication::LogIndex index,
+                                      const TimedCommand& timedCommand)
 {
   const auto startedAt = clockTime();
   const auto command = wire::decode<ledger::Command>(timedCommand.command);
@@ -344,11 +349,24 @@
     return {};
   }
   const auto result = state_.apply(index, timedCommand.time, *command);
+  takeLedgerMessages(*command, now);
   auto encoded = wire::encode(result);
   logWork_.addCommand(*command, result, timedCommand.command.size(), clockTime() - startedAt);
   return encoded;
 }
 
+void ControlCore::takeLedgerMessages(const ledger::Command& command, Time now)
+{
+  // A holder that is not recalled for a grant has another chance: the grant is requested again.
+  const bool isForGrant = std::holds_alternative<ledger::Grant>(command);
+  for (auto& outgoing : state_.takeOutgoing()) {
+    const bool isRecall = std::holds_alternative<ledger::Recall>(outgoing.message);
+    if (!isForGrant || !isRecall || pacer_.takeRecall(now, queuedProposals_.age(now))) {
+      ledgerMessages_.push_back(std::move(outgoing));
+    }
+  }
+}
+
 void ControlCore::compactIfDue()
 {
   const auto entries = appliedIndex_ - node_.snapshotIndex();
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/CommandPacer.h"
 #include "control/LogWork.h"
 #include "control/PendingProposals.h"
 #include "control/ProposalQueue.h"
@@ -156,6 +157,10 @@
     return node_.hasUnappliedEntries() || (!queuedProposals_.empty() && mayAppendQueued());
   }
 
+  /** Adds time that the event loop spent on messages and commands of the ledger. Holders are told
+     to send fewer commands when it is a large part. */
+  void addLedgerTime(Time now, Duration time) { pacer_.addTime(now, time); }
+
   /** Returns the messages to send and clears the list. */
   std::vector<OutgoingMessage> takeOutgoing() { return std::exchange(outgoing_, {}); }
 
@@ -231,7 +236,9 @@
   Expected<void> handleReady(Time now, replication::Ready ready);
   void applyEntry(Time now, const replication::Entry& entry);
   /** Applies a command and returns its encoded result; empty if the command cannot be decoded. */
-  std::string applyCommand(replication::LogIndex index, const TimedCommand& timedCommand);
+  std::string applyCommand(Time now, replication::LogIndex index, const TimedCommand& timedCommand);
+  /** Takes the messages that a command caused, without recalls for which there is no time. */
+  void takeLedgerMessages(const ledger::Command& command, Time now);
   [[nodiscard]] Time clockTime() const { return config_.clock ? config_.clock() : Time{}; }
   void compactIfDue();
   void sendReportRequests(Time now);
@@ -243,10 +250,13 @@
   ledger::ControlState state_;
   PendingProposals pendingProposals_;
   ProposalQueue queuedProposals_;
+  CommandPacer pacer_;
   ProposalCounts proposalCounts_;
   LogWork logWork_;
   std::map<ProcessId, LastPoll> polls_;
   std::vector<OutgoingMessage> outgoing_;
+  /** Messages that applied commands caused. Only the leader sends them. */
+  std::vector<ledger::OutgoingMessage> ledgerMessages_;
   replication::LogIndex appliedIndex_ = 0;
   std::uint64_t bytesSinceSnapshot_ = 0;
   /** The size of the last snapshot. */
--- a/modules/control/ControlNode.cpp
+++ b/modules/control/ControlNode.cpp
@@ -236,6 +236,13 @@
   return core_ ? core_->takeLogWork() : LogWork();
 }
 
+void ControlNode::addLedgerTime(Time now, Duration time)
+{
+  if (core_) {
+    core_->addLedgerTime(now, time);
+  }
+}
+
 replication::LogIndex ControlNode::appliedIndex() const
 {
   return std::max(indexBeforeFailure_, core_ ? core_->appliedIndex() : 0);
--- a/modules/control/ControlNode.h
+++ b/modules/control/ControlNode.h
@@ -151,6 +151,10 @@
   /** Returns the work for the log since the last call and starts again at 0. */
   LogWork takeLogWork();
 
+  /** Adds time that the caller spent on messages and commands of the ledger, without waiting for
+     the disk. Holders are told to send fewer commands when it is a large part. */
+  void addLedgerTime(Time now, Duration time);
+
   /** Returns what was read from the data folder when it was opened last. */
   [[nodiscard]] const RecoveredLog& recoveredLog() const { return recoveredLog_; }
 
--- a/modules/control/ProposalQueue.cpp
+++ b/modules/control/ProposalQueue.cpp
@@ -25,6 +25,11 @@
   return std::exchange(proposals_, {});
 }
 
+Duration ProposalQueue::age(Time now) const
+{
+  return proposals_.empty() ? Duration{ 0 } : now - proposals_.front().receivedAt;
+}
+
 bool ProposalQueue::contains(const ProcessId& from, std::uint64_t proposalId) const
 {
   return ids_.contains({ from, proposalId });
--- a/modules/control/ProposalQueue.h
+++ b/modules/control/ProposalQueue.h
@@ -38,6 +38,8 @@
   std::deque<QueuedProposal> takeAll();
 
   [[nodiscard]] bool contains(const ProcessId& from, std::uint64_t proposalId) const;
+  /** Returns how long the oldest proposal has waited; 0 if there is none. */
+  [[nodiscard]] Duration age(Time now) const;
   [[nodiscard]] bool empty() const { return proposals_.empty(); }
   [[nodiscard]] std::size_t size() const { return proposals_.size(); }
 
--- a/modules/ledger/Message.h
+++ b/modules/ledger/Message.h
@@ -11,6 +11,10 @@
     and reordering of any of them. */
 namespace figchute::ledger {
 
+/** The ratio of the minimum time between two settlements to that between two grant requests.
+    @see ProposeReply::grantIntervalMicros */
+constexpr int kSettlePauseFactor = 8;
+
 /** Requests a control VM to commit a command to the log. */
 struct Propose
 {
@@ -35,8 +39,12 @@
   /** The clock of the sender when it created the answer; not valid if it has no clock that
      continues across restarts of the process. */
   ClockReading clockReading{};
+  /** The minimum time in microseconds between two grant requests of the proposer, by which control
+      limits its work. Settlements that control did not request by a Recall are
+      kSettlePauseFactor times as rare. 0: no limit, and in releases that do not state it. */
+  std::int64_t grantIntervalMicros = 0;
 
-  MSGPACK_DEFINE(proposalId, accepted, leaderHint, result, clockReading)
+  MSGPACK_DEFINE(proposalId, accepted, leaderHint, result, clockReading, grantIntervalMicros)
 };
 
 /** Sent by control to request that a holder return the unused part of its grant. */
--- a/modules/ledger/QuotaManager.cpp
+++ b/modules/ledger/QuotaManager.cpp
@@ -369,6 +369,9 @@
   refuseExpiredWaiting(now);
   unlockReserves(now);
   requestGrants(now, waitingBudgets());
+  if (mayRequestGrants(now)) {
+    requestDeferredGrants(now);
+  }
   requestTransfers(now);
   resendTransfers(now);
   maintainAccounts(now);
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -74,6 +74,17 @@
   return { budgets.begin(), budgets.end() };
 }
 
+bool QuotaManager::Impl::mayRequestGrants(Time now) const
+{
+  return now >= lastGrantRequestAt_ + grantInterval_;
+}
+
+bool QuotaManager::Impl::maySettle(Time now) const
+{
+  return draining_ || isSettleRequested_ ||
+         now >= lastSettleAt_ + kSettlePauseFactor * grantInterval_;
+}
+
 Duration QuotaManager::Impl::scaledToFleet(Duration interval) const
 {
   return settings_.usesWitnesses ? interval
@@ -182,7 +193,7 @@
   if (!isRegistered() || draining_ || handingOver_ || retired_) {
     return;
   }
-  if (grantProposals_.size() >= kMaxGrantsInFlight) {
+  if (grantProposals_.size() >= kMaxGrantsInFlight || !mayRequestGrants(now)) {
     deferredGrantBudgets_.insert(budgets.begin(), budgets.end());
     return;
   }
@@ -196,6 +207,7 @@
     return;
   }
   command.contact = reportableContact({});
+  lastGrantRequestAt_ = now;
   const auto proposal = proposer_.propose(now, command);
   for (const auto& item : command.items) {
     accounts_.at(item.budget).grantProposal = proposal;
@@ -210,6 +222,7 @@
     lastContactAt_ = now;
   }
   if (const auto reply = proposer_.receive(now, from, message)) {
+    grantInterval_ = Duration{ message.grantIntervalMicros };
     handleReply(now, *reply);
   }
 }
@@ -372,6 +385,7 @@
   if (account.closing) {
     return;
   }
+  isSettleRequested_ = true;
   returnUnreserved(now, message.budget);
 }
 
@@ -448,7 +462,7 @@
 
 void QuotaManager::Impl::sendSettle(Time now)
 {
-  if (settleInFlight_ || !isRegistered() || retired_) {
+  if (settleInFlight_ || !isRegistered() || retired_ || !maySettle(now)) {
     return;
   }
   // A Settle contains the totals at its creation and delays the next one until it is answered, so
@@ -488,6 +502,8 @@
     return;
   }
   settle.contact = reportableContact(inFlight.totals);
+  lastSettleAt_ = now;
+  isSettleRequested_ = false;
   ++settleSequence_;
   inFlight.closingBudgets = settle.closingBudgets;
   inFlight.proposal = proposer_.propose(now, settle);
--- a/modules/ledger/QuotaManagerImpl.h
+++ b/modules/ledger/QuotaManagerImpl.h
@@ -218,6 +218,9 @@
   void maintainAccounts(Time now);
   /** Requests an adjustment of the reserves of all budgets when it is due. */
   void checkReserves(Time now);
+  /** Returns whether control allows the next grant request, or the next settlement. */
+  [[nodiscard]] bool mayRequestGrants(Time now) const;
+  [[nodiscard]] bool maySettle(Time now) const;
   /** Returns an interval of periodic commands that is long enough for the number of holders. */
   [[nodiscard]] Duration scaledToFleet(Duration interval) const;
   void maintainAccountBalance(Time now, const BudgetId& id, Account& account);
@@ -308,6 +311,12 @@
 
   QuotaSettings settings_;
   Proposer proposer_;
+  /** The minimum time between two grant requests, as control stated it last. */
+  Duration grantInterval_{ 0 };
+  Time lastGrantRequestAt_;
+  Time lastSettleAt_;
+  /** True when control requested a settlement after the last one. */
+  bool isSettleRequested_ = false;
   detail::FleetPeers peers_;
   /** The number of entry processes that tokens can be exchanged with, including this one. */
   std::int64_t entryCount_ = 1;
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -472,6 +472,7 @@
   }
   updating_ = true;
   updateNode(now);
+  node_->addLedgerTime(now, load_.takeLedgerTime());
   rebindState();
   publisher_->setControls(now, memberProcesses(), node_->leaderHint().value_or(ProcessId()));
   publisher_->setLeaderContact(now, node_->hasLeaderContact(now));
--- a/modules/router/LoadMonitor.cpp
+++ b/modules/router/LoadMonitor.cpp
@@ -47,6 +47,15 @@
 void LoadMonitor::addWork(LoopWork work, Duration elapsed)
 {
   totals_.work.at(static_cast<std::size_t>(work)) += elapsed;
+  if (work == LoopWork::ledger || work == LoopWork::log) {
+    ledgerTime_ += elapsed;
+  }
+}
+
+void LoadMonitor::addLogWork(const control::LogWork& work)
+{
+  totals_.logWork += work;
+  ledgerTime_ -= work.saveTime;
 }
 
 void LoadMonitor::addProposals(const control::ProposalCounts& counts)
--- a/modules/router/LoadMonitor.h
+++ b/modules/router/LoadMonitor.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace figchute::router {
 
@@ -58,8 +59,12 @@
   /** Adds the time that the event loop spent on one kind of work. */
   void addWork(LoopWork work, Duration elapsed);
 
+  /** Returns the time that the event loop spent on the ledger since the last call, without waiting
+      for the disk. */
+  [[nodiscard]] Duration takeLedgerTime() { return std::exchange(ledgerTime_, Duration{ 0 }); }
+
   void addProposals(const control::ProposalCounts& counts);
-  void addLogWork(const control::LogWork& work) { totals_.logWork += work; }
+  void addLogWork(const control::LogWork& work);
   void addPublisherCounts(const fleet::PublisherCounts& counts);
 
   /** Sets the number of pairs of holders with transfers in the ledger. */
@@ -103,6 +108,7 @@
   LogWriter& log_;
   Time nextReportAt_;
   Totals totals_;
+  Duration ledgerTime_{ 0 };
   std::size_t transferPairs_ = 0;
 };
 
--- a/tests/LoadedFleet.h
+++ b/tests/LoadedFleet.h
@@ -354,6 +354,7 @@
     }
     node_.tick(now);
     time += timeFor(node_.takeLogWork());
+    node_.addLedgerTime(now, time);
     leaderFreeAt_ = now + time;
     tally_.busy += time;
     tally_.longestTurn = std::max(tally_.longestTurn, time);
