control: proposals of holders are appended in batches of 20 ms

Cause: a leader appended what had arrived in each turn of its event loop, and each append costs a sync on each member, during which the loop waits.

Change: proposals of holders are appended at most every 20 ms. Proposals of members, for operators, endpoints and reads, are still appended at once and take no queued ones along.

A grant waits up to 20 ms longer.

--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -16,6 +16,9 @@
     because a command of an operator waits for all of them; enough for a disk that takes 0.1 s per
     sync. */
 constexpr replication::LogIndex kMaxUnappliedEntries = 512;
+/** The minimum time between two batches of proposals of holders. Each batch costs a sync of the
+   disk on each member, during which the event loop waits: 5 ms on some disks. */
+constexpr Duration kAppendInterval = std::chrono::milliseconds(20);
 
 /** Returns the membership change that a member command requests, or nothing for other commands. */
 std::optional<replication::MembershipChange> membershipChangeOf(const ledger::Command& command)
@@ -137,19 +140,25 @@
 
 bool ControlCore::mayAppendQueued() const
 {
-  return node_.lastIndex() < appliedIndex_ + kMaxUnappliedEntries;
+  return !queuedProposals_.empty() && node_.lastIndex() < appliedIndex_ + kMaxUnappliedEntries;
+}
+
+std::optional<Time> ControlCore::appendDueAt() const
+{
+  return mayAppendQueued() ? std::optional(nextAppendAt_) : std::nullopt;
 }
 
 void ControlCore::appendQueued(Time now)
 {
+  if (now < nextAppendAt_ || !mayAppendQueued()) {
+    return;
+  }
+  nextAppendAt_ = now + kAppendInterval;
   while (mayAppendQueued()) {
-    auto proposal = queuedProposals_.pop();
-    if (!proposal) {
-      return;
-    }
+    auto proposal = *queuedProposals_.pop();
     proposalCounts_.maxQueueTime =
-      std::max(proposalCounts_.maxQueueTime, now - proposal->receivedAt);
-    append(now, std::move(*proposal));
+      std::max(proposalCounts_.maxQueueTime, now - proposal.receivedAt);
+    append(now, std::move(proposal));
   }
 }
 
--- a/modules/control/ControlCore.h
+++ b/modules/control/ControlCore.h
@@ -150,12 +150,12 @@
       discarded, because it is not known which data reached the disk. */
   Expected<void> advance(Time now);
 
-  /** Returns true while committed entries or proposals that may be appended wait for the next call
-      of advance(). */
-  [[nodiscard]] bool hasBacklog() const
-  {
-    return node_.hasUnappliedEntries() || (!queuedProposals_.empty() && mayAppendQueued());
-  }
+  /** Returns true while committed entries wait for the next call of advance(). */
+  [[nodiscard]] bool hasBacklog() const { return node_.hasUnappliedEntries(); }
+
+  /** Returns when advance() has to be called for proposals that wait to be appended; nothing if
+      there are none. */
+  [[nodiscard]] std::optional<Time> appendDueAt() const;
 
   /** Adds time that the event loop spent on messages and commands of the ledger. Holders are told
      to send fewer commands when it is a large part. */
@@ -221,8 +221,8 @@
   void replyToReportRequest(Time now, const ProcessId& from, const ReportRequest& request);
   /** Appends a proposal to the log, or replies with the leader when that is not possible. */
   void append(Time now, QueuedProposal proposal);
-  /** Appends queued proposals while few entries wait to be applied. A proposal of a member is not
-      queued, so it waits for these few only. */
+  /** Appends queued proposals, in batches, while few entries wait to be applied. A proposal of a
+      member is not queued, so it waits for these few only. */
   void appendQueued(Time now);
   [[nodiscard]] bool mayAppendQueued() const;
   /** Names the leader to the holders whose proposals are queued. */
@@ -250,6 +250,7 @@
   ledger::ControlState state_;
   PendingProposals pendingProposals_;
   ProposalQueue queuedProposals_;
+  Time nextAppendAt_;
   CommandPacer pacer_;
   ProposalCounts proposalCounts_;
   LogWork logWork_;
--- a/modules/control/ControlNode.cpp
+++ b/modules/control/ControlNode.cpp
@@ -578,7 +578,8 @@
   }
   Time nextTickAt = reopenAt_;
   if (core_) {
-    nextTickAt = core_->log().nextDeadline();
+    nextTickAt = std::min(core_->log().nextDeadline(),
+                          core_->appendDueAt().value_or(core_->log().nextDeadline()));
     if (leaderSince_) {
       nextTickAt = std::min(nextTickAt, nextMembershipCheckAt_);
     } else if (!hasContactWithin(now_, timings().joinDelay)) {
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -128,11 +128,16 @@
                       { "elapsed_ms", milliseconds(elapsed) } });
 }
 
+Time ControlRole::nextUpdateAt() const
+{
+  return std::min(node_->nextTick(), publisher_->publishDueAt().value_or(kNever));
+}
+
 void ControlRole::scheduleTick()
 {
   const Time now = bootTime();
-  const Time nextTick = std::min(node_->nextTick(), publisher_->publishDueAt().value_or(kNever));
-  const Duration wait = std::clamp<Duration>(nextTick - now, kMinTickInterval, kMaxTickInterval);
+  const Duration wait =
+    std::clamp<Duration>(nextUpdateAt() - now, kMinTickInterval, kMaxTickInterval);
   tickDueAt_ = now + wait;
   timer_.expires_after(wait);
   timer_.async_wait([this](const boost::system::error_code& error) {
@@ -458,7 +463,7 @@
   boost::asio::post(context_.io, [this] {
     updateQueued_ = false;
     update(bootTime());
-    if (publisher_->publishDueAt().value_or(kNever) < tickDueAt_) {
+    if (nextUpdateAt() < tickDueAt_) {
       scheduleTick();
     }
   });
--- a/modules/router/ControlRole.h
+++ b/modules/router/ControlRole.h
@@ -75,6 +75,8 @@
   [[nodiscard]] std::vector<ProcessId> memberProcesses() const;
   void logChanges(Time now);
   void logRetirements(Time now);
+  /** Returns the time of the next call of update() if no message arrives before. */
+  [[nodiscard]] Time nextUpdateAt() const;
   void scheduleTick();
 
   RoleContext context_;
