ledger, control: the interval that control states is at most one second

The leader states at most kMaxGrantInterval (1 s), and a holder obeys no longer one, whatever it receives; a negative value means no limit.

CommandPacer_processWasSuspendedInATurn_intervalIsBounded, QuotaManager_controlStatesAnHour_requestsAGrantWithinASecond, and QuotaManager_controlStatesAnInterval_sendsCommandsThatRarely for the limit itself.

--- a/modules/control/CommandPacer.cpp
+++ b/modules/control/CommandPacer.cpp
@@ -49,7 +49,8 @@
 Duration CommandPacer::grantInterval(Time now, Duration queueTime)
 {
   completeBuckets(now);
-  return scaled(fullInterval_, strength(queueTime));
+  const auto interval = scaled(fullInterval_, strength(queueTime));
+  return std::min<Duration>(interval, ledger::kMaxGrantInterval);
 }
 
 bool CommandPacer::takeRecall(Time now, Duration queueTime)
--- a/modules/control/CommandPacer.h
+++ b/modules/control/CommandPacer.h
@@ -37,7 +37,7 @@
   void addHolder(Time now, const ProcessId& holder) { lastCommandAt_[holder] = now; }
 
   /** Returns the minimum time between two grant requests that a holder should keep; 0 if holders
-      are not limited.
+      are not limited, and at most ledger::kMaxGrantInterval.
       @param queueTime  how long the oldest proposal has waited
       @see ledger::ProposeReply::grantIntervalMicros */
   [[nodiscard]] Duration grantInterval(Time now, Duration queueTime);
--- a/modules/ledger/Message.h
+++ b/modules/ledger/Message.h
@@ -14,6 +14,9 @@
 /** The ratio of the minimum time between two settlements to that between two grant requests.
     @see ProposeReply::grantIntervalMicros */
 constexpr int kSettlePauseFactor = 8;
+/** The longest time between two grant requests that control can state. Holders obey no longer one,
+    so a value that is measured during a pause of the leader's process stops nobody. */
+constexpr Duration kMaxGrantInterval = std::chrono::seconds(1);
 
 /** Requests a control VM to commit a command to the log. */
 struct Propose
@@ -40,8 +43,9 @@
      continues across restarts of the process. */
   ClockReading clockReading{};
   /** The minimum time in microseconds between two grant requests of the proposer, by which control
-      limits its work. Settlements that control did not request by a Recall are
-      kSettlePauseFactor times as rare. 0: no limit, and in releases that do not state it. */
+      limits its work, at most kMaxGrantInterval. Settlements that control did not request by a
+      Recall are kSettlePauseFactor times as rare. 0: no limit, and in releases that do not state
+      it. */
   std::int64_t grantIntervalMicros = 0;
 
   MSGPACK_DEFINE(proposalId, accepted, leaderHint, result, clockReading, grantIntervalMicros)
--- a/modules/ledger/QuotaManagerControl.cpp
+++ b/modules/ledger/QuotaManagerControl.cpp
@@ -222,7 +222,8 @@
     lastContactAt_ = now;
   }
   if (const auto reply = proposer_.receive(now, from, message)) {
-    grantInterval_ = Duration{ message.grantIntervalMicros };
+    grantInterval_ =
+      std::clamp(Duration{ message.grantIntervalMicros }, Duration{ 0 }, kMaxGrantInterval);
     handleReply(now, *reply);
   }
 }
--- a/tests/LedgerCluster.h
+++ b/tests/LedgerCluster.h
@@ -221,6 +221,11 @@
   std::uint64_t controlClock = 1;
   /** Whether grant requests are lost on their way to control. */
   bool losesGrants = false;
+  /** The minimum time between two grant requests that control states. */
+  Duration grantInterval{ 0 };
+  /** The commands that reached control. */
+  int grantCommands = 0;
+  int settleCommands = 0;
   /** Whether processes call setControlLost() when their link to control is cut. */
   bool reportsControlLost = false;
   std::map<std::string, std::vector<Decision>> decisions;
@@ -252,10 +257,12 @@
     if (losesGrants && std::holds_alternative<Grant>(command)) {
       return;
     }
+    grantCommands += std::holds_alternative<Grant>(command) ? 1 : 0;
+    settleCommands += std::holds_alternative<Settle>(command) ? 1 : 0;
     const auto result = *control.applyEncoded(++index, now, propose->command);
-    send(
-      "ctl",
-      { from, ProposeReply{ propose->proposalId, true, ProcessId("ctl"), result, readClock() } });
+    ProposeReply reply{ propose->proposalId, true, ProcessId("ctl"), result, readClock() };
+    reply.grantIntervalMicros = grantInterval.count();
+    send("ctl", { from, reply });
   }
   if (const auto* report = std::get_if<WitnessReport>(&message)) {
     apply(ControlState::makeRetireCommand(*report));
--- a/tests/command_pacer_test.cpp
+++ b/tests/command_pacer_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "control/CommandPacer.h"
+#include "ledger/Message.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -97,6 +98,19 @@
   CHECK(pacer.grantInterval(now, 10 * CommandPacer::kMaxQueueTime) == full);
 }
 
+// Guards against holders that stop for minutes after the process of the leader was suspended.
+TEST_CASE("CommandPacer_processWasSuspendedInATurn_intervalIsBounded")
+{
+  PacedHolders holders(300);
+  holders.run(1s);
+  holders.now = holders.now + 7s;
+  holders.pacer.addTime(holders.now, 7s);
+  holders.pacer.addCommand(holders.now);
+  holders.pacer.addHolder(holders.now, ProcessId("0"));
+  holders.now = holders.now + 100ms;
+  CHECK(holders.pacer.grantInterval(holders.now, 7s) == ledger::kMaxGrantInterval);
+}
+
 TEST_CASE("CommandPacer_holdersAreSilent_liftsTheLimit")
 {
   PacedHolders holders(1000);
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -451,3 +451,66 @@
   CHECK(waitingCount < 20);
   CHECK(index - indexBefore < 100);
 }
+
+namespace {
+
+/** A holder that needs a grant for each request, because each reserves all tokens that it holds. */
+struct GrowingDemand : Cluster
+{
+  GrowingDemand()
+  {
+    buy(1'000'000'000);
+    start("a");
+    start("b");
+    advance(kSecond);
+  }
+
+  /** Runs requests one after the other for some time. Returns how many were admitted. */
+  int run(Duration duration)
+  {
+    int admitted = 0;
+    for (const auto end = now + duration; now < end;) {
+      const auto id = "r" + std::to_string(number_++);
+      const auto status = decide("a", id, 1'000'000 + 10'000 * number_).status;
+      admitted += status == ReserveStatus::admitted ? 1 : 0;
+      if (status == ReserveStatus::admitted) {
+        REQUIRE(charge("a", id, 10'000));
+      }
+      advance(10 * kMs);
+    }
+    return admitted;
+  }
+
+private:
+  int number_ = 0;
+};
+
+} // namespace
+
+// Guards against holders that send commands as fast as control answers them.
+TEST_CASE_FIXTURE(GrowingDemand, "QuotaManager_controlStatesAnInterval_sendsCommandsThatRarely")
+{
+  run(2 * kSecond);
+  CHECK(grantCommands > 2 + 1);
+  grantInterval = kSecond;
+  run(kSecond);
+  grantCommands = 0;
+  settleCommands = 0;
+  CHECK(run(16 * kSecond) > 0);
+  CHECK(grantCommands <= 16 + 1);
+  CHECK(settleCommands <= 16 / kSettlePauseFactor + 1);
+}
+
+// Guards against a holder that refuses everything because of one answer with a wrong value.
+TEST_CASE_FIXTURE(GrowingDemand, "QuotaManager_controlStatesAnHour_requestsAGrantWithinASecond")
+{
+  grantInterval = 3600 * kSecond;
+  run(kSecond);
+  advance(kMaxGrantInterval);
+  const auto before = grantCommands;
+  run(2 * kSecond);
+  CHECK(grantCommands > before);
+  grantInterval = Duration{ -1 };
+  run(2 * kSecond);
+  CHECK(run(kSecond) > 10);
+}
