--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -43,7 +43,7 @@
 
 ControlCore::ControlCore(Save save, replication::LogNode node, CoreConfig config)
   : save_(std::move(save))
-  , config_(config)
+  , config_(std::move(config))
   , node_(std::move(node))
 {
 }
@@ -55,8 +55,9 @@
                                           CoreConfig config)
 {
   const auto snapshot = recovered.snapshot;
-  ControlCore core(
-    std::move(save), replication::LogNode(std::move(log), std::move(recovered), now), config);
+  ControlCore core(std::move(save),
+                   replication::LogNode(std::move(log), std::move(recovered), now),
+                   std::move(config));
   if (snapshot.meta.index > 0) {
     if (auto restored = core.state_.restore(snapshot.data); !restored) {
       return fail(ErrorKind::storageCorrupt,
