--- a/modules/control/CommandPacer.cpp
+++ b/modules/control/CommandPacer.cpp
@@ -10,11 +10,6 @@
 /** The commands that a holder sends in the time of one grant interval. */
 constexpr double kCommandsPerInterval = 1 + 1.0 / ledger::kSettlePauseFactor;
 
-double seconds(Duration duration)
-{
-  return std::chrono::duration<double>(duration).count();
-}
-
 Duration toDuration(double seconds)
 {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -22,7 +17,7 @@
 
 Duration scaled(Duration duration, double factor)
 {
-  return toDuration(seconds(duration) * factor);
+  return toDuration(toSeconds(duration) * factor);
 }
 
 } // namespace
@@ -42,7 +37,7 @@
 double CommandPacer::strength(Duration queueTime) const
 {
   const auto byShare = (share_ - kUnlimitedShare) / (kMaxShare - kUnlimitedShare);
-  const auto byQueue = seconds(queueTime) / seconds(kMaxQueueTime);
+  const auto byQueue = toSeconds(queueTime) / toSeconds(kMaxQueueTime);
   return std::clamp(std::max(byShare, byQueue), 0.0, 1.0);
 }
 
@@ -91,11 +86,11 @@
     total.time += bucket.time;
     total.commands += bucket.commands;
   }
-  share_ = seconds(total.time) / seconds(kMeasuredBuckets * kBucketTime);
+  share_ = toSeconds(total.time) / toSeconds(kMeasuredBuckets * kBucketTime);
   if (total.commands == 0) {
     return;
   }
-  secondsPerCommand_ = seconds(total.time) / static_cast<double>(total.commands);
+  secondsPerCommand_ = toSeconds(total.time) / static_cast<double>(total.commands);
   const auto holders = static_cast<double>(lastCommandAt_.size());
   fullInterval_ = toDuration(holders * kCommandsPerInterval * secondsPerCommand_ / kMaxShare);
 }
--- a/modules/control/ControlCore.cpp
+++ b/modules/control/ControlCore.cpp
@@ -156,7 +156,7 @@
   }
   nextAppendAt_ = now + kAppendInterval;
   while (mayAppendQueued()) {
-    auto proposal = *queuedProposals_.pop();
+    auto proposal = queuedProposals_.pop();
     proposalCounts_.maxQueueTime =
       std::max(proposalCounts_.maxQueueTime, now - proposal.receivedAt);
     append(now, std::move(proposal));
--- a/modules/control/ControlNode.cpp
+++ b/modules/control/ControlNode.cpp
@@ -578,8 +578,10 @@
   }
   Time nextTickAt = reopenAt_;
   if (core_) {
-    nextTickAt = std::min(core_->log().nextDeadline(),
-                          core_->appendDueAt().value_or(core_->log().nextDeadline()));
+    nextTickAt = core_->log().nextDeadline();
+    if (const auto appendDueAt = core_->appendDueAt()) {
+      nextTickAt = std::min(nextTickAt, *appendDueAt);
+    }
     if (leaderSince_) {
       nextTickAt = std::min(nextTickAt, nextMembershipCheckAt_);
     } else if (!hasContactWithin(now_, timings().joinDelay)) {
--- a/modules/control/ProposalQueue.cpp
+++ b/modules/control/ProposalQueue.cpp
@@ -8,11 +8,8 @@
   proposals_.push_back(std::move(proposal));
 }
 
-std::optional<QueuedProposal> ProposalQueue::pop()
+QueuedProposal ProposalQueue::pop()
 {
-  if (proposals_.empty()) {
-    return std::nullopt;
-  }
   auto proposal = std::move(proposals_.front());
   proposals_.pop_front();
   ids_.erase({ proposal.from, proposal.proposalId });
--- a/modules/control/ProposalQueue.h
+++ b/modules/control/ProposalQueue.h
@@ -4,11 +4,9 @@
 
 #include <cstdint>
 #include <deque>
-#include <optional>
 #include <set>
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace figchute::control {
 
@@ -31,8 +29,9 @@
       Precondition: contains() is false for it. */
   void push(QueuedProposal proposal);
 
-  /** Removes and returns the oldest proposal, or nothing. */
-  std::optional<QueuedProposal> pop();
+  /** Removes and returns the oldest proposal.
+      Precondition: empty() is false. */
+  QueuedProposal pop();
 
   /** Removes and returns all proposals. */
   std::deque<QueuedProposal> takeAll();
--- a/modules/core/Types.h
+++ b/modules/core/Types.h
@@ -13,6 +13,18 @@
 /** A span of time in microseconds. */
 using Duration = std::chrono::microseconds;
 
+/** Returns a duration in seconds. */
+constexpr double toSeconds(Duration duration)
+{
+  return static_cast<double>(duration.count()) / 1e6;
+}
+
+/** Returns the whole milliseconds of a duration. */
+constexpr std::int64_t toMillis(Duration duration)
+{
+  return duration.count() / 1000;
+}
+
 /** A point in time, in microseconds since the Unix epoch. The core classes receive it as a
     parameter and never read a clock. */
 struct Time
--- a/modules/fleet/FleetPublisher.cpp
+++ b/modules/fleet/FleetPublisher.cpp
@@ -275,7 +275,7 @@
   update.removed = std::move(changes.removed);
 }
 
-FleetPublisher::SharedUpdate FleetPublisher::makeSharedUpdate() const
+FleetPublisher::SharedUpdate FleetPublisher::makeSharedUpdate()
 {
   ++counts_.builtLists;
   SharedUpdate shared;
--- a/modules/fleet/FleetPublisher.h
+++ b/modules/fleet/FleetPublisher.h
@@ -156,7 +156,7 @@
   void addConfiguration(Time now, Subscriber& subscriber, FleetUpdate& update);
   [[nodiscard]] const ByteDelta* findDelta(std::uint64_t baseVersion);
   void addEndpoints(const Subscriber& subscriber, FleetUpdate& update) const;
-  [[nodiscard]] SharedUpdate makeSharedUpdate() const;
+  [[nodiscard]] SharedUpdate makeSharedUpdate();
   void send(Time now, const ProcessId& to, Subscriber& subscriber, const SharedUpdate& shared);
   [[nodiscard]] bool hasUnpublishedChanges() const;
   /** Sends changes to all subscribers unless others were sent less than kPublishInterval ago.
@@ -196,7 +196,7 @@
   std::map<std::uint64_t, std::optional<ByteDelta>> deltas_;
   std::uint64_t deltaVersion_ = 0;
   Time nextPeerReportAt_;
-  mutable PublisherCounts counts_;
+  PublisherCounts counts_;
   std::vector<OutgoingMessage> outgoing_;
 };
 
--- a/modules/ledger/BudgetLedger.cpp
+++ b/modules/ledger/BudgetLedger.cpp
@@ -40,12 +40,6 @@
   return fmt::format("{}/{}", id.process.value, id.incarnation.number);
 }
 
-bool isLive(const HolderId& id, const std::map<HolderId, Holder>& holders)
-{
-  const auto holder = holders.find(id);
-  return holder != holders.end() && !holder->second.retiring;
-}
-
 /** Adopts a clock reading that a holder reports. Commands may be applied in another order than they
     were created, so an earlier reading of the same clock is ignored. */
 void updateContact(Holder& holder, const ClockReading& contact)
@@ -137,10 +131,15 @@
   }
 }
 
+bool BudgetLedger::isLive(const HolderId& holder) const
+{
+  const auto entry = holders_.find(holder);
+  return entry != holders_.end() && !entry->second.retiring;
+}
+
 Verdict BudgetLedger::checkHolder(const HolderId& holder) const
 {
-  const auto holderEntry = holders_.find(holder);
-  if (holderEntry != holders_.end() && !holderEntry->second.retiring) {
+  if (isLive(holder)) {
     return {};
   }
   const auto newestRetired = newestRetired_.find(holder.process);
@@ -272,7 +271,7 @@
   std::vector<HolderAccount*> recalled;
   budget.accounts.byIdle().visit([&](HolderAccount& account) {
     const bool isDue = time >= account.recalledAt + kHolderRecallInterval;
-    if (isDue && account.holder != requester && isLive(account.holder, holders_)) {
+    if (isDue && account.holder != requester && isLive(account.holder)) {
       recalled.push_back(&account);
     }
     return recalled.size() < kMaxHoldersPerRecall;
--- a/modules/ledger/BudgetLedger.h
+++ b/modules/ledger/BudgetLedger.h
@@ -155,6 +155,8 @@
   [[nodiscard]] bool isReportAwaited(const Holder& holder) const;
   [[nodiscard]] static RetirementProof retirementProof(const Holder& holder);
   [[nodiscard]] bool isRetired(const HolderId& id) const;
+  /** Returns whether a holder is registered and not retiring. */
+  [[nodiscard]] bool isLive(const HolderId& holder) const;
   /** Requests the idle tokens of other holders unless some were requested shortly before. */
   void recall(Time time,
               const HolderId& requester,
--- a/modules/ledger/BudgetLedgerPrepaid.cpp
+++ b/modules/ledger/BudgetLedgerPrepaid.cpp
@@ -137,9 +137,7 @@
                              std::vector<OutgoingMessage>& outgoing) const
 {
   for (const auto& [holderId, account] : budget.accounts.all()) {
-    const auto holder = holders_.find(holderId);
-    const bool isLive = holder != holders_.end() && !holder->second.retiring;
-    if (isLive && account.held() > Tokens{ 0 }) {
+    if (isLive(holderId) && account.held() > Tokens{ 0 }) {
       outgoing.push_back({ holderId.process, Recall{ holderId, id } });
     }
   }
--- a/modules/router/ControlRole.cpp
+++ b/modules/router/ControlRole.cpp
@@ -63,12 +63,6 @@
   return "none";
 }
 
-/** Returns a duration in milliseconds, for a log line. */
-std::string milliseconds(Duration duration)
-{
-  return std::to_string(duration.count() / 1000);
-}
-
 std::string_view pathOf(std::string_view target)
 {
   return target.substr(0, target.find('?'));
@@ -125,7 +119,7 @@
                     { { "snapshot_bytes", std::to_string(recovered.snapshotBytes) },
                       { "entries", std::to_string(recovered.entries) },
                       { "entry_bytes", std::to_string(recovered.entryBytes) },
-                      { "elapsed_ms", milliseconds(elapsed) } });
+                      { "elapsed_ms", std::to_string(toMillis(elapsed)) } });
 }
 
 Time ControlRole::nextUpdateAt() const
@@ -214,7 +208,7 @@
     context_.log.line(now,
                       isCurrent ? "configuration_read" : "configuration_read_failed",
                       { { "version", std::to_string(configurationVersion_) },
-                        { "age_ms", milliseconds(now - startedAt) } });
+                        { "age_ms", std::to_string(toMillis(now - startedAt)) } });
     if (isCurrent) {
       sendConfiguration(*request);
     } else {
@@ -356,7 +350,7 @@
     kProposalTimeout,
     [this, request, startedAt, order = *order](const Expected<ledger::Result>& result) {
       const Time now = bootTime();
-      const auto ageMs = milliseconds(now - startedAt);
+      const auto ageMs = std::to_string(toMillis(now - startedAt));
       if (!result) {
         context_.log.line(
           now, "proposal_failed", { { "detail", result.error().detail }, { "age_ms", ageMs } });
@@ -411,7 +405,7 @@
                       command,
                       kProposalTimeout,
                       [this, request, startedAt](const Expected<ledger::Result>& result) {
-                        const auto age = milliseconds(bootTime() - startedAt);
+                        const auto age = std::to_string(toMillis(bootTime() - startedAt));
                         if (!result) {
                           context_.log.line(
                             bootTime(),
--- a/modules/router/EntryLink.cpp
+++ b/modules/router/EntryLink.cpp
@@ -35,11 +35,6 @@
   return workspace != nullptr ? workspace->priority.value_or(route.priority) : route.priority;
 }
 
-std::int64_t millis(Duration duration)
-{
-  return duration.count() / 1000;
-}
-
 } // namespace
 
 EntryLink::EntryLink(double bytesPerSecond, LogWriter& log, Metrics& metrics)
@@ -167,11 +162,11 @@
               { "admitted", std::to_string(admitted_) },
               { "in_percent", percent(traffic_.receivedBytes - reportedTraffic_.receivedBytes) },
               { "out_percent", percent(traffic_.sentBytes - reportedTraffic_.sentBytes) },
-              { "in_level_ms", std::to_string(millis(received.level)) },
-              { "out_level_ms", std::to_string(millis(sent.level)) },
-              { "in_wait_ms", std::to_string(millis(received.wait)) },
-              { "out_wait_ms", std::to_string(millis(sent.wait)) },
-              { "accept_delay_ms", std::to_string(millis(acceptDelay())) } });
+              { "in_level_ms", std::to_string(toMillis(received.level)) },
+              { "out_level_ms", std::to_string(toMillis(sent.level)) },
+              { "in_wait_ms", std::to_string(toMillis(received.wait)) },
+              { "out_wait_ms", std::to_string(toMillis(sent.wait)) },
+              { "accept_delay_ms", std::to_string(toMillis(acceptDelay())) } });
 }
 
 } // namespace figchute::router
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -598,7 +598,7 @@
       now,
       "endpoint_crash",
       { { "candidates", fmt::format("{:x}", fmt::join(crash.report.candidates, ",")) },
-        { "detection_ms", std::to_string(crash.detectionTime.count() / 1000) } });
+        { "detection_ms", std::to_string(toMillis(crash.detectionTime)) } });
   }
   for (const auto& refutation : dispatcher_.takeCrashRefutations()) {
     subscriber_.addRefutation(now, refutation);
@@ -633,7 +633,7 @@
 {
   for (const auto& restriction : dispatcher_.takeRestrictions()) {
     if (restriction.backoff) {
-      const auto backoffMs = restriction.backoff->count() / 1000;
+      const auto backoffMs = toMillis(*restriction.backoff);
       context_.log.line(
         now,
         "endpoint_backoff",
--- a/modules/router/EntryRoleLink.cpp
+++ b/modules/router/EntryRoleLink.cpp
@@ -56,7 +56,7 @@
     context_.log.line(now,
                       "accept_paused",
                       { { "pauses", std::to_string(std::exchange(acceptPauses_, 0)) },
-                        { "delay_ms", std::to_string(delay.count() / 1000) },
+                        { "delay_ms", std::to_string(toMillis(delay)) },
                         { "connections", std::to_string(callers_.connections()) },
                         { "requests", std::to_string(callers_.openRequests()) } });
   }
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -65,11 +65,6 @@
   return XXH3_64bits_withSeed(body.data(), body.size(), withCaller);
 }
 
-std::int64_t millis(Duration duration)
-{
-  return duration.count() / 1000;
-}
-
 } // namespace
 
 Exchange::Exchange(EntryServices& services,
@@ -210,7 +205,7 @@
     }
     wait = std::min(
       wait,
-      Duration(std::chrono::milliseconds(std::min<std::int64_t>(*value, millis(route.timeout)))));
+      Duration(std::chrono::milliseconds(std::min<std::int64_t>(*value, toMillis(route.timeout)))));
   }
   deadline_ = now + wait;
   requestInfo_ = describeRequest(now, route, workspace_, *prompt, wait);
@@ -381,7 +376,7 @@
   head.fields.set(names.expectEndpoint, choice.endpoint.value);
   const bool isStream = requestInfo_.kind == fleet::RouteKind::stream;
   const auto timeLeft = (isStream ? deadline_ : lastAnswerTime()) - now;
-  head.fields.set(names.deadlineMs, std::to_string(std::max<std::int64_t>(1, millis(timeLeft))));
+  head.fields.set(names.deadlineMs, std::to_string(std::max<std::int64_t>(1, toMillis(timeLeft))));
   return head;
 }
 
--- a/modules/router/ExchangeLog.cpp
+++ b/modules/router/ExchangeLog.cpp
@@ -5,11 +5,6 @@
 namespace figchute::router {
 namespace {
 
-std::int64_t millis(Duration duration)
-{
-  return duration.count() / 1000;
-}
-
 std::string amount(const std::optional<Tokens>& tokens)
 {
   return tokens ? std::to_string(tokens->count) : "-";
@@ -41,7 +36,7 @@
                        { "answered", firstByteReported_ ? "yes" : "no" },
                        { "fingerprint", fmt::format("{:x}", candidates.request) },
                        { "parts", fmt::format("{:x}", fmt::join(candidates.parts, ",")) },
-                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+                       { "age_ms", std::to_string(toMillis(now - sendStartedAt_)) } });
 }
 
 void Exchange::logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail)
@@ -53,7 +48,7 @@
                        { "version", chosenEndpoint_.softwareVersion },
                        { "outcome", std::string(dispatch::toString(outcome)) },
                        { "detail", detail },
-                       { "age_ms", std::to_string(millis(now - sendStartedAt_)) } });
+                       { "age_ms", std::to_string(toMillis(now - sendStartedAt_)) } });
 }
 
 void Exchange::logUnreadableFields(Time now, const EndpointReport& report)
@@ -85,13 +80,13 @@
       { "outcome", std::string(outcome) },
       { "status", std::to_string(status) },
       { "sends", std::to_string(sendCount_) },
-      { "grant_ms", grantWait_ ? std::to_string(millis(*grantWait_)) : "-" },
+      { "grant_ms", grantWait_ ? std::to_string(toMillis(*grantWait_)) : "-" },
       { "reason", budgetRefusal_ ? std::string(ledger::nameOf(budgetRefusal_->reason)) : "-" },
       { "budget_tokens", budgetTokens(budgetRefusal_) },
-      { "first_byte_ms", answered ? std::to_string(millis(firstByteAt_ - arrivedAt_)) : "-" },
-      { "pause_ms", std::to_string(millis(longestPause_)) },
-      { "total_ms", std::to_string(millis(now - arrivedAt_)) },
-      { "limit_ms", std::to_string(millis(deadline_ - arrivedAt_)) },
+      { "first_byte_ms", answered ? std::to_string(toMillis(firstByteAt_ - arrivedAt_)) : "-" },
+      { "pause_ms", std::to_string(toMillis(longestPause_)) },
+      { "total_ms", std::to_string(toMillis(now - arrivedAt_)) },
+      { "limit_ms", std::to_string(toMillis(deadline_ - arrivedAt_)) },
       { "prompt", std::to_string(requestInfo_.promptTokens) },
       { "output", std::to_string(deliveredTokens_) },
       { "bytes", std::to_string(deliveredBytes_) },
--- a/modules/router/LoadMonitor.cpp
+++ b/modules/router/LoadMonitor.cpp
@@ -116,10 +116,10 @@
   if (totals.maxTimerDelay > kMaxTimerDelay || totals.proposals.maxAge > kMaxProposalAge) {
     log_.line(now,
               "event_loop_late",
-              { { "delay_ms", std::to_string(totals.maxTimerDelay.count() / 1000) },
-                { "proposal_age_ms", std::to_string(totals.proposals.maxAge.count() / 1000) },
+              { { "delay_ms", std::to_string(toMillis(totals.maxTimerDelay)) },
+                { "proposal_age_ms", std::to_string(toMillis(totals.proposals.maxAge)) },
                 { "queued", std::to_string(totals.proposals.maxQueued) },
-                { "queue_ms", std::to_string(totals.proposals.maxQueueTime.count() / 1000) },
+                { "queue_ms", std::to_string(toMillis(totals.proposals.maxQueueTime)) },
                 { "transfer_pairs", std::to_string(transferPairs_) },
                 { "detail", detail } });
   }
--- a/modules/router/MetricsPage.cpp
+++ b/modules/router/MetricsPage.cpp
@@ -5,11 +5,6 @@
 namespace figchute::router {
 namespace {
 
-double seconds(Duration duration)
-{
-  return static_cast<double>(duration.count()) / 1e6;
-}
-
 } // namespace
 
 std::string metricsText(const Metrics& metrics)
@@ -24,11 +19,11 @@
   }
   for (const auto& [name, summary] : metrics.latencies()) {
     fmt::format_to(
-      out, "figchute_{}_seconds{{quantile=\"0.5\"}} {}\n", name, seconds(summary.median));
+      out, "figchute_{}_seconds{{quantile=\"0.5\"}} {}\n", name, toSeconds(summary.median));
     fmt::format_to(
-      out, "figchute_{}_seconds{{quantile=\"0.95\"}} {}\n", name, seconds(summary.p95));
+      out, "figchute_{}_seconds{{quantile=\"0.95\"}} {}\n", name, toSeconds(summary.p95));
     fmt::format_to(
-      out, "figchute_{}_seconds{{quantile=\"0.99\"}} {}\n", name, seconds(summary.p99));
+      out, "figchute_{}_seconds{{quantile=\"0.99\"}} {}\n", name, toSeconds(summary.p99));
     fmt::format_to(out, "figchute_{}_seconds_count {}\n", name, summary.count);
   }
   return text;
--- a/modules/router/RequestExplanation.cpp
+++ b/modules/router/RequestExplanation.cpp
@@ -9,11 +9,6 @@
 namespace figchute::router {
 namespace {
 
-std::int64_t millis(Duration duration)
-{
-  return duration.count() / 1000;
-}
-
 /** Returns a member of type string, or nullptr. */
 const std::string* findText(const json::Value& value, std::string_view name)
 {
@@ -50,10 +45,10 @@
                                      { "load", fmt::format("{:.1f}", endpoint.load) },
                                      { "own", fmt::format("{:.0f}", endpoint.ownRequests) } });
   value.set("report_age_ms",
-            endpoint.reportAge ? std::to_string(millis(*endpoint.reportAge)) : std::string("-"));
+            endpoint.reportAge ? std::to_string(toMillis(*endpoint.reportAge)) : std::string("-"));
   if (endpoint.predictedTtft) {
-    value.set("first_token_ms", std::to_string(millis(*endpoint.predictedTtft)));
-    value.set("penalty_ms", std::to_string(millis(endpoint.penalty)));
+    value.set("first_token_ms", std::to_string(toMillis(*endpoint.predictedTtft)));
+    value.set("penalty_ms", std::to_string(toMillis(endpoint.penalty)));
     value.set("uncached_tokens", std::to_string(endpoint.uncachedTokens));
     value.set("speed", fmt::format("{:.2f}", endpoint.speed));
   }
@@ -106,14 +101,14 @@
     { { "route", route->name },
       { "workspace", info.workspace },
       { "rank", info.priority },
-      { "target_ms", millis(info.target) },
-      { "timeout_ms", millis(route->timeout) },
+      { "target_ms", toMillis(info.target) },
+      { "timeout_ms", toMillis(route->timeout) },
       { "service", info.service.value },
-      { "link_accept_delay_ms", millis(state.acceptDelay) },
+      { "link_accept_delay_ms", toMillis(state.acceptDelay) },
       { "endpoint", explanation.chosen ? explanation.chosen->value : std::string("-") } });
   if (explanation.refusal) {
     result.set("refusal", explanation.refusal->detail);
-    result.set("retry_after_ms", millis(explanation.refusal->retryAfter));
+    result.set("retry_after_ms", toMillis(explanation.refusal->retryAfter));
   }
   if (workspace != nullptr && workspace->prepaid) {
     result.set("budget", describeBudget(state, info));
--- a/modules/router/RouterSettings.cpp
+++ b/modules/router/RouterSettings.cpp
@@ -24,11 +24,6 @@
 /** Keys whose changed values take effect in a running process. */
 constexpr std::array<std::string_view, 2> kReloadableKeys{ "seeds", "grace_s" };
 
-double seconds(Duration duration)
-{
-  return static_cast<double>(duration.count()) / 1e6;
-}
-
 /** Reads all sections into a RouterSettings and collects the errors. */
 class Builder
 {
@@ -293,14 +288,15 @@
     addEffective("fleet", "bootstrap", settings_.bootstrap ? "true" : "false");
     addEffective("fleet", "zones", zones);
     addEffective("fleet", "peer_key", settings_.peerKey);
-    addEffective("bounds", "grace_s", fmt::format("{}", seconds(bounds.grace)), "s");
+    addEffective("bounds", "grace_s", fmt::format("{}", toSeconds(bounds.grace)), "s");
     addEffective("bounds", "repeat_ratio", fmt::format("{}", bounds.repeatRatio), "of requests");
     addEffective("bounds", "repeat_slack", fmt::format("{}", bounds.repeatSlack), "repeats");
-    addEffective("bounds", "repeat_window_s", fmt::format("{}", seconds(bounds.repeatWindow)), "s");
+    addEffective(
+      "bounds", "repeat_window_s", fmt::format("{}", toSeconds(bounds.repeatWindow)), "s");
     addEffective(
       "bounds", "warmup_overage", fmt::format("{}", bounds.warmupOverage), "of the rate");
     addEffective("bounds", "warmup_slack", fmt::format("{}", bounds.warmupSlack), "requests");
-    addEffective("budgets", "stock_s", fmt::format("{}", seconds(settings_.tokenStock)), "s");
+    addEffective("budgets", "stock_s", fmt::format("{}", toSeconds(settings_.tokenStock)), "s");
     const auto& link = settings_.linkBytesPerSecond;
     addEffective("link",
                  "mbit_per_s",
--- a/tests/BudgetFleet.h
+++ b/tests/BudgetFleet.h
@@ -1,18 +1,11 @@
 #pragma once
 
-#include "ledger/ledger.h"
+#include "QueueLeader.h"
 
-#include <algorithm>
 #include <array>
-#include <cmath>
-#include <deque>
 #include <doctest/doctest.h>
-#include <fmt/format.h>
 #include <map>
-#include <memory>
-#include <set>
-#include <string>
-#include <vector>
+#include <optional>
 
 namespace figchute::ledger::test {
 
@@ -77,10 +70,7 @@
     : random_(seed)
     , prepaidFactor_(prepaidFactor)
   {
-    double weight = 0;
     for (int workspace = 0; workspace < kWorkspaces; ++workspace) {
-      weight += std::pow(workspace + 1, -kSkew);
-      cumulativeWeights_.push_back(weight);
       // The load balancer assigns a caller to one process by a hash, so the requests of a workspace
       // reach a few processes, and half of those of the largest reach one.
       auto& receivers = receivers_.emplace_back();
@@ -90,15 +80,7 @@
     }
     spent_.resize(kWorkspaces);
     running_.resize(kWorkspaces);
-    std::vector<Peer> peers{ { { kControl, {} }, {}, false, true, true } };
-    for (int entry = 0; entry < kEntries; ++entry) {
-      peers.push_back({ holderId(entry), zoneOf(entry), true, false, true });
-    }
-    for (int entry = 0; entry < kEntries; ++entry) {
-      holders_.push_back(
-        std::make_unique<QuotaManager>(routerQuotaSettings(holderId(entry), zoneOf(entry))));
-      holders_.back()->setPeers(now, peers);
-    }
+    holders_ = makeHolders(now, kEntries, kZones);
     setPrepaidShare(1);
   }
 
@@ -112,13 +94,12 @@
       tokensPerSecond += kind.perSecond * static_cast<double>(kind.bound);
     }
     for (int workspace = 0; workspace < kWorkspaces; ++workspace) {
-      const auto usage =
-        tokensPerSecond * std::pow(workspace + 1, -kSkew) / cumulativeWeights_.back();
+      const auto usage = tokensPerSecond * workspaces_.share(workspace);
       budgets_.push_back(
         { budgetId(workspace),
           Tokens{ static_cast<std::int64_t>(usage * kPlannedSeconds * prepaidFactor_ * share) } });
     }
-    control_.apply(++index_, now, PutConfiguration{ ++version_, "configuration", budgets_ });
+    leader_.configure(now, ++version_, budgets_);
     for (int entry = 0; entry < kEntries; ++entry) {
       if (!isCut(entry, kControlIndex)) {
         holders_[static_cast<std::size_t>(entry)]->setBudgets(now, budgets_);
@@ -133,7 +114,10 @@
     for (const auto end = now + duration; now < end;) {
       now = now + kMillisecond;
       deliver();
-      serve();
+      if (!leaderSilent_) {
+        leader_.run(now);
+        sendFromLeader();
+      }
       arrive(withRequests);
       finish();
       for (int entry = 0; entry < kEntries; ++entry) {
@@ -142,6 +126,9 @@
         }
       }
     }
+    const auto counts = leader_.takeCounts();
+    tally_.proposals = counts.commands;
+    tally_.longestQueueTime = counts.longestQueueTime;
     return tally_;
   }
 
@@ -149,9 +136,7 @@
   void setLeaderSilent(bool silent)
   {
     leaderSilent_ = silent;
-    queue_.clear();
-    queued_.clear();
-    leaderFreeAt_ = now;
+    leader_.clear(now);
     silentSince_ = now;
   }
 
@@ -173,7 +158,7 @@
     std::int64_t worst = 0;
     for (int workspace = 0; workspace < kWorkspaces; ++workspace) {
       const auto index = static_cast<std::size_t>(workspace);
-      const auto view = *control_.budget(budgetId(workspace));
+      const auto view = *leader_.state().budget(budgetId(workspace));
       worst = std::max({ worst,
                          (spent_[index] + running_[index] - budgets_[index].prepaid).count,
                          (view.settled + view.held - view.bought).count });
@@ -184,7 +169,7 @@
   /** Describes who holds the tokens of the largest budget. */
   [[nodiscard]] std::string largestBudgetText() const
   {
-    const auto view = *control_.budget(budgetId(0));
+    const auto view = *leader_.state().budget(budgetId(0));
     Tokens available;
     Tokens reserve;
     Tokens reserved;
@@ -230,13 +215,6 @@
     Message message;
   };
 
-  struct QueuedProposal
-  {
-    int from;
-    Time arrivedAt;
-    Propose propose;
-  };
-
   struct Request
   {
     int entry;
@@ -259,22 +237,11 @@
   static constexpr int kTickMs = 50;
   static constexpr Duration kLostAfter{ 1'200'000 };
   static constexpr Duration kRetryAfter{ 170'000 };
-  /** The time that the leader takes for what it handles, at 0.3 of a core. */
-  static constexpr Duration kTimePerProposal{ 150 };
-  static constexpr Duration kTimePerItem{ 6 };
-  static constexpr Duration kTimePerRepeat{ 15 };
   /** A sync and the delay to a majority. */
   static constexpr Duration kCommitDelay{ 3000 };
   static constexpr Duration kNetworkDelay{ 1000 };
   static constexpr int kControlIndex = kEntries;
-  static inline const ProcessId kControl{ "c" };
 
-  static HolderId holderId(int entry)
-  {
-    return { ProcessId(fmt::format("{:03}", entry)), Incarnation{ 1 } };
-  }
-  static ZoneId zoneOf(int entry) { return ZoneId(fmt::format("z{}", entry % kZones)); }
-  static BudgetId budgetId(int workspace) { return BudgetId(fmt::format("w:t/{}", workspace)); }
   static ProcessId processOf(int index)
   {
     return index == kControlIndex ? kControl : holderId(index).process;
@@ -328,7 +295,10 @@
         continue;
       }
       if (packet.to == kControlIndex) {
-        receiveAtControl(packet);
+        if (!leaderSilent_) {
+          leader_.receive(now, holderId(packet.from), packet.message);
+          sendFromLeader();
+        }
         continue;
       }
       const auto index = static_cast<std::size_t>(packet.to);
@@ -343,56 +313,10 @@
     }
   }
 
-  void receiveAtControl(const Packet& packet)
+  void sendFromLeader()
   {
-    if (leaderSilent_) {
-      return;
-    }
-    if (const auto* request = std::get_if<ClockRequest>(&packet.message)) {
-      send(kControlIndex,
-           { processOf(packet.from), ClockReply{ request->holder, ClockReading{ 1, now } } });
-    }
-    const auto* propose = std::get_if<Propose>(&packet.message);
-    if (propose == nullptr) {
-      return;
-    }
-    if (!queued_.insert({ packet.from, propose->proposalId }).second) {
-      use(kTimePerRepeat);
-      return;
-    }
-    queue_.push_back({ packet.from, now, *propose });
-  }
-
-  void use(Duration time) { leaderFreeAt_ = std::max(leaderFreeAt_, now - kMillisecond) + time; }
-
-  void serve()
-  {
-    while (!leaderSilent_ && !queue_.empty() && leaderFreeAt_ <= now) {
-      const auto proposal = std::move(queue_.front());
-      queue_.pop_front();
-      queued_.erase({ proposal.from, proposal.propose.proposalId });
-      ++tally_.proposals;
-      tally_.longestQueueTime = std::max(tally_.longestQueueTime, now - proposal.arrivedAt);
-      const auto command = *wire::decode<Command>(proposal.propose.command);
-      const auto* grant = std::get_if<Grant>(&command);
-      const auto* settle = std::get_if<Settle>(&command);
-      const auto items = grant != nullptr    ? grant->items.size()
-                         : settle != nullptr ? settle->totals.size()
-                                             : 0;
-      use(kTimePerProposal + static_cast<std::int64_t>(items) * kTimePerItem);
-      auto result = control_.applyEncoded(++index_, now, proposal.propose.command);
-      send(kControlIndex,
-           { processOf(proposal.from),
-             ProposeReply{ proposal.propose.proposalId,
-                           true,
-                           kControl,
-                           std::move(*result),
-                           ClockReading{ 1, now } } },
-           kCommitDelay);
-      for (const auto& outgoing : control_.takeOutgoing()) {
-        use(kTimePerRepeat);
-        send(kControlIndex, outgoing, kCommitDelay);
-      }
+    for (const auto& [message, delay] : leader_.takeOutgoing()) {
+      send(kControlIndex, message, delay);
     }
   }
 
@@ -408,10 +332,7 @@
       if (!withRequests || !random_.chance(kind.perSecond / 1000)) {
         continue;
       }
-      const auto point = random_.unit() * cumulativeWeights_.back();
-      const auto workspace = static_cast<int>(
-        std::lower_bound(cumulativeWeights_.begin(), cumulativeWeights_.end(), point) -
-        cumulativeWeights_.begin());
+      const auto workspace = workspaces_.pick(random_);
       const auto& receivers = receivers_[static_cast<std::size_t>(workspace)];
       const bool toHotEntry = workspace == 0 && random_.chance(0.5);
       const auto entry = toHotEntry ? kHotEntry : receivers[random_.below(receivers.size())];
@@ -489,24 +410,20 @@
 
   Random random_;
   double prepaidFactor_;
-  std::vector<double> cumulativeWeights_;
+  SkewedWorkspaces workspaces_{ kWorkspaces, kSkew };
   std::vector<std::vector<int>> receivers_;
   std::vector<PrepaidBudget> budgets_;
   /** The tokens of ended requests and the upper bounds of admitted ones, by workspace. */
   std::vector<Tokens> spent_;
   std::vector<Tokens> running_;
-  ControlState control_;
+  QueueLeader leader_{ kCommitDelay };
   std::vector<std::unique_ptr<QuotaManager>> holders_;
   std::multimap<Time, Packet> packets_;
-  std::deque<QueuedProposal> queue_;
-  std::set<std::pair<int, std::uint64_t>> queued_;
   std::map<RequestId, Request> requests_;
   std::multimap<Time, Request> retries_;
   std::multimap<Time, RequestId> ends_;
-  std::uint64_t index_ = 0;
   std::uint64_t version_ = 0;
   std::uint64_t lastRequest_ = 0;
-  Time leaderFreeAt_;
   bool leaderSilent_ = false;
   std::optional<int> cutZone_;
   Time silentSince_;
--- a/tests/LoadedDay.h
+++ b/tests/LoadedDay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LoadedFleet.h"
+#include "NodeLeader.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -45,14 +46,14 @@
     }
   }
 
-  LoadedFleet fleet;
+  LoadedFleet<NodeLeader> fleet;
 
 private:
   /** Operators get answers, and no turn of the event loop is so long that heartbeats are late. */
   static void checkOtherWork(const Tally& tally)
   {
     CHECK(tally.failedReads == 0);
-    CHECK(tally.longestRead <= LoadedFleet::kReadTimeout);
+    CHECK(tally.longestRead <= NodeLeader::kReadTimeout);
     CHECK(tally.longestTurn <= control::ControlTimings{}.heartbeatInterval);
   }
 
--- a/tools/figchute-measure/LedgerRun.cpp
+++ b/tools/figchute-measure/LedgerRun.cpp
@@ -38,11 +38,6 @@
 constexpr std::int64_t kMaxPromptTokens = 800;
 constexpr std::int64_t kMaxTokensChoices[] = { 128, 256, 512, 1024 };
 
-double toSeconds(Duration duration)
-{
-  return static_cast<double>(duration.count()) / 1e6;
-}
-
 double toMillis(Duration duration)
 {
   return static_cast<double>(duration.count()) / 1e3;
--- a/tools/figchute-measure/RouterBudgetRun.cpp
+++ b/tools/figchute-measure/RouterBudgetRun.cpp
@@ -50,11 +50,6 @@
 /** Share of the answers that end early because the caller disconnects or the endpoint fails. */
 constexpr double kEarlyEndShare = 0.03;
 
-double toSeconds(Duration duration)
-{
-  return static_cast<double>(duration.count()) / 1e6;
-}
-
 double meanRequestTokens()
 {
   double mean = 0;
