router: the line of a request's end tells whether its response was moved, and from what

Change: fields moves, endpoint_state and silent_ms of the request line, counter responses_cut_after_move. No change of logic.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -142,6 +142,11 @@
   return impl_->maySend(now, requestId);
 }
 
+std::string_view Dispatcher::stateOf(const EndpointId& endpoint) const
+{
+  return impl_->stateOf(endpoint);
+}
+
 Duration Dispatcher::timeUntilBackoffEnds(Time now, const ServiceName& service)
 {
   return impl_->availability().timeUntilBackoffEnds(now, service);
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace figchute::dispatch {
@@ -157,6 +158,10 @@
       @param duration  at least 0 */
   void endpointBackoff(Time now, std::uint64_t requestId, Duration duration);
 
+  /** Returns what the registry says of an endpoint, for log lines: "ready", "draining" or "gone".
+   */
+  [[nodiscard]] std::string_view stateOf(const EndpointId& endpoint) const;
+
   /** Returns whether the endpoint chosen for the current send of a request may still get it. A
       delayed send may have to be withdrawn: report it with Outcome::withdrawn. */
   [[nodiscard]] bool maySend(Time now, std::uint64_t requestId);
--- a/modules/dispatch/DispatcherImpl.h
+++ b/modules/dispatch/DispatcherImpl.h
@@ -297,6 +297,15 @@
            conditions_.mayStillSend(now, *send, *endpoint);
   }
 
+  [[nodiscard]] std::string_view stateOf(const EndpointId& id)
+  {
+    const auto* endpoint = endpoints_.find(id);
+    if (endpoint == nullptr) {
+      return "gone";
+    }
+    return endpoint->record.state == fleet::EndpointState::draining ? "draining" : "ready";
+  }
+
   std::vector<EndpointRestricted> takeRestrictions() { return std::exchange(newRestrictions_, {}); }
 
   std::vector<RateLimitChange> takeRateLimitChanges() { return std::exchange(limitChanges_, {}); }
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -340,6 +340,7 @@
   stalled_ = false;
   readingPaused_ = false;
   sendStartedAt_ = now;
+  lastByteAt_ = now;
   endpointDeadline_ = now + timeForEndpoint(now);
   http::CallOptions options;
   const auto connectLimit =
@@ -426,6 +427,9 @@
 void Exchange::abortResponse(Time now, std::string_view outcome)
 {
   request_->abort();
+  if (moves_ > 0) {
+    services_.metrics.count("responses_cut_after_move");
+  }
   end(now, "cut", status_, outcome);
 }
 
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -247,6 +247,10 @@
   std::int64_t deliveredTokens_ = 0;
   std::int64_t deliveredBytes_ = 0;
   Time firstByteAt_;
+  /** Start of the current send, then the arrival of the last byte from its endpoint. */
+  Time lastByteAt_;
+  /** How often the request was moved away from an endpoint whose connection was open. */
+  int moves_ = 0;
   /** Arrival of the last event of a stream, and the longest time between two events. */
   Time lastEventAt_;
   Duration longestPause_{ 0 };
--- a/modules/router/ExchangeFailure.cpp
+++ b/modules/router/ExchangeFailure.cpp
@@ -220,6 +220,7 @@
     return;
   }
   mayHaveRun_ = true;
+  ++moves_;
   call_->cancel();
   call_.reset();
   logFailedSend(now, kOutcome, "the endpoint is unresponsive");
--- a/modules/router/ExchangeLog.cpp
+++ b/modules/router/ExchangeLog.cpp
@@ -92,6 +92,7 @@
       { "outcome", std::string(outcome) },
       { "status", std::to_string(status) },
       { "sends", std::to_string(sendCount_) },
+      { "moves", std::to_string(moves_) },
       { "grant_ms", grantWait_ ? std::to_string(toMillis(*grantWait_)) : "-" },
       { "reason", budgetRefusal_ ? std::string(ledger::nameOf(budgetRefusal_->reason)) : "-" },
       { "budget_tokens", budgetTokens(budgetRefusal_) },
@@ -106,6 +107,8 @@
       { "bytes", std::to_string(deliveredBytes_) },
       { "body_end", bodyEnd(bodyDelimiter_) },
       { "tunnel", tunnelAddress(tunnelPeer_) },
+      { "endpoint_state", std::string(services_.dispatcher.stateOf(endpoint_)) },
+      { "silent_ms", sendCount_ > 0 ? std::to_string(toMillis(now - lastByteAt_)) : "-" },
       { "configuration", std::to_string(table_ ? table_->configuration().version : 0) },
       { "registry", std::to_string(services_.endpointRevision) },
       { "detail", std::string(detail) } });
--- a/modules/router/ExchangeRelay.cpp
+++ b/modules/router/ExchangeRelay.cpp
@@ -32,6 +32,7 @@
 void Exchange::onHead(const http::ResponseHead& head)
 {
   const Time now = bootTime();
+  lastByteAt_ = now;
   services_.link.answered(now, now - sendStartedAt_);
   reusedConnectionFailed_ = false;
   const auto report = parseEndpointReport(services_.dialect.fields(), head);
@@ -159,6 +160,7 @@
     return;
   }
   stalled_ = false;
+  lastByteAt_ = bootTime();
   if (relaysWholeEvents_) {
     if (!relayEvents(bytes)) {
       return;
