tests: streams of a silent engine are lost when the next engine doesn't go on (fails)

Cause: callers see a reset of a stream that had begun, with seconds left, though its engine is sound and would go on. Change: stream_move_test with engines as processes: they are silent for 2.2 s inside a sound stream, and refuse, answer 500 to, drop, end or ignore a continued one.

--- a/tests/stream_endpoint.py
+++ b/tests/stream_endpoint.py
@@ -7,9 +7,15 @@
 /length/, and how it ends: /whole/ after all events; /gradual/ the same, with more time between events;
 /between/ not at all, but nothing more is sent
 after an event; /inside/ the same in the middle of an event; /deadline/ at the end of the time that
-the request states, as if it were complete then. A stream that is continued is always whole."""
+the request states, as if it were complete then; /stall/ after all events, with a pause of STALL_S
+between two of them. A stream that is continued is whole, but /busy/ in the path refuses it with 503 and
+X-Not-Run, /denied/ answers it with 500, /dropped/ closes the connection without an answer, /empty/ sends
+a head and closes the connection, and /mute/ sends nothing.
+
+On SIGUSR1 the engine refuses all requests with 503 and X-Not-Run for REFUSAL_S."""
 
 import os
+import signal
 import sys
 import threading
 import time
@@ -20,6 +26,8 @@
 EVENTS = 5
 EVENT_INTERVAL_S = 0.02
 GRADUAL_EVENT_INTERVAL_S = 0.8
+STALL_S = 2.2
+REFUSAL_S = 0.3
 # The number of events before a stream stops between two events or inside one.
 EVENTS_BEFORE_STOP = 2
 FRAMINGS = ("chunked", "unframed", "length")
@@ -50,6 +58,25 @@
 class StreamEndpoint(Endpoint):
     """An engine whose streams end as their paths say."""
 
+    refuses_until = 0.0
+
+    def refuse_requests(self, *_signal):
+        self.refuses_until = time.monotonic() + REFUSAL_S
+
+    def run(self, handler, body):
+        is_continued = handler.headers.get("Last-Event-Id") is not None
+        is_refused = time.monotonic() < self.refuses_until
+        if is_refused or is_continued and "/busy/" in handler.path:
+            self.answer(handler, 503, b"failed", {"X-Not-Run": "1"})
+        elif is_continued and "/denied/" in handler.path:
+            self.answer(handler, 500, b"failed", {"X-Endpoint-Answer": self.name})
+        elif is_continued and "/dropped/" in handler.path:
+            handler.close_connection = True
+        elif is_continued and "/mute/" in handler.path:
+            time.sleep(60)
+        else:
+            super().run(handler, body)
+
     def stream(self, handler, headers, _first_run):
         started_at = time.monotonic()
         ends_at = started_at + int(handler.headers.get("X-Deadline-Ms")) / 1000
@@ -69,7 +96,10 @@
         else:
             handler.send_header("Connection", "close")
         handler.end_headers()
-        handler.close_connection = framing == "unframed" or how not in ("whole", "gradual")
+        handler.close_connection = framing == "unframed" or how not in ("whole", "gradual", "stall")
+        if first > 1 and "/empty/" in handler.path:
+            handler.close_connection = True
+            return
         interval = GRADUAL_EVENT_INTERVAL_S if how == "gradual" else EVENT_INTERVAL_S
 
         def send(data):
@@ -83,6 +113,8 @@
                 if how == "inside":
                     send(event[:len(event) // 2])
                 time.sleep(60)
+            if how == "stall" and number == EVENTS_BEFORE_STOP + 1:
+                time.sleep(STALL_S)
             wait = min(interval, ends_at - time.monotonic())
             if how == "deadline" and (wait <= 0 or framing == "length" and number == EVENTS):
                 time.sleep(max(0, ends_at - time.monotonic()))
@@ -97,6 +129,7 @@
 def main():
     name, ip, controls = sys.argv[1:4]
     endpoint = StreamEndpoint(Fleet(controls), name, "engines", ip, events=EVENTS)
+    signal.signal(signal.SIGUSR1, endpoint.refuse_requests)
     print(endpoint.address, flush=True)
     while True:
         time.sleep(60)
