router: a stream of a silent endpoint is not given up before another one goes on with it

Callers saw a reset of a stream that had begun, with seconds left, though its endpoint was sound and would have gone on.

Cause: the router gave up the connection that worked before it had one that was known to be better. Exchange closed the call at an endpoint that was silent for 1.2 s, waited 400 ms and sent the request to another one. When that one refused, answered 500, failed, was not reached or stayed silent, or when attempts or the repeat budget were used up, nothing was left to send. A refusal, which has not run, used up the last attempt.

The first call is kept until the second response has its next event, or has begun 250 ms before, so that two endpoints work on a stream for less than 400 ms. What the silent endpoint sends first ends the standby. A standby that is refused or fails leaves the first call as it is. A refusal uses up no attempt of a response that has begun; if no endpoint accepts its rest, one is chosen again every 100 ms for 1 s. A standby counts as a repeat and is no trial of an endpoint. A send that was silent, went on and is silent again is reported again.

--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -206,7 +206,7 @@
   void probed(Time now, std::size_t handle, ProbeResult result);
 
   /** Returns the ids of requests whose endpoint has sent nothing for much longer than predicted,
-      once per send. These sends already count as failures of the endpoint. The caller may cancel
+      once per silence. These sends already count as failures of the endpoint. The caller may cancel
       them and repeat requests that may run more than once. */
   std::vector<std::uint64_t> takeStalled();
 
--- a/modules/dispatch/DispatcherImpl.h
+++ b/modules/dispatch/DispatcherImpl.h
@@ -158,6 +158,7 @@
       }
     }
     send.lastByteAt = now;
+    send.overdue = false;
   }
 
   void finished(Time now, std::uint64_t requestId, Outcome outcome)
@@ -334,7 +335,7 @@
   {
     const bool isNewRequest = requests_.find(requestInfo.id) == nullptr;
     auto& request = requests_.findOrCreate(requestInfo);
-    if (isNewRequest) {
+    if (isNewRequest && !requestInfo.isRepeat) {
       service.repeats.countRequest(now);
       totalRepeats_.countRequest(now);
       newRequests_.add(now, 1);
@@ -342,7 +343,7 @@
     if (request.send) {
       finished(now, requestInfo.id, Outcome::cancelled);
     }
-    if (request.sends == 0) {
+    if (request.sends == 0 && !requestInfo.isRepeat) {
       return std::nullopt;
     }
     const auto suspectedCrashes = health_.crashes().suspectedCrashes(request.crashCandidates);
@@ -447,6 +448,9 @@
                                      const ServiceState& service,
                                      std::span<const EndpointId> excluded)
   {
+    if (requestInfo.isRepeat) {
+      return std::nullopt;
+    }
     const bool isRepeatable =
       requestInfo.kind == fleet::RouteKind::repeatable || requestInfo.resumable;
     const bool canBeRepeated =
@@ -669,7 +673,7 @@
   {
     auto& endpoint = *candidate.endpoint;
     auto& request = requests_.findOrCreate(requestInfo);
-    if (request.sends > 0) {
+    if (request.sends > 0 || requestInfo.isRepeat) {
       service.repeats.countRepeat(now);
       totalRepeats_.countRepeat(now);
     }
--- a/modules/dispatch/RequestInfo.h
+++ b/modules/dispatch/RequestInfo.h
@@ -46,6 +46,9 @@
   std::optional<std::string> softwareVersion{};
   /** Equal for requests with the same path, caller and body. */
   std::uint64_t fingerprint = 0;
+  /** The request was sent under another id before: each send under this one is a repeat, and no
+      trial of an endpoint. */
+  bool isRepeat = false;
 };
 
 /** Returns what may make a request crash endpoints. The last part of its prompt belongs to the
--- a/modules/dispatch/RequestTable.h
+++ b/modules/dispatch/RequestTable.h
@@ -29,7 +29,7 @@
   TokenWindow tokenWindow;
   /** The send is a trial of an endpoint with an open breaker. */
   bool trial = false;
-  /** The send already counts as a failure because it received no bytes for too long. */
+  /** The send counts as a failure because it has received no bytes for too long. */
   bool overdue = false;
   /** Time that the engine needs to prefill the uncached tokens. */
   Duration prefill{};
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -191,9 +191,10 @@
 {
   const WorkTimer timer(load_, LoopWork::timer);
   dispatcher_.tick(now);
-  for (const auto id : dispatcher_.takeStalled()) {
-    if (const auto exchangeEntry = exchanges_.find(id); exchangeEntry != exchanges_.end()) {
-      exchangeEntry->second->markStalled();
+  for (const auto dispatchId : dispatcher_.takeStalled()) {
+    const auto exchangeEntry = exchanges_.find(Exchange::idOfDispatchId(dispatchId));
+    if (exchangeEntry != exchanges_.end()) {
+      exchangeEntry->second->markStalled(dispatchId);
     }
   }
   std::vector<std::shared_ptr<Exchange>> open;
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -80,15 +80,13 @@
   , id_(id)
   , onEnded_(std::move(ended))
   , quotaRequestId_(std::to_string(id))
+  , send_(std::make_shared<EndpointSend>(*this,
+                                         id * kDispatchIdsPerExchange,
+                                         dispatch::ChosenEndpoint{}))
 {
 }
 
-Exchange::~Exchange()
-{
-  if (call_) {
-    call_->cancel();
-  }
-}
+Exchange::~Exchange() = default;
 
 void Exchange::start(Time now)
 {
@@ -96,9 +94,9 @@
   deadline_ = now + std::chrono::seconds(30);
   request_->onDisconnect([this] { onCallerDisconnected(); });
   request_->onWritable([this] {
-    if (call_ && std::exchange(readingPaused_, false)) {
+    if (send_->call && std::exchange(readingPaused_, false)) {
       nextMoveAt_ = bootTime() + kMinMoveDelayAfterPause;
-      call_->resume();
+      send_->call->resume();
     }
   });
   if (const auto resolved = resolveRoute(now); !resolved) {
@@ -213,7 +211,7 @@
   }
   deadline_ = now + wait;
   requestInfo_ = describeRequest(now, route, workspace_, *prompt, wait);
-  requestInfo_.id = id_;
+  requestInfo_.id = send_->dispatchId;
   requestInfo_.fingerprint = requestFingerprint(head, requestInfo_.workspace, bodyOf(*request_));
   setService(fleet::RouteTable::pickService(route, requestId_));
   return {};
@@ -315,9 +313,8 @@
 void Exchange::assignEndpoint(Time now, const dispatch::ChosenEndpoint& choice, Duration pause)
 {
   stage_ = Stage::waitingForHead;
-  chosenEndpoint_ = choice;
-  endpoint_ = chosenEndpoint_.endpoint;
-  triedEndpoints_.push_back(endpoint_);
+  send_ = std::make_shared<EndpointSend>(*this, requestInfo_.id, choice);
+  triedEndpoints_.push_back(choice.endpoint);
   if (pause > Duration{ 0 }) {
     sendAt_ = now + pause;
   } else {
@@ -328,35 +325,38 @@
 void Exchange::startSend(Time now)
 {
   sendAt_.reset();
-  const auto address = parseEndpoint(chosenEndpoint_.address);
-  if (!address) {
-    services_.dispatcher.finished(now, id_, dispatch::Outcome::notConnected);
+  readingPaused_ = false;
+  if (!startCall(now, *send_)) {
+    services_.dispatcher.finished(now, send_->dispatchId, dispatch::Outcome::notConnected);
     refuse(now, dispatch::Refusal{ ErrorKind::noEndpoint, std::chrono::milliseconds(200), "" });
-    return;
   }
-  requestSent_ = false;
-  bodyDelimiter_.reset();
-  firstByteReported_ = false;
-  stalled_ = false;
-  readingPaused_ = false;
-  sendStartedAt_ = now;
-  lastByteAt_ = now;
-  endpointDeadline_ = now + timeForEndpoint(now);
+}
+
+bool Exchange::startCall(Time now, EndpointSend& send)
+{
+  const auto address = parseEndpoint(send.endpoint.address);
+  if (!address) {
+    return false;
+  }
+  send.startedAt = now;
+  send.lastByteAt = now;
+  send.deadline = now + timeForEndpoint(now);
   http::CallOptions options;
   const auto connectLimit =
     std::min<Duration>(std::chrono::milliseconds(500), (deadline_ - now) / 2);
   options.connectTimeout = std::max<Duration>(connectLimit, std::chrono::milliseconds(50));
   options.correlationName = services_.dialect.fields().requestId;
   options.correlationValue = requestId_;
-  options.maxConnections = chosenEndpoint_.maxConnections;
+  options.maxConnections = send.endpoint.maxConnections;
   options.forceNewConnection = reusedConnectionFailed_;
-  tunnelPeer_ = services_.egress.nextPeer(now);
-  if (tunnelPeer_) {
+  send.tunnelPeer = services_.egress.nextPeer(now);
+  if (send.tunnelPeer) {
     options.proxy =
-      http::Proxy{ *tunnelPeer_, tunnelAuthorizationFor(*address, services_.peerKey) };
+      http::Proxy{ *send.tunnelPeer, tunnelAuthorizationFor(*address, services_.peerKey) };
   }
-  call_ = services_.pool.start(
-    *address, forwardedHead(now, chosenEndpoint_), request_->body(), std::move(options), *this);
+  send.call = services_.pool.start(
+    *address, forwardedHead(now, send.endpoint), request_->body(), std::move(options), send);
+  return true;
 }
 
 http::RequestHead Exchange::forwardedHead(Time now, const dispatch::ChosenEndpoint& choice) const
@@ -392,18 +392,24 @@
   return std::chrono::milliseconds(std::max<std::int64_t>(1, toMillis(timeLeft)));
 }
 
-void Exchange::onConnected()
+void Exchange::markStalled(std::uint64_t dispatchId)
 {
-  if (tunnelPeer_) {
-    services_.egress.tunnelOpened(*tunnelPeer_);
+  auto& send = standby_ && standby_->dispatchId == dispatchId ? *standby_ : *send_;
+  send.stalled = true;
+}
+
+void Exchange::onConnected(EndpointSend& send)
+{
+  if (send.tunnelPeer) {
+    services_.egress.tunnelOpened(*send.tunnelPeer);
   } else {
     services_.egress.directConnected(bootTime());
   }
 }
 
-void Exchange::onSent()
+void Exchange::onSent(EndpointSend& send)
 {
-  requestSent_ = true;
+  send.sent = true;
   ++sendCount_;
   if (auto* const observer = request_->observer()) {
     observer->forwarded(request_->body()->size());
@@ -416,10 +422,9 @@
     return;
   }
   const Time now = bootTime();
-  if (call_) {
-    mayHaveRun_ = mayHaveRun_ || requestSent_;
-    call_->cancel();
-    endSend(now, dispatch::Outcome::cancelled);
+  if (send_->call) {
+    mayHaveRun_ = mayHaveRun_ || send_->sent;
+    endSend(now, *send_, dispatch::Outcome::cancelled);
   }
   end(now, "caller_gone", 0, "");
 }
@@ -435,10 +440,9 @@
 
 void Exchange::abort(Time now)
 {
-  if (call_) {
-    mayHaveRun_ = mayHaveRun_ || requestSent_;
-    call_->cancel();
-    endSend(now, dispatch::Outcome::cancelled);
+  if (send_->call) {
+    mayHaveRun_ = mayHaveRun_ || send_->sent;
+    endSend(now, *send_, dispatch::Outcome::cancelled);
   }
   abortResponse(now, "the process exits");
 }
@@ -476,8 +480,11 @@
     services_.origins.cancel(id_);
   }
   stage_ = Stage::ended;
+  if (standby_) {
+    cancelStandby(now, "the request ended");
+  }
   if (dispatched_) {
-    services_.dispatcher.forget(id_);
+    services_.dispatcher.forget(requestInfo_.id);
   }
   chargeBudget(now);
   services_.metrics.count(fmt::format("requests_{}", outcome));
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -9,6 +9,7 @@
 #include "router/Dialect.h"
 #include "router/EgressSelector.h"
 #include "router/EndpointReport.h"
+#include "router/EndpointSend.h"
 #include "router/EventCounter.h"
 #include "router/EventRelay.h"
 #include "router/LinkMonitor.h"
@@ -59,7 +60,7 @@
  * broken stream of a resumable route is continued at another endpoint within the same response.
  * Thread safety: use it on the thread of the event loop only. */
 class Exchange final
-  : public http::CallListener
+  : public SendListener
   , public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -86,9 +87,17 @@
   /** Handles the result of the search for the origin of the stream that this request takes up. */
   void handleOrigin(Time now, const fleet::StreamOriginClient::Answer& answer);
 
-  /** Records that the dispatcher considers the endpoint unresponsive. The next checkTimeouts()
-   * sends a repeatable request to another endpoint, or continues the stream there if possible. */
-  void markStalled() { stalled_ = true; }
+  /** Returns the id of the exchange that uses an id towards the dispatcher. Safe from any thread.
+   */
+  static std::uint64_t idOfDispatchId(std::uint64_t dispatchId)
+  {
+    return dispatchId / kDispatchIdsPerExchange;
+  }
+
+  /** Records that the dispatcher considers the endpoint of a send unresponsive. The next
+   * checkTimeouts() tries another endpoint for a repeatable request, or for the rest of a stream if
+   * possible. */
+  void markStalled(std::uint64_t dispatchId);
 
   /** Applies the time limits and starts delayed sends. Call it about every 50 ms. */
   void checkTimeouts(Time now);
@@ -96,14 +105,17 @@
   /** Ends the request without a complete response, because the process exits. */
   void abort(Time now);
 
-  void onConnected() override;
-  void onSent() override;
-  void onHead(const http::ResponseHead& head) override;
-  void onBody(std::string_view bytes) override;
-  void onComplete(const http::ResponseEnd& end) override;
-  void onFailure(const http::CallFailure& failure) override;
+  void onConnected(EndpointSend& send) override;
+  void onSent(EndpointSend& send) override;
+  void onHead(EndpointSend& send, const http::ResponseHead& head) override;
+  void onBody(EndpointSend& send, std::string_view bytes) override;
+  void onComplete(EndpointSend& send, const http::ResponseEnd& end) override;
+  void onFailure(EndpointSend& send, const http::CallFailure& failure) override;
 
 private:
+  /** A send and its standby have ids of their own towards the dispatcher. */
+  static constexpr std::uint64_t kDispatchIdsPerExchange = 2;
+
   enum class Stage : std::uint8_t
   {
     created,
@@ -140,32 +152,77 @@
   [[nodiscard]] tl::expected<dispatch::ChosenEndpoint, dispatch::Refusal> chooseNext(Time now);
   void assignEndpoint(Time now, const dispatch::ChosenEndpoint& choice, Duration pause);
   void startSend(Time now);
+  /** Starts the call of a send.
+      @returns whether the address of its endpoint is valid */
+  bool startCall(Time now, EndpointSend& send);
   http::RequestHead forwardedHead(Time now, const dispatch::ChosenEndpoint& choice) const;
   /** Returns how long the endpoint of a send that starts now may work, in whole milliseconds. */
   [[nodiscard]] std::chrono::milliseconds timeForEndpoint(Time now) const;
   [[nodiscard]] bool mayRetry() const;
   [[nodiscard]] bool isRepeatable() const;
   void handleFailedSend(Time now, dispatch::Outcome outcome, bool sent, const std::string& detail);
+  /** Returns the outcome of a send that failed. */
+  dispatch::Outcome outcomeOf(Time now, const EndpointSend& send, const http::CallFailure& failure);
   /** Records that no connection was established.
       @returns the outcome of the send */
-  dispatch::Outcome recordConnectFailure(Time now, http::CallFailureKind kind);
-  void endSend(Time now, dispatch::Outcome outcome);
-  void logLostConnection(Time now);
-  void logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail);
-  void moveToAnotherEndpoint(Time now);
+  dispatch::Outcome recordConnectFailure(Time now,
+                                         const EndpointSend& send,
+                                         http::CallFailureKind kind);
+  void endSend(Time now, EndpointSend& send, dispatch::Outcome outcome);
+  /** Records an endpoint that did not run the request. It uses up no attempt of a response that has
+   * begun, because the caller can't get a refusal any more. */
+  void recordRefusal(const EndpointSend& send, dispatch::Outcome outcome);
+  /** Chooses an endpoint again a little later, if the rest of a response waits for one.
+      @returns false if the response cannot go on, or has waited for too long */
+  bool waitForEndpoint(Time now);
+  void logLostConnection(Time now, const EndpointSend& send);
+  void logFailedSend(Time now,
+                     const EndpointSend& send,
+                     dispatch::Outcome outcome,
+                     const std::string& detail);
+  /** Detail of a second response whose events are not the next ones. */
+  static constexpr std::string_view kDifferentEvents =
+    "the second response does not continue the stream";
+  static constexpr std::string_view kFirstEndpointResponds = "the first endpoint responds again";
+
+  void startStandby(Time now);
+  void checkStandby(Time now);
+  void handleStandbyHead(Time now, const http::ResponseHead& head, const EndpointReport& report);
+  void handleStandbyBody(Time now, std::string_view bytes);
+  void handleStandbyEnd(Time now, const http::ResponseEnd& responseEnd);
+  /** Ends the standby, whose endpoint does not go on with the request. */
+  void failStandby(Time now, dispatch::Outcome outcome, const std::string& detail);
+  /** Ends the standby because it is not needed any more. */
+  void cancelStandby(Time now, const std::string& detail);
+  /** Makes the standby the current send and gives up the one before. */
+  void useStandby(Time now);
   void refuse(Time now, const dispatch::Refusal& refusal);
   void sendErrorResponse(Time now, const Error& error, Duration retryAfter);
   void abortResponse(Time now, std::string_view outcome);
   void onCallerDisconnected();
   /** Passes to the dispatcher what the endpoint reported about itself. */
-  void recordReport(Time now, const http::ResponseHead& head, const EndpointReport& report);
-  void logUnreadableFields(Time now, const EndpointReport& report);
+  void recordReport(Time now,
+                    const EndpointSend& send,
+                    const http::ResponseHead& head,
+                    const EndpointReport& report);
+  void logUnreadableFields(Time now, const EndpointSend& send, const EndpointReport& report);
   /** Starts a delayed send, or chooses again if its endpoint accepts no requests any more. */
   void startDelayedSend(Time now);
   void startRelay(const http::ResponseHead& head);
+  /** Returns whether a second response may go on with the one that has begun. */
+  [[nodiscard]] static bool continuesResponse(const http::ResponseHead& head, bool marked);
+  /** Returns the outcome of a send whose response cannot go on with the one that has begun. */
+  [[nodiscard]] static dispatch::Outcome failedHeadOutcome(const http::ResponseHead& head);
   void continueResponse(Time now, const http::ResponseHead& head, bool marked);
-  bool relayEvents(std::string_view bytes);
+  /** Records that the current send goes on with the response. */
+  void recordContinuation(Time now);
+  /** Relays the events of the current send.
+      @returns false if they do not continue the stream, so that the response was aborted */
+  bool relayEvents(const EventRelay::Part& part);
+  void completeResponse(Time now, const http::ResponseEnd& responseEnd);
   void relay(std::string_view bytes);
+  /** Pauses the endpoint while many bytes wait for the caller. */
+  void pauseForSlowCaller();
   void recordProgress(std::int64_t events);
   void recordFirstByte(Time now);
   [[nodiscard]] bool hasResponseStarted() const { return status_ != 0; }
@@ -211,17 +268,11 @@
   /** Set when the request was refused for its budget. */
   std::optional<ledger::BudgetRefusal> budgetRefusal_;
   bool dispatched_ = false;
-  std::shared_ptr<http::Call> call_;
+  /** The current send, or the last one; before the first, one without an endpoint. */
+  std::shared_ptr<EndpointSend> send_;
+  /** Tries another endpoint while that of the current send is silent; null at other times. */
+  std::shared_ptr<EndpointSend> standby_;
   std::vector<EndpointId> triedEndpoints_;
-  EndpointId endpoint_;
-  /** The entry process whose tunnel the current send uses; nothing if it is direct. */
-  std::optional<EgressSelector::Peer> tunnelPeer_;
-  Time sendStartedAt_;
-  /** When the deadline expires that the current send hands to its endpoint. */
-  Time endpointDeadline_;
-  bool requestSent_ = false;
-  /** The endpoint of the current send has been silent for too long. */
-  bool stalled_ = false;
   /** Reading from the endpoint is paused because the caller reads slowly. */
   bool readingPaused_ = false;
   /** No attempt to move to another endpoint before this time. */
@@ -233,12 +284,14 @@
   /** The last send failed on a reused connection before the response head. The endpoint may be
    * healthy: it can have closed the idle connection. */
   bool reusedConnectionFailed_ = false;
-  /** The endpoint that is chosen for the current or next send. */
-  dispatch::ChosenEndpoint chosenEndpoint_;
   /** When the next send starts; set while the previous endpoint is given time to stop. */
   std::optional<Time> sendAt_;
-  /** What ends the body of the current endpoint's response; nothing before its head. */
-  std::optional<http::BodyDelimiter> bodyDelimiter_;
+  /** When an endpoint is chosen again, because none accepted the rest of a response. */
+  std::optional<Time> nextChoiceAt_;
+  /** Since when no endpoint has accepted the rest of a response. */
+  std::optional<Time> withoutEndpointSince_;
+  /** The endpoints of triedEndpoints_ that refused the request and did not run it. */
+  std::vector<EndpointId> refusingEndpoints_;
   /** Only complete events are relayed, so that another endpoint can continue the response. */
   bool relaysWholeEvents_ = false;
   EventRelay eventRelay_;
@@ -247,15 +300,11 @@
   std::int64_t deliveredTokens_ = 0;
   std::int64_t deliveredBytes_ = 0;
   Time firstByteAt_;
-  /** Start of the current send, then the arrival of the last byte from its endpoint. */
-  Time lastByteAt_;
   /** How often the request was moved away from an endpoint whose connection was open. */
   int moves_ = 0;
   /** Arrival of the last event of a stream, and the longest time between two events. */
   Time lastEventAt_;
   Duration longestPause_{ 0 };
-  /** The first byte of the current send has been reported to the dispatcher. */
-  bool firstByteReported_ = false;
   /** Status of the response once its head has been relayed; 0 before. */
   int status_ = 0;
 };
--- a/modules/router/ExchangeFailure.cpp
+++ b/modules/router/ExchangeFailure.cpp
@@ -5,8 +5,8 @@
 #include <fmt/format.h>
 #include <utility>
 
-/** The part of Exchange that handles failed and stalled sends: it sends the request again, moves it
-   to another endpoint, or ends it. */
+/** The part of Exchange that handles failed sends and time limits: it sends the request again, or
+   ends it. */
 namespace figchute::router {
 namespace {
 
@@ -21,35 +21,31 @@
 constexpr Duration kRetryAfterRefusal = std::chrono::milliseconds(100);
 /** An endpoint needs up to this time to stop a request whose connection was closed. */
 constexpr Duration kEndpointCancelTime = std::chrono::milliseconds(400);
-/** Time between two attempts to move a stalled request to another endpoint. */
-constexpr Duration kMoveRetryInterval = std::chrono::milliseconds(200);
+/** The rest of a response waits for this time for an endpoint. The caller may take the stream up at
+ * another entry process, and gives it up after 2 s without an event. */
+constexpr Duration kMaxTimeWithoutEndpoint = std::chrono::seconds(1);
 
 /** A response that ended before its deadline may be confirmed for this time after it. */
 constexpr Duration kMaxConfirmationTime = std::chrono::milliseconds(200);
 
 } // namespace
 
-void Exchange::onFailure(const http::CallFailure& failure)
+void Exchange::onFailure(EndpointSend& send, const http::CallFailure& failure)
 {
   using Kind = http::CallFailureKind;
   const Time now = bootTime();
-  call_.reset();
-  dispatch::Outcome outcome = dispatch::Outcome::broken;
-  if (!failure.sent) {
-    outcome = recordConnectFailure(now, failure.kind);
-  } else if (failure.kind == Kind::malformed) {
-    outcome = dispatch::Outcome::malformed;
-  }
-  if (failure.kind == Kind::unconfirmedEnd) {
-    services_.metrics.count("bodies_with_unconfirmed_end");
-    outcome = dispatch::Outcome::unconfirmedEnd;
+  send.call.reset();
+  const auto outcome = outcomeOf(now, send, failure);
+  const auto detail =
+    fmt::format("{}{}", toString(failure.kind), failure.reused ? " on a reused connection" : "");
+  if (&send == standby_.get()) {
+    failStandby(now, outcome, detail);
+    return;
   }
   reusedConnectionFailed_ = failure.sent && failure.reused && !failure.headReceived &&
                             (failure.kind == Kind::reset || failure.kind == Kind::closed);
-  const auto detail =
-    fmt::format("{}{}", toString(failure.kind), failure.reused ? " on a reused connection" : "");
   if (stage_ == Stage::relaying && !canContinue()) {
-    endSend(now, outcome);
+    endSend(now, send, outcome);
     abortResponse(now, detail);
     return;
   }
@@ -57,19 +53,36 @@
   handleFailedSend(now, outcome, failure.sent, detail);
 }
 
-dispatch::Outcome Exchange::recordConnectFailure(Time now, http::CallFailureKind kind)
+dispatch::Outcome Exchange::outcomeOf(Time now,
+                                      const EndpointSend& send,
+                                      const http::CallFailure& failure)
+{
+  using Kind = http::CallFailureKind;
+  if (failure.kind == Kind::unconfirmedEnd) {
+    services_.metrics.count("bodies_with_unconfirmed_end");
+    return dispatch::Outcome::unconfirmedEnd;
+  }
+  if (!failure.sent) {
+    return recordConnectFailure(now, send, failure.kind);
+  }
+  return failure.kind == Kind::malformed ? dispatch::Outcome::malformed : dispatch::Outcome::broken;
+}
+
+dispatch::Outcome Exchange::recordConnectFailure(Time now,
+                                                 const EndpointSend& send,
+                                                 http::CallFailureKind kind)
 {
   using Kind = http::CallFailureKind;
   auto& egress = services_.egress;
   bool isEndpointAtFault = true;
-  if (tunnelPeer_) {
+  if (send.tunnelPeer) {
     const bool isPeerWorking =
-      kind == Kind::connectionLimit || egress.tunnelFailed(now, *tunnelPeer_);
+      kind == Kind::connectionLimit || egress.tunnelFailed(now, *send.tunnelPeer);
     isEndpointAtFault = isPeerWorking && kind != Kind::proxyFailed;
   } else if (kind == Kind::connectTimeout || kind == Kind::connectRefused) {
-    egress.directFailed(now, endpoint_);
+    egress.directFailed(now, send.endpoint.endpoint);
     if (kind == Kind::connectTimeout) {
-      services_.link.connectTimedOut(now, endpoint_);
+      services_.link.connectTimedOut(now, send.endpoint.endpoint);
     }
     isEndpointAtFault = !egress.isTunnelling() && !isLinkCongested(now);
   }
@@ -86,28 +99,57 @@
   return relaysWholeEvents_ && eventRelay_.canContinue();
 }
 
-void Exchange::endSend(Time now, dispatch::Outcome outcome)
+void Exchange::endSend(Time now, EndpointSend& send, dispatch::Outcome outcome)
 {
-  services_.dispatcher.finished(now, id_, outcome);
-  call_.reset();
+  send.cancel();
+  services_.dispatcher.finished(now, send.dispatchId, outcome);
   if (outcome == dispatch::Outcome::broken && modelService_) {
-    logLostConnection(now);
+    logLostConnection(now, send);
   }
   if (outcome == dispatch::Outcome::broken || outcome == dispatch::Outcome::notConnected) {
     services_.onConnectionFailure(now);
   }
 }
 
+void Exchange::recordRefusal(const EndpointSend& send, dispatch::Outcome outcome)
+{
+  if (!hasResponseStarted() ||
+      (outcome != dispatch::Outcome::notExecuted && outcome != dispatch::Outcome::wrongEndpoint)) {
+    return;
+  }
+  ++requestInfo_.maxAttempts;
+  refusingEndpoints_.push_back(send.endpoint.endpoint);
+}
+
+bool Exchange::waitForEndpoint(Time now)
+{
+  if (!hasResponseStarted() || !canContinue()) {
+    return false;
+  }
+  if (!withoutEndpointSince_) {
+    withoutEndpointSince_ = now;
+  }
+  const Time nextChoiceAt = now + kRetryAfterRefusal;
+  if (nextChoiceAt >= std::min(deadline_, *withoutEndpointSince_ + kMaxTimeWithoutEndpoint)) {
+    return false;
+  }
+  stage_ = Stage::waitingForHead;
+  nextChoiceAt_ = nextChoiceAt;
+  return true;
+}
+
 void Exchange::handleFailedSend(Time now,
                                 dispatch::Outcome outcome,
                                 bool mayHaveRun,
                                 const std::string& detail)
 {
-  if (call_) {
-    call_->cancel();
+  endSend(now, *send_, outcome);
+  logFailedSend(now, *send_, outcome, detail);
+  recordRefusal(*send_, outcome);
+  if (standby_) {
+    useStandby(now);
+    return;
   }
-  endSend(now, outcome);
-  logFailedSend(now, outcome, detail);
   const bool isWithdrawn = outcome == dispatch::Outcome::withdrawn;
   const bool unsent = outcome == dispatch::Outcome::notConnected || isWithdrawn;
   if (isWithdrawn && isLinkCongested(now) && !mayHaveRun_) {
@@ -121,6 +163,10 @@
   // router closed the connection, so the endpoint may still be running it.
   const bool mayRun = outcome == dispatch::Outcome::malformed && hasResponseStarted();
   const Duration pause = mayRun ? kEndpointCancelTime : Duration{ 0 };
+  const bool isRefused = outcome == dispatch::Outcome::notExecuted;
+  if ((isRefused || (unsent && !again)) && waitForEndpoint(now)) {
+    return;
+  }
   if (again && now + pause < deadline_) {
     sendNext(now, pause);
     return;
@@ -137,6 +183,15 @@
 
 void Exchange::refuse(Time now, const dispatch::Refusal& refusal)
 {
+  const bool isTemporary =
+    refusal.kind == ErrorKind::overloaded || refusal.kind == ErrorKind::noEndpoint;
+  if (isTemporary && waitForEndpoint(now)) {
+    // Those that refused may have room by then.
+    std::erase_if(triedEndpoints_, [this](const EndpointId& endpoint) {
+      return std::ranges::find(refusingEndpoints_, endpoint) != refusingEndpoints_.end();
+    });
+    return;
+  }
   if (mayHaveRun_) {
     sendErrorResponse(now, Error{ ErrorKind::endpointFailed, refusal.detail }, Duration{ 0 });
     return;
@@ -162,25 +217,36 @@
     }
     return;
   }
+  if (nextChoiceAt_) {
+    if (now >= *nextChoiceAt_) {
+      nextChoiceAt_.reset();
+      sendNext(now);
+    }
+    return;
+  }
+  if (standby_) {
+    checkStandby(now);
+    return;
+  }
   const auto stall = std::max<Duration>(kMinStallTime, requestInfo_.target * kStallTargetMultiple);
-  const bool headOverdue = stage_ == Stage::waitingForHead && now - sendStartedAt_ > stall;
-  if (call_ && requestSent_ && !readingPaused_ && (stalled_ || headOverdue) && now >= nextMoveAt_) {
-    moveToAnotherEndpoint(now);
+  const bool headOverdue = stage_ == Stage::waitingForHead && now - send_->startedAt > stall;
+  if (send_->call && send_->sent && !readingPaused_ && (send_->stalled || headOverdue) &&
+      now >= nextMoveAt_) {
+    startStandby(now);
   }
 }
 
 bool Exchange::hasEndedInTime(Time now) const
 {
-  const auto sinceEnd = call_ ? call_->timeSinceEnd() : std::nullopt;
+  const auto sinceEnd = send_->call ? send_->call->timeSinceEnd() : std::nullopt;
   return sinceEnd && now - *sinceEnd < deadline_ && now < deadline_ + kMaxConfirmationTime;
 }
 
 void Exchange::handleExpiry(Time now)
 {
-  const bool running = call_ && requestSent_;
-  if (call_) {
-    call_->cancel();
-    endSend(now, running ? dispatch::Outcome::timedOut : dispatch::Outcome::cancelled);
+  const bool running = send_->call && send_->sent;
+  if (send_->call) {
+    endSend(now, *send_, running ? dispatch::Outcome::timedOut : dispatch::Outcome::cancelled);
   }
   if (stage_ == Stage::relaying) {
     abortResponse(now, "time-out");
@@ -194,37 +260,14 @@
 
 void Exchange::startDelayedSend(Time now)
 {
-  if (services_.dispatcher.maySend(now, id_)) {
+  if (services_.dispatcher.maySend(now, send_->dispatchId)) {
     startSend(now);
     return;
   }
   sendAt_.reset();
-  services_.dispatcher.finished(now, id_, dispatch::Outcome::withdrawn);
+  services_.dispatcher.finished(now, send_->dispatchId, dispatch::Outcome::withdrawn);
   triedEndpoints_.pop_back();
   sendNext(now);
 }
 
-void Exchange::moveToAnotherEndpoint(Time now)
-{
-  const bool possible = stage_ == Stage::relaying ? canContinue() : isRepeatable();
-  const Duration pause = eventRelay_.lastId() ? kEndpointCancelTime : Duration{ 0 };
-  if (!possible || sendCount_ >= requestInfo_.maxAttempts || now + pause >= deadline_) {
-    return;
-  }
-  constexpr auto kOutcome = dispatch::Outcome::timedOut;
-  services_.dispatcher.finished(now, id_, kOutcome);
-  const auto choice = services_.dispatcher.choose(now, requestInfo_, triedEndpoints_);
-  if (!choice) {
-    // Keep the current endpoint, which may still respond.
-    nextMoveAt_ = now + kMoveRetryInterval;
-    return;
-  }
-  mayHaveRun_ = true;
-  ++moves_;
-  call_->cancel();
-  call_.reset();
-  logFailedSend(now, kOutcome, "the endpoint is unresponsive");
-  assignEndpoint(now, *choice, pause);
-}
-
 } // namespace figchute::router
--- a/modules/router/ExchangeLog.cpp
+++ b/modules/router/ExchangeLog.cpp
@@ -36,40 +36,43 @@
 
 } // namespace
 
-void Exchange::logLostConnection(Time now)
+void Exchange::logLostConnection(Time now, const EndpointSend& send)
 {
   const auto candidates = dispatch::crashCandidatesOf(requestInfo_);
   services_.log.line(now,
                      "connection_lost",
                      { { "request", requestId_ },
-                       { "endpoint", endpoint_.value },
-                       { "answered", firstByteReported_ ? "yes" : "no" },
+                       { "endpoint", send.endpoint.endpoint.value },
+                       { "answered", send.firstByteReported ? "yes" : "no" },
                        { "fingerprint", fmt::format("{:x}", candidates.request) },
                        { "parts", fmt::format("{:x}", fmt::join(candidates.parts, ",")) },
-                       { "age_ms", std::to_string(toMillis(now - sendStartedAt_)) } });
+                       { "age_ms", std::to_string(toMillis(now - send.startedAt)) } });
 }
 
-void Exchange::logFailedSend(Time now, dispatch::Outcome outcome, const std::string& detail)
+void Exchange::logFailedSend(Time now,
+                             const EndpointSend& send,
+                             dispatch::Outcome outcome,
+                             const std::string& detail)
 {
   services_.log.line(now,
                      "send_failed",
                      { { "request", requestId_ },
-                       { "endpoint", endpoint_.value },
-                       { "version", chosenEndpoint_.softwareVersion },
+                       { "endpoint", send.endpoint.endpoint.value },
+                       { "version", send.endpoint.softwareVersion },
                        { "outcome", std::string(dispatch::toString(outcome)) },
                        { "detail", detail },
-                       { "body_end", bodyEnd(bodyDelimiter_) },
-                       { "tunnel", tunnelAddress(tunnelPeer_) },
-                       { "age_ms", std::to_string(toMillis(now - sendStartedAt_)) } });
+                       { "body_end", bodyEnd(send.bodyDelimiter) },
+                       { "tunnel", tunnelAddress(send.tunnelPeer) },
+                       { "age_ms", std::to_string(toMillis(now - send.startedAt)) } });
 }
 
-void Exchange::logUnreadableFields(Time now, const EndpointReport& report)
+void Exchange::logUnreadableFields(Time now, const EndpointSend& send, const EndpointReport& report)
 {
   for (const auto& field : report.unreadableFields) {
     services_.log.line(now,
                        "endpoint_field_unreadable",
                        { { "request", requestId_ },
-                         { "endpoint", endpoint_.value },
+                         { "endpoint", send.endpoint.endpoint.value },
                          { "field", std::string(field.name) },
                          { "detail", std::string(field.value) } });
   }
@@ -86,8 +89,8 @@
       { "route", route_ != nullptr ? route_->name : std::string() },
       { "workspace", requestInfo_.workspace },
       { "service", requestInfo_.service.value },
-      { "endpoint", endpoint_.value },
-      { "version", chosenEndpoint_.softwareVersion },
+      { "endpoint", send_->endpoint.endpoint.value },
+      { "version", send_->endpoint.softwareVersion },
       { "resumes", resumes.empty() ? "-" : std::string(resumes) },
       { "outcome", std::string(outcome) },
       { "status", std::to_string(status) },
@@ -100,15 +103,17 @@
       { "pause_ms", std::to_string(toMillis(longestPause_)) },
       { "total_ms", std::to_string(toMillis(now - arrivedAt_)) },
       { "limit_ms", std::to_string(toMillis(deadline_ - arrivedAt_)) },
-      { "left_ms", sendCount_ > 0 ? std::to_string(toMillis(endpointDeadline_ - now)) : "-" },
+      { "left_ms", sendCount_ > 0 ? std::to_string(toMillis(send_->deadline - now)) : "-" },
       { "prompt", std::to_string(requestInfo_.promptTokens) },
       { "output", std::to_string(deliveredTokens_) },
       { "events", std::to_string(deliveredEvents_) },
       { "bytes", std::to_string(deliveredBytes_) },
-      { "body_end", bodyEnd(bodyDelimiter_) },
-      { "tunnel", tunnelAddress(tunnelPeer_) },
-      { "endpoint_state", std::string(services_.dispatcher.stateOf(endpoint_)) },
-      { "silent_ms", sendCount_ > 0 ? std::to_string(toMillis(now - lastByteAt_)) : "-" },
+      { "body_end", bodyEnd(send_->bodyDelimiter) },
+      { "tunnel", tunnelAddress(send_->tunnelPeer) },
+      { "endpoint_state",
+        sendCount_ > 0 ? std::string(services_.dispatcher.stateOf(send_->endpoint.endpoint))
+                       : "-" },
+      { "silent_ms", send_->sent ? std::to_string(toMillis(now - send_->lastByteAt)) : "-" },
       { "configuration", std::to_string(table_ ? table_->configuration().version : 0) },
       { "registry", std::to_string(services_.endpointRevision) },
       { "detail", std::string(detail) } });
--- a/modules/router/ExchangeRelay.cpp
+++ b/modules/router/ExchangeRelay.cpp
@@ -29,40 +29,48 @@
 
 } // namespace
 
-void Exchange::onHead(const http::ResponseHead& head)
+void Exchange::onHead(EndpointSend& send, const http::ResponseHead& head)
 {
   const Time now = bootTime();
-  lastByteAt_ = now;
-  services_.link.answered(now, now - sendStartedAt_);
-  reusedConnectionFailed_ = false;
+  send.lastByteAt = now;
+  services_.link.answered(now, now - send.startedAt);
   const auto report = parseEndpointReport(services_.dialect.fields(), head);
-  const bool marked = report.marked;
-  const bool notExecuted = report.notExecuted;
-  recordReport(now, head, report);
+  recordReport(now, send, head, report);
+  const auto fail = [this, now, &send](dispatch::Outcome outcome, bool mayHaveRun, auto detail) {
+    if (&send == standby_.get()) {
+      failStandby(now, outcome, detail);
+    } else {
+      handleFailedSend(now, outcome, mayHaveRun, detail);
+    }
+  };
   if (head.status == kMisdirectedRequest) {
-    handleFailedSend(
-      now, dispatch::Outcome::wrongEndpoint, false, "another endpoint uses this address");
+    fail(dispatch::Outcome::wrongEndpoint, false, "another endpoint uses this address");
     return;
   }
-  if (notExecuted && (head.status >= 500 || head.status == 429 || head.status == 408)) {
-    handleFailedSend(
-      now, dispatch::Outcome::notExecuted, false, fmt::format("status {}", head.status));
+  if (report.notExecuted && (head.status >= 500 || head.status == 429 || head.status == 408)) {
+    fail(dispatch::Outcome::notExecuted, false, fmt::format("status {}", head.status));
     return;
   }
-  mayHaveRun_ = mayHaveRun_ || !notExecuted;
-  bodyDelimiter_ = head.bodyDelimiter();
+  send.bodyDelimiter = head.bodyDelimiter();
+  if (&send == standby_.get()) {
+    handleStandbyHead(now, head, report);
+    return;
+  }
+  reusedConnectionFailed_ = false;
+  mayHaveRun_ = mayHaveRun_ || !report.notExecuted;
   if (hasResponseStarted()) {
-    continueResponse(now, head, marked);
+    continueResponse(now, head, report.marked);
     return;
   }
-  if (!notExecuted && (guaranteesNotExecuted(head.status) || (!marked && head.status < 400))) {
+  if (!report.notExecuted &&
+      (guaranteesNotExecuted(head.status) || (!report.marked && head.status < 400))) {
     handleFailedSend(now,
                      dispatch::Outcome::malformed,
                      true,
                      fmt::format("status {} without the endpoint's marker", head.status));
     return;
   }
-  if (head.status >= 500 && isRepeatable() && sendCount_ < requestInfo_.maxAttempts) {
+  if (head.status >= 500 && isRepeatable() && (standby_ || sendCount_ < requestInfo_.maxAttempts)) {
     handleFailedSend(
       now, dispatch::Outcome::serverError, true, fmt::format("status {}", head.status));
     return;
@@ -70,40 +78,46 @@
   startRelay(head);
 }
 
-void Exchange::recordReport(Time now, const http::ResponseHead& head, const EndpointReport& report)
+void Exchange::recordReport(Time now,
+                            const EndpointSend& send,
+                            const http::ResponseHead& head,
+                            const EndpointReport& report)
 {
   auto& dispatcher = services_.dispatcher;
   if (report.load) {
-    dispatcher.load(now, endpoint_, *report.load);
+    dispatcher.load(now, send.endpoint.endpoint, *report.load);
   }
   const bool namesLimit = head.fields.find(services_.dialect.fields().rateLimit) != nullptr;
   const bool endsLimit = !namesLimit && report.marked && head.status / 100 == 2;
   if (report.rateLimit || endsLimit) {
-    dispatcher.answerHead(now, id_, report.rateLimit);
+    dispatcher.answerHead(now, send.dispatchId, report.rateLimit);
   }
   // With status 421, another endpoint speaks about itself.
   if (head.status != kMisdirectedRequest) {
-    dispatcher.responseHead(now, id_);
+    dispatcher.responseHead(now, send.dispatchId);
     const bool namesBrittle = head.fields.find(services_.dialect.fields().brittle) != nullptr;
     if (report.brittle || (!namesBrittle && report.marked)) {
-      dispatcher.endpointBrittle(id_, report.brittle);
+      dispatcher.endpointBrittle(send.dispatchId, report.brittle);
     }
     if (report.cold) {
-      dispatcher.endpointCold(now, id_, *report.cold);
+      dispatcher.endpointCold(now, send.dispatchId, *report.cold);
     }
     if (report.leaving) {
-      dispatcher.endpointLeaving(now, id_);
+      dispatcher.endpointLeaving(now, send.dispatchId);
     }
     if (report.backoff) {
-      dispatcher.endpointBackoff(now, id_, *report.backoff);
+      dispatcher.endpointBackoff(now, send.dispatchId, *report.backoff);
     }
   }
-  logUnreadableFields(now, report);
+  logUnreadableFields(now, send, report);
 }
 
 void Exchange::startRelay(const http::ResponseHead& head)
 {
   const Time now = bootTime();
+  if (standby_) {
+    cancelStandby(now, std::string(kFirstEndpointResponds));
+  }
   stage_ = Stage::relaying;
   status_ = head.status;
   relaysWholeEvents_ =
@@ -116,27 +130,38 @@
   request_->start(head);
 }
 
+bool Exchange::continuesResponse(const http::ResponseHead& head, bool marked)
+{
+  return marked && head.status / 100 == 2 && head.fields.find("Content-Encoding") == nullptr;
+}
+
+dispatch::Outcome Exchange::failedHeadOutcome(const http::ResponseHead& head)
+{
+  return head.status >= 500 ? dispatch::Outcome::serverError : dispatch::Outcome::malformed;
+}
+
 void Exchange::continueResponse(Time now, const http::ResponseHead& head, bool marked)
 {
-  const bool plain = head.fields.find("Content-Encoding") == nullptr;
-  if (!marked || head.status / 100 != 2 || !plain) {
-    const auto outcome =
-      head.status >= 500 ? dispatch::Outcome::serverError : dispatch::Outcome::malformed;
-    const auto detail = fmt::format("status {} does not continue the stream", head.status);
-    call_->cancel();
-    endSend(now, outcome);
-    logFailedSend(now, outcome, detail);
-    abortResponse(now, detail);
+  if (!continuesResponse(head, marked)) {
+    handleFailedSend(now,
+                     failedHeadOutcome(head),
+                     true,
+                     fmt::format("status {} does not continue the stream", head.status));
     return;
   }
-  stage_ = Stage::relaying;
   eventRelay_.continueStream();
+  recordContinuation(now);
+}
+
+void Exchange::recordContinuation(Time now)
+{
+  stage_ = Stage::relaying;
   services_.metrics.count("streams_continued");
   services_.log.line(now,
                      "stream_continued",
                      { { "request", requestId_ },
-                       { "endpoint", endpoint_.value },
-                       { "version", chosenEndpoint_.softwareVersion },
+                       { "endpoint", send_->endpoint.endpoint.value },
+                       { "version", send_->endpoint.softwareVersion },
                        { "last_event", std::to_string(eventRelay_.lastId().value_or(0)) } });
   if (!modelService_) {
     recordFirstByte(now);
@@ -145,8 +170,8 @@
 
 void Exchange::recordFirstByte(Time now)
 {
-  if (!std::exchange(firstByteReported_, true)) {
-    services_.dispatcher.firstByte(now, id_);
+  if (!std::exchange(send_->firstByteReported, true)) {
+    services_.dispatcher.firstByte(now, send_->dispatchId);
   }
   if (firstByteAt_.micros == 0) {
     firstByteAt_ = now;
@@ -154,15 +179,23 @@
   }
 }
 
-void Exchange::onBody(std::string_view bytes)
+void Exchange::onBody(EndpointSend& send, std::string_view bytes)
 {
+  const Time now = bootTime();
+  send.lastByteAt = now;
+  if (&send == standby_.get()) {
+    handleStandbyBody(now, bytes);
+    return;
+  }
   if (stage_ != Stage::relaying) {
     return;
   }
-  stalled_ = false;
-  lastByteAt_ = bootTime();
+  send.stalled = false;
+  if (standby_) {
+    cancelStandby(now, std::string(kFirstEndpointResponds));
+  }
   if (relaysWholeEvents_) {
-    if (!relayEvents(bytes)) {
+    if (!relayEvents(eventRelay_.feed(bytes))) {
       return;
     }
   } else {
@@ -171,24 +204,29 @@
       const auto events = events_.feed(bytes);
       deliveredEvents_ += events;
       if (events > 0) {
-        recordOrigin(bootTime());
+        recordOrigin(now);
       }
       recordProgress(modelService_ ? events : 0);
     }
     relay(bytes);
   }
+  pauseForSlowCaller();
+}
+
+void Exchange::pauseForSlowCaller()
+{
   if (request_->pendingBytes() > kMaxPendingBytes) {
     readingPaused_ = true;
-    call_->pause();
+    send_->call->pause();
   }
 }
 
-bool Exchange::relayEvents(std::string_view bytes)
+bool Exchange::relayEvents(const EventRelay::Part& part)
 {
-  const auto part = eventRelay_.feed(bytes);
   deliveredEvents_ += part.events;
   if (part.events > 0) {
     recordOrigin(bootTime());
+    withoutEndpointSince_.reset();
   }
   recordProgress(part.events);
   relay(part.buffered);
@@ -197,9 +235,8 @@
     return true;
   }
   const Time now = bootTime();
-  call_->cancel();
-  endSend(now, dispatch::Outcome::malformed);
-  abortResponse(now, "the second response does not continue the stream");
+  endSend(now, *send_, dispatch::Outcome::malformed);
+  abortResponse(now, kDifferentEvents);
   return false;
 }
 
@@ -227,53 +264,62 @@
     longestPause_ = std::max(longestPause_, now - lastEventAt_);
   }
   lastEventAt_ = now;
-  services_.dispatcher.progress(now, id_, tokens);
+  services_.dispatcher.progress(now, send_->dispatchId, tokens);
 }
 
-void Exchange::onComplete(const http::ResponseEnd& responseEnd)
+void Exchange::onComplete(EndpointSend& send, const http::ResponseEnd& responseEnd)
 {
-  if (stage_ != Stage::relaying) {
+  const Time now = bootTime();
+  if (&send == standby_.get()) {
+    handleStandbyEnd(now, responseEnd);
     return;
   }
-  if (mayHaveExpired(bootTime(), responseEnd)) {
-    handleExpiry(bootTime());
+  if (stage_ == Stage::relaying) {
+    completeResponse(now, responseEnd);
+  }
+}
+
+void Exchange::completeResponse(Time now, const http::ResponseEnd& responseEnd)
+{
+  if (mayHaveExpired(now, responseEnd)) {
+    handleExpiry(now);
     return;
   }
   if (isBrokenOff()) {
-    onFailure({ http::CallFailureKind::closed, true, true, false, "inside an event" });
+    onFailure(*send_, { http::CallFailureKind::closed, true, true, false, "inside an event" });
     return;
   }
-  const Time now = bootTime();
   if (relaysWholeEvents_) {
     const auto rest = eventRelay_.finish();
     if (!rest) {
-      endSend(now, dispatch::Outcome::malformed);
-      abortResponse(now, "the second response does not continue the stream");
+      endSend(now, *send_, dispatch::Outcome::malformed);
+      abortResponse(now, kDifferentEvents);
       return;
     }
     relay(*rest);
   }
-  if (bodyDelimiter_ == http::BodyDelimiter::connectionEnd) {
-    services_.metrics.count(tunnelPeer_ ? "bodies_ended_with_tunnel"
-                                        : "bodies_ended_with_connection");
+  if (send_->bodyDelimiter == http::BodyDelimiter::connectionEnd) {
+    services_.metrics.count(send_->tunnelPeer ? "bodies_ended_with_tunnel"
+                                              : "bodies_ended_with_connection");
   }
-  endSend(now, status_ >= 500 ? dispatch::Outcome::serverError : dispatch::Outcome::answered);
+  endSend(
+    now, *send_, status_ >= 500 ? dispatch::Outcome::serverError : dispatch::Outcome::answered);
   request_->finish();
   end(now, "answered", status_, "");
 }
 
 bool Exchange::mayHaveExpired(Time now, const http::ResponseEnd& end) const
 {
-  if (bodyDelimiter_ == http::BodyDelimiter::length || now < endpointDeadline_) {
+  if (send_->bodyDelimiter == http::BodyDelimiter::length || now < send_->deadline) {
     return false;
   }
   const Time endedAt = now + (http::ResponseEnd::kBufferedTimeStep - end.bufferedTime);
-  return endedAt >= std::min(deadline_, endpointDeadline_);
+  return endedAt >= std::min(deadline_, send_->deadline);
 }
 
 bool Exchange::isBrokenOff() const
 {
-  if (bodyDelimiter_ != http::BodyDelimiter::connectionEnd || status_ >= 300 ||
+  if (send_->bodyDelimiter != http::BodyDelimiter::connectionEnd || status_ >= 300 ||
       requestInfo_.kind != fleet::RouteKind::stream) {
     return false;
   }
--- a/modules/router/ExchangeResumption.cpp
+++ b/modules/router/ExchangeResumption.cpp
@@ -77,13 +77,13 @@
   if (!isResumableStream() || std::exchange(isOriginRecorded_, true)) {
     return;
   }
-  requestInfo_.softwareVersion = chosenEndpoint_.softwareVersion;
+  requestInfo_.softwareVersion = send_->endpoint.softwareVersion;
   const auto isNamed = resumedRequestId_ && !resumedRequestId_->empty();
   const auto& streamId = isNamed ? *resumedRequestId_ : requestId_;
   services_.origins.add(now,
                         { fleet::streamFingerprint(requestInfo_.workspace, streamId),
                           requestInfo_.service,
-                          chosenEndpoint_.softwareVersion });
+                          send_->endpoint.softwareVersion });
   services_.onOriginAdded();
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -442,6 +442,43 @@
   CHECK(dispatcher->takeStalled().empty());
 }
 
+TEST_CASE_FIXTURE(Fixture, "endpoint_silentAgain_isReportedAgain")
+{
+  // Guards against a stream whose endpoint is gone after it had been silent once before.
+  const auto request = makeRequestWithPrefix(7);
+  REQUIRE(dispatcher->choose(now, request, {}));
+  dispatcher->firstByte(now, request.id);
+  advance(2s);
+  CHECK(dispatcher->takeStalled().size() == 1);
+  dispatcher->progress(now, request.id, 1);
+  CHECK(dispatcher->takeStalled().empty());
+  advance(2s);
+  CHECK(dispatcher->takeStalled().size() == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "secondSendOfARequest_underAnotherId_countsAsRepeat")
+{
+  // Guards against requests that are sent to a second endpoint beyond the budget of repeats.
+  dispatcher->setPeers(4);
+  int repeats = 0;
+  for (int i = 0; i < 400; ++i) {
+    now = now + 20ms;
+    const auto request = makeRequest(kPlain);
+    const auto first = dispatcher->choose(now, request, {});
+    REQUIRE(first);
+    auto second = makeRequest(kPlain);
+    second.isRepeat = true;
+    const std::vector<EndpointId> excluded{ first->endpoint };
+    repeats += dispatcher->choose(now, second, excluded) ? 1 : 0;
+    dispatcher->finished(now, request.id, Outcome::answered);
+    dispatcher->forget(request.id);
+    dispatcher->forget(second.id);
+  }
+  // 400 requests in 8 s: 0.15 x 400 + 58 / 8.
+  CHECK(repeats <= 67);
+  CHECK(repeats >= 50);
+}
+
 TEST_CASE_FIXTURE(Fixture, "repeats_manyFailures_stayWithinBudget")
 {
   // Guards against repeats that multiply the load of a failing service.
