--- a/tests/failover_test.py
+++ b/tests/failover_test.py
@@ -67,7 +67,7 @@
 def leader_killed_during_top_up_change_is_applied_once(build):
     """Guards against a top-up that is lost or applied twice when the leader is killed."""
     with start_fleet(build) as fleet:
-        leader = fleet.leader()
+        leader = fleet.wait_for_leader()
         others = [daemon for daemon in fleet.daemons if daemon is not leader]
         outcome = []
 
@@ -94,7 +94,7 @@
 def leader_paused_longer_than_election_neither_accepts_nor_reverts_changes(build):
     """Guards against an isolated leader that accepts changes or reports outdated state as current."""
     with start_fleet(build) as fleet:
-        paused_leader = fleet.leader()
+        paused_leader = fleet.wait_for_leader()
         others = [daemon for daemon in fleet.daemons if daemon is not paused_leader]
         os.kill(paused_leader.process.pid, signal.SIGSTOP)
         response = wait_until(lambda: (lambda candidate: candidate if candidate.status == 200 else None)(
@@ -128,7 +128,7 @@
         start_time = time.monotonic()
         for daemon in fleet.daemons:
             daemon.start()
-        wait_until(lambda: fleet.leader(), description="a leader after the restart")
+        fleet.wait_for_leader()
         fleet.wait_ready(revision=500, endpoints=0)
         print(f"recovery after 500 changes: {1000 * (time.monotonic() - start_time):.0f} ms")
         shown_document = fleet.daemons[1].admin("GET", "/v1/documents/hive").json()
@@ -143,7 +143,7 @@
         replaced.kill()
         fleets.shutil.rmtree(replaced.folder)
         others = fleet.daemons[:2]
-        wait_until(lambda: fleet.leader(), description="a leader of the two remaining daemons")
+        fleet.wait_for_leader()
         for operation in ("remove", "add"):
             response = wait_until(
                 lambda operation=operation: (
@@ -157,7 +157,8 @@
         wait_until(lambda: members(others[0]).get(replaced.id) is True, timeout_s=25,
                    description="the replacement to be a voter")
         check(fleet.apply(document(4_000_000), 1, "after-repair").status == 200, "a change is accepted")
-        killed = fleet.leader() if fleet.leader() is not replaced else others[1]
+        leader = fleet.wait_for_leader()
+        killed = leader if leader is not replaced else others[1]
         killed.kill()
         survivor = next(d for d in fleet.daemons if d.process is not None and d is not replaced)
         response = wait_until(lambda: (lambda candidate: candidate if candidate.status == 200 else None)(
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -290,7 +290,7 @@
         for daemon in self.daemons:
             daemon.write_settings(self.daemons)
             daemon.start()
-        wait_until(lambda: self.leader(), description="a leader")
+        self.wait_for_leader()
 
     def leader(self):
         """Returns the daemon that is the leader of the replicated log, or None."""
@@ -304,6 +304,10 @@
                 continue
         return None
 
+    def wait_for_leader(self):
+        """Returns the leader, once there is one: on a busy machine, elections can follow each other."""
+        return wait_until(self.leader, description="a leader")
+
     def add_model(self, name, zone, *arguments):
         return self._add_standin(name, zone, ["--kind", "model", "--models", "swarm", *arguments])
 
