router: a standby send ends within 250 ms, and no endpoint or answer is given up without need

Change: a stream's standby is used at its next event, or 250 ms after it was sent; lookups, which may run twice, keep both calls until one answers. Endpoints that refused are chosen again when no other is left. An empty second response ends the standby only. A failed standby that may have run counts as run, a first call that was refused does not.

--- a/modules/router/EndpointSend.h
+++ b/modules/router/EndpointSend.h
@@ -76,8 +76,9 @@
   Time lastByteAt;
   /** Null before the start, and once the call has ended. */
   std::shared_ptr<http::Call> call;
-  /** The first byte of the request was written. */
+  /** The first byte of the request was written, at sentAt. */
   bool sent = false;
+  Time sentAt;
   /** The endpoint has been silent for too long. */
   bool stalled = false;
   /** The first byte of the response has been reported to the dispatcher. */
@@ -86,8 +87,6 @@
   std::optional<http::BodyDelimiter> bodyDelimiter;
   /** Reads the response while it is not known whether it goes on with the stream. */
   std::optional<EventRelay> continuation;
-  /** When the head arrived of a response that may go on with the stream. */
-  Time acceptedAt;
 };
 
 } // namespace figchute::router
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -304,7 +304,8 @@
   auto choice = services_.dispatcher.choose(now, requestInfo_, triedEndpoints_);
   if (!choice && reusedConnectionFailed_) {
     // No other endpoint is available, so retry the same one on a new connection.
-    const std::span<const EndpointId> others(triedEndpoints_.data(), triedEndpoints_.size() - 1);
+    auto others = triedEndpoints_;
+    std::erase(others, send_->endpoint.endpoint);
     choice = services_.dispatcher.choose(now, requestInfo_, others);
   }
   return choice;
@@ -410,6 +411,7 @@
 void Exchange::onSent(EndpointSend& send)
 {
   send.sent = true;
+  send.sentAt = bootTime();
   ++sendCount_;
   if (auto* const observer = request_->observer()) {
     observer->forwarded(request_->body()->size());
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -169,9 +169,13 @@
                                          const EndpointSend& send,
                                          http::CallFailureKind kind);
   void endSend(Time now, EndpointSend& send, dispatch::Outcome outcome);
+  /** Returns whether a send with this outcome reached an endpoint that did not run the request. */
+  [[nodiscard]] static bool isRefusal(dispatch::Outcome outcome);
   /** Records an endpoint that did not run the request. It uses up no attempt of a response that has
    * begun, because the caller can't get a refusal any more. */
   void recordRefusal(const EndpointSend& send, dispatch::Outcome outcome);
+  /** Lets endpoints that refused the request be chosen again: they may have room by now. */
+  void readmitRefusingEndpoints();
   /** Chooses an endpoint again a little later, if the rest of a response waits for one.
       @returns false if the response cannot go on, or has waited for too long */
   bool waitForEndpoint(Time now);
@@ -189,7 +193,6 @@
   void checkStandby(Time now);
   void handleStandbyHead(Time now, const http::ResponseHead& head, const EndpointReport& report);
   void handleStandbyBody(Time now, std::string_view bytes);
-  void handleStandbyEnd(Time now, const http::ResponseEnd& responseEnd);
   /** Ends the standby, whose endpoint does not go on with the request. */
   void failStandby(Time now, dispatch::Outcome outcome, const std::string& detail);
   /** Ends the standby because it is not needed any more. */
--- a/modules/router/ExchangeFailure.cpp
+++ b/modules/router/ExchangeFailure.cpp
@@ -111,14 +111,24 @@
   }
 }
 
+bool Exchange::isRefusal(dispatch::Outcome outcome)
+{
+  return outcome == dispatch::Outcome::notExecuted || outcome == dispatch::Outcome::wrongEndpoint;
+}
+
 void Exchange::recordRefusal(const EndpointSend& send, dispatch::Outcome outcome)
 {
-  if (!hasResponseStarted() ||
-      (outcome != dispatch::Outcome::notExecuted && outcome != dispatch::Outcome::wrongEndpoint)) {
-    return;
+  if (hasResponseStarted() && isRefusal(outcome)) {
+    ++requestInfo_.maxAttempts;
+    refusingEndpoints_.push_back(send.endpoint.endpoint);
+  }
+}
+
+void Exchange::readmitRefusingEndpoints()
+{
+  for (const auto& endpoint : std::exchange(refusingEndpoints_, {})) {
+    std::erase(triedEndpoints_, endpoint);
   }
-  ++requestInfo_.maxAttempts;
-  refusingEndpoints_.push_back(send.endpoint.endpoint);
 }
 
 bool Exchange::waitForEndpoint(Time now)
@@ -147,6 +157,7 @@
   logFailedSend(now, *send_, outcome, detail);
   recordRefusal(*send_, outcome);
   if (standby_) {
+    mayHaveRun_ = mayHaveRun_ || mayHaveRun;
     useStandby(now);
     return;
   }
@@ -186,10 +197,7 @@
   const bool isTemporary =
     refusal.kind == ErrorKind::overloaded || refusal.kind == ErrorKind::noEndpoint;
   if (isTemporary && waitForEndpoint(now)) {
-    // Those that refused may have room by then.
-    std::erase_if(triedEndpoints_, [this](const EndpointId& endpoint) {
-      return std::ranges::find(refusingEndpoints_, endpoint) != refusingEndpoints_.end();
-    });
+    readmitRefusingEndpoints();
     return;
   }
   if (mayHaveRun_) {
--- a/modules/router/ExchangeRelay.cpp
+++ b/modules/router/ExchangeRelay.cpp
@@ -271,7 +271,8 @@
 {
   const Time now = bootTime();
   if (&send == standby_.get()) {
-    handleStandbyEnd(now, responseEnd);
+    // The first endpoint has not ended its response, so this one does not show that it is whole.
+    failStandby(now, dispatch::Outcome::cancelled, "the second response has no event");
     return;
   }
   if (stage_ == Stage::relaying) {
--- a/modules/router/ExchangeStandby.cpp
+++ b/modules/router/ExchangeStandby.cpp
@@ -6,15 +6,15 @@
 #include <utility>
 
 /** The part of Exchange that tries another endpoint while that of the current send is silent. The
-   current call is kept until the other endpoint is known to go on with the response: a silent
-   endpoint may be sound, and the other one may refuse or fail. */
+   current call is kept until the other endpoint goes on with the response, or has worked on it for
+   kMaxOverlap: a silent endpoint may be sound, and the other one may refuse or fail. */
 namespace figchute::router {
 namespace {
 
 /** Time between two attempts to send a stalled request to another endpoint. */
 constexpr Duration kMoveRetryInterval = std::chrono::milliseconds(200);
-/** Two endpoints may work on a request for 400 ms. This is less, because the one that is given up
- * needs some time to stop. */
+/** Two endpoints may work on a stream for 400 ms. This is less, because time limits are checked
+ * every 50 ms, and the endpoint that is given up needs some time to stop. */
 constexpr Duration kMaxOverlap = std::chrono::milliseconds(250);
 
 } // namespace
@@ -32,6 +32,7 @@
   const auto choice = services_.dispatcher.choose(now, info, triedEndpoints_);
   if (!choice) {
     services_.dispatcher.forget(info.id);
+    readmitRefusingEndpoints();
     nextMoveAt_ = now + kMoveRetryInterval;
     return;
   }
@@ -45,10 +46,12 @@
 
 void Exchange::checkStandby(Time now)
 {
-  if (standby_->continuation && now - standby_->acceptedAt >= kMaxOverlap) {
+  const bool isStream = requestInfo_.kind == fleet::RouteKind::stream;
+  const bool hasOverlapped = standby_->sent && now - standby_->sentAt >= kMaxOverlap;
+  // Other requests may run twice, so both calls go on unless a third endpoint can be tried.
+  const bool mayTryThird = standby_->stalled && sendCount_ < requestInfo_.maxAttempts;
+  if (isStream ? hasOverlapped : mayTryThird) {
     useStandby(now);
-  } else if (standby_->stalled && sendCount_ < requestInfo_.maxAttempts) {
-    failStandby(now, dispatch::Outcome::timedOut, "the endpoint is unresponsive");
   }
 }
 
@@ -66,7 +69,6 @@
     failStandby(now, failedHeadOutcome(head), fmt::format("status {}", head.status));
     return;
   }
-  standby_->acceptedAt = now;
   standby_->continuation = eventRelay_;
   standby_->continuation->continueStream();
 }
@@ -79,26 +81,14 @@
   } else if (part.events > 0) {
     useStandby(now);
     relayEvents(part);
+    pauseForSlowCaller();
   }
 }
 
-void Exchange::handleStandbyEnd(Time now, const http::ResponseEnd& responseEnd)
-{
-  // The first endpoint still has its connection, so the end of another one does not prove that the
-  // stream has no more events.
-  const bool isProof = standby_->bodyDelimiter != http::BodyDelimiter::connectionEnd;
-  auto relay = *standby_->continuation;
-  if (!isProof || !relay.finish()) {
-    failStandby(now, dispatch::Outcome::malformed, std::string(kDifferentEvents));
-    return;
-  }
-  useStandby(now);
-  completeResponse(now, responseEnd);
-}
-
 void Exchange::failStandby(Time now, dispatch::Outcome outcome, const std::string& detail)
 {
   const auto send = std::exchange(standby_, nullptr);
+  mayHaveRun_ = mayHaveRun_ || (send->sent && !isRefusal(outcome));
   endSend(now, *send, outcome);
   services_.dispatcher.forget(send->dispatchId);
   logFailedSend(now, *send, outcome, detail);
@@ -115,11 +105,11 @@
 {
   if (send_->call) {
     ++moves_;
+    mayHaveRun_ = true;
     constexpr auto kOutcome = dispatch::Outcome::timedOut;
     endSend(now, *send_, kOutcome);
     logFailedSend(now, *send_, kOutcome, "the endpoint is unresponsive");
   }
-  mayHaveRun_ = true;
   services_.metrics.count("standby_sends_used");
   services_.dispatcher.forget(send_->dispatchId);
   send_ = std::exchange(standby_, nullptr);
