router: an endpoint that is not read for a slow caller does not count as silent

Callers see requests refused or sent elsewhere although their endpoint is sound: one caller that reads slowly takes it out of rotation for all requests of the process (found by reading and by the test).

Cause: while Exchange::pauseForSlowCaller() stops reading a response, no byte arrives from the endpoint, and Dispatcher::tick() counts the send as overdue after 1.2 s.

Change: Dispatcher::readingPaused() and readingResumed(). A send is not overdue in between, and its silence begins again with readingResumed(). Other sends to the endpoint are judged as before.

Test: endpoint_notReadForSlowCaller_isNotSilent in dispatch_test. With the check of the pause taken out of isOverdue() it fails (43 of 44 pass, takeStalled() names the send); with it 44 of 44 pass.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -202,6 +202,16 @@
   impl_->health().recordProbe(now, handle, result);
 }
 
+void Dispatcher::readingPaused(std::uint64_t requestId)
+{
+  impl_->readingPaused(requestId);
+}
+
+void Dispatcher::readingResumed(Time now, std::uint64_t requestId)
+{
+  impl_->readingResumed(now, requestId);
+}
+
 void Dispatcher::tick(Time now)
 {
   impl_->tick(now);
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -111,6 +111,15 @@
   /** Reports output tokens received since the last call. */
   void progress(Time now, std::uint64_t requestId, std::int64_t tokens);
 
+  /** Reports that this process reads nothing of the answer to the current send of a request until
+      readingResumed(), because the caller is slow. The endpoint does not count as silent for this
+      send in the meantime. */
+  void readingPaused(std::uint64_t requestId);
+
+  /** Reports that this process reads the answer again. The endpoint counts as silent if it sends
+      nothing for too long from now on. Has no effect without readingPaused(). */
+  void readingResumed(Time now, std::uint64_t requestId);
+
   /** Reports the end of the current send of a request. */
   void finished(Time now, std::uint64_t requestId, Outcome outcome);
 
--- a/modules/dispatch/DispatcherImpl.h
+++ b/modules/dispatch/DispatcherImpl.h
@@ -228,6 +228,21 @@
     }
   }
 
+  void readingPaused(std::uint64_t requestId)
+  {
+    if (auto* request = requests_.find(requestId); request != nullptr && request->send) {
+      request->send->readingPaused = true;
+    }
+  }
+
+  void readingResumed(Time now, std::uint64_t requestId)
+  {
+    auto* request = requests_.find(requestId);
+    if (request != nullptr && request->send && std::exchange(request->send->readingPaused, false)) {
+      request->send->lastByteAt = now;
+    }
+  }
+
   void answerHead(Time now, std::uint64_t requestId, std::optional<double> requestsPerSecond)
   {
     auto* request = requests_.find(requestId);
--- a/modules/dispatch/RequestTable.h
+++ b/modules/dispatch/RequestTable.h
@@ -24,6 +24,8 @@
   Time lastByteAt;
   bool headReceived = false;
   bool firstByteReceived = false;
+  /** The process reads nothing of the answer, because its caller is slow. */
+  bool readingPaused = false;
   /** Number of times that output tokens were received. */
   std::uint32_t progressCount = 0;
   TokenWindow tokenWindow;
--- a/modules/dispatch/SendTimeouts.cpp
+++ b/modules/dispatch/SendTimeouts.cpp
@@ -27,6 +27,9 @@
 bool isOverdue(Time now, const RequestState& request, Time lastEndpointByte)
 {
   const auto& send = *request.send;
+  if (send.readingPaused) {
+    return false;
+  }
   const auto timeSinceLastByte = now - std::max(send.lastByteAt, lastEndpointByte);
   if (send.firstByteReceived) {
     return timeSinceLastByte > kMaxTimeBetweenBytes;
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -95,7 +95,9 @@
   request_->onDisconnect([this] { onCallerDisconnected(); });
   request_->onWritable([this] {
     if (send_->call && std::exchange(readingPaused_, false)) {
-      nextMoveAt_ = bootTime() + kMinMoveDelayAfterPause;
+      const Time now = bootTime();
+      nextMoveAt_ = now + kMinMoveDelayAfterPause;
+      services_.dispatcher.readingResumed(now, send_->dispatchId);
       send_->call->resume();
     }
   });
--- a/modules/router/ExchangeRelay.cpp
+++ b/modules/router/ExchangeRelay.cpp
@@ -218,6 +218,7 @@
   if (request_->pendingBytes() > kMaxPendingBytes) {
     readingPaused_ = true;
     send_->call->pause();
+    services_.dispatcher.readingPaused(send_->dispatchId);
   }
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -456,6 +456,23 @@
   CHECK(dispatcher->takeStalled().size() == 1);
 }
 
+TEST_CASE_FIXTURE(Fixture, "endpoint_notReadForSlowCaller_isNotSilent")
+{
+  // Guards against sound endpoints that slow callers take out of rotation.
+  const auto request = makeRequestWithPrefix(7);
+  REQUIRE(dispatcher->choose(now, request, {}));
+  dispatcher->firstByte(now, request.id);
+  dispatcher->readingPaused(request.id);
+  advance(8s);
+  CHECK(dispatcher->takeStalled().empty());
+  CHECK(dispatcher->takeEvents().empty());
+  dispatcher->readingResumed(now, request.id);
+  advance(1s);
+  CHECK(dispatcher->takeStalled().empty());
+  advance(1s);
+  CHECK(dispatcher->takeStalled() == std::vector{ request.id });
+}
+
 TEST_CASE_FIXTURE(Fixture, "secondSendOfARequest_underAnotherId_countsAsRepeat")
 {
   // Guards against requests that are sent to a second endpoint beyond the budget of repeats.
