http: a tunnel that stops after a whole response lets its peer receive it

A response through the tunnel of another entry VM may end without its last bytes when the process of the tunnel stops (found by reading and by the test; no such case of a user is known).

Cause: a tunnel counted as unused once the end of the response was read from the target, although up to 8 KiB still waited to be written; and stopping reset the connection of the peer (SO_LINGER 0), which discards what the operating system has not sent.

Change: the tunnel is busy while a write to its peer runs. An unused tunnel ends in order when the server stops, so that the operating system delivers the rest. Tunnels with an exchange, or with a response whose end is not understood, are reset as before.

Test: TunnelServer_stopsAfterWholeResponse_peerReceivesAllOfIt in tunnel_test.

--- a/modules/http/TunnelServer.cpp
+++ b/modules/http/TunnelServer.cpp
@@ -121,9 +121,22 @@
 
   [[nodiscard]] bool isClosed() const { return !peer_.is_open(); }
 
+  /** Closes both connections. If a whole response was written to the peer, the operating system
+      still delivers it. */
+  void stop()
+  {
+    if (!isClosed() && !isBusy()) {
+      endInOrder(peer_);
+    }
+    close();
+  }
+
   /** Returns whether the tunnel is being opened, carries a request or a response, or has ended and
       its peer has not closed its connection yet. */
-  [[nodiscard]] bool isBusy() const { return !isOpened_ || hasTargetEnded_ || exchange_.isBusy(); }
+  [[nodiscard]] bool isBusy() const
+  {
+    return !isOpened_ || hasTargetEnded_ || exchange_.isBusy() || toPeer_.isWriting;
+  }
 
   [[nodiscard]] bool isEndPending(const tcp::endpoint& target) const
   {
@@ -392,7 +405,7 @@
     acceptTimer_.cancel();
     for (const auto& weak : tunnels_) {
       if (const auto tunnel = weak.lock()) {
-        tunnel->close();
+        tunnel->stop();
       }
     }
   }
--- a/modules/http/TunnelServer.h
+++ b/modules/http/TunnelServer.h
@@ -61,8 +61,9 @@
   /** Returns the number of tunnels that are open or being opened. */
   [[nodiscard]] std::size_t tunnels() const;
 
-  /** Returns the number of tunnels that carry a request or a response, or are being opened. Those
-      that are merely kept open are not counted. */
+  /** Returns the number of tunnels that carry a request or a response, also the part of a response
+      that was not written to their peers yet, or are being opened. Those that are merely kept open
+      are not counted. */
   [[nodiscard]] std::size_t busyTunnels() const;
 
   /** Returns whether a target has ended the stream of a tunnel and the peer has not closed its
--- a/tests/tunnel_test.cpp
+++ b/tests/tunnel_test.cpp
@@ -34,9 +34,9 @@
   }
 
   /** Opens a tunnel to the endpoint with a plain socket. */
-  RawSocket openRawTunnel(std::uint16_t port)
+  RawSocket openRawTunnel(std::uint16_t port, int receiveBuffer = 0)
   {
-    auto peer = RawSocket::connectTo(port);
+    auto peer = RawSocket::connectTo(port, receiveBuffer);
     peer.send(fmt::format("CONNECT {0} HTTP/1.1\r\nHost: {0}\r\nProxy-Authorization: {1}\r\n\r\n",
                           http::detail::addressText(endpoint.address()),
                           options.proxy->authorization));
@@ -559,6 +559,28 @@
   CHECK(runUntil(io, [&] { return tunnels.busyTunnels() == 0; }));
 }
 
+// Guards against ends of responses that are lost when the process of the tunnel stops.
+TEST_CASE_FIXTURE(TunnelFixture, "TunnelServer_stopsAfterWholeResponse_peerReceivesAllOfIt")
+{
+  auto peer = openRawTunnel(tunnels.port(), 4096);
+  auto connection = endpoint.accept(io);
+  peer.send("GET /x HTTP/1.1\r\n\r\n");
+  REQUIRE(waitFor(connection, "\r\n\r\n"));
+  const std::string body(500000, 'x');
+  const auto response =
+    fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+  std::size_t sent = 0;
+  REQUIRE(runUntil(io, [&] {
+    sent += connection.send(std::string_view(response).substr(sent));
+    return sent == response.size();
+  }));
+  REQUIRE(runUntil(io, [&] { return tunnels.busyTunnels() == 0; }));
+  CHECK(peer.received.empty());
+  tunnelServer.reset();
+  CHECK(waitForEnd(peer));
+  CHECK(peer.received == response);
+}
+
 // Guards against a tunnel that counts as unused because its response is not understood.
 TEST_CASE_FIXTURE(TunnelFixture, "TunnelServer_responseIsMalformed_tunnelStaysBusy")
 {
