http: the write limit is on the bytes that the caller takes

Callers saw: connections that ended without a complete answer after about 10 s, although they read slowly and steadily, also where the router had the whole answer.

Cause: the write limit ran from the first write that the socket did not accept to the time at which the socket was writable again. Linux reports that only when a third of the send buffer is free; the buffer grows to 4 MB and held 180 kB for a caller with a receive buffer of 8 kB. TCP_USER_TIMEOUT had the same value and may end a connection whose peer opens its window in small steps.

Change: the limit is on progress, which is the number of bytes that the caller's system has acknowledged (SIOCOUTQ), measured every tenth of the limit. A caller that takes nothing is dropped after 10 to 11 s, and its connection is reset. The measure also covers bytes that only the system holds, so accepted connections have no TCP_USER_TIMEOUT any more. The smallest progress that can be seen is what the caller's system waits for before it opens a full receive buffer again: a segment or a sixteenth of that buffer. A caller whose buffer of 6 MB is full and that reads 8 kB/s looks, for longer than the limit, like one that reads nothing.

--- a/modules/http/Server.cpp
+++ b/modules/http/Server.cpp
@@ -53,10 +53,10 @@
       acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
     if (!error)
       acceptor_.bind(address, error);
-    // Accepted sockets inherit these options. TCP_USER_TIMEOUT also covers the time in which a
-    // caller does not read, so it is set to the write timeout.
+    // Accepted sockets inherit this option. They have no TCP_USER_TIMEOUT, because the system also
+    // applies it to callers that read slowly; ServerConnection measures their progress.
     if (!error)
-      detail::setTcpOptions(acceptor_.native_handle(), limits.writeTimeout);
+      detail::setNoDelay(acceptor_.native_handle());
     if (!error)
       acceptor_.listen(limits.backlog, error);
     if (!error) {
@@ -75,12 +75,7 @@
 
   [[nodiscard]] std::uint16_t port() const { return port_; }
 
-  void setLimits(const ServerLimits& newLimits)
-  {
-    limits = newLimits;
-    if (acceptor_.is_open())
-      detail::setTcpOptions(acceptor_.native_handle(), limits.writeTimeout);
-  }
+  void setLimits(const ServerLimits& newLimits) { limits = newLimits; }
 
   void setAcceptDelay(Server::AcceptDelay delay) { acceptDelay_ = std::move(delay); }
 
--- a/modules/http/Server.h
+++ b/modules/http/Server.h
@@ -25,7 +25,10 @@
   /** Maximum time between two parts of a request body. */
   Duration bodyTimeout = std::chrono::seconds(10);
   Duration idleTimeout = std::chrono::seconds(15);
-  /** Maximum time without progress while a response is written to a caller that does not read. */
+  /** Maximum time in which a caller takes no bytes of a response that waits for it. The caller's
+      system acknowledges bytes when its receive buffer has room. Once the buffer was full, it asks
+      for more only when a segment or a sixteenth of the buffer is free, whichever is larger.
+      That is the smallest progress that can be seen. It is measured ten times in the limit. */
   Duration writeTimeout = std::chrono::seconds(10);
   /** Maximum total bytes of all request bodies in memory; a request that exceeds it gets 503. */
   std::uint64_t totalBodyBytes = 16U * 1024 * 1024;
--- a/modules/http/ServerConnection.cpp
+++ b/modules/http/ServerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/Sockets.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <span>
 #include <utility>
@@ -13,6 +14,9 @@
 /** How long input is read and discarded after the last response of a connection. */
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 
+/** How often the progress of a caller is measured within the write timeout. */
+constexpr int kChecksPerWriteTimeout = 10;
+
 /** Maximum bytes that are read and discarded after a refused request, the size of a first flight of
  * TCP, which has been sent anyway. What follows stays unread, so that the caller stops sending. */
 constexpr std::size_t kMaxDiscardedBytes = 16U * 1024;
@@ -93,6 +97,7 @@
     return;
   phase_ = Phase::closed;
   deadline_ = kNever;
+  progressCheckAt_ = kNever;
   incoming_.reset();
   if (openRequest_) {
     --context_->openRequests;
@@ -462,6 +467,18 @@
   return output_.size() - outputSent_ - (holdLastByte_ ? 1 : 0);
 }
 
+std::size_t ServerConnection::unacknowledgedOutput()
+{
+  const auto bytes = unacknowledgedBytes(socket_.native_handle());
+  const std::size_t endOfStream = phase_ == Phase::lingering ? 1 : 0;
+  return bytes - std::min(bytes, endOfStream);
+}
+
+std::int64_t ServerConnection::acknowledgedOutput()
+{
+  return writtenBytes_ - static_cast<std::int64_t>(unacknowledgedOutput());
+}
+
 void ServerConnection::setDeadline(Duration deadline)
 {
   deadline_ = deadline;
@@ -491,15 +508,20 @@
     }
     if (writeResult.state == TransferResult::State::wouldBlock) {
       output_.erase(0, std::exchange(outputSent_, 0));
-      setDeadline(bootTime() + context_->limits.writeTimeout);
+      if (!incoming_)
+        setDeadline(kNever);
+      startWriteProgress();
       startWriteWait();
       return;
     }
     outputSent_ += writeResult.size;
+    writtenBytes_ += static_cast<std::int64_t>(writeResult.size);
     context_->traffic.sentBytes += writeResult.size;
     if (refused_)
       context_->refusedTraffic.sentBytes += writeResult.size;
   }
+  if (wrote)
+    startWriteProgress();
   onOutputDrained(wrote);
 }
 
@@ -560,24 +582,51 @@
 
 Duration ServerConnection::checkDeadline(Duration now)
 {
+  if (progressCheckAt_ <= now) {
+    const auto self = shared_from_this();
+    progressCheckAt_ = kNever;
+    checkWriteProgress(now);
+  }
   if (deadline_ <= now) {
     const auto self = shared_from_this();
     deadline_ = kNever;
     onTimeout();
   }
-  return deadline_;
+  return std::min(deadline_, progressCheckAt_);
 }
 
-void ServerConnection::onTimeout()
+void ServerConnection::startWriteProgress()
 {
-  if (phase_ == Phase::lingering) {
-    close();
+  if (writeProgress_.isRunning())
+    return;
+  const auto now = bootTime();
+  writeProgress_.start(now, acknowledgedOutput());
+  progressCheckAt_ = now + context_->limits.writeTimeout / kChecksPerWriteTimeout;
+  context_->timer->schedule(progressCheckAt_);
+}
+
+void ServerConnection::checkWriteProgress(Duration now)
+{
+  if (pendingBytes() == 0 && unacknowledgedOutput() == 0) {
+    writeProgress_.stop();
     return;
   }
-  if (pendingBytes() > 0) {
+  const auto limit = context_->limits.writeTimeout;
+  if (writeProgress_.update(now, acknowledgedOutput()) >= limit) {
+    // Frees the system's buffers, which it would keep for minutes after a close in order.
+    setResetOnClose(socket_.native_handle(), true);
     onDisconnected();
     return;
   }
+  progressCheckAt_ = now + limit / kChecksPerWriteTimeout;
+}
+
+void ServerConnection::onTimeout()
+{
+  if (phase_ == Phase::lingering) {
+    close();
+    return;
+  }
   if (openRequest_) {
     // The connection is not being read, because the caller has pipelined too much data.
     if (peerHasClosed(socket_.native_handle()))
--- a/modules/http/ServerConnection.h
+++ b/modules/http/ServerConnection.h
@@ -5,6 +5,7 @@
 #include "http/Message.h"
 #include "http/Server.h"
 #include "http/Traffic.h"
+#include "http/WriteProgress.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -213,9 +214,15 @@
   void startLingering();
   void onDisconnected();
   void onTimeout();
+  void startWriteProgress();
+  /** Closes the connection if its caller has taken no bytes for the write timeout. */
+  void checkWriteProgress(Duration now);
 
   [[nodiscard]] bool canRead() const;
   [[nodiscard]] std::size_t pendingBytes() const;
+  /** Returns the bytes of the output that the caller's system has not acknowledged. */
+  [[nodiscard]] std::size_t unacknowledgedOutput();
+  [[nodiscard]] std::int64_t acknowledgedOutput();
   void setDeadline(Duration deadline);
   void scheduleFlush();
   /** Makes every end of the connection a reset until the whole response is handed to the system. */
@@ -233,6 +240,10 @@
   OpenRequest* openRequest_ = nullptr;
   HeadScanner scanner_;
   Duration deadline_ = kNever;
+  WriteProgress writeProgress_;
+  Duration progressCheckAt_ = kNever;
+  /** Bytes that the operating system has accepted since the connection began. */
+  std::int64_t writtenBytes_ = 0;
   Duration acceptedAt_ = bootTime();
   Phase phase_ = Phase::serving;
   /** Holds back the last byte of output_ until the request ends, so that abort() can still leave
--- a/modules/http/Sockets.cpp
+++ b/modules/http/Sockets.cpp
@@ -65,11 +65,17 @@
          info.tcpi_state != TCP_FIN_WAIT2;
 }
 
+std::size_t unacknowledgedBytes(int socket)
+{
+  int bytes = 0;
+  const bool isKnown = ::ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  return isKnown ? static_cast<std::size_t>(bytes) : 0;
+}
+
 bool hasUnacknowledgedBytes(int socket)
 {
   // TCP_INFO counts only bytes that were sent, not those that wait for room at the receiver.
-  int bytes = 0;
-  if (::ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0)
+  if (unacknowledgedBytes(socket) > 0)
     return true;
   tcp_info info{};
   socklen_t size = sizeof info;
@@ -101,10 +107,15 @@
   return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
-void setTcpOptions(int socket, Duration timeout)
+void setNoDelay(int socket)
 {
   const int noDelay = 1;
   ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
+}
+
+void setTcpOptions(int socket, Duration timeout)
+{
+  setNoDelay(socket);
   const auto millis =
     static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
   ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
--- a/modules/http/Sockets.h
+++ b/modules/http/Sockets.h
@@ -41,6 +41,10 @@
    system does not tell. Safe from any thread. */
 bool hasUnacknowledgedBytes(int socket);
 
+/** Returns how many bytes were written to a socket and not acknowledged by the peer; 0 if the
+    operating system does not tell. An end of stream counts as one byte. Safe from any thread. */
+std::size_t unacknowledgedBytes(int socket);
+
 /** Returns the errno value of an error that the socket has not reported yet, and clears it; 0 if
    there is none. */
 int takeError(int socket);
@@ -57,6 +61,9 @@
     sent before that are still unread. */
 bool peerHasClosed(int socket);
 
+/** Sets TCP_NODELAY. */
+void setNoDelay(int socket);
+
 /** Sets TCP_NODELAY and TCP_USER_TIMEOUT.
     @param timeout  the maximum time that sent bytes may remain unacknowledged, or unsent because
     the peer does not read */
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -662,6 +662,27 @@
   CHECK(requests[0]->pendingBytes() < 8000000);
 }
 
+// Guards against a write limit that waits for a third of the system's buffer to become free.
+TEST_CASE_FIXTURE(ServerFixture, "Server_callerThatReadsLittleAtATime_staysConnected")
+{
+  limits.writeTimeout = 300ms;
+  auto caller = connect(4096);
+  caller.send(kGet);
+  REQUIRE(waitForRequests(1));
+  bool disconnected = false;
+  requests[0]->onDisconnect([&] { disconnected = true; });
+  requests[0]->start({});
+  requests[0]->write(std::string(kLargeBodyBytes, 'x'));
+  runFor(io, 50ms);
+  const auto pending = requests[0]->pendingBytes();
+  for (int i = 0; i < 75; ++i) {
+    runFor(io, 20ms);
+    caller.read(1500);
+  }
+  CHECK_FALSE(disconnected);
+  CHECK(requests[0]->pendingBytes() == pending);
+}
+
 // Guards against chunked bodies and persistent connections for HTTP/1.0 callers that support
 // neither.
 TEST_CASE_FIXTURE(ServerFixture, "Server_http10Caller_getsBodyUntilClose")
