router: a stopping entry process stays until its callers have received their answers

Cause: EntryRole::isStopped() waits for exchanges and open requests. Both end as soon as the rest of the answer is in the output buffer of its connection, and the process drops that buffer when it exits.

Change: Server::unsentResponses() counts connections without an open request whose output is not written or not acknowledged by the caller's system, and isStopped() waits until there are none, within the grace time as before. Bytes that the system holds are included, because input that arrives after the close makes the system reset the connection and discard them. For the same reason a lingering connection stays until all is acknowledged, and a caller that shuts down its sending side while bytes are on their way is not taken for gone. Refused requests linger for 1 s as before.

A caller that neither reads nor closes now keeps a stopping process up to the write limit or the end of its grace time, 0.5 s before SIGKILL.

--- a/modules/http/Server.cpp
+++ b/modules/http/Server.cpp
@@ -104,6 +104,14 @@
     });
   }
 
+  [[nodiscard]] std::size_t unsentResponses() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(), [](const auto& connection) {
+        return connection->hasUnsentResponse();
+      }));
+  }
+
   void shutDown()
   {
     stopAccepting();
@@ -287,6 +295,11 @@
   return impl_->openRequests;
 }
 
+std::size_t Server::unsentResponses() const
+{
+  return impl_->unsentResponses();
+}
+
 bool Server::expectsFirstRequests() const
 {
   return impl_->expectsFirstRequests();
--- a/modules/http/Server.h
+++ b/modules/http/Server.h
@@ -201,6 +201,10 @@
   /** Returns the number of requests that were passed to the handler and have not ended. */
   [[nodiscard]] std::size_t openRequests() const;
 
+  /** Returns the number of connections without an open request whose callers have not received all
+      bytes that were written to them. */
+  [[nodiscard]] std::size_t unsentResponses() const;
+
   /** Returns whether a new connection has not sent its first request yet; 1 s after it was accepted
       none is expected any more. */
   [[nodiscard]] bool expectsFirstRequests() const;
--- a/modules/http/ServerConnection.cpp
+++ b/modules/http/ServerConnection.cpp
@@ -108,6 +108,12 @@
   context_->onConnectionClosed(*this);
 }
 
+bool ServerConnection::hasUnsentResponse()
+{
+  return phase_ != Phase::closed && !openRequest_ &&
+         (pendingBytes() > 0 || unacknowledgedOutput() > 0);
+}
+
 bool ServerConnection::isIdle() const
 {
   return phase_ == Phase::serving && !openRequest_ && !incoming_ && input_.empty() &&
@@ -209,13 +215,15 @@
 void ServerConnection::onPeerEnd()
 {
   // A caller that has only shut down its sending side can still read the last response. An ending
-  // connection shuts down its own side in the next flush.
+  // connection shuts down its own side in the next flush; a lingering one waits for its deadline.
   if (phase_ == Phase::ending)
     return;
-  if (phase_ != Phase::lingering && !openRequest_ && pendingBytes() > 0)
-    phase_ = Phase::ending;
-  else
+  if (!hasUnsentResponse()) {
     onDisconnected();
+  } else if (phase_ == Phase::serving) {
+    phase_ = Phase::ending;
+    scheduleFlush();
+  }
 }
 
 void ServerConnection::onReceived(std::string_view bytes)
@@ -624,7 +632,14 @@
 void ServerConnection::onTimeout()
 {
   if (phase_ == Phase::lingering) {
-    close();
+    // Input that arrives after the close would reset the connection and discard what the system
+    // still has to send.
+    if (takeError(socket_.native_handle()) != 0)
+      onDisconnected();
+    else if (!refused_ && unacknowledgedOutput() > 0)
+      setDeadline(bootTime() + kLingerTimeout);
+    else
+      close();
     return;
   }
   if (openRequest_) {
--- a/modules/http/ServerConnection.h
+++ b/modules/http/ServerConnection.h
@@ -156,6 +156,9 @@
   /** Returns whether no request is being received or handled and all output has been written. */
   [[nodiscard]] bool isIdle() const;
 
+  /** Returns whether no request is open and the caller has not received all output. */
+  [[nodiscard]] bool hasUnsentResponse();
+
   /** Handles the deadline if it has passed.
       @returns the next deadline, or kNever */
   Duration checkDeadline(Duration now);
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -765,8 +765,8 @@
 bool EntryRole::isStopped() const
 {
   return servingStopped_ && exchanges_.empty() && callers_.openRequests() == 0 &&
-         !callers_.expectsFirstRequests() && tunnels_.busyTunnels() == 0 &&
-         (quotaManager_.isDrained() || quotaManager_.isHandedOver());
+         callers_.unsentResponses() == 0 && !callers_.expectsFirstRequests() &&
+         tunnels_.busyTunnels() == 0 && (quotaManager_.isDrained() || quotaManager_.isHandedOver());
 }
 
 void EntryRole::abortRequests(Time now)
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -683,6 +683,35 @@
   CHECK(requests[0]->pendingBytes() == pending);
 }
 
+// Guards against a process that exits while the end of an answer waits for its caller.
+TEST_CASE_FIXTURE(ServerFixture, "Server_endedResponseThatIsNotReceived_isCountedUntilItIs")
+{
+  auto caller = connect(4096);
+  caller.send(kGet);
+  REQUIRE(waitForRequests(1));
+  CHECK(server->unsentResponses() == 0);
+  SUBCASE("the end waits in the output buffer")
+  {
+    requests[0]->respond({}, std::string(kLargeBodyBytes, 'x'));
+  }
+  SUBCASE("the end waits in the buffer of the operating system")
+  {
+    requests[0]->respond({}, std::string(100000, 'x'));
+  }
+  SUBCASE("the connection is closed after the response")
+  {
+    requests[0]->closeAfterResponse();
+    requests[0]->respond({}, std::string(100000, 'x'));
+  }
+  runFor(io, 1200ms);
+  CHECK(server->openRequests() == 0);
+  CHECK(server->unsentResponses() == 1);
+  CHECK(runUntil(io, [&] {
+    caller.read();
+    return server->unsentResponses() == 0;
+  }));
+}
+
 // Guards against chunked bodies and persistent connections for HTTP/1.0 callers that support
 // neither.
 TEST_CASE_FIXTURE(ServerFixture, "Server_http10Caller_getsBodyUntilClose")
--- a/tests/slow_caller_test.py
+++ b/tests/slow_caller_test.py
@@ -3,6 +3,7 @@
 slow_caller_test.py BUILD_DIR [CASE...]"""
 
 import os
+import signal
 import socket
 import sys
 import time
@@ -83,6 +84,20 @@
     check(caller.is_complete(), f"whole: {len(caller.received)} bytes, then {caller.end}")
 
 
+def answer_of_stopped_process_is_whole_for_slow_caller(build):
+    """Guards against a process that exits while its output buffer has the end of an answer. Its
+    caller reads nothing until all requests have ended."""
+    with StartedFleet(build) as fleet:
+        caller = SlowCaller(fleet, "slow-stop")
+        entry = fleet.entries[0]
+        entry.send_signal(signal.SIGTERM)
+        time.sleep(3.5)
+        caller.read_rest()
+        check_complete(caller)
+        check(entry.process.wait(timeout=3) == 0, "the process exits by itself")
+        check("clean=true" in entry.log(), "the stop is clean")
+
+
 def steady_slow_caller_keeps_its_connection(build):
     """Guards against a write limit on the time for the whole answer, or of TCP_USER_TIMEOUT."""
     with StartedFleet(build) as fleet:
@@ -93,6 +108,7 @@
 
 
 CASES = [
+    answer_of_stopped_process_is_whole_for_slow_caller,
     steady_slow_caller_keeps_its_connection,
 ]
 
