router: a log line and a counter for the ends of answers that callers did not receive

Operators saw: `outcome=answered` for requests whose callers did not get the whole answer. The line is written when the exchange ends; what happens to the bytes in the output buffer later was not logged.

Change: ServerRequest::onUnsent() reports, once and after the request has ended, why its connection failed, the bytes that were not written and those that were not acknowledged. Reasons: write_timeout, disconnected (reset by the caller), exit.

Before a process exits, Server::closeConnections() writes what the system accepts, so that an error response of the last moment is not dropped with the flush that was scheduled for it, and discards arrived input, which would make the system reset the connection. It starts no pipelined request.

--- a/modules/http/OpenRequest.cpp
+++ b/modules/http/OpenRequest.cpp
@@ -146,8 +146,9 @@
   }
   if (bodyKind_ == BodyKind::chunked)
     connection_->output_.append("0\r\n\r\n");
-  const auto callbacks = clearCallbacks();
-  std::exchange(connection_, nullptr)->onRequestEnded(closeAfterResponse_);
+  auto callbacks = clearCallbacks();
+  std::exchange(connection_, nullptr)
+    ->onRequestEnded(closeAfterResponse_, std::move(callbacks.unsent));
 }
 
 void OpenRequest::abort()
@@ -175,6 +176,12 @@
     callbacks_.disconnected = std::move(callback);
 }
 
+void OpenRequest::onUnsent(std::function<void(const UnsentResponse&)> callback)
+{
+  if (connection_)
+    callbacks_.unsent = std::move(callback);
+}
+
 void OpenRequest::closeAfterResponse()
 {
   closeAfterResponse_ = true;
--- a/modules/http/Server.cpp
+++ b/modules/http/Server.cpp
@@ -112,6 +112,14 @@
       }));
   }
 
+  void closeConnections()
+  {
+    stopAccepting();
+    const auto openConnections = connections_;
+    for (const auto& connection : openConnections)
+      connection->flushAndClose();
+  }
+
   void shutDown()
   {
     stopAccepting();
@@ -300,6 +308,11 @@
   return impl_->unsentResponses();
 }
 
+void Server::closeConnections()
+{
+  impl_->closeConnections();
+}
+
 bool Server::expectsFirstRequests() const
 {
   return impl_->expectsFirstRequests();
--- a/modules/http/Server.h
+++ b/modules/http/Server.h
@@ -74,6 +74,27 @@
   std::string body;
 };
 
+/** Why the caller did not get the end of a response. */
+enum class UnsentReason
+{
+  /** The caller took no bytes for ServerLimits::writeTimeout. */
+  writeTimeout,
+  /** The caller reset the connection. */
+  disconnected,
+  /** The server closed its connections. */
+  closed,
+};
+
+/** The part of an ended response that did not reach its caller. */
+struct UnsentResponse
+{
+  UnsentReason reason = UnsentReason::disconnected;
+  /** Bytes that the operating system had not accepted yet. */
+  std::size_t unwrittenBytes = 0;
+  /** Bytes that the operating system had accepted and the caller's had not acknowledged. */
+  std::size_t unacknowledgedBytes = 0;
+};
+
 /** Whether a request is received further. */
 struct HeadDecision
 {
@@ -127,6 +148,11 @@
       exceeds the write timeout, before the request has ended. */
   virtual void onDisconnect(std::function<void()> callback) = 0;
 
+  /** Sets the callback that is called at most once if the response has ended and its connection
+      fails before the caller has received all bytes. It may be called after this object was
+      destroyed, but not after the next request of the connection. */
+  virtual void onUnsent(std::function<void(const UnsentResponse&)> callback) = 0;
+
   /** Adds Connection: close to the response and closes the connection after it.
       Precondition: the response has not started. */
   virtual void closeAfterResponse() = 0;
@@ -205,6 +231,10 @@
       bytes that were written to them. */
   [[nodiscard]] std::size_t unsentResponses() const;
 
+  /** Stops accepting and closes all connections. What the operating system accepts of the responses
+      that have ended is written before. Callbacks of open requests are not called. */
+  void closeConnections();
+
   /** Returns whether a new connection has not sent its first request yet; 1 s after it was accepted
       none is expected any more. */
   [[nodiscard]] bool expectsFirstRequests() const;
--- a/modules/http/ServerConnection.cpp
+++ b/modules/http/ServerConnection.cpp
@@ -91,10 +91,11 @@
   startReadWait();
 }
 
-void ServerConnection::close()
+void ServerConnection::close(UnsentReason reason)
 {
   if (phase_ == Phase::closed)
     return;
+  reportUnsent(reason);
   phase_ = Phase::closed;
   deadline_ = kNever;
   progressCheckAt_ = kNever;
@@ -108,6 +109,26 @@
   context_->onConnectionClosed(*this);
 }
 
+void ServerConnection::flushAndClose()
+{
+  const auto self = shared_from_this();
+  if (openRequest_) {
+    close();
+    return;
+  }
+  // An ending connection starts no further request.
+  if (phase_ == Phase::serving)
+    phase_ = Phase::ending;
+  flush();
+  if (phase_ == Phase::closed)
+    return;
+  for (int reads = 0; reads < kMaxReadsPerEvent; ++reads) {
+    if (receive(socket_.native_handle(), context_->buffer).state != TransferResult::State::done)
+      break;
+  }
+  close();
+}
+
 bool ServerConnection::hasUnsentResponse()
 {
   return phase_ != Phase::closed && !openRequest_ &&
@@ -427,7 +448,7 @@
 {
   // The bytes may have waited in the socket until the caller left.
   if (peerHasClosed(socket_.native_handle())) {
-    close();
+    close(UnsentReason::disconnected);
     return;
   }
   setDeadline(kNever);
@@ -441,6 +462,7 @@
   if (!incoming.framing.keepAlive)
     request->closeAfterResponse();
   openRequest_ = request.get();
+  onUnsent_ = nullptr;
   hadRequest_ = true;
   ++context_->openRequests;
   context_->handler(std::move(request));
@@ -577,13 +599,13 @@
   startReadWait();
 }
 
-void ServerConnection::onDisconnected()
+void ServerConnection::onDisconnected(UnsentReason reason)
 {
   const auto self = shared_from_this();
   auto* const request = std::exchange(openRequest_, nullptr);
   if (request)
     --context_->openRequests;
-  close();
+  close(reason);
   if (request)
     request->notifyDisconnected();
 }
@@ -623,12 +645,20 @@
   if (writeProgress_.update(now, acknowledgedOutput()) >= limit) {
     // Frees the system's buffers, which it would keep for minutes after a close in order.
     setResetOnClose(socket_.native_handle(), true);
-    onDisconnected();
+    onDisconnected(UnsentReason::writeTimeout);
     return;
   }
   progressCheckAt_ = now + limit / kChecksPerWriteTimeout;
 }
 
+void ServerConnection::reportUnsent(UnsentReason reason)
+{
+  const auto callback = std::exchange(onUnsent_, nullptr);
+  const UnsentResponse unsent{ reason, pendingBytes(), unacknowledgedOutput() };
+  if (callback && (unsent.unwrittenBytes > 0 || unsent.unacknowledgedBytes > 0))
+    callback(unsent);
+}
+
 void ServerConnection::onTimeout()
 {
   if (phase_ == Phase::lingering) {
@@ -667,9 +697,11 @@
   setResetOnClose(socket_.native_handle(), true);
 }
 
-void ServerConnection::onRequestEnded(bool closeAfterResponse)
+void ServerConnection::onRequestEnded(bool closeAfterResponse,
+                                      std::function<void(const UnsentResponse&)> unsent)
 {
   openRequest_ = nullptr;
+  onUnsent_ = std::move(unsent);
   holdLastByte_ = false;
   --context_->openRequests;
   if (closeAfterResponse)
--- a/modules/http/ServerConnection.h
+++ b/modules/http/ServerConnection.h
@@ -75,6 +75,7 @@
   [[nodiscard]] std::size_t pendingBytes() const override;
   void onWritable(std::function<void()> callback) override;
   void onDisconnect(std::function<void()> callback) override;
+  void onUnsent(std::function<void(const UnsentResponse&)> callback) override;
   void closeAfterResponse() override;
   [[nodiscard]] TransferObserver* observer() const override { return observer_.get(); }
 
@@ -102,6 +103,7 @@
   {
     std::function<void()> writable;
     std::function<void()> disconnected;
+    std::function<void(const UnsentResponse&)> unsent;
   };
 
   void appendResponseHead(const ResponseHead& head);
@@ -142,8 +144,13 @@
   /** Sends an error response without reading a request, then closes the connection. */
   void refuse(int status);
 
-  /** Closes the connection immediately, without calling a callback. */
-  void close();
+  /** Closes the connection immediately. Callbacks of an open request are not called.
+      @param reason  why a response that has ended may be incomplete for the caller */
+  void close(UnsentReason reason = UnsentReason::closed);
+
+  /** Writes what the operating system accepts, then closes the connection; an open request is cut.
+      Arrived input is discarded, because a close with unread input resets the connection. */
+  void flushAndClose();
 
   /** Closes the connection if it is idle. A new connection is closed only after some time without a
       request, because the caller has usually sent its first request already.
@@ -215,11 +222,13 @@
   void respondAndClose(const ResponseHead& head, std::string_view body, bool omitBody);
   void onOutputDrained(bool wrote);
   void startLingering();
-  void onDisconnected();
+  void onDisconnected(UnsentReason reason = UnsentReason::disconnected);
   void onTimeout();
   void startWriteProgress();
   /** Closes the connection if its caller has taken no bytes for the write timeout. */
   void checkWriteProgress(Duration now);
+  /** Reports what is missing of a response that has ended. */
+  void reportUnsent(UnsentReason reason);
 
   [[nodiscard]] bool canRead() const;
   [[nodiscard]] std::size_t pendingBytes() const;
@@ -230,7 +239,8 @@
   void scheduleFlush();
   /** Makes every end of the connection a reset until the whole response is handed to the system. */
   void beginBodyUntilClose();
-  void onRequestEnded(bool closeAfterResponse);
+  /** @param unsent  see ServerRequest::onUnsent() */
+  void onRequestEnded(bool closeAfterResponse, std::function<void(const UnsentResponse&)> unsent);
   void abortRequest();
 
   ServerContext* context_;
@@ -247,6 +257,8 @@
   Duration progressCheckAt_ = kNever;
   /** Bytes that the operating system has accepted since the connection began. */
   std::int64_t writtenBytes_ = 0;
+  /** Called if the last response that has ended does not reach the caller; may be empty. */
+  std::function<void(const UnsentResponse&)> onUnsent_;
   Duration acceptedAt_ = bootTime();
   Phase phase_ = Phase::serving;
   /** Holds back the last byte of output_ until the request ends, so that abort() can still leave
--- a/modules/router/EntryRole.cpp
+++ b/modules/router/EntryRole.cpp
@@ -775,6 +775,7 @@
     const auto exchange = exchanges_.begin()->second;
     exchange->abort(now);
   }
+  callers_.closeConnections();
 }
 
 } // namespace figchute::router
--- a/modules/router/Exchange.cpp
+++ b/modules/router/Exchange.cpp
@@ -93,6 +93,7 @@
   arrivedAt_ = now;
   deadline_ = now + std::chrono::seconds(30);
   request_->onDisconnect([this] { onCallerDisconnected(); });
+  logIfUnsent();
   request_->onWritable([this] {
     if (send_->call && std::exchange(readingPaused_, false)) {
       const Time now = bootTime();
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -240,6 +240,8 @@
   [[nodiscard]] bool isBrokenOff() const;
   void chargeBudget(Time now);
   void end(Time now, std::string_view outcome, int status, std::string_view detail);
+  /** Has the end of the connection logged if the caller does not receive the whole response. */
+  void logIfUnsent();
   void logEnd(Time now, std::string_view outcome, int status, std::string_view detail);
 
   EntryServices& services_;
--- a/modules/router/ExchangeLog.cpp
+++ b/modules/router/ExchangeLog.cpp
@@ -1,3 +1,4 @@
+#include "router/BootClock.h"
 #include "router/Exchange.h"
 
 #include <fmt/format.h>
@@ -34,6 +35,19 @@
   return peer ? peer->address().to_string() : "-";
 }
 
+std::string_view nameOf(http::UnsentReason reason)
+{
+  switch (reason) {
+    case http::UnsentReason::writeTimeout:
+      return "write_timeout";
+    case http::UnsentReason::disconnected:
+      return "disconnected";
+    case http::UnsentReason::closed:
+      return "exit";
+  }
+  return "-";
+}
+
 } // namespace
 
 void Exchange::logLostConnection(Time now, const EndpointSend& send)
@@ -78,6 +92,23 @@
   }
 }
 
+void Exchange::logIfUnsent()
+{
+  // The connection may call this after the exchange was destroyed.
+  const auto requestId = request_->head().fields.get(services_.dialect.fields().requestId);
+  request_->onUnsent([&log = services_.log,
+                      &metrics = services_.metrics,
+                      id = std::string(requestId)](const http::UnsentResponse& unsent) {
+    metrics.count("responses_unsent");
+    log.line(bootTime(),
+             "response_unsent",
+             { { "request", id },
+               { "reason", std::string(nameOf(unsent.reason)) },
+               { "unwritten_bytes", std::to_string(unsent.unwrittenBytes) },
+               { "unacknowledged_bytes", std::to_string(unsent.unacknowledgedBytes) } });
+  });
+}
+
 void Exchange::logEnd(Time now, std::string_view outcome, int status, std::string_view detail)
 {
   const bool answered = firstByteAt_.micros > 0;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -690,6 +690,8 @@
   caller.send(kGet);
   REQUIRE(waitForRequests(1));
   CHECK(server->unsentResponses() == 0);
+  bool unsent = false;
+  requests[0]->onUnsent([&](const UnsentResponse& /*response*/) { unsent = true; });
   SUBCASE("the end waits in the output buffer")
   {
     requests[0]->respond({}, std::string(kLargeBodyBytes, 'x'));
@@ -710,6 +712,56 @@
     caller.read();
     return server->unsentResponses() == 0;
   }));
+  CHECK_FALSE(unsent);
+}
+
+// Guards against lost ends of responses that nobody is told of.
+TEST_CASE_FIXTURE(ServerFixture, "Server_endedResponseThatIsNotReceived_isReportedOnce")
+{
+  limits.writeTimeout = 300ms;
+  auto caller = connect(4096);
+  caller.send(kGet);
+  REQUIRE(waitForRequests(1));
+  std::vector<UnsentResponse> reports;
+  requests[0]->onUnsent([&](const UnsentResponse& response) { reports.push_back(response); });
+  requests[0]->respond({}, std::string(kLargeBodyBytes, 'x'));
+  requests.clear();
+  runFor(io, 50ms);
+  CHECK(reports.empty());
+  auto reason = UnsentReason::writeTimeout;
+  SUBCASE("the caller reads nothing") {}
+  SUBCASE("the caller resets the connection")
+  {
+    reason = UnsentReason::disconnected;
+    caller.resetConnection();
+  }
+  SUBCASE("the server closes its connections")
+  {
+    reason = UnsentReason::closed;
+    server->closeConnections();
+  }
+  CHECK(runUntil(io, [&] { return server->connections() == 0; }));
+  REQUIRE(reports.size() == 1);
+  CHECK(reports[0].reason == reason);
+  CHECK(reports[0].unwrittenBytes > 0);
+  CHECK(reports[0].unwrittenBytes + reports[0].unacknowledgedBytes < kLargeBodyBytes + 200);
+}
+
+// Guards against a small response that is lost because the process exits before its next flush, and
+// against a pipelined request that starts then.
+TEST_CASE_FIXTURE(ServerFixture, "Server_closeConnections_writesOutputFirst")
+{
+  auto caller = connect();
+  caller.send(kGet);
+  caller.send(kGet);
+  REQUIRE(waitForRequests(1));
+  runFor(io, 20ms);
+  requests[0]->respond({}, "end");
+  server->closeConnections();
+  CHECK(requests.size() == 1);
+  CHECK(waitForClose(caller));
+  CHECK(caller.ended);
+  CHECK(caller.has("\r\n\r\nend"));
 }
 
 // Guards against chunked bodies and persistent connections for HTTP/1.0 callers that support
--- a/tests/slow_caller_test.py
+++ b/tests/slow_caller_test.py
@@ -3,6 +3,7 @@
 slow_caller_test.py BUILD_DIR [CASE...]"""
 
 import os
+import re
 import signal
 import socket
 import sys
@@ -84,6 +85,18 @@
     check(caller.is_complete(), f"whole: {len(caller.received)} bytes, then {caller.end}")
 
 
+def unsent_line(fleet, request_id):
+    found = re.search(f"event=response_unsent request={request_id} .*", fleet.entries[0].log())
+    return found and found.group(0)
+
+
+def check_unsent(fleet, request_id, reason, limit):
+    wait_until(lambda: unsent_line(fleet, request_id), "the lost bytes are logged", limit)
+    line = unsent_line(fleet, request_id)
+    check(f"reason={reason} " in line, line)
+    check(int(re.search(r"unwritten_bytes=(\d+)", line).group(1)) > 0, line)
+
+
 def answer_of_stopped_process_is_whole_for_slow_caller(build):
     """Guards against a process that exits while its output buffer has the end of an answer. Its
     caller reads nothing until all requests have ended."""
@@ -105,11 +118,45 @@
         caller.read_slowly(14)
         caller.read_rest()
         check_complete(caller)
+        check(not unsent_line(fleet, "slow-steady"), "nothing is missing")
+
+
+def caller_that_stops_reading_is_dropped_and_logged(build):
+    """Guards against callers that keep the end of an answer in memory, and against lost bytes that
+    no log line tells of."""
+    with StartedFleet(build) as fleet:
+        caller = SlowCaller(fleet, "slow-none")
+        check_unsent(fleet, "slow-none", "write_timeout", 13)
+        caller.read_rest()
+        check(not caller.is_complete(), "the connection was dropped")
+
+
+def answer_abandoned_by_caller_is_logged(build):
+    """Guards against lost bytes of an ended answer that no log line tells of."""
+    with StartedFleet(build) as fleet:
+        caller = SlowCaller(fleet, "slow-reset")
+        caller.socket.close()
+        check_unsent(fleet, "slow-reset", "disconnected", 3)
+
+
+def answer_cut_by_exit_is_logged(build):
+    """Guards against a process that exits at the end of its grace time without a line about the
+    answers that it cuts."""
+    with StartedFleet(build) as fleet:
+        caller = SlowCaller(fleet, "slow-exit")
+        entry = fleet.entries[0]
+        entry.send_signal(signal.SIGTERM)
+        check(entry.process.wait(timeout=6) == 0, "the process exits by itself")
+        check_unsent(fleet, "slow-exit", "exit", 1)
+        check("clean=false" in entry.log(), "the stop is not clean")
 
 
 CASES = [
     answer_of_stopped_process_is_whole_for_slow_caller,
     steady_slow_caller_keeps_its_connection,
+    caller_that_stops_reading_is_dropped_and_logged,
+    answer_abandoned_by_caller_is_logged,
+    answer_cut_by_exit_is_logged,
 ]
 
 if __name__ == "__main__":
