--- a/tests/stream_endpoint.py
+++ b/tests/stream_endpoint.py
@@ -8,7 +8,7 @@
 /between/ not at all, but nothing more is sent
 after an event; /inside/ the same in the middle of an event; /deadline/ at the end of the time that
 the request states, as if it were complete then; /stall/ after all events, with a pause of STALL_S
-between two of them. A stream that is continued is whole, but /busy/ in the path refuses it with 503 and
+between two of them; /large/ after all events, each of which has LARGE_EVENT_BYTES. A stream that is continued is whole, but /busy/ in the path refuses it with 503 and
 X-Not-Run, /denied/ answers it with 500, /dropped/ closes the connection without an answer, /empty/ sends
 a head and closes the connection, and /mute/ sends nothing.
 
@@ -28,14 +28,16 @@
 GRADUAL_EVENT_INTERVAL_S = 0.8
 STALL_S = 2.2
 REFUSAL_S = 0.3
+# With EVENTS events, more than the socket buffers of an entry process hold.
+LARGE_EVENT_BYTES = 5_000_000
 # The number of events before a stream stops between two events or inside one.
 EVENTS_BEFORE_STOP = 2
 FRAMINGS = ("chunked", "unframed", "length")
 
 
-def event_bytes(number, name):
+def event_bytes(number, name, padding=0):
     # The id has a fixed width, so that the length of a body is known before.
-    return f"id: {number}\ndata: {name} {number:06}\n\n".encode()
+    return f"id: {number}\ndata: {name} {number:06}{'x' * padding}\n\n".encode()
 
 
 class ControlAddress:
@@ -83,6 +85,7 @@
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
         framing = next(name for name in FRAMINGS if f"/{name}/" in handler.path)
         how = "whole" if first > 1 else handler.path.split("/")[3]
+        padding = LARGE_EVENT_BYTES if how == "large" else 0
         handler.send_response(200)
         handler.send_header("X-Request-Id", handler.headers.get("X-Request-Id") or "")
         handler.send_header("Content-Type", "text/event-stream")
@@ -91,12 +94,13 @@
         if framing == "chunked":
             handler.send_header("Transfer-Encoding", "chunked")
         elif framing == "length":
-            size = sum(len(event_bytes(n, self.name)) for n in range(first, EVENTS + 1))
+            size = sum(len(event_bytes(n, self.name, padding)) for n in range(first, EVENTS + 1))
             handler.send_header("Content-Length", str(size))
         else:
             handler.send_header("Connection", "close")
         handler.end_headers()
-        handler.close_connection = framing == "unframed" or how not in ("whole", "gradual", "stall")
+        handler.close_connection = framing == "unframed" or how not in ("whole", "gradual", "stall",
+                                                                            "large")
         if first > 1 and "/empty/" in handler.path:
             handler.close_connection = True
             return
@@ -108,7 +112,7 @@
 
         number = first
         while how == "deadline" or number <= EVENTS:
-            event = event_bytes(number, self.name)
+            event = event_bytes(number, self.name, padding)
             if how in ("between", "inside") and number > EVENTS_BEFORE_STOP:
                 if how == "inside":
                     send(event[:len(event) // 2])
