http: a begun response is not cut because its request is still being read

Callers saw a reset of a stream that had begun, 2.2 s after its request, while its engine went on sending events and read a long request slowly. Cause: the sockets to endpoints have TCP_USER_TIMEOUT 2 s, and Linux counts the time in which the peer's window is closed. The connection was reset although the endpoint was alive. Change: when the response begins before the request is read, the connection gets the time limit of the operating system, and is not used again. Before the response begins, 2 s remain (Client_endpointThatDoesNotRead_failsCall is unchanged).

--- a/modules/http/ClientConnection.cpp
+++ b/modules/http/ClientConnection.cpp
@@ -24,7 +24,8 @@
 /** Maximum reads from one connection per event, so that other connections are not starved. */
 constexpr int kMaxReadsPerEvent = 4;
 
-/** How long an endpoint may leave sent bytes unread or unacknowledged before the call fails. */
+/** How long an endpoint may leave sent bytes unread or unacknowledged before the call fails. It
+    applies until the response begins. */
 constexpr Duration kTcpUserTimeout = std::chrono::seconds(2);
 
 /** Maximum time that an idle connection is kept open, also used when the endpoint sends no
@@ -215,6 +216,16 @@
          exchange_->requestHead.size() + (exchange_->body ? exchange_->body->size() : 0);
 }
 
+void ClientConnection::allowLateReading()
+{
+  if (isFullyWritten() && !hasUnacknowledgedBytes(socket_.native_handle()))
+    return;
+  // The endpoint is alive, so what it leaves unread does not show a failure. The caller of the pool
+  // has its own time limits for the response.
+  allowsLateReading_ = true;
+  setUserTimeout(socket_.native_handle(), Duration::zero());
+}
+
 void ClientConnection::startReadWait()
 {
   if (readWaiting_ || phase_ == Phase::closed || (exchange_ && exchange_->paused))
@@ -484,6 +495,7 @@
   if (discardingResponse_)
     return true;
   exchange_->headReceived = true;
+  allowLateReading();
   exchange_->listener->onHead(head);
   return true;
 }
@@ -525,8 +537,9 @@
       fail(CallFailureKind::closed, "the connection ended after a response to another request");
     return;
   }
-  const bool reusable =
-    idleTimeout_ > Duration::zero() && !extraBytes && isFullyWritten() && writeError_ == 0;
+  // Linux counts the time in which the endpoint did not read again for the next request.
+  const bool reusable = idleTimeout_ > Duration::zero() && !extraBytes && isFullyWritten() &&
+                        writeError_ == 0 && !allowsLateReading_;
   const auto exchange = exchange_;
   auto* const listener = std::exchange(exchange->listener, nullptr);
   const ResponseEnd end{ endedAt_ != kNever ? bootTime() - endedAt_
--- a/modules/http/ClientConnection.h
+++ b/modules/http/ClientConnection.h
@@ -178,6 +178,9 @@
   [[nodiscard]] bool isActive() const;
   [[nodiscard]] bool isFullyWritten() const;
 
+  /** Lets an endpoint that responds before it has read the whole request read the rest later. */
+  void allowLateReading();
+
   PoolContext* context_;
   boost::asio::ip::tcp::socket socket_;
   Destination destination_;
@@ -198,6 +201,9 @@
   bool writeWaiting_ = false;
   /** errno value of a failed write, else 0. A response that has arrived can still be read. */
   int writeError_ = 0;
+  /** The rest of the request may stay unread for longer than kTcpUserTimeout. The connection is
+      then not used again. */
+  bool allowsLateReading_ = false;
   /** Whether the last response allows the connection to be kept open. */
   bool keepAlive_ = true;
   /** Whether the response being read belongs to an earlier request and is discarded. */
--- a/modules/http/Sockets.cpp
+++ b/modules/http/Sockets.cpp
@@ -105,6 +105,11 @@
 {
   const int noDelay = 1;
   ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
+  setUserTimeout(socket, timeout);
+}
+
+void setUserTimeout(int socket, Duration timeout)
+{
   const auto millis =
     static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
   ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
--- a/modules/http/Sockets.h
+++ b/modules/http/Sockets.h
@@ -62,6 +62,11 @@
     the peer does not read */
 void setTcpOptions(int socket, Duration timeout);
 
+/** Sets TCP_USER_TIMEOUT, also of an established connection. Errors are ignored.
+    Safe from any thread.
+    @param timeout  as for setTcpOptions(); zero for the time limit of the operating system */
+void setUserTimeout(int socket, Duration timeout);
+
 /** Sets whether close(), also that by the system at the end of the process, resets the connection
     instead of shutting it down in order. */
 void setResetOnClose(int socket, bool isEnabled);
