--- a/modules/http/Sockets.cpp
+++ b/modules/http/Sockets.cpp
@@ -116,6 +116,11 @@
 void setTcpOptions(int socket, Duration timeout)
 {
   setNoDelay(socket);
+  setUserTimeout(socket, timeout);
+}
+
+void setUserTimeout(int socket, Duration timeout)
+{
   const auto millis =
     static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
   ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
