tests: streams of a draining engine without length are broken off (fails)

An engine announces that it drains, closes its listening socket 0.5 s later and lets its streams run to their ends.

stream_endpoint.py looks for signals every 50 ms. Its main thread slept 60 s, and a signal that the kernel gave to another thread didn't end the sleep: in 2 of 4 runs of this case the engine had not begun to drain 6 s after the signal.

--- a/tests/stream_endpoint.py
+++ b/tests/stream_endpoint.py
@@ -8,11 +8,14 @@
 /between/ not at all, but nothing more is sent
 after an event; /inside/ the same in the middle of an event; /deadline/ at the end of the time that
 the request states, as if it were complete then; /stall/ after all events, with a pause of STALL_S
-between two of them; /large/ after all events, each of which has LARGE_EVENT_BYTES. A stream that is continued is whole, but /busy/ in the path refuses it with 503 and
+between two of them; /large/ after all events, each of which has LARGE_EVENT_BYTES; /drained/ after
+all events, of which it sends the last ones once its listening socket is closed; /drainedlate/ the same
+DRAINED_LATE_S later. A stream that is continued is whole, but /busy/ in the path refuses it with 503 and
 X-Not-Run, /denied/ answers it with 500, /dropped/ closes the connection without an answer, /empty/ sends
 a head and closes the connection, and /mute/ sends nothing.
 
-On SIGUSR1 the engine refuses all requests with 503 and X-Not-Run for REFUSAL_S."""
+On SIGUSR1 the engine refuses all requests with 503 and X-Not-Run for REFUSAL_S. On SIGUSR2 it
+announces that it drains and closes its listening socket LISTEN_S later; its streams go on."""
 
 import os
 import signal
@@ -30,6 +33,9 @@
 REFUSAL_S = 0.3
 # With EVENTS events, more than the socket buffers of an entry process hold.
 LARGE_EVENT_BYTES = 5_000_000
+LISTEN_S = 0.5
+DRAINED_LATE_S = 0.4
+SIGNAL_CHECK_S = 0.05
 # The number of events before a stream stops between two events or inside one.
 EVENTS_BEFORE_STOP = 2
 FRAMINGS = ("chunked", "unframed", "length")
@@ -61,10 +67,18 @@
     """An engine whose streams end as their paths say."""
 
     refuses_until = 0.0
+    has_drained = threading.Event()
 
     def refuse_requests(self, *_signal):
         self.refuses_until = time.monotonic() + REFUSAL_S
 
+    def drain(self):
+        self.leave()
+        time.sleep(LISTEN_S)
+        self.server.shutdown()
+        self.server.server_close()
+        self.has_drained.set()
+
     def run(self, handler, body):
         is_continued = handler.headers.get("Last-Event-Id") is not None
         is_refused = time.monotonic() < self.refuses_until
@@ -119,6 +133,9 @@
                 time.sleep(60)
             if how == "stall" and number == EVENTS_BEFORE_STOP + 1:
                 time.sleep(STALL_S)
+            if how in ("drained", "drainedlate") and number == EVENTS_BEFORE_STOP + 1:
+                self.has_drained.wait()
+                time.sleep(DRAINED_LATE_S if how == "drainedlate" else 0)
             wait = min(interval, ends_at - time.monotonic())
             if how == "deadline" and (wait <= 0 or framing == "length" and number == EVENTS):
                 time.sleep(max(0, ends_at - time.monotonic()))
@@ -134,9 +151,12 @@
     name, ip, controls = sys.argv[1:4]
     endpoint = StreamEndpoint(Fleet(controls), name, "engines", ip, events=EVENTS)
     signal.signal(signal.SIGUSR1, endpoint.refuse_requests)
+    signal.signal(signal.SIGUSR2,
+                  lambda *_: threading.Thread(target=endpoint.drain, daemon=True).start())
     print(endpoint.address, flush=True)
+    # Another thread may get a signal, which does not end the sleep of this one.
     while True:
-        time.sleep(60)
+        time.sleep(SIGNAL_CHECK_S)
 
 
 if __name__ == "__main__":
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -3,6 +3,7 @@
 
 import os
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -33,6 +34,19 @@
             self.process.send_signal(number)
         self.process.wait()
 
+    def is_listening(self):
+        ip, port = self.address.split(":")
+        try:
+            socket.create_connection((ip, int(port)), timeout=1).close()
+        except OSError:
+            return False
+        return True
+
+    def drain(self):
+        """Lets the engine leave, and waits until its listening socket is closed."""
+        self.process.send_signal(signal.SIGUSR2)
+        wait_until(lambda: not self.is_listening(), f"{self.name} has closed its listening socket")
+
     def close(self):
         if self.process.poll() is None:
             self.process.kill()
