http: a connection shows that an endpoint is alive while its last bodies without length end

An endpoint that drains closes its listening socket and its idle connections while its streams go on. Callers saw the last stream without length and chunks broken off, because neither another connection nor a new one could show that its process had outlived the end.

While such bodies are read, the pool holds one more connection to their destination, an EndWitness. It carries no request and is shared by all of them, also when other connections exist, since those may end before. It counts against the limit of connections, takes the place of none, and gives way to a call.

--- a/modules/http/ClientConnection.cpp
+++ b/modules/http/ClientConnection.cpp
@@ -1,6 +1,7 @@
 #include "http/ClientConnection.h"
 
 #include "http/EndConfirmation.h"
+#include "http/EndWitness.h"
 #include "http/Sockets.h"
 
 #include <algorithm>
@@ -181,6 +182,7 @@
     std::exchange(exchange_, nullptr)->connection = nullptr;
   if (endConfirmation_)
     std::exchange(endConfirmation_, nullptr)->cancel();
+  witness_.reset();
   boost::system::error_code ignored;
   socket_.close(ignored);
   context_->onConnectionClosed(*this);
@@ -387,7 +389,10 @@
       const FlushScheduler::Scope scope(self->context_->flushScheduler);
       self->onEndConfirmed(confirmed);
     });
-  endConfirmation_->start(context_->othersOf(*this), endedAt_);
+  endConfirmation_->start(context_->othersOf(*this), witness_.get(), endedAt_);
+  // One that is opened after the end proves nothing.
+  if (witness_ && !witness_->openConnection())
+    witness_.reset();
 }
 
 void ClientConnection::onEndConfirmed(bool confirmed)
@@ -494,6 +499,10 @@
   discardingResponse_ = owner == ResponseOwner::otherRequest;
   if (discardingResponse_)
     return true;
+  if (parser_->need_eof() && !isConfirming()) {
+    witness_ = context_->witnessFor(*exchange_);
+    witness_->scheduleOpen();
+  }
   exchange_->headReceived = true;
   allowLateReading();
   exchange_->listener->onHead(head);
--- a/modules/http/ClientConnection.h
+++ b/modules/http/ClientConnection.h
@@ -21,6 +21,7 @@
 
 class ClientConnection;
 class EndConfirmation;
+class EndWitness;
 
 /** Where a connection leads. */
 struct Destination
@@ -51,6 +52,8 @@
   bool headReceived = false;
   bool reused = false;
   bool paused = false;
+  /** Whether it carries no request and its connection is that of an EndWitness. */
+  bool isWitness = false;
 };
 
 /** State and services that all connections of a pool share. */
@@ -74,7 +77,12 @@
   /** Removes a closed connection from the pool. */
   virtual void onConnectionClosed(ClientConnection& connection) = 0;
 
-  /** Returns the established connections to the destination of a connection, without itself. */
+  /** Returns the witness of all bodies at the destination of an exchange that end with their
+      connections, and creates it if there is none. */
+  [[nodiscard]] virtual std::shared_ptr<EndWitness> witnessFor(const Exchange& exchange) = 0;
+
+  /** Returns the established connections to the destination of a connection, without itself and
+      without that of the witness. */
   [[nodiscard]] virtual std::vector<std::weak_ptr<ClientConnection>> othersOf(
     const ClientConnection& connection) const = 0;
 
@@ -120,6 +128,8 @@
   /** Returns whether the connection only serves to confirm the end of a body: it has ended itself,
      or it carries no request. */
   [[nodiscard]] bool isConfirming() const;
+  /** Returns whether this is the connection of an EndWitness, which isConfirming() includes. */
+  [[nodiscard]] bool isWitness() const { return exchange_ && exchange_->isWitness; }
   [[nodiscard]] Duration deadline() const { return deadline_; }
 
   void flush() override;
@@ -186,6 +196,8 @@
   Destination destination_;
   std::shared_ptr<Exchange> exchange_;
   std::shared_ptr<EndConfirmation> endConfirmation_;
+  /** Set while a body that ends with the connection is read or its end is being confirmed. */
+  std::shared_ptr<EndWitness> witness_;
   std::string input_;
   std::unique_ptr<MessageParser<false>> parser_;
   HeadScanner scanner_;
--- a/modules/http/ClientPool.cpp
+++ b/modules/http/ClientPool.cpp
@@ -2,6 +2,7 @@
 
 #include "http/ClientConnection.h"
 #include "http/ConnectProbe.h"
+#include "http/EndWitness.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -16,6 +17,7 @@
 using boost::asio::ip::tcp;
 using detail::ClientConnection;
 using detail::Destination;
+using detail::EndWitness;
 using detail::Exchange;
 
 class CallHandle final : public Call
@@ -136,8 +138,8 @@
     const auto entry = destinations_.find(connection.destination());
     if (entry == destinations_.end())
       return;
-    auto& [openConnections, idle] = entry->second;
-    std::erase(idle, &connection);
+    auto& openConnections = entry->second.connections;
+    std::erase(entry->second.idle, &connection);
     auto& last = openConnections.back();
     last->index = connection.index;
     std::swap(openConnections[connection.index], last);
@@ -146,6 +148,17 @@
       destinations_.erase(entry);
   }
 
+  [[nodiscard]] std::shared_ptr<EndWitness> witnessFor(const Exchange& exchange) override
+  {
+    auto& entry = destinations_[exchange.destination];
+    auto witness = entry.witness.lock();
+    if (!witness) {
+      witness = std::make_shared<EndWitness>(*this, exchange);
+      entry.witness = witness;
+    }
+    return witness;
+  }
+
   [[nodiscard]] std::vector<std::weak_ptr<ClientConnection>> othersOf(
     const ClientConnection& connection) const override
   {
@@ -154,7 +167,7 @@
     if (entry == destinations_.end())
       return others;
     for (const auto& other : entry->second.connections)
-      if (other.get() != &connection && other->isOpenAtPeer())
+      if (other.get() != &connection && !other->isWitness() && other->isOpenAtPeer())
         others.push_back(other);
     return others;
   }
@@ -208,12 +221,14 @@
     Connections connections;
     /** Ordered by last use, the most recently used connection last. */
     std::vector<ClientConnection*> idle;
+    /** Empty while no body is read that ends with its connection. */
+    std::weak_ptr<EndWitness> witness;
   };
 
   void open(const std::shared_ptr<Exchange>& exchange)
   {
     if (usedConnections(exchange->destination) >= exchange->options.maxConnections &&
-        !closeOldestIdle(exchange->destination)) {
+        !freeConnectionFor(*exchange)) {
       postFailure(exchange,
                   CallFailureKind::connectionLimit,
                   "connection limit reached and all connections are busy");
@@ -231,16 +246,35 @@
     openConnections.push_back(connection);
   }
 
-  /** Returns the number of connections without those that only confirm the end of a body. */
+  /** Returns the number of connections without those that only confirm the end of a body; a witness
+      counts. */
   [[nodiscard]] std::size_t usedConnections(const Destination& destination) const
   {
     const auto entry = destinations_.find(destination);
     if (entry == destinations_.end())
       return 0;
-    return static_cast<std::size_t>(
-      std::count_if(entry->second.connections.begin(),
-                    entry->second.connections.end(),
-                    [](const auto& connection) { return !connection->isConfirming(); }));
+    return static_cast<std::size_t>(std::count_if(entry->second.connections.begin(),
+                                                  entry->second.connections.end(),
+                                                  [](const auto& connection) {
+                                                    return connection->isWitness() ||
+                                                           !connection->isConfirming();
+                                                  }));
+  }
+
+  /** Closes a connection that serves no call. A witness takes the place of no other connection.
+      @returns whether there was one */
+  bool freeConnectionFor(const Exchange& exchange)
+  {
+    if (exchange.isWitness)
+      return false;
+    return closeOldestIdle(exchange.destination) || closeWitness(exchange.destination);
+  }
+
+  bool closeWitness(const Destination& destination)
+  {
+    const auto entry = destinations_.find(destination);
+    const auto witness = entry == destinations_.end() ? nullptr : entry->second.witness.lock();
+    return witness && witness->close();
   }
 
   bool closeOldestIdle(const Destination& destination)
--- a/modules/http/EndConfirmation.cpp
+++ b/modules/http/EndConfirmation.cpp
@@ -1,5 +1,7 @@
 #include "http/EndConfirmation.h"
 
+#include "http/EndWitness.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -15,6 +17,7 @@
   , options_(std::move(options))
   , finished_(std::move(finished))
   , timer_(context.io)
+  , witnessTimer_(context.io)
 {
   options_.connectTimeout = kConnectTimeout;
   options_.correlationName.clear();
@@ -22,7 +25,9 @@
   options_.forceNewConnection = true;
 }
 
-void EndConfirmation::start(std::vector<std::weak_ptr<ClientConnection>> others, Duration endedAt)
+void EndConfirmation::start(std::vector<std::weak_ptr<ClientConnection>> others,
+                            const EndWitness* witness,
+                            Duration endedAt)
 {
   // A connection that was opened after the end may lead to a process that was started since then.
   std::erase_if(others, [endedAt](const auto& weak) {
@@ -31,6 +36,11 @@
   });
   others_ = std::move(others);
   mayConnect_ = bootTime() - endedAt <= kMaxConnectDelay;
+  witness_ = witness ? witness->openConnection() : nullptr;
+  if (witness_ && witness_->establishedAt() > endedAt)
+    witness_.reset();
+  if (witness_)
+    observeWitness();
   if (others_.empty())
     connect();
   else
@@ -41,6 +51,7 @@
 {
   finished_ = nullptr;
   timer_.cancel();
+  witnessTimer_.cancel();
   closeConnection();
 }
 
@@ -61,6 +72,24 @@
     connect();
 }
 
+void EndConfirmation::observeWitness()
+{
+  witnessTimer_.expires_after(kObservationTime);
+  witnessTimer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+    if (!error && self->finished_)
+      self->onWitnessObserved();
+  });
+}
+
+void EndConfirmation::onWitnessObserved()
+{
+  const auto witness = std::exchange(witness_, nullptr);
+  if (witness->isOpenAtPeer())
+    finish(true);
+  else if (hasFailed_)
+    finish(false);
+}
+
 bool EndConfirmation::isAnyOtherOpen() const
 {
   return std::ranges::any_of(others_, [](const auto& weak) {
@@ -72,7 +101,7 @@
 void EndConfirmation::connect()
 {
   if (!mayConnect_) {
-    finish(false);
+    fail();
     return;
   }
   ++connectAttempts_;
@@ -98,6 +127,13 @@
 {
   connection_.reset();
   if (!isConnected_)
+    fail();
+}
+
+void EndConfirmation::fail()
+{
+  hasFailed_ = true;
+  if (!witness_)
     finish(false);
 }
 
@@ -117,6 +153,7 @@
 {
   const auto self = shared_from_this();
   timer_.cancel();
+  witnessTimer_.cancel();
   closeConnection();
   if (const auto finished = std::exchange(finished_, nullptr))
     finished(confirmed);
--- a/modules/http/EndConfirmation.h
+++ b/modules/http/EndConfirmation.h
@@ -9,6 +9,8 @@
 
 namespace figchute::http::detail {
 
+class EndWitness;
+
 /** Finds out whether a process outlived the end of one of its connections. When a process ends, its
     kernel closes all of its connections and listening sockets, each in the same way as the process
     itself closes one. So the process is alive if another of its connections is still open a little
@@ -39,9 +41,12 @@
                   Finished finished);
 
   /** Starts. Call it once.
-      @param others   established connections to the destination
+      @param others   established connections to the destination, without the witness
+      @param witness  the witness of the body that ended, or null
       @param endedAt  when the end of the connection reached this VM */
-  void start(std::vector<std::weak_ptr<ClientConnection>> others, Duration endedAt);
+  void start(std::vector<std::weak_ptr<ClientConnection>> others,
+             const EndWitness* witness,
+             Duration endedAt);
 
   /** Ends without a call of the handler. */
   void cancel();
@@ -57,7 +62,11 @@
 private:
   void observe();
   void onObserved();
+  void observeWitness();
+  void onWitnessObserved();
   void connect();
+  /** No other connection and no new one confirms the end. */
+  void fail();
   void closeConnection();
   void finish(bool confirmed);
   [[nodiscard]] bool isAnyOtherOpen() const;
@@ -68,8 +77,13 @@
   /** Empty once the result is known. */
   Finished finished_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer witnessTimer_;
   std::vector<std::weak_ptr<ClientConnection>> others_;
+  /** The connection of the witness while it is observed, else null. */
+  std::shared_ptr<ClientConnection> witness_;
   bool mayConnect_ = true;
+  /** Whether only the witness can still confirm the end. */
+  bool hasFailed_ = false;
   /** The new connection; null when there is none or it was closed. */
   std::shared_ptr<Exchange> connection_;
   int connectAttempts_ = 0;
