http: a connection whose end is lost does not confirm the end of a body of a crashed endpoint

The connection still looked open after 50 ms, and then no new connection was tried.

Its listening socket answers within one round trip and ends with the process. So a new connection is tried at each such end, beside the observation of the others. If the address refuses it although the endpoint has not said that it leaves, the end is not confirmed. Nothing changes when it is accepted or there is no answer, so that no end is confirmed later than before. It costs a new connection also for ends that another connection confirms.

Not covered: an endpoint that leaves, one behind a tunnel, and a lost SYN beside the lost FIN.

--- a/modules/dispatch/Dispatcher.cpp
+++ b/modules/dispatch/Dispatcher.cpp
@@ -147,6 +147,11 @@
   return impl_->stateOf(endpoint);
 }
 
+bool Dispatcher::isLeaving(const EndpointId& endpoint) const
+{
+  return impl_->isLeaving(endpoint);
+}
+
 Duration Dispatcher::timeUntilBackoffEnds(Time now, const ServiceName& service)
 {
   return impl_->availability().timeUntilBackoffEnds(now, service);
--- a/modules/dispatch/Dispatcher.h
+++ b/modules/dispatch/Dispatcher.h
@@ -171,6 +171,10 @@
    */
   [[nodiscard]] std::string_view stateOf(const EndpointId& endpoint) const;
 
+  /** Returns whether an endpoint accepts no new requests for good: it announced that it drains or
+      said so in an answer, its zone is evacuated, or it is not in the registry. */
+  [[nodiscard]] bool isLeaving(const EndpointId& endpoint) const;
+
   /** Returns whether the endpoint chosen for the current send of a request may still get it. A
       delayed send may have to be withdrawn: report it with Outcome::withdrawn. */
   [[nodiscard]] bool maySend(Time now, std::uint64_t requestId);
--- a/modules/dispatch/DispatcherImpl.h
+++ b/modules/dispatch/DispatcherImpl.h
@@ -322,6 +322,12 @@
     return endpoint->record.state == fleet::EndpointState::draining ? "draining" : "ready";
   }
 
+  [[nodiscard]] bool isLeaving(const EndpointId& id)
+  {
+    const auto* endpoint = endpoints_.find(id);
+    return endpoint == nullptr || availability_.isLeaving(*endpoint);
+  }
+
   std::vector<EndpointRestricted> takeRestrictions() { return std::exchange(newRestrictions_, {}); }
 
   std::vector<RateLimitChange> takeRateLimitChanges() { return std::exchange(limitChanges_, {}); }
--- a/modules/dispatch/EndpointAvailability.h
+++ b/modules/dispatch/EndpointAvailability.h
@@ -75,8 +75,10 @@
     return evacuatedZones_.contains(zone);
   }
 
-private:
+  /** Returns whether the endpoint accepts no new requests for good. */
   [[nodiscard]] bool isLeaving(const Endpoint& endpoint) const;
+
+private:
   /** Returns the refusal while all endpoints of a service leave or asked for a back-off. */
   [[nodiscard]] Refusal refusalWhileRestricted(Time now, const RequestInfo& requestInfo) const;
 
--- a/modules/http/ClientConnection.cpp
+++ b/modules/http/ClientConnection.cpp
@@ -88,6 +88,7 @@
   } else if (error == boost::asio::error::timed_out) {
     fail(CallFailureKind::connectTimeout, error.message());
   } else if (error) {
+    portClosed_ = error == boost::asio::error::connection_refused;
     fail(CallFailureKind::connectRefused, error.message());
   } else if (usesProxy()) {
     openTunnel();
@@ -389,7 +390,8 @@
       const FlushScheduler::Scope scope(self->context_->flushScheduler);
       self->onEndConfirmed(confirmed);
     });
-  endConfirmation_->start(context_->othersOf(*this), witness_.get(), endedAt_);
+  endConfirmation_->start(
+    context_->othersOf(*this), endedAt_, exchange_->listener->mayRefuseConnections());
   // One that is opened after the end proves nothing.
   if (witness_ && !witness_->openConnection())
     witness_.reset();
@@ -579,6 +581,7 @@
   failure.sent = exchange->sent;
   failure.headReceived = exchange->headReceived;
   failure.reused = exchange->reused;
+  failure.portClosed = portClosed_;
   failure.detail = std::move(detail);
   listener->onFailure(failure);
 }
--- a/modules/http/ClientConnection.h
+++ b/modules/http/ClientConnection.h
@@ -81,8 +81,7 @@
       connections, and creates it if there is none. */
   [[nodiscard]] virtual std::shared_ptr<EndWitness> witnessFor(const Exchange& exchange) = 0;
 
-  /** Returns the established connections to the destination of a connection, without itself and
-      without that of the witness. */
+  /** Returns the established connections to the destination of a connection, without itself. */
   [[nodiscard]] virtual std::vector<std::weak_ptr<ClientConnection>> othersOf(
     const ClientConnection& connection) const = 0;
 
@@ -211,6 +210,8 @@
   Phase phase_ = Phase::connecting;
   bool readWaiting_ = false;
   bool writeWaiting_ = false;
+  /** Whether the address refused the connection. */
+  bool portClosed_ = false;
   /** errno value of a failed write, else 0. A response that has arrived can still be read. */
   int writeError_ = 0;
   /** The rest of the request may stay unread for longer than kTcpUserTimeout. The connection is
--- a/modules/http/ClientPool.cpp
+++ b/modules/http/ClientPool.cpp
@@ -167,7 +167,7 @@
     if (entry == destinations_.end())
       return others;
     for (const auto& other : entry->second.connections)
-      if (other.get() != &connection && !other->isWitness() && other->isOpenAtPeer())
+      if (other.get() != &connection && other->isOpenAtPeer())
         others.push_back(other);
     return others;
   }
--- a/modules/http/ClientPool.h
+++ b/modules/http/ClientPool.h
@@ -47,6 +47,9 @@
   /** Whether the connection had been used by an earlier call. */
   bool reused = false;
   std::string detail;
+  /** Whether the address itself refused the connection, so nothing listens there; false if a proxy
+      could not connect. */
+  bool portClosed = false;
 };
 
 /** How a response ended. */
@@ -76,6 +79,12 @@
   virtual void onBody(std::string_view bytes) = 0;
   virtual void onComplete(const ResponseEnd& end) = 0;
   virtual void onFailure(const CallFailure& failure) = 0;
+
+  /** Returns whether the endpoint may have closed its listening socket although its process lives
+      and serves its calls to their ends, as one that drains does. If it may not, the end of a body
+      that ends with its connection is not confirmed when the endpoint refuses a new connection.
+      Called while such an end is being confirmed. */
+  [[nodiscard]] virtual bool mayRefuseConnections() const { return true; }
 };
 
 /** A proxy that opens a tunnel to the address of a call, see TunnelServer. */
--- a/modules/http/EndConfirmation.cpp
+++ b/modules/http/EndConfirmation.cpp
@@ -1,7 +1,5 @@
 #include "http/EndConfirmation.h"
 
-#include "http/EndWitness.h"
-
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -16,8 +14,8 @@
   , destination_(destination)
   , options_(std::move(options))
   , finished_(std::move(finished))
-  , timer_(context.io)
-  , witnessTimer_(context.io)
+  , othersTimer_(context.io)
+  , connectionTimer_(context.io)
 {
   options_.connectTimeout = kConnectTimeout;
   options_.correlationName.clear();
@@ -26,8 +24,8 @@
 }
 
 void EndConfirmation::start(std::vector<std::weak_ptr<ClientConnection>> others,
-                            const EndWitness* witness,
-                            Duration endedAt)
+                            Duration endedAt,
+                            bool mayRefuse)
 {
   // A connection that was opened after the end may lead to a process that was started since then.
   std::erase_if(others, [endedAt](const auto& weak) {
@@ -36,58 +34,54 @@
   });
   others_ = std::move(others);
   mayConnect_ = bootTime() - endedAt <= kMaxConnectDelay;
-  witness_ = witness ? witness->openConnection() : nullptr;
-  if (witness_ && witness_->establishedAt() > endedAt)
-    witness_.reset();
-  if (witness_)
-    observeWitness();
-  if (others_.empty())
-    connect();
-  else
-    observe();
+  mayRefuse_ = mayRefuse;
+  if (!others_.empty())
+    observeOthers();
+  connect();
 }
 
 void EndConfirmation::cancel()
 {
   finished_ = nullptr;
-  timer_.cancel();
-  witnessTimer_.cancel();
+  othersTimer_.cancel();
+  connectionTimer_.cancel();
   closeConnection();
 }
 
-void EndConfirmation::observe()
+void EndConfirmation::observeOthers()
 {
-  timer_.expires_after(kObservationTime);
-  timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+  othersTimer_.expires_after(kObservationTime);
+  othersTimer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
     if (!error && self->finished_)
-      self->onObserved();
+      self->onOthersObserved();
   });
 }
 
-void EndConfirmation::onObserved()
+void EndConfirmation::onOthersObserved()
 {
-  if (isAnyOtherOpen() || connection_)
+  if (isAnyOtherOpen())
     finish(true);
+  else if (hasConnectFailed_)
+    finish(false);
   else
-    connect();
+    others_.clear();
 }
 
-void EndConfirmation::observeWitness()
+void EndConfirmation::observeConnection()
 {
-  witnessTimer_.expires_after(kObservationTime);
-  witnessTimer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+  connectionTimer_.expires_after(kObservationTime);
+  connectionTimer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
     if (!error && self->finished_)
-      self->onWitnessObserved();
+      self->onConnectionObserved();
   });
 }
 
-void EndConfirmation::onWitnessObserved()
+void EndConfirmation::onConnectionObserved()
 {
-  const auto witness = std::exchange(witness_, nullptr);
-  if (witness->isOpenAtPeer())
+  if (connection_)
     finish(true);
-  else if (hasFailed_)
-    finish(false);
+  else
+    connect();
 }
 
 bool EndConfirmation::isAnyOtherOpen() const
@@ -101,7 +95,7 @@
 void EndConfirmation::connect()
 {
   if (!mayConnect_) {
-    fail();
+    failConnect();
     return;
   }
   ++connectAttempts_;
@@ -120,20 +114,25 @@
   if (connectAttempts_ > 1)
     finish(true);
   else
-    observe();
+    observeConnection();
 }
 
-void EndConfirmation::onFailure(const CallFailure& /*failure*/)
+void EndConfirmation::onFailure(const CallFailure& failure)
 {
   connection_.reset();
-  if (!isConnected_)
-    fail();
+  if (isConnected_)
+    return;
+  // The ends of the other connections may have been lost on the way.
+  if (failure.portClosed && !mayRefuse_)
+    finish(false);
+  else
+    failConnect();
 }
 
-void EndConfirmation::fail()
+void EndConfirmation::failConnect()
 {
-  hasFailed_ = true;
-  if (!witness_)
+  hasConnectFailed_ = true;
+  if (others_.empty())
     finish(false);
 }
 
@@ -152,8 +151,8 @@
 void EndConfirmation::finish(bool confirmed)
 {
   const auto self = shared_from_this();
-  timer_.cancel();
-  witnessTimer_.cancel();
+  othersTimer_.cancel();
+  connectionTimer_.cancel();
   closeConnection();
   if (const auto finished = std::exchange(finished_, nullptr))
     finished(confirmed);
--- a/modules/http/EndConfirmation.h
+++ b/modules/http/EndConfirmation.h
@@ -9,12 +9,11 @@
 
 namespace figchute::http::detail {
 
-class EndWitness;
-
 /** Finds out whether a process outlived the end of one of its connections. When a process ends, its
     kernel closes all of its connections and listening sockets, each in the same way as the process
     itself closes one. So the process is alive if another of its connections is still open a little
-    later, or if it accepts a new one.
+    later, or if it accepts a new one. Both are tried at once. If nothing listens any more although
+    the process should, the other connections prove nothing: their ends may be lost on the way.
     Thread safety: use only on the thread of the io_context. */
 class EndConfirmation final
   : public CallListener
@@ -41,12 +40,10 @@
                   Finished finished);
 
   /** Starts. Call it once.
-      @param others   established connections to the destination, without the witness
-      @param witness  the witness of the body that ended, or null
-      @param endedAt  when the end of the connection reached this VM */
-  void start(std::vector<std::weak_ptr<ClientConnection>> others,
-             const EndWitness* witness,
-             Duration endedAt);
+      @param others     established connections to the destination
+      @param endedAt    when the end of the connection reached this VM
+      @param mayRefuse  whether a process that is alive may have closed its listening socket */
+  void start(std::vector<std::weak_ptr<ClientConnection>> others, Duration endedAt, bool mayRefuse);
 
   /** Ends without a call of the handler. */
   void cancel();
@@ -60,13 +57,13 @@
   void onFailure(const CallFailure& failure) override;
 
 private:
-  void observe();
-  void onObserved();
-  void observeWitness();
-  void onWitnessObserved();
+  void observeOthers();
+  void onOthersObserved();
+  void observeConnection();
+  void onConnectionObserved();
   void connect();
-  /** No other connection and no new one confirms the end. */
-  void fail();
+  /** No new connection confirms the end. */
+  void failConnect();
   void closeConnection();
   void finish(bool confirmed);
   [[nodiscard]] bool isAnyOtherOpen() const;
@@ -76,14 +73,13 @@
   CallOptions options_;
   /** Empty once the result is known. */
   Finished finished_;
-  boost::asio::steady_timer timer_;
-  boost::asio::steady_timer witnessTimer_;
+  boost::asio::steady_timer othersTimer_;
+  boost::asio::steady_timer connectionTimer_;
+  /** Empty once they were observed and all had ended. */
   std::vector<std::weak_ptr<ClientConnection>> others_;
-  /** The connection of the witness while it is observed, else null. */
-  std::shared_ptr<ClientConnection> witness_;
   bool mayConnect_ = true;
-  /** Whether only the witness can still confirm the end. */
-  bool hasFailed_ = false;
+  bool mayRefuse_ = true;
+  bool hasConnectFailed_ = false;
   /** The new connection; null when there is none or it was closed. */
   std::shared_ptr<Exchange> connection_;
   int connectAttempts_ = 0;
--- a/modules/router/EndpointSend.h
+++ b/modules/router/EndpointSend.h
@@ -28,6 +28,7 @@
   virtual void onBody(EndpointSend& send, std::string_view bytes) = 0;
   virtual void onComplete(EndpointSend& send, const http::ResponseEnd& end) = 0;
   virtual void onFailure(EndpointSend& send, const http::CallFailure& failure) = 0;
+  [[nodiscard]] virtual bool mayRefuseConnections(const EndpointSend& send) const = 0;
 };
 
 /** One send of a request to an endpoint. Destroying it cancels its call.
@@ -63,6 +64,10 @@
   void onBody(std::string_view bytes) override { listener.onBody(*this, bytes); }
   void onComplete(const http::ResponseEnd& end) override { listener.onComplete(*this, end); }
   void onFailure(const http::CallFailure& failure) override { listener.onFailure(*this, failure); }
+  [[nodiscard]] bool mayRefuseConnections() const override
+  {
+    return listener.mayRefuseConnections(*this);
+  }
 
   SendListener& listener;
   std::uint64_t dispatchId;
--- a/modules/router/Exchange.h
+++ b/modules/router/Exchange.h
@@ -111,6 +111,7 @@
   void onBody(EndpointSend& send, std::string_view bytes) override;
   void onComplete(EndpointSend& send, const http::ResponseEnd& end) override;
   void onFailure(EndpointSend& send, const http::CallFailure& failure) override;
+  [[nodiscard]] bool mayRefuseConnections(const EndpointSend& send) const override;
 
 private:
   /** A send and its standby have ids of their own towards the dispatcher. */
--- a/modules/router/ExchangeFailure.cpp
+++ b/modules/router/ExchangeFailure.cpp
@@ -244,6 +244,11 @@
   }
 }
 
+bool Exchange::mayRefuseConnections(const EndpointSend& send) const
+{
+  return services_.dispatcher.isLeaving(send.endpoint.endpoint);
+}
+
 bool Exchange::hasEndedInTime(Time now) const
 {
   const auto sinceEnd = send_->call ? send_->call->timeSinceEnd() : std::nullopt;
--- a/tests/CallRecorder.h
+++ b/tests/CallRecorder.h
@@ -39,8 +39,11 @@
       onEndCallback();
   }
 
+  [[nodiscard]] bool mayRefuseConnections() const override { return mayRefuse; }
+
   [[nodiscard]] bool ended() const { return completed + failures > 0; }
 
+  bool mayRefuse = true;
   bool connected = false;
   bool sent = false;
   std::optional<ResponseHead> head;
--- a/tests/end_witness_test.cpp
+++ b/tests/end_witness_test.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <thread>
+#include <vector>
 
 using namespace figchute;
 using namespace figchute::http;
@@ -240,6 +241,52 @@
   CHECK(std::chrono::steady_clock::now() - endedAt < 90ms);
 }
 
+// Guards against a connection that looks open, because its end was lost on the way, and is taken
+// for a sign of life of an endpoint that has crashed.
+TEST_CASE_FIXTURE(WitnessFixture, "EndConfirmation_portOfReadyEndpointIsClosed_bodyFails")
+{
+  const auto other = startBody(kChunkedHead);
+  const auto running = startBody();
+  running->recorder.mayRefuse = false;
+  listener.close();
+  running->endpoint->close();
+  check(*running, 0);
+  CHECK_FALSE(other->recorder.ended());
+}
+
+// Guards against whole bodies that are broken off, or end later, because no answer to the attempt
+// to connect arrives in time.
+TEST_CASE_FIXTURE(WitnessFixture, "EndConfirmation_acceptQueueOfReadyEndpointIsFull_bodyCompletes")
+{
+  const auto other = startBody(kChunkedHead);
+  const auto running = startBody();
+  running->recorder.mayRefuse = false;
+  std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> waiting;
+  for (int i = 0; i < 40; ++i) {
+    waiting.push_back(std::make_unique<boost::asio::ip::tcp::socket>(io));
+    waiting.back()->async_connect(listener.address(), [](const auto& /*error*/) {});
+  }
+  runFor(io, 10ms);
+  const auto endedAt = std::chrono::steady_clock::now();
+  running->endpoint->close();
+  check(*running, 1);
+  CHECK(std::chrono::steady_clock::now() - endedAt < 90ms);
+}
+
+// Guards against a whole body of a sound endpoint that is broken off.
+TEST_CASE_FIXTURE(WitnessFixture, "EndConfirmation_readyEndpointAccepts_bodyCompletes")
+{
+  for (const bool hasOther : { false, true }) {
+    const auto other = hasOther ? startBody(kChunkedHead) : nullptr;
+    const auto running = startBody();
+    running->recorder.mayRefuse = false;
+    running->endpoint->close();
+    check(*running, 1);
+    while (listener.closeWaitingConnection()) {
+    }
+  }
+}
+
 // Guards against a use of the pool after its end.
 TEST_CASE("EndWitness_poolIsDestroyed_closesAll")
 {
