http: ends of many bodies at a time open one new connection to confirm them

Each end of a body without length tried a new connection. When many end together, that fills a short queue of new connections of the endpoint, and a request's connection attempt may be dropped. While another call's connection is open, the attempt now waits 5 ms, and ends within this time rely on it: a refusal counts for all of them. No end is confirmed later, since the other connection confirms it after 50 ms as before. The witness alone doesn't delay the attempt.

--- a/modules/http/ClientConnection.h
+++ b/modules/http/ClientConnection.h
@@ -56,6 +56,15 @@
   bool isWitness = false;
 };
 
+/** The connection attempts to a destination that confirm ends of bodies; -kNever for none. */
+struct ConfirmationAttempts
+{
+  /** May lie in the future. */
+  Duration lastStartedAt = -kNever;
+  /** When the address refused a connection. */
+  Duration lastRefusedAt = -kNever;
+};
+
 /** State and services that all connections of a pool share. */
 struct PoolContext
 {
@@ -81,6 +90,10 @@
       connections, and creates it if there is none. */
   [[nodiscard]] virtual std::shared_ptr<EndWitness> witnessFor(const Exchange& exchange) = 0;
 
+  /** Returns the attempts at a destination that has a connection. The reference is valid until the
+      next change of the connections. */
+  virtual ConfirmationAttempts& confirmationAttempts(const Destination& destination) = 0;
+
   /** Returns the established connections to the destination of a connection, without itself. */
   [[nodiscard]] virtual std::vector<std::weak_ptr<ClientConnection>> othersOf(
     const ClientConnection& connection) const = 0;
--- a/modules/http/ClientPool.cpp
+++ b/modules/http/ClientPool.cpp
@@ -159,6 +159,11 @@
     return witness;
   }
 
+  detail::ConfirmationAttempts& confirmationAttempts(const Destination& destination) override
+  {
+    return destinations_[destination].confirmationAttempts;
+  }
+
   [[nodiscard]] std::vector<std::weak_ptr<ClientConnection>> othersOf(
     const ClientConnection& connection) const override
   {
@@ -223,6 +228,7 @@
     std::vector<ClientConnection*> idle;
     /** Empty while no body is read that ends with its connection. */
     std::weak_ptr<EndWitness> witness;
+    detail::ConfirmationAttempts confirmationAttempts;
   };
 
   void open(const std::shared_ptr<Exchange>& exchange)
--- a/modules/http/EndConfirmation.cpp
+++ b/modules/http/EndConfirmation.cpp
@@ -34,10 +34,17 @@
   });
   others_ = std::move(others);
   mayConnect_ = bootTime() - endedAt <= kMaxConnectDelay;
+  endedAt_ = endedAt;
   mayRefuse_ = mayRefuse;
-  if (!others_.empty())
-    observeOthers();
-  connect();
+  if (others_.empty()) {
+    connect();
+    return;
+  }
+  observeOthers();
+  if (isWitnessOnly())
+    connect();
+  else if (context_.confirmationAttempts(destination_).lastStartedAt < endedAt_)
+    scheduleConnect();
 }
 
 void EndConfirmation::cancel()
@@ -59,12 +66,15 @@
 
 void EndConfirmation::onOthersObserved()
 {
-  if (isAnyOtherOpen())
-    finish(true);
-  else if (hasConnectFailed_)
-    finish(false);
-  else
-    others_.clear();
+  const bool isRefused = isPortClosed();
+  const bool isConfirmed = !isRefused && isAnyOtherOpen();
+  if (isConfirmed || isRefused || hasConnectFailed_) {
+    finish(isConfirmed);
+    return;
+  }
+  others_.clear();
+  if (connectAttempts_ == 0)
+    connect();
 }
 
 void EndConfirmation::observeConnection()
@@ -92,6 +102,29 @@
   });
 }
 
+bool EndConfirmation::isWitnessOnly() const
+{
+  return std::ranges::all_of(others_, [](const auto& weak) {
+    const auto connection = weak.lock();
+    return connection && connection->isWitness();
+  });
+}
+
+void EndConfirmation::scheduleConnect()
+{
+  context_.confirmationAttempts(destination_).lastStartedAt = bootTime() + kSharingDelay;
+  connectionTimer_.expires_after(kSharingDelay);
+  connectionTimer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+    if (!error && self->finished_ && self->connectAttempts_ == 0)
+      self->connect();
+  });
+}
+
+bool EndConfirmation::isPortClosed() const
+{
+  return !mayRefuse_ && context_.confirmationAttempts(destination_).lastRefusedAt >= endedAt_;
+}
+
 void EndConfirmation::connect()
 {
   if (!mayConnect_) {
@@ -99,6 +132,7 @@
     return;
   }
   ++connectAttempts_;
+  context_.confirmationAttempts(destination_).lastStartedAt = bootTime();
   isConnected_ = false;
   connection_ = std::make_shared<Exchange>();
   connection_->listener = this;
@@ -122,8 +156,10 @@
   connection_.reset();
   if (isConnected_)
     return;
+  if (failure.portClosed)
+    context_.confirmationAttempts(destination_).lastRefusedAt = bootTime();
   // The ends of the other connections may have been lost on the way.
-  if (failure.portClosed && !mayRefuse_)
+  if (isPortClosed())
     finish(false);
   else
     failConnect();
--- a/modules/http/EndConfirmation.h
+++ b/modules/http/EndConfirmation.h
@@ -27,6 +27,9 @@
   /** How long the other connections are observed. A process that ends closes all within this time.
    */
   static constexpr Duration kObservationTime = std::chrono::milliseconds(50);
+  /** Ends of many bodies within this time lead to one new connection, so that they do not fill the
+      endpoint's queue of new connections. */
+  static constexpr Duration kSharingDelay = std::chrono::milliseconds(5);
   /** Time limit of a new connection; long enough for one lost packet. */
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(1500);
 
@@ -67,6 +70,13 @@
   void closeConnection();
   void finish(bool confirmed);
   [[nodiscard]] bool isAnyOtherOpen() const;
+  /** Returns whether the witness is the only other connection. It may close before it has confirmed
+      the end, which a new connection then confirms without delay. */
+  [[nodiscard]] bool isWitnessOnly() const;
+  /** Connects after kSharingDelay. The confirmations of ends until then rely on this attempt. */
+  void scheduleConnect();
+  /** Returns whether the address has refused a connection although the process must accept it. */
+  [[nodiscard]] bool isPortClosed() const;
 
   PoolContext& context_;
   Destination destination_;
@@ -77,6 +87,7 @@
   boost::asio::steady_timer connectionTimer_;
   /** Empty once they were observed and all had ended. */
   std::vector<std::weak_ptr<ClientConnection>> others_;
+  Duration endedAt_{ 0 };
   bool mayConnect_ = true;
   bool mayRefuse_ = true;
   bool hasConnectFailed_ = false;
--- a/tests/end_witness_test.cpp
+++ b/tests/end_witness_test.cpp
@@ -254,6 +254,31 @@
   CHECK_FALSE(other->recorder.ended());
 }
 
+// Guards against ends of many bodies at a time that fill the endpoint's queue of new connections.
+TEST_CASE("EndConfirmation_bodiesEndTogether_shareOneAttempt")
+{
+  for (const bool isPortClosed : { false, true }) {
+    WitnessFixture fixture;
+    const auto other = fixture.startBody(kChunkedHead);
+    std::vector<std::unique_ptr<RunningCall>> bodies;
+    bodies.push_back(fixture.startBody());
+    const auto witness = fixture.listener.accept(fixture.io);
+    while (bodies.size() < 8)
+      bodies.push_back(fixture.startBody());
+    for (const auto& body : bodies)
+      body->recorder.mayRefuse = false;
+    const auto opened = fixture.pool.openedConnections();
+    if (isPortClosed)
+      fixture.listener.close();
+    for (const auto& body : bodies)
+      body->endpoint->close();
+    for (const auto& body : bodies)
+      fixture.check(*body, isPortClosed ? 0 : 1);
+    // Those that are read more than 5 ms after the first, on a slow machine, take another one.
+    CHECK(fixture.pool.openedConnections() - opened <= 4);
+  }
+}
+
 // Guards against whole bodies that are broken off, or end later, because no answer to the attempt
 // to connect arrives in time.
 TEST_CASE_FIXTURE(WitnessFixture, "EndConfirmation_acceptQueueOfReadyEndpointIsFull_bodyCompletes")
