http: a tunnel is not closed while its peer reads nothing for a slow caller

A response through the tunnel of another entry VM is cut when its caller is slow (found by reading and by a trial: the tunnel closed 2.3 s after its peer had stopped reading; no such case of a user is known).

Cause: the entry process stops reading a response while its caller takes no bytes. The tunnel's socket to it had a TCP_USER_TIMEOUT of 2 s, which Linux also applies to a peer that acknowledges its probes and has no room.

Change: 30 s for the peer, the longest time limit of an exchange without a route; 2 s for the target as before. A tunnel whose peer is lost with bytes on their way now stays for up to 30 s.

Test: TunnelServer_peerPausesReading_responseGoesOn in tunnel_test fails before (1 of 1) and passes (21 of 21).

--- a/modules/http/TunnelServer.cpp
+++ b/modules/http/TunnelServer.cpp
@@ -24,8 +24,11 @@
 
 constexpr std::size_t kMaxHeadBytes = 4096;
 constexpr std::size_t kBufferBytes = 8192;
-/** How long a peer or a target may leave sent bytes unread or unacknowledged. */
-constexpr Duration kTcpUserTimeout = std::chrono::seconds(2);
+/** How long a target may leave sent bytes unread or unacknowledged. */
+constexpr Duration kTargetUserTimeout = std::chrono::seconds(2);
+/** The same for a peer. It reads nothing while its caller is slow, for as long as the request may
+    take. */
+constexpr Duration kPeerUserTimeout = std::chrono::seconds(30);
 /** How long accepting pauses when no file descriptor is available. */
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 
@@ -84,7 +87,7 @@
 
   void start()
   {
-    detail::setTcpOptions(peer_.native_handle(), kTcpUserTimeout);
+    detail::setTcpOptions(peer_.native_handle(), kPeerUserTimeout);
     detail::setResetOnClose(peer_.native_handle(), true);
     startTimer(TunnelServer::kRequestTimeout);
     asio::async_read_until(peer_,
@@ -190,7 +193,7 @@
       refuse(kServiceUnavailable);
       return;
     }
-    detail::setTcpOptions(target_.native_handle(), kTcpUserTimeout);
+    detail::setTcpOptions(target_.native_handle(), kTargetUserTimeout);
     detail::setResetOnClose(target_.native_handle(), true);
     startTimer(TunnelServer::kConnectTimeout);
     targetAddress_ = request->target;
--- a/tests/tunnel_test.cpp
+++ b/tests/tunnel_test.cpp
@@ -581,6 +581,23 @@
   CHECK(peer.received == response);
 }
 
+// Guards against responses for slow callers that a tunnel cuts after 2 s without a read.
+TEST_CASE_FIXTURE(TunnelFixture, "TunnelServer_peerPausesReading_responseGoesOn")
+{
+  auto peer = openRawTunnel(tunnels.port(), 4096);
+  auto connection = endpoint.accept(io);
+  peer.send("GET /x HTTP/1.1\r\n\r\n");
+  REQUIRE(waitFor(connection, "\r\n\r\n"));
+  const std::string response(500000, 'x');
+  REQUIRE(connection.send(response) == response.size());
+  runFor(io, 5s);
+  CHECK(tunnels.tunnels() == 1);
+  CHECK(runUntil(io, [&] {
+    peer.read();
+    return peer.received == response;
+  }));
+}
+
 // Guards against a tunnel that counts as unused because its response is not understood.
 TEST_CASE_FIXTURE(TunnelFixture, "TunnelServer_responseIsMalformed_tunnelStaysBusy")
 {
