--- /dev/null
+++ b/tests/soak_checks.py
@@ -0,0 +1,160 @@
+"""The rules of the soak of streams."""
+
+import collections
+import re
+
+from soak_calls import KEEP_TIME_S
+from soak_faults import RESTART
+from stream_endpoint import EVENTS
+
+# The end of a stream reaches its caller and the log up to this time after the process wrote it.
+SIGNAL_MARGIN_S = 0.15
+PRINTED_FAULTS_S = 2
+BODY_ENDS = {"chunked": "last_chunk", "unframed": "connection_end", "length": "length"}
+LOG_REQUEST = re.compile(r" request=(\S+)")
+
+
+class Checker:
+    """Compares what callers received with the logs and the faults."""
+
+    def __init__(self, fleet, plan):
+        self.fleet = fleet
+        self.plan = plan
+        self.failures = []
+        self.tallies = collections.Counter()
+        self.whole_without_fault = 0
+        self.lines = {}
+
+    def read_logs(self):
+        self.lines = {}
+        for entry in self.fleet.entries:
+            for line in entry.log().splitlines():
+                match = LOG_REQUEST.search(line)
+                if match:
+                    self.lines.setdefault(match.group(1), []).append((entry.name, line))
+
+    def request_lines(self, stream):
+        """Returns the fields of the lines that report the end of a stream."""
+        return [dict(field.split("=", 1) for field in line.split() if "=" in field)
+                for _, line in self.lines.get(stream.request_id, []) if " event=request " in line]
+
+    def check(self, stream):
+        self.tallies[stream.outcome()] += 1
+        broken = ["a stream did not end"] if stream.timed_out else []
+        if stream.is_answered():
+            broken += self.check_received(stream)
+            broken += self.check_whole(stream)
+            broken += self.check_log(stream)
+        elif not stream.received:
+            broken += self.check_unanswered(stream)
+        self.failures += [(stream, text) for text in broken]
+
+    def check_received(self, stream):
+        """Rule 1: what looks complete is complete."""
+        ids = stream.events()
+        engines = {name for _, name in stream.event_sources()}
+        if ids != list(range(1, len(ids) + 1)):
+            yield "1: events are missing, repeated or out of order"
+        if stream.route != "chat" and len(engines) > 1:
+            yield "1: a stream of a route that is not resumable has events of several engines"
+        if not stream.looks_complete():
+            return
+        if stream.how == "whole" or stream.route != "chat":
+            if len(ids) != EVENTS:
+                yield "1: a stream looks complete and has not all events"
+            if stream.how != "whole":
+                yield "1: a stream looks complete that its engine never ended"
+        elif len(ids) < EVENTS or not self.was_continued(stream):
+            yield "1: a stream looks complete that no engine ended"
+        elif stream.how != "deadline" and len(ids) != EVENTS:
+            yield "1: a stream looks complete and has more than all events"
+
+    def was_continued(self, stream):
+        return any(" event=stream_continued " in line
+                   for _, line in self.lines.get(stream.request_id, []))
+
+    def check_whole(self, stream):
+        """Rule 2: a stream that ended well stays complete. A change of the configuration and SIGHUP
+        break off no stream, nor does SIGTERM before the entry process exits."""
+        if stream.how != "whole":
+            return
+        period = (stream.started_at, stream.ended_at + SIGNAL_MARGIN_S)
+        faults = self.plan.during(stream.entry.name, *period, ("SIGKILL", "SIGSTOP,SIGCONT"))
+        for engine in self.engines_of(stream):
+            faults += self.plan.during(engine, *period)
+        if faults:
+            return
+        self.whole_without_fault += 1
+        if not stream.looks_complete():
+            yield "2: a whole stream is broken off without a fault"
+
+    def engines_of(self, stream):
+        """Returns the names of all engines that a stream reached."""
+        names = {name for _, name in stream.event_sources()}
+        for _, line in self.lines.get(stream.request_id, []):
+            if " outcome=not_connected " not in line:
+                names.update(re.findall(r" endpoint=(\w+)", line))
+        return names
+
+    def was_killed(self, stream):
+        return bool(self.plan.during(stream.entry.name, stream.started_at,
+                                     stream.ended_at + SIGNAL_MARGIN_S, ("SIGKILL",)))
+
+    def check_log(self, stream):
+        """Rule 3: an answered stream has one request line that says what its caller saw."""
+        lines = self.request_lines(stream)
+        if not lines and self.was_killed(stream):
+            return
+        if len(lines) != 1:
+            yield f"3: a stream has {len(lines)} request lines"
+            return
+        line = lines[0]
+        looks_complete = stream.looks_complete()
+        received = len(stream.events())
+        if line["outcome"] not in ("answered", "cut"):
+            yield f"3: an answered stream has the outcome {line['outcome']}"
+        if line["status"] != str(stream.status()):
+            yield "3: the status is not the one that the caller got"
+        if looks_complete and line["outcome"] != "answered":
+            yield "3: a stream looks complete and was not answered"
+        if line["outcome"] == "answered" and not self.was_killed(stream):
+            if not looks_complete:
+                yield "3: a stream was answered and looks broken off"
+            if int(line["events"]) != received:
+                yield f"3: a stream has {received} events and the line another number"
+        if int(line["events"]) < received:
+            yield f"3: a stream has {received} events and the line fewer"
+        is_between_sends = line["body_end"] == "-" and line["outcome"] == "cut"
+        if line["body_end"] != BODY_ENDS[stream.framing] and not is_between_sends:
+            yield f"3: the end of a body of framing {stream.framing} is {line['body_end']}"
+
+    def check_unanswered(self, stream):
+        """An entry process that goes on running answers all requests."""
+        # The process may have ended after the last use of a kept connection.
+        began_at = stream.started_at - (KEEP_TIME_S if stream.is_kept_connection else 0)
+        ends = ("SIGKILL", "SIGTERM", RESTART)
+        if self.plan.during(stream.entry.name, began_at, stream.ended_at, ends):
+            return
+        # After a pause the process may find the answer and the deadline at once. The reset of the
+        # stream then overtakes its head.
+        is_cut = any(line["outcome"] == "cut" for line in self.request_lines(stream))
+        paused = self.plan.during(stream.entry.name, stream.started_at, stream.ended_at,
+                                  ("SIGSTOP,SIGCONT",))
+        if not is_cut or not paused or not stream.was_reset:
+            yield "an entry process that went on running did not answer"
+
+    def report(self, origin):
+        """Prints the broken rules, with the log lines of each request and the faults around it."""
+        for stream, text in self.failures:
+            ended = "reset" if stream.was_reset else "timed out" if stream.timed_out else "closed"
+            connection = "kept" if stream.is_kept_connection else "new"
+            print(f"BROKEN {text}\n  {stream.request_id} {stream.path} HTTP/{stream.version} at "
+                  f"{stream.entry.name}, {connection} connection, "
+                  f"{stream.started_at - origin:.3f} to {stream.ended_at - origin:.3f} s, "
+                  f"{stream.outcome()}, {ended}, events {stream.event_sources()}")
+            for name, line in self.lines.get(stream.request_id, []):
+                print(f"  {name}: {line}")
+            for fault in self.plan.faults:
+                if fault.changes_state(stream.started_at - PRINTED_FAULTS_S,
+                                       stream.ended_at + PRINTED_FAULTS_S):
+                    print(f"  {fault.describe(origin)}")
