tests: the soak prints the logs of the daemons when one does not start or answer

Seen in 2 of 16 runs of the soak beside builds: the configuration was not acknowledged and entry processes were not ready within 15 s, and nothing told why.

--- a/tests/stream_soak_test.py
+++ b/tests/stream_soak_test.py
@@ -22,6 +22,7 @@
 from soak_faults import RESTART, FaultPlan  # noqa: E402
 
 PREPAID_TOKENS = 10**9
+PRINTED_LOG_BYTES = 3000
 
 
 class Soak:
@@ -78,10 +79,17 @@
         failures = sum((caller.failures for caller in self.callers), self.plan.failures)
         for text in failures:
             print(f"BROKEN {text}")
+        if failures:
+            self.print_daemon_logs()
         broken = len(failures) + len(checker.failures)
         self.print_tallies(checker, len(streams), broken)
         return 1 if broken else 0
 
+    def print_daemon_logs(self):
+        """Prints the ends of the logs, for a process that did not start or did not answer."""
+        for daemon in self.fleet.controls + self.fleet.entries:
+            print(f"--- {daemon.name}\n{daemon.log()[-PRINTED_LOG_BYTES:]}")
+
     def wait_for_log(self, checker, streams):
         """Waits until the last streams are logged; check_log reports those that never are."""
         expected = [stream for stream in streams
