tests: an engine of the soak may begin to go on with a stream late

Every continued stream had its next event at once, so two engines never worked on a stream for longer than some ms and the limit of 400 ms was hardly tested. A /late/ one has its first event 600 ms after its head.

--- a/tests/soak_calls.py
+++ b/tests/soak_calls.py
@@ -5,16 +5,16 @@
 import socket
 import time
 
-from soak_engine import PADDING_BYTES
+from soak_engine import LATE_MS, PADDING_BYTES
 from stream_endpoint import EVENT_INTERVAL_S, EVENTS, FRAMINGS
 from stream_fleet import ROUTES, Stream
 
 ENDS = ("whole", "stall", "between", "inside", "deadline")
 # Streams that end by themselves are most of the load, because only they can break rule 2.
 END_WEIGHTS = (3, 5, 1, 1, 2)
-# What an engine does when it is asked to go on with a stream, see stream_endpoint.py.
-CONTINUATIONS = ("goes-on", "busy", "denied", "dropped", "empty", "mute")
-CONTINUATION_WEIGHTS = (5, 1, 1, 1, 1, 1)
+# What an engine does when it is asked to go on with a stream, see stream_endpoint.py and soak_engine.py.
+CONTINUATIONS = ("goes-on", "late", "busy", "denied", "dropped", "empty", "mute")
+CONTINUATION_WEIGHTS = (3, 2, 1, 1, 1, 1, 1)
 STALL_RANGE_MS = (800, 3000)
 DEADLINE_RANGE_MS = (300, 1500)
 WHOLE_DEADLINE_MS = 4000
@@ -116,7 +116,7 @@
         if self.how == "stall" and self.stall_after == 0:
             stall_s = 2 * stall_s + SILENCE_S
         reading_s = EVENTS * PADDED_EVENT_BYTES * SLOW_READ_S / SLOW_READ_BYTES if self.is_slow else 0
-        return EVENTS * EVENT_INTERVAL_S + stall_s + reading_s
+        return EVENTS * EVENT_INTERVAL_S + stall_s + LATE_MS / 1000 + reading_s
 
     def event_sources(self):
         """Returns the id of each complete event, and the engine that sent it."""
--- a/tests/soak_engine.py
+++ b/tests/soak_engine.py
@@ -4,7 +4,8 @@
 each step of a run, with the time of the monotonic clock, which all processes share.
 
 More parts of the path: /after-N/ is the number of events before the pause of a /stall/ and /for-MS/ its time;
-/padded/ makes each event PADDING_BYTES longer.
+/padded/ makes each event PADDING_BYTES longer; a stream that is continued at a /late/ one has its first event
+LATE_MS after its head.
 
 On SIGUSR2 the engine leaves: it announces `draining`, closes its listening socket LISTEN_S later, lets its
 running streams go on to their end and exits LINGER_S after the last one."""
@@ -24,6 +25,7 @@
 from stream_fleet import EngineProcess, StreamFleet  # noqa: E402
 
 PADDING_BYTES = 14000
+LATE_MS = 600
 LISTEN_S = 0.5
 LINGER_S = 1.0
 CLOSE_POLL_S = 0.01
@@ -77,11 +79,16 @@
         added = PADDING_BYTES if "/padded/" in handler.path else 0
         return event_bytes(number, self.name, padding + added)
 
-    def stall_before(self, handler, number):
-        if number == int(re.search(r"/after-(\d+)/", handler.path).group(1)) + 1:
-            pause_ms = int(re.search(r"/for-(\d+)/", handler.path).group(1))
-            self.record(handler, "stalled", before_event=number, ms=pause_ms)
-            time.sleep(pause_ms / 1000)
+    def before_event(self, handler, number, how):
+        last_event = handler.headers.get("Last-Event-Id")
+        if last_event is not None and "/late/" in handler.path and number == int(last_event) + 1:
+            self.stall(handler, number, LATE_MS)
+        elif how == "stall" and number == path_number(handler.path, "after") + 1:
+            self.stall(handler, number, path_number(handler.path, "for"))
+
+    def stall(self, handler, number, pause_ms):
+        self.record(handler, "stalled", before_event=number, ms=pause_ms)
+        time.sleep(pause_ms / 1000)
 
     def leave_and_exit(self):
         self.leave()
@@ -97,6 +104,10 @@
         threading.Thread(target=self.leave_and_exit, daemon=True).start()
 
 
+def path_number(path, name):
+    return int(re.search(rf"/{name}-(\d+)/", path).group(1))
+
+
 def is_closed(connection):
     try:
         return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/tests/stream_endpoint.py
+++ b/tests/stream_endpoint.py
@@ -82,8 +82,8 @@
     def event(self, _handler, number, padding):
         return event_bytes(number, self.name, padding)
 
-    def stall_before(self, _handler, number):
-        if number == EVENTS_BEFORE_STOP + 1:
+    def before_event(self, _handler, number, how):
+        if how == "stall" and number == EVENTS_BEFORE_STOP + 1:
             time.sleep(STALL_S)
 
     def stream(self, handler, headers, _first_run):
@@ -124,8 +124,7 @@
                 if how == "inside":
                     send(event[:len(event) // 2])
                 time.sleep(60)
-            if how == "stall":
-                self.stall_before(handler, number)
+            self.before_event(handler, number, how)
             wait = min(interval, ends_at - time.monotonic())
             if how == "deadline" and (wait <= 0 or framing == "length" and number == EVENTS):
                 time.sleep(max(0, ends_at - time.monotonic()))
