--- a/tests/stream_endpoint.py
+++ b/tests/stream_endpoint.py
@@ -93,6 +93,16 @@
         else:
             super().run(handler, body)
 
+    def event(self, _handler, number, padding):
+        return event_bytes(number, self.name, padding)
+
+    def before_event(self, _handler, number, how):
+        if how == "stall" and number == EVENTS_BEFORE_STOP + 1:
+            time.sleep(STALL_S)
+        elif how in ("drained", "drainedlate") and number == EVENTS_BEFORE_STOP + 1:
+            self.has_drained.wait()
+            time.sleep(DRAINED_LATE_S if how == "drainedlate" else 0)
+
     def stream(self, handler, headers, _first_run):
         started_at = time.monotonic()
         ends_at = started_at + int(handler.headers.get("X-Deadline-Ms")) / 1000
@@ -108,7 +118,7 @@
         if framing == "chunked":
             handler.send_header("Transfer-Encoding", "chunked")
         elif framing == "length":
-            size = sum(len(event_bytes(n, self.name, padding)) for n in range(first, EVENTS + 1))
+            size = sum(len(self.event(handler, n, padding)) for n in range(first, EVENTS + 1))
             handler.send_header("Content-Length", str(size))
         else:
             handler.send_header("Connection", "close")
@@ -126,16 +136,12 @@
 
         number = first
         while how == "deadline" or number <= EVENTS:
-            event = event_bytes(number, self.name, padding)
+            event = self.event(handler, number, padding)
             if how in ("between", "inside") and number > EVENTS_BEFORE_STOP:
                 if how == "inside":
                     send(event[:len(event) // 2])
                 time.sleep(60)
-            if how == "stall" and number == EVENTS_BEFORE_STOP + 1:
-                time.sleep(STALL_S)
-            if how in ("drained", "drainedlate") and number == EVENTS_BEFORE_STOP + 1:
-                self.has_drained.wait()
-                time.sleep(DRAINED_LATE_S if how == "drainedlate" else 0)
+            self.before_event(handler, number, how)
             wait = min(interval, ends_at - time.monotonic())
             if how == "deadline" and (wait <= 0 or framing == "length" and number == EVENTS):
                 time.sleep(max(0, ends_at - time.monotonic()))
