--- a/modules/http/TunnelServer.cpp
+++ b/modules/http/TunnelServer.cpp
@@ -26,8 +26,8 @@
 constexpr std::size_t kBufferBytes = 8192;
 /** How long a target may leave sent bytes unread or unacknowledged. */
 constexpr Duration kTargetUserTimeout = std::chrono::seconds(2);
-/** The same for a peer. It reads nothing while its caller is slow, and drops one that takes no bytes
-    after 10 to 11 s. */
+/** The same for a peer. It reads nothing while its caller is slow, and drops one that takes no
+   bytes after 10 to 11 s. */
 constexpr Duration kPeerUserTimeout = std::chrono::seconds(12);
 /** How long accepting pauses when no file descriptor is available. */
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
