--- a/tests/soak_engine.py
+++ b/tests/soak_engine.py
@@ -21,12 +21,11 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from stream_endpoint import Fleet, StreamEndpoint, event_bytes  # noqa: E402
+from stream_endpoint import SIGNAL_CHECK_S, Fleet, StreamEndpoint, event_bytes  # noqa: E402
 from stream_fleet import EngineProcess, StreamFleet  # noqa: E402
 
 PADDING_BYTES = 14000
 LATE_MS = 600
-LISTEN_S = 0.5
 LINGER_S = 1.0
 CLOSE_POLL_S = 0.01
 
@@ -91,10 +90,7 @@
         time.sleep(pause_ms / 1000)
 
     def leave_and_exit(self):
-        self.leave()
-        time.sleep(LISTEN_S)
-        self.server.shutdown()
-        self.server.server_close()
+        self.drain()
         while self.running > 0:
             time.sleep(CLOSE_POLL_S)
         time.sleep(LINGER_S)
@@ -134,8 +130,9 @@
     endpoint = SoakEndpoint(records, Fleet(controls), name, "engines", ip)
     signal.signal(signal.SIGUSR2, endpoint.start_leaving)
     print(endpoint.address, flush=True)
+    # Another thread may get a signal, which does not end the sleep of this one.
     while True:
-        time.sleep(60)
+        time.sleep(SIGNAL_CHECK_S)
 
 
 if __name__ == "__main__":
