http: a body is not broken off because its endpoint stopped listening before it said that it leaves

Cause: a closed port was taken for a proof that the process has ended. It only says that the other connections need more time to show it: an end that is lost is sent again after 200 ms. Change: with a closed port, the other connections are observed for 700 ms, and confirm the end if one is still open then.

--- a/modules/http/EndConfirmation.cpp
+++ b/modules/http/EndConfirmation.cpp
@@ -57,7 +57,8 @@
 
 void EndConfirmation::observeOthers()
 {
-  othersTimer_.expires_after(kObservationTime);
+  const auto observationTime = isObservedLonger_ ? kLostEndTime : kObservationTime;
+  othersTimer_.expires_after(observationTime);
   othersTimer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
     if (!error && self->finished_)
       self->onOthersObserved();
@@ -67,7 +68,11 @@
 void EndConfirmation::onOthersObserved()
 {
   const bool isRefused = isPortClosed();
-  const bool isConfirmed = !isRefused && isAnyOtherOpen();
+  const bool isConfirmed = isAnyOtherOpen();
+  if (isRefused && isConfirmed && !std::exchange(isObservedLonger_, true)) {
+    observeOthers();
+    return;
+  }
   if (isConfirmed || isRefused || hasConnectFailed_) {
     finish(isConfirmed);
     return;
@@ -158,11 +163,7 @@
     return;
   if (failure.portClosed)
     context_.confirmationAttempts(destination_).lastRefusedAt = bootTime();
-  // The ends of the other connections may have been lost on the way.
-  if (isPortClosed())
-    finish(false);
-  else
-    failConnect();
+  failConnect();
 }
 
 void EndConfirmation::failConnect()
--- a/modules/http/EndConfirmation.h
+++ b/modules/http/EndConfirmation.h
@@ -13,7 +13,8 @@
     kernel closes all of its connections and listening sockets, each in the same way as the process
     itself closes one. So the process is alive if another of its connections is still open a little
     later, or if it accepts a new one. Both are tried at once. If nothing listens any more although
-    the process should, the other connections prove nothing: their ends may be lost on the way.
+    the process should, the other connections are observed for longer: their ends may be lost on the
+    way, or the process is about to leave and has not said so yet.
     Thread safety: use only on the thread of the io_context. */
 class EndConfirmation final
   : public CallListener
@@ -27,6 +28,9 @@
   /** How long the other connections are observed. A process that ends closes all within this time.
    */
   static constexpr Duration kObservationTime = std::chrono::milliseconds(50);
+  /** How long the other connections are observed if nothing listens any more although the process
+      should. An end that is lost twice on the way arrives within this time. */
+  static constexpr Duration kLostEndTime = std::chrono::milliseconds(700);
   /** Ends of many bodies within this time lead to one new connection, so that they do not fill the
       endpoint's queue of new connections. */
   static constexpr Duration kSharingDelay = std::chrono::milliseconds(5);
@@ -91,6 +95,8 @@
   bool mayConnect_ = true;
   bool mayRefuse_ = true;
   bool hasConnectFailed_ = false;
+  /** The other connections are observed for kLostEndTime. */
+  bool isObservedLonger_ = false;
   /** The new connection; null when there is none or it was closed. */
   std::shared_ptr<Exchange> connection_;
   int connectAttempts_ = 0;
