dispatch: a send that is silent more than once counts as one failure of its endpoint

Cause: reports a send that is silent again, so that its stream can be moved, and let each silence count. Change: reported each time, counted once, as before.

--- a/modules/dispatch/DispatcherImpl.h
+++ b/modules/dispatch/DispatcherImpl.h
@@ -158,7 +158,7 @@
       }
     }
     send.lastByteAt = now;
-    send.overdue = false;
+    send.silent = false;
   }
 
   void finished(Time now, std::uint64_t requestId, Outcome outcome)
@@ -219,10 +219,13 @@
     restrictions_.expire(now);
     for (auto& [id, request] : requests_.all()) {
       auto* endpoint = request.send ? endpoints_.find(request.send->handle) : nullptr;
-      if (endpoint != nullptr && !request.send->overdue &&
-          isOverdue(now, request, endpoint->lastByteAt)) {
-        request.send->overdue = true;
-        stalled_.push_back(id);
+      if (endpoint == nullptr || request.send->silent ||
+          !isOverdue(now, request, endpoint->lastByteAt)) {
+        continue;
+      }
+      request.send->silent = true;
+      stalled_.push_back(id);
+      if (!std::exchange(request.send->overdue, true)) {
         health_.recordSilence(now, *request.send, *endpoint);
       }
     }
--- a/modules/dispatch/RequestTable.h
+++ b/modules/dispatch/RequestTable.h
@@ -31,8 +31,10 @@
   TokenWindow tokenWindow;
   /** The send is a trial of an endpoint with an open breaker. */
   bool trial = false;
-  /** The send counts as a failure because it has received no bytes for too long. */
+  /** The send counts as a failure because it received no bytes for too long; it counts once. */
   bool overdue = false;
+  /** The send has received no bytes for too long and was reported as stalled. */
+  bool silent = false;
   /** Time that the engine needs to prefill the uncached tokens. */
   Duration prefill{};
   /** Estimated time to the first token, without the requests of other processes. */
